Serve the users' platform: sessions that are connections, and an adapter

Cause: the product spoke HTTP only; the users' platform speaks a line protocol, a table store and a settings file of its own. Change: beryltiller.sessions holds routes, placement, lending and serving of sessions that are open connections; beryltiller.platform translates. No change of primary yet.

--- a/src/beryltiller/documents.py
+++ b/src/beryltiller/documents.py
@@ -60,10 +60,14 @@
 
 def modules_page() -> Iterator[str]:
     """Yield the lines of docs/MODULES.md."""
-    yield from ("# Modules", "", _MADE, "", "`src/beryltiller/`, one flat package:", "")
-    paths = sorted(Path(__file__).parent.glob("*.py"))
-    rows = ((f"`{path.stem}`", _summary(path)) for path in paths)
-    yield from markdown_table(("module", "job"), rows)
+    yield from ("# Modules", "", _MADE)
+    root = Path(__file__).parent
+    for package in (root, *sorted(path.parent for path in root.glob("*/__init__.py"))):
+        name = "/".join(package.relative_to(root.parent).parts)
+        yield from ("", f"`src/{name}/`", "")
+        paths = sorted(package.glob("*.py"))
+        rows = ((f"`{path.stem}`", _summary(path)) for path in paths)
+        yield from markdown_table(("module", "job"), rows)
 
 
 def _summary(path: Path) -> str:
--- a/src/beryltiller/logs.py
+++ b/src/beryltiller/logs.py
@@ -139,6 +139,47 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class FeedLost:
+    """A table of the store can no longer be followed; its last state is used."""
+
+    table: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class FeedRegained:
+    """A table of the store is followed again."""
+
+    table: str
+    failures: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRefused:
+    """A row of the store cannot be used; the others are."""
+
+    key: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderChanged:
+    """Another database is believed to lead a service."""
+
+    service: str
+    leader: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkFailed:
+    """A piece of the proxy's own work failed and is tried again later."""
+
+    work: str
+    reason: str
+
+
 Event = (
     Started
     | Ready
@@ -154,6 +195,11 @@
     | EndpointLeaving
     | StoreReachable
     | StoreUnreachable
+    | FeedLost
+    | FeedRegained
+    | EntryRefused
+    | LeaderChanged
+    | WorkFailed
 )
 
 
--- /dev/null
+++ b/src/beryltiller/platform/daemon.py
@@ -0,0 +1,87 @@
+"""Run one proxy on the platform as a process."""
+
+import os
+import signal
+import sys
+import threading
+from contextlib import AsyncExitStack, ExitStack
+
+from beryltiller import __version__, logs
+from beryltiller.actors import EventLoop
+from beryltiller.platform.node import PlatformNode
+from beryltiller.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    SettingsFileError,
+    read_settings_file,
+)
+
+START_TIMEOUT_SECONDS = 10.0
+
+EXIT_OK = 0
+EXIT_INVALID = 2
+
+
+class PlatformDaemon:
+    """Own the event loop and the node of one proxy."""
+
+    def __init__(self, path: str, settings: PlatformSettings) -> None:
+        """Keep the settings and where they were read from."""
+        self._path = path
+        self._settings = settings
+        self._ended = threading.Event()
+        self._node = PlatformNode(settings, self._ended.set)
+
+    def run(self) -> int:
+        """Serve until told to stop; return the exit code."""
+        logs.log_to(sys.stdout)
+        with ExitStack() as stack:
+            loop = EventLoop()
+            stack.callback(loop.close)
+            sockets = AsyncExitStack()
+            loop.submit(self._node.open(sockets)).result(START_TIMEOUT_SECONDS)
+            stack.callback(lambda: loop.submit(sockets.aclose()).result())
+            self._listen_to_signals(loop)
+            self._announce()
+            self._ended.wait()
+        return EXIT_OK
+
+    def _listen_to_signals(self, loop: EventLoop) -> None:
+        def drain(number: int, frame: object) -> None:
+            loop.call(self._node.drain)
+
+        def reload(number: int, frame: object) -> None:
+            loop.call(self._reload)
+
+        signal.signal(signal.SIGTERM, drain)
+        signal.signal(signal.SIGINT, drain)
+        signal.signal(signal.SIGHUP, reload)
+
+    def _reload(self) -> None:
+        try:
+            self._node.reconfigure(read_settings_file(self._path))
+        except SettingsFileError as error:
+            logs.log(logs.WorkFailed("reload", str(error)))
+
+    def _announce(self) -> None:
+        settings = self._settings
+        started = logs.Started(
+            settings.host_name,
+            settings.availability_zone,
+            __version__,
+            str(settings.caller_address),
+            str(settings.readiness_address),
+            "",
+        )
+        logs.log(started)
+
+
+def main() -> int:
+    """Run a proxy with the platform's settings file."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = read_settings_file(path)
+    except SettingsFileError as error:
+        print(f"beryltiller: {error}", file=sys.stderr)
+        return EXIT_INVALID
+    return PlatformDaemon(path, settings).run()
--- /dev/null
+++ b/src/beryltiller/platform/ingress.py
@@ -0,0 +1,210 @@
+"""Callers' connections over the platform's line protocol."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+
+from beryltiller.platform import wire
+from beryltiller.platform.databases import watch_for_silence
+from beryltiller.sessions.serving import SessionService
+from beryltiller.sessions.session import Session
+from beryltiller.sessions.statements import Code, SessionState
+
+MAX_PIPELINED = 64
+BACKLOG = 1024
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller: messages in, replies out, one after the other."""
+
+    def __init__(self, service: SessionService, ingress: "Ingress") -> None:
+        """Serve from `service`; `ingress` keeps count."""
+        self._service = service
+        self._ingress = ingress
+        self._splitter = wire.LineSplitter()
+        self._messages: deque[tuple[wire.Message, float]] = deque()
+        self._session: Session | None = None
+        self._transport: asyncio.Transport | None = None
+        self._work: asyncio.Task[None] | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is outstanding and no transaction is open."""
+        if self._work is not None or self._session is None:
+            return False
+        return self._session.state is SessionState.IDLE
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        watch_for_silence(transport)
+        self._ingress.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Queue the messages that are complete now."""
+        now = self._ingress.clock()
+        try:
+            for line in self._splitter.feed(data):
+                self._messages.append((wire.decode_message(line), now))
+        except wire.WireError as error:
+            self._refuse(Code.MALFORMED, str(error))
+            return
+        if len(self._messages) > MAX_PIPELINED and self._transport:
+            self._transport.pause_reading()
+        if self._work is None and self._messages:
+            self._work = asyncio.create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Undo what the caller left open, once nothing is outstanding."""
+        self._transport = None
+        self._messages.clear()
+        self._stop_timer()
+        self._ingress.remove(self)
+        if self._work is None and self._session is not None:
+            self._work = asyncio.create_task(self._service.end_session(self._session))
+
+    def close(self) -> None:
+        """Close the connection after what is written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def expire(self) -> None:
+        """End a transaction that is open with nothing outstanding."""
+        if self._work is None and self._session is not None:
+            self._work = asyncio.create_task(self._expire(self._session))
+
+    async def _serve(self) -> None:
+        self._stop_timer()
+        try:
+            while self._messages:
+                message, arrived = self._messages.popleft()
+                await self._serve_one(message, arrived)
+        finally:
+            self._work = None
+        if self._transport is None:
+            if self._session is not None:
+                await self._service.end_session(self._session)
+            return
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self._after_work()
+
+    def _after_work(self) -> None:
+        session = self._session
+        if session is None:
+            return
+        if session.state is SessionState.OPEN:
+            loop = asyncio.get_running_loop()
+            idle = self._service.idle_seconds()
+            self._idle_timer = loop.call_later(idle, self.expire)
+        elif self._ingress.is_closing_idle and self.is_idle:
+            self.close()
+
+    async def _serve_one(self, message: wire.Message, arrived: float) -> None:
+        match message:
+            case wire.Startup(database_name):
+                self._open(database_name)
+            case wire.Terminate():
+                self.close()
+            case wire.Query(identifier, statement):
+                if self._session is None:
+                    self._refuse(Code.MALFORMED, "a statement before the startup")
+                    return
+                if statement is None:
+                    reply = self._session.refuse(Code.MALFORMED, "unreadable statement")
+                else:
+                    reply = await self._service.answer(
+                        self._session, identifier, statement, arrived
+                    )
+                self._write(wire.encode_reply(reply))
+
+    def _open(self, database_name: str) -> None:
+        session = self._service.open_session(database_name)
+        if session is None:
+            self._refuse(Code.NO_ROUTE, database_name)
+            return
+        self._session = session
+        self._write(wire.encode_reply(session.accept()).partition(wire.END)[2])
+
+    def _refuse(self, code: Code, text: str) -> None:
+        self._messages.clear()
+        self._write(wire.encode_refused_startup(code, text))
+        self.close()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    async def _expire(self, session: Session) -> None:
+        try:
+            await self._service.expire(session)
+        finally:
+            self._work = None
+        if self._messages:
+            self._work = asyncio.create_task(self._serve())
+
+    def _stop_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+
+class Ingress:
+    """Listen for callers, and let them leave when the proxy stops."""
+
+    def __init__(
+        self, service: SessionService, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Serve every caller from `service`."""
+        self._service = service
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._is_closing_idle = False
+        self.clock = clock
+
+    @property
+    def is_closing_idle(self) -> bool:
+        """Tell whether connections are closed as soon as they are idle."""
+        return self._is_closing_idle
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many callers are connected."""
+        return len(self._connections)
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Accept callers."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self._service, self), ip, port, backlog=BACKLOG
+        )
+
+    def add(self, connection: CallerConnection) -> None:
+        """Count a caller in."""
+        self._connections.add(connection)
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Count a caller out."""
+        self._connections.discard(connection)
+
+    def close_idle(self, is_lasting: bool = True) -> None:
+        """Close idle connections, and with `is_lasting` each that becomes idle."""
+        self._is_closing_idle = is_lasting
+        for connection in tuple(self._connections):
+            if connection.is_idle:
+                connection.close()
+
+    def expire_transactions(self) -> None:
+        """End the open transactions that have nothing outstanding."""
+        for connection in tuple(self._connections):
+            connection.expire()
+
+    def close(self) -> None:
+        """Accept no more callers, and close those that are left."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.close()
--- /dev/null
+++ b/src/beryltiller/platform/node.py
@@ -0,0 +1,189 @@
+"""One proxy on the platform: its sockets, its followers and its session service.
+
+Everything here runs on the event loop.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from beryltiller import logs
+from beryltiller.platform import databases, records
+from beryltiller.platform.ingress import Ingress
+from beryltiller.platform.settings import PlatformSettings
+from beryltiller.platform.store import Duty, Store
+from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.fleet import Fleet
+from beryltiller.sessions.following import Rows, TableFollower
+from beryltiller.sessions.lending import DatabaseConnection
+from beryltiller.sessions.placement import Placer
+from beryltiller.sessions.registry import Registry
+from beryltiller.sessions.serving import SessionService
+
+READINESS_PATH = "/beryltiller/readiness"
+HOUSEKEEPING_SECONDS = 0.5
+# Balancers need two missed probes, a second apart, to send no more callers.
+BALANCER_SECONDS = 2.3
+DRAIN_STEP_SECONDS = 0.05
+# What is left of the grace period for closing and the process's own end.
+STOP_MARGIN_SECONDS = 0.7
+
+
+def boot_clock() -> float:
+    """Return seconds on a steady clock that also counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class PlatformNode:
+    """Own one proxy's state on the event loop; `open` starts it."""
+
+    def __init__(
+        self, settings: PlatformSettings, on_drained: Callable[[], None]
+    ) -> None:
+        """Keep the settings."""
+        self._settings = settings
+        self._on_drained = on_drained
+        self._source = random.Random()
+        self._registry = Registry()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_draining = False
+        zone = settings.availability_zone
+        self._fleet = Fleet(self._connect, zone, boot_clock)
+        self._service = SessionService(self._fleet, Placer(zone), boot_clock)
+        self._ingress = Ingress(self._service, boot_clock)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        if self._is_draining or self._fleet.configuration is None:
+            return False
+        return bool(self._fleet.directory.databases)
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the databases that this proxy serves from."""
+        return self._fleet
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Open sockets and servers; the stack closes them in reverse."""
+        settings = self._settings
+        connector = aiohttp.TCPConnector(
+            local_addr=(settings.source_ip, 0), limit=0, use_dns_cache=False
+        )
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        )
+        self._store = Store(session, str(settings.store_address))
+        self._duty = Duty(session, str(settings.duty_address))
+        stack.callback(self._cancel_tasks)
+        stack.callback(self._fleet.close)
+        self._follow(records.OPERATOR_TABLE, self._configured)
+        self._follow(records.DATABASES_TABLE, self._registered)
+        self._spawn(self._keep_house())
+        await self._serve_readiness(stack)
+        caller = settings.caller_address
+        await self._ingress.listen(caller.ip, caller.port)
+        stack.callback(self._ingress.close)
+
+    def drain(self) -> None:
+        """Finish what runs, let callers leave, then call `on_drained`."""
+        if self._is_draining:
+            return
+        self._is_draining = True
+        logs.log(logs.Draining("asked", self._ingress.open_connections))
+        self._spawn(self._drain())
+
+    def reconfigure(self, settings: PlatformSettings) -> None:
+        """Use the addresses of settings that have changed."""
+        self._settings = settings
+        self._store.address = str(settings.store_address)
+        self._duty.address = str(settings.duty_address)
+
+    async def _connect(self, database: Database) -> DatabaseConnection:
+        return await databases.connect(database, self._settings.source_ip)
+
+    def _follow(self, table: str, on_rows: Callable[[Rows], None]) -> None:
+        follower = TableFollower(self._store, table, on_rows, self._source)
+        self._spawn(follower.run())
+
+    def _configured(self, rows: Rows) -> None:
+        row = rows.get(records.CONFIGURATION_KEY)
+        if row is None:
+            return
+        try:
+            configuration = records.decode_configuration(row)
+        except records.RecordError as error:
+            logs.log(logs.ConfigurationRefused(row.version, str(error)))
+            return
+        if self._fleet.adopt(configuration):
+            logs.log(logs.ConfigurationInForce(configuration.version, "store"))
+
+    def _registered(self, rows: Rows) -> None:
+        found = records.decode_databases(rows.values())
+        self._registry.replace(found, boot_clock())
+        self._update_directory()
+
+    def _update_directory(self) -> None:
+        self._fleet.register(self._registry.directory(boot_clock()))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self._fleet.close_idle()
+            lapse = self._registry.next_lapse()
+            if lapse is not None and lapse <= boot_clock():
+                self._update_directory()
+
+    async def _serve_readiness(self, stack: AsyncExitStack) -> None:
+        app = web.Application()
+        app.router.add_get(READINESS_PATH, self._answer_readiness)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        address = self._settings.readiness_address
+        await web.TCPSite(runner, address.ip, address.port).start()
+
+    async def _answer_readiness(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.is_ready else 503)
+
+    async def _drain(self) -> None:
+        """Keep serving until no new callers come; then let them leave one by one."""
+        began = boot_clock()
+        grace = self._settings.grace_seconds
+        await asyncio.sleep(BALANCER_SECONDS)
+        has_expired = False
+        while True:
+            self._ingress.close_idle()
+            passed = boot_clock() - began
+            if passed > grace - STOP_MARGIN_SECONDS:
+                break
+            if not self._ingress.open_connections and passed > grace / 2:
+                break
+            if passed > grace / 2 and not has_expired:
+                has_expired = True
+                self._ingress.expire_transactions()
+            await asyncio.sleep(DRAIN_STEP_SECONDS)
+        self._on_drained()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.log(logs.WorkFailed(task.get_name(), repr(task.exception())))
+            self._on_drained()
+
+    def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
--- /dev/null
+++ b/src/beryltiller/platform/records.py
@@ -0,0 +1,154 @@
+"""Rows of the platform's tables: the configuration and the databases' entries."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+from beryltiller import logs
+from beryltiller.addresses import Address
+from beryltiller.ports import Row
+from beryltiller.sessions.catalog import (
+    Configuration,
+    Database,
+    Route,
+    RouteKind,
+    Service,
+)
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+DATABASES_TABLE = "servers"
+
+_T = TypeVar("_T")
+_KINDS = {
+    "primary": RouteKind.PRIMARY,
+    "bounded_staleness": RouteKind.BOUNDED_STALENESS,
+    "read_your_writes": RouteKind.READ_YOUR_WRITES,
+}
+_ROLES = {"primary": True, "replica": False}
+_STATES = {"ready": False, "draining": True}
+
+
+class RecordError(Exception):
+    """Report a row that cannot be used, by field and reason."""
+
+
+class RouteModel(msgspec.Struct, frozen=True):
+    """A route; `database_name` is what callers ask for."""
+
+    name: str
+    database_name: str
+    service: str
+    route_kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 1
+    max_staleness_ms: float = 0
+
+
+class ServiceModel(msgspec.Struct, frozen=True):
+    """A database group."""
+
+    name: str
+    max_connections: int = 20
+    sync_replicas: int = 0
+
+
+class LimitsModel(msgspec.Struct, frozen=True):
+    """Limits of all routes."""
+
+    transaction_idle_ms: float = 3000
+
+
+class ConfigurationModel(msgspec.Struct, frozen=True):
+    """The operator's row; its `config_version` is the configuration's own."""
+
+    config_version: int
+    routes: tuple[RouteModel, ...]
+    services: tuple[ServiceModel, ...]
+    limits: LimitsModel = LimitsModel()
+
+
+class DatabaseModel(msgspec.Struct, frozen=True):
+    """A database's entry; `born` is the Unix millisecond of its start."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    database_role: str
+    born: int = 0
+
+
+def decode_configuration(row: Row) -> Configuration:
+    """Return the operator's configuration, or raise `RecordError`."""
+    model = _decoded(row, ConfigurationModel)
+    routes = {route.database_name: _route(route) for route in model.routes}
+    services = {
+        service.name: Service(
+            service.name, service.max_connections, service.sync_replicas
+        )
+        for service in model.services
+    }
+    idle_seconds = model.limits.transaction_idle_ms / 1000
+    return Configuration(model.config_version, routes, services, idle_seconds)
+
+
+def decode_database(row: Row) -> Database:
+    """Return a database's entry, or raise `RecordError`."""
+    model = _decoded(row, DatabaseModel)
+    if model.database_role not in _ROLES:
+        raise RecordError(f"database_role: unknown {model.database_role[:40]!r}")
+    if model.state not in _STATES:
+        raise RecordError(f"state: unknown {model.state[:40]!r}")
+    try:
+        Address.parse(model.address)
+    except ValueError as error:
+        raise RecordError(f"address: {error}") from error
+    if not 0 < model.slots <= 10_000:
+        raise RecordError(f"slots: {model.slots} is not from 1 to 10000")
+    return Database(
+        identifier=row.key,
+        service=model.service,
+        address=model.address,
+        availability_zone=model.zone,
+        slots=model.slots,
+        is_primary=_ROLES[model.database_role],
+        is_draining=_STATES[model.state],
+        incarnation=model.born,
+    )
+
+
+def decode_databases(rows: Iterable[Row]) -> list[Database]:
+    """Return the entries that can be read; the others are logged."""
+    databases = []
+    for row in rows:
+        try:
+            databases.append(decode_database(row))
+        except RecordError as error:
+            logs.log(logs.EntryRefused(row.key, str(error)))
+    return databases
+
+
+def _route(model: RouteModel) -> Route:
+    kind = _KINDS.get(model.route_kind)
+    if kind is None:
+        raise RecordError(f"route_kind: unknown {model.route_kind[:40]!r}")
+    return Route(
+        model.database_name,
+        model.service,
+        kind,
+        model.timeout_ms / 1000,
+        model.target_latency_ms / 1000,
+        model.priority,
+        model.max_staleness_ms / 1000,
+    )
+
+
+def _decoded(row: Row, model: type[_T]) -> _T:
+    try:
+        return msgspec.json.decode(row.value, type=model)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RecordError(f"row {row.key}: {error}") from error
--- /dev/null
+++ b/src/beryltiller/platform/wire.py
@@ -0,0 +1,319 @@
+"""Codec of the platform's line protocol, which callers and databases speak.
+
+A line is a word and its fields, separated by blanks and ended by CR LF; the last field
+goes to the end of the line.
+"""
+
+from dataclasses import dataclass
+
+from beryltiller.position import Position
+from beryltiller.sessions.statements import (
+    AskStatus,
+    Begin,
+    CallerStatement,
+    Code,
+    Commit,
+    DatabaseStatus,
+    Deallocate,
+    Execute,
+    Fence,
+    Prepare,
+    Read,
+    Reply,
+    Request,
+    Reset,
+    Rollback,
+    SessionState,
+    SetValue,
+    Statement,
+    StepDown,
+    Unfence,
+    Write,
+)
+
+MAX_LINE_BYTES = 1 << 20
+END = b"\r\n"
+NONE = "-"
+
+_TRANSACTION_WORDS = frozenset({"BEGIN", "COMMIT", "ROLLBACK"})
+_STATES = {
+    SessionState.IDLE: "I",
+    SessionState.OPEN: "T",
+    SessionState.FAILED: "E",
+}
+_STATE_WORDS = {word: state for state, word in _STATES.items()}
+_CODES = {
+    Code.BUSY: "BUSY",
+    Code.ABORTED: "ABORTED",
+    Code.LAGGING: "LAGGING",
+    Code.READ_ONLY: "READONLY",
+    Code.WRONG_DATABASE: "WRONGNODE",
+    Code.CONNECTION_LIMIT: "CONNLIMIT",
+    Code.UNKNOWN_OUTCOME: "INDOUBT",
+    Code.TIMEOUT: "TIMEOUT",
+    Code.FAILED: "FAILED",
+    Code.MALFORMED: "MALFORMED",
+    Code.NO_SUCH_STATEMENT: "NOSUCHSTMT",
+    Code.NO_ROUTE: "NODATABASE",
+}
+_CODE_WORDS = {word: code for code, word in _CODES.items()}
+
+
+class WireError(Exception):
+    """Report a message that does not follow the line protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class Startup:
+    """A caller's first message."""
+
+    database_name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A caller's statement; `statement` is None when its text cannot be read."""
+
+    identifier: str
+    statement: CallerStatement | None
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    """A caller's last message."""
+
+
+Message = Startup | Query | Terminate
+
+
+def decode_message(line: bytes) -> Message:
+    """Return a caller's message, or raise `WireError`."""
+    try:
+        text = line.decode()
+    except UnicodeDecodeError as error:
+        raise WireError(f"not UTF-8: {error.reason}") from error
+    word, _, rest = text.partition(" ")
+    match word:
+        case "QUERY":
+            identifier, _, query = rest.partition(" ")
+            return Query(identifier, decode_statement(query))
+        case "STARTUP":
+            return Startup(rest.partition(" ")[0])
+        case "TERMINATE":
+            return Terminate()
+    raise WireError(f"unknown word {word[:40]!r}")
+
+
+def decode_statement(text: str) -> CallerStatement | None:
+    """Return a caller's statement, or None when the text is not one."""
+    word, _, rest = text.partition(" ")
+    fields = rest.split(" ", 2) if rest else []
+    if word in _TRANSACTION_WORDS:
+        return _decode_transaction(word, fields)
+    return _decode_work(word, fields)
+
+
+def _decode_transaction(word: str, fields: list[str]) -> CallerStatement | None:
+    match word, fields:
+        case "BEGIN", []:
+            return Begin()
+        case "BEGIN", ["READ"]:
+            return Begin(is_read_only=True)
+        case "COMMIT", []:
+            return Commit()
+        case "ROLLBACK", []:
+            return Rollback()
+    return None
+
+
+def _decode_work(word: str, fields: list[str]) -> CallerStatement | None:
+    match word, fields:
+        case "READ", [item]:
+            return Read(item)
+        case "WRITE", [item, _, *_]:
+            return Write(item, " ".join(fields[1:]))
+        case "EXECUTE", [name, *arguments]:
+            return Execute(name, " ".join(arguments))
+        case "SET", [name, *value]:
+            return SetValue(name, " ".join(value))
+        case "PREPARE", [name, "READ" | "WRITE" as mode, shape]:
+            return Prepare(name, mode == "WRITE", shape)
+        case "DEALLOCATE", [name]:
+            return Deallocate(name)
+    return None
+
+
+def statement_text(statement: Statement) -> str:
+    """Return a statement as it is sent to a database."""
+    match statement:
+        case Read(item):
+            return f"READ {item}"
+        case Write(item, data):
+            return f"WRITE {item} {data}"
+        case Execute(name, arguments):
+            return f"EXECUTE {name} {arguments}" if arguments else f"EXECUTE {name}"
+        case Begin(is_read_only):
+            return "BEGIN READ" if is_read_only else "BEGIN"
+        case Commit():
+            return "COMMIT"
+        case Rollback():
+            return "ROLLBACK"
+        case _:
+            return _setup_text(statement)
+
+
+def _setup_text(statement: Statement) -> str:
+    match statement:
+        case SetValue(name, value):
+            return f"SET {name} {value}"
+        case Prepare(name, is_write, shape):
+            return f"PREPARE {name} {'WRITE' if is_write else 'READ'} {shape}"
+        case Deallocate(name):
+            return f"DEALLOCATE {name}"
+        case Reset():
+            return "RESET"
+        case _:
+            return _command_text(statement)
+
+
+def _command_text(statement: Statement) -> str:
+    match statement:
+        case AskStatus():
+            return "STATUS"
+        case Fence(term):
+            return f"PAUSE {term}"
+        case Unfence():
+            return "RESUME"
+        case StepDown(term):
+            return f"STEPDOWN {term}"
+    raise WireError(f"no text for {statement!r}")
+
+
+def encode_request(request: Request) -> bytes:
+    """Return a request to a database as a line."""
+    since = f"SINCE {encode_position(request.since)} " if request.since else ""
+    text = statement_text(request.statement)
+    return f"QUERY {request.identifier or NONE} {since}{text}\r\n".encode()
+
+
+def encode_startup(service: str, identifier: str) -> bytes:
+    """Return the first message to a database."""
+    return f"STARTUP {service} beryltiller {identifier}\r\n".encode()
+
+
+def encode_reply(reply: Reply) -> bytes:
+    """Return a reply to a caller."""
+    lines = [f"DATAROW {row}" for row in reply.rows]
+    if reply.code is None:
+        lines.append(f"COMPLETE {reply.signature}")
+    else:
+        lines.append(f"ERROR {_CODES[reply.code]} {reply.text}")
+    position = encode_position(reply.position)
+    lines.append(f"READY {_STATES[reply.state]} {position}\r\n")
+    return "\r\n".join(lines).encode()
+
+
+def encode_refused_startup(code: Code, text: str) -> bytes:
+    """Return the refusal of a session."""
+    return f"ERROR {_CODES[code]} {text}\r\n".encode()
+
+
+def encode_position(position: Position | None) -> str:
+    """Return a position as it travels, such as `3.1207`."""
+    return f"{position.term}.{position.index}" if position else NONE
+
+
+def decode_position(text: str) -> Position | None:
+    """Return the position, or None for `-`."""
+    if text == NONE:
+        return None
+    term, _, index = text.partition(".")
+    try:
+        return Position(int(term), int(index))
+    except ValueError as error:
+        raise WireError(f"not a position: {text[:40]!r}") from error
+
+
+def decode_status(rows: tuple[str, ...]) -> DatabaseStatus:
+    """Return a database's status from its row.
+
+    The row's fields are role, term, position received, term held, lag in ms, busy
+    slots and connections.
+    """
+    fields = rows[0].split(" ") if rows else []
+    match fields:
+        case [role, term, received, fenced_term, lag_ms, _, _, *_]:
+            position = decode_position(received) or Position(0, 0)
+            try:
+                return DatabaseStatus(
+                    role == "primary",
+                    int(term),
+                    position,
+                    int(fenced_term) if fenced_term != NONE else 0,
+                    int(float(lag_ms)) if lag_ms != NONE else 0,
+                )
+            except ValueError as error:
+                raise WireError(f"not a status: {rows[0][:80]!r}") from error
+    raise WireError(f"not a status: {rows!r}")
+
+
+class ReplyDecoder:
+    """Collect the lines of a database's replies, one reply after the other."""
+
+    def __init__(self) -> None:
+        """Start between two replies."""
+        self._rows: list[str] = []
+        self._signature = ""
+        self._code: Code | None = None
+        self._text = ""
+
+    def feed(self, line: bytes) -> Reply | None:
+        """Take in a line; return the reply that it completes, if any."""
+        word, _, rest = line.decode(errors="replace").partition(" ")
+        match word:
+            case "DATAROW":
+                self._rows.append(rest)
+            case "COMPLETE":
+                self._signature = rest
+            case "ERROR":
+                code, _, self._text = rest.partition(" ")
+                self._code = _CODE_WORDS.get(code, Code.FAILED)
+            case "READY":
+                return self._complete(rest)
+            case _:
+                raise WireError(f"unknown word {word[:40]!r}")
+        return None
+
+    def refusal(self) -> Code | None:
+        """Return the code of an error that no `READY` has followed."""
+        return self._code
+
+    def _complete(self, rest: str) -> Reply:
+        state, _, position = rest.partition(" ")
+        if state not in _STATE_WORDS:
+            raise WireError(f"unknown state {state[:40]!r}")
+        reply = Reply(
+            _STATE_WORDS[state],
+            tuple(self._rows),
+            self._signature,
+            self._code,
+            self._text,
+            decode_position(position),
+        )
+        self.__init__()  # type: ignore[misc]
+        return reply
+
+
+class LineSplitter:
+    """Split a stream of bytes into lines of bounded length."""
+
+    def __init__(self) -> None:
+        """Start at the beginning of a line."""
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that are complete now, or raise `WireError`."""
+        *lines, self._rest = (self._rest + data).split(END)
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise WireError(f"a message is longer than {MAX_LINE_BYTES} bytes")
+        return lines
--- a/src/beryltiller/ports.py
+++ b/src/beryltiller/ports.py
@@ -83,6 +83,34 @@
         ...
 
 
+class HistoryLostError(PortError):
+    """Report that changes since the given revision are no longer kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Hold what changed in a table up to a revision; `removed` lists dropped keys."""
+
+    revision: int
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...] = ()
+
+
+class TableFeed(Protocol):
+    """Follow a table: read it whole once, then its changes in order."""
+
+    async def whole(self, table: str) -> Scan:
+        """Return every row of the table as of one moment."""
+        ...
+
+    async def changes(self, table: str, after: int, wait_seconds: float) -> Changes:
+        """Return the changes after a revision, waiting for the first one.
+
+        Raise `HistoryLostError` when they are no longer kept.
+        """
+        ...
+
+
 class ObjectStore(Protocol):
     """Keep whole objects by name."""
 
--- /dev/null
+++ b/src/beryltiller/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions that are open connections: routes, placement, lending and succession."""
--- /dev/null
+++ b/src/beryltiller/sessions/fleet.py
@@ -0,0 +1,183 @@
+"""The databases that one proxy serves from: groups, connections and questions."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+from beryltiller.sessions.catalog import Configuration, Database, Directory
+from beryltiller.sessions.errors import SessionError
+from beryltiller.sessions.gates import Gate
+from beryltiller.sessions.groups import Group, Member
+from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
+from beryltiller.sessions.statements import AskStatus, DatabaseStatus
+
+# One proxy's statements in execution at a database, beside its number of slots.
+EXTRA_IN_EXECUTION = 1
+# Share of a database's connections that one proxy may hold.
+CONNECTION_SHARE = 0.3
+MIN_CONNECTIONS = 3
+DEFAULT_MAX_CONNECTIONS = 20
+
+QUESTION_TIMEOUT_SECONDS = 0.3
+MAX_QUESTIONS = 3
+
+Connect = Callable[[Database], Awaitable[DatabaseConnection]]
+Key = tuple[str, str, int]
+
+
+class Fleet:
+    """Own groups and lenders of one proxy; on one event loop."""
+
+    def __init__(
+        self, connect: Connect, availability_zone: str, clock: Callable[[], float]
+    ) -> None:
+        """Start without configuration and without databases."""
+        self._connect = connect
+        self._availability_zone = availability_zone
+        self._clock = clock
+        self._configuration: Configuration | None = None
+        self._directory = Directory()
+        self._groups: dict[str, Group] = {}
+        self._lenders: dict[Key, Lender] = {}
+        self._questions: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._configuration
+
+    @property
+    def directory(self) -> Directory:
+        """Return the databases known."""
+        return self._directory
+
+    def groups(self) -> Iterator[Group]:
+        """Yield the groups of the configured services."""
+        yield from self._groups.values()
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is older than the present one."""
+        present = self._configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        self._configuration = configuration
+        self._update_groups()
+        return True
+
+    def register(self, directory: Directory) -> None:
+        """Take in the databases that are registered now."""
+        self._directory = directory
+        self._update_groups()
+        self._close_lenders()
+
+    def group(self, service: str) -> Group:
+        """Return a service's group."""
+        group = self._groups.get(service)
+        if group is None:
+            group = self._groups[service] = Group(service)
+            group.update(self._directory.of_service(service))
+        return group
+
+    def lender(self, database: Database) -> Lender:
+        """Return what lends connections to a database."""
+        key = _key(database)
+        lender = self._lenders.get(key)
+        if lender is None:
+            lender = self._lenders[key] = self._open_lender(database)
+        return lender
+
+    def broke(self, group: Group, member: Member) -> None:
+        """Take in that a connection broke before the answer was whole."""
+        member.failed(self._clock())
+
+    def timed_out(self, group: Group, member: Member) -> None:
+        """Take in that an answer was not there in time."""
+        member.failed(self._clock())
+
+    async def prove(self, group: Group, moment: float, wait_seconds: float) -> bool:
+        """Ask replicas until the leader's term is proved; tell whether it is."""
+        deadline = self._clock() + wait_seconds
+        for _ in range(MAX_QUESTIONS):
+            if group.is_proved(moment):
+                return True
+            question = self._questions.get(group.service)
+            if question is None:
+                question = asyncio.create_task(self._question(group))
+                self._questions[group.service] = question
+            left = deadline - self._clock()
+            if left <= 0:
+                break
+            await asyncio.wait((question,), timeout=left)
+        return group.is_proved(moment)
+
+    async def ask_status(self, member: Member) -> DatabaseStatus:
+        """Ask a database for its status, over a connection of its lender."""
+        lender = self.lender(member.database)
+        lent = await lender.lend({}, QUESTION_TIMEOUT_SECONDS)
+        try:
+            async with asyncio.timeout(QUESTION_TIMEOUT_SECONDS):
+                status = await lent.command(AskStatus())
+        except BaseException:
+            lender.drop(lent)
+            raise
+        lender.give_back(lent)
+        return status
+
+    def close_idle(self) -> None:
+        """Close connections that nobody has used for long."""
+        now = asyncio.get_running_loop().time()
+        for lender in self._lenders.values():
+            lender.close_idle(now)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for question in self._questions.values():
+            question.cancel()
+        for lender in self._lenders.values():
+            lender.close()
+
+    async def _question(self, group: Group) -> None:
+        """Ask the nearest replica that answers whether it still follows the leader."""
+        try:
+            for member in self._nearest(group):
+                asked_at = self._clock()
+                try:
+                    status = await self.ask_status(member)
+                except (SessionError, TimeoutError):
+                    member.failed(self._clock())
+                    continue
+                group.status_heard(member, status.term, status.fenced_term, asked_at)
+                return
+        finally:
+            del self._questions[group.service]
+
+    def _nearest(self, group: Group) -> list[Member]:
+        now = self._clock()
+        usable = [each for each in group.replicas if each.is_available(now)]
+        return sorted(usable, key=self._is_remote)
+
+    def _is_remote(self, member: Member) -> bool:
+        return member.database.availability_zone != self._availability_zone
+
+    def _update_groups(self) -> None:
+        names = self._configuration.services if self._configuration else ()
+        for name in names:
+            self.group(name)
+        for service, group in self._groups.items():
+            group.update(self._directory.of_service(service))
+
+    def _open_lender(self, database: Database) -> Lender:
+        services = self._configuration.services if self._configuration else {}
+        service = services.get(database.service)
+        cap = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
+        share = max(MIN_CONNECTIONS, round(cap * CONNECTION_SHARE))
+        gate = Gate(database.slots + EXTRA_IN_EXECUTION)
+        return Lender(lambda: self._connect(database), gate, LendingPolicy(share))
+
+    def _close_lenders(self) -> None:
+        known = {_key(database) for database in self._directory.databases.values()}
+        for key in self._lenders.keys() - known:
+            self._lenders.pop(key).close()
+
+
+def _key(database: Database) -> Key:
+    return database.identifier, database.address, database.incarnation
--- /dev/null
+++ b/src/beryltiller/sessions/groups.py
@@ -0,0 +1,255 @@
+"""What a proxy knows of one database group: its leader, evidence and positions.
+
+Times are seconds on a clock that also counts suspension; the caller passes them in.
+Each fact is dated from before the request that brought it was sent.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from beryltiller.position import Position
+from beryltiller.sessions.catalog import Database
+
+NEVER = float("-inf")
+
+# A promoter waits this long between fencing the replicas and naming a new primary.
+PROMOTION_HOLD_SECONDS = 0.4
+# A term proved in force at a moment stays so for this long: the hold, and the time
+# that a database takes at the least to take over the lead.
+TERM_PROOF_SECONDS = 0.5
+
+KEPT_SAMPLES_SECONDS = 4.0
+MIN_SAMPLE_SPACING_SECONDS = 0.02
+
+FIRST_RETRY_SECONDS = 0.2
+MAX_RETRY_SECONDS = 1.0
+LAGGING_PENALTY_SECONDS = 0.15
+LATENCY_WEIGHT = 0.2
+FIRST_LATENCY_SECONDS = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """The leader's position at some moment after `asked_at`."""
+
+    asked_at: float
+    position: Position
+
+
+class Member:
+    """One database as this proxy finds it: failures, load and applied position."""
+
+    def __init__(self, database: Database) -> None:
+        """Start with no opinion."""
+        self.database = database
+        self.in_flight = 0
+        self.latency_seconds = FIRST_LATENCY_SECONDS
+        self.applied: Position | None = None
+        self.is_lead_denied = False
+        self._failures = 0
+        self._retry_at = NEVER
+        self._failing_since: float | None = None
+        self._lagging_until = NEVER
+
+    @property
+    def failing_since(self) -> float | None:
+        """Return when the present run of failures began."""
+        return self._failing_since
+
+    def is_available(self, now: float) -> bool:
+        """Tell whether statements may be sent, or a failed database tried again."""
+        return now >= self._retry_at
+
+    def is_lagging(self, now: float) -> bool:
+        """Tell whether the database refused a read as too far behind just now."""
+        return now < self._lagging_until
+
+    def failed(self, now: float) -> None:
+        """Take in that the database could not be reached or broke off."""
+        if self._failing_since is None:
+            self._failing_since = now
+        delay = min(FIRST_RETRY_SECONDS * 2**self._failures, MAX_RETRY_SECONDS)
+        self._failures += 1
+        self._retry_at = now + delay
+
+    def answered(self, position: Position | None) -> None:
+        """Take in an answer of any kind."""
+        self._failures = 0
+        self._failing_since = None
+        self._retry_at = NEVER
+        if position is not None and (self.applied is None or position > self.applied):
+            self.applied = position
+
+    def served(self, duration_seconds: float) -> None:
+        """Take in how long a statement took."""
+        change = duration_seconds - self.latency_seconds
+        self.latency_seconds += LATENCY_WEIGHT * change
+
+    def lagged(self, now: float) -> None:
+        """Take in that a read was refused as too far behind."""
+        self._lagging_until = now + LAGGING_PENALTY_SECONDS
+
+    def expected_seconds(self) -> float:
+        """Return how long a further statement would take."""
+        slots = max(1, self.database.slots)
+        return self.latency_seconds * (1 + self.in_flight / slots)
+
+
+class Group:
+    """One service's databases, who leads them, and since when that is proved.
+
+    `proved_until` is the newest moment up to which no later term can have begun.
+    Samples at or before it bound what has been acknowledged: a log that holds the
+    sample's position holds every commit acknowledged before `asked_at`.
+    """
+
+    def __init__(self, service: str) -> None:
+        """Start without databases."""
+        self.service = service
+        self.members: dict[str, Member] = {}
+        self._leader: str | None = None
+        self._term = 0
+        self._proved_until = NEVER
+        self._samples: deque[Sample] = deque()
+
+    @property
+    def leader(self) -> Member | None:
+        """Return the database that is believed to lead."""
+        return self.members.get(self._leader) if self._leader else None
+
+    @property
+    def term(self) -> int:
+        """Return the leader's term, as far as known."""
+        return self._term
+
+    @property
+    def proved_until(self) -> float:
+        """Return up to when the leader's term is proved to be in force."""
+        return self._proved_until
+
+    @property
+    def replicas(self) -> tuple[Member, ...]:
+        """Return the members that do not lead."""
+        return tuple(
+            member
+            for identifier, member in self.members.items()
+            if identifier != self._leader
+        )
+
+    def update(self, databases: tuple[Database, ...]) -> None:
+        """Take in the group's registered databases."""
+        known = self.members
+        self.members = {}
+        for database in databases:
+            member = known.get(database.identifier)
+            is_same = (
+                member is not None
+                and member.database.address == database.address
+                and member.database.incarnation == database.incarnation
+            )
+            if member is None or not is_same:
+                member = Member(database)
+            if database.is_primary != member.database.is_primary:
+                member.is_lead_denied = False
+            member.database = database
+            self.members[database.identifier] = member
+        self._choose_leader()
+
+    def lead_denied(self, member: Member) -> None:
+        """Take in that a database refused work that only a primary does."""
+        member.is_lead_denied = True
+        self._choose_leader()
+
+    def heard(self, member: Member, position: Position | None, asked_at: float) -> None:
+        """Take in the position that came with an answer."""
+        member.answered(position)
+        if position is None:
+            return
+        if position.term > self._term:
+            self._enter_term(position.term)
+        if member.database.identifier == self._leader and position.term == self._term:
+            self._add_sample(Sample(asked_at, position))
+
+    def acknowledged(self, member: Member, asked_at: float) -> None:
+        """Take in a commit of the leader that a replica has received."""
+        if member.database.identifier == self._leader:
+            self._prove(asked_at)
+
+    def status_heard(
+        self, member: Member, term: int, fenced_term: int, asked_at: float
+    ) -> None:
+        """Take in what a database says of its term and fence."""
+        member.answered(None)
+        if term > self._term:
+            self._enter_term(term)
+        is_leader = member.database.identifier == self._leader
+        if not is_leader and term == self._term and not fenced_term:
+            self._prove(asked_at)
+
+    def all_replicas_heard(self, position: Position, asked_at: float) -> None:
+        """Take in the most advanced log of all replicas, none of them fenced.
+
+        Every acknowledged commit is in one of them.
+        """
+        if position.term == self._term:
+            self._samples.append(Sample(asked_at, position))
+
+    def is_proved(self, moment: float) -> bool:
+        """Tell whether no later term can have begun by the moment."""
+        return self._proved_until >= moment
+
+    def floor(self, moment: float) -> Position | None:
+        """Return a position that covers all commits acknowledged before the moment.
+
+        None when no proved position is new enough.
+        """
+        for sample in self._samples:
+            if sample.asked_at > self._proved_until:
+                return None
+            if sample.asked_at >= moment:
+                return sample.position
+        return None
+
+    def forget_proofs(self) -> None:
+        """Drop all evidence, as after the process stood still."""
+        self._proved_until = NEVER
+        self._samples.clear()
+
+    def _prove(self, asked_at: float) -> None:
+        until = asked_at + TERM_PROOF_SECONDS
+        self._proved_until = max(self._proved_until, until)
+
+    def _add_sample(self, sample: Sample) -> None:
+        samples = self._samples
+        if samples:
+            last = samples[-1]
+            if sample.asked_at < last.asked_at + MIN_SAMPLE_SPACING_SECONDS:
+                return
+        samples.append(sample)
+        while samples[0].asked_at < sample.asked_at - KEPT_SAMPLES_SECONDS:
+            samples.popleft()
+
+    def _enter_term(self, term: int) -> None:
+        self._term = term
+        self._drop_unproved()
+
+    def _drop_unproved(self) -> None:
+        while self._samples and self._samples[-1].asked_at > self._proved_until:
+            self._samples.pop()
+
+    def _choose_leader(self) -> None:
+        candidates = [
+            member
+            for member in self.members.values()
+            if member.database.is_primary and not member.is_lead_denied
+        ]
+        leader = max(candidates, key=_lead_rank, default=None)
+        identifier = leader.database.identifier if leader else None
+        if identifier != self._leader:
+            self._leader = identifier
+            self._drop_unproved()
+
+
+def _lead_rank(member: Member) -> tuple[int, int, str]:
+    term = member.applied.term if member.applied else 0
+    return term, -int(member.database.is_draining), member.database.identifier
--- a/src/beryltiller/transport.py
+++ b/src/beryltiller/transport.py
@@ -56,7 +56,7 @@
     return bytes(data)
 
 
-async def send(
+async def exchange(
     session: aiohttp.ClientSession,
     method: str,
     url: str,
@@ -65,11 +65,10 @@
     timeout: aiohttp.ClientTimeout | None = None,
     max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Reply:
-    """Send one request and return its whole answer.
+    """Send one request and return its whole answer, whatever its status.
 
-    Raise `RefusedError` when it could not be sent or was refused, and
-    `LostAnswerError` when it may have been carried out all the same. A 404 is
-    returned, not raised.
+    Raise `RefusedError` when it could not be sent, and `LostAnswerError` when it may
+    have been carried out all the same.
     """
     try:
         async with session.request(
@@ -80,11 +79,29 @@
             timeout=timeout or session.timeout,
         ) as response:
             data = await _whole(response, max_bytes)
-            reply = Reply(response.status, response.headers, data)
+            return Reply(response.status, response.headers, data)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise RefusedError("unreachable", str(error)) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise LostAnswerError(f"{method} {url}: {error!r}") from error
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    headers: Mapping[str, str] = _NO_HEADERS,
+    timeout: aiohttp.ClientTimeout | None = None,
+    max_bytes: int = MAX_ANSWER_BYTES,
+) -> Reply:
+    """Send one request and return its whole answer.
+
+    Raise `RefusedError` when it could not be sent or was refused, and
+    `LostAnswerError` when it may have been carried out all the same. A 404 is
+    returned, not raised.
+    """
+    reply = await exchange(session, method, url, body, headers, timeout, max_bytes)
     if reply.status >= 400 and reply.status != 404:
         raise_refusal(reply)
     return reply
