Prove a read by the reign it ran in; end a transaction whose first statement ran

Change: evidence counts only if the same database has led in the same term since the read was sent; a replica of a newer term makes the proxy ask its leader, and a leader of an older term is dropped. What has run in a transaction is answered ABORTED. A replica that has applied more than the leader's log held proves the leader's term. Conclusion: tests/test_session_serving.py fails with either rule taken out.

--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -23,7 +23,7 @@
 DEFAULT_MAX_CONNECTIONS = 20
 
 QUESTION_TIMEOUT_SECONDS = 0.3
-MAX_QUESTIONS = 3
+MAX_QUESTIONS = 2
 
 Connect = Callable[[Database], Awaitable[DatabaseConnection]]
 Key = tuple[str, str, int]
@@ -105,7 +105,7 @@
                 question = asyncio.create_task(self._question(group))
                 self._questions[group.service] = question
             left = deadline - self._clock()
-            if left <= 0:
+            if left <= 0 or group.leader is None:
                 break
             await asyncio.wait((question,), timeout=left)
         return group.is_proved(moment)
@@ -165,9 +165,10 @@
                 group.status_heard(member, status, asked_at)
                 leader = group.leader
                 if leader is not None and leader.term < status.term:
-                    await self._ask_leader(group, leader)
+                    await self._ask_leader(group, leader, status.term)
                     group.status_heard(member, status, asked_at)
-                return
+                if group.is_proved(asked_at):
+                    return
         finally:
             del self._questions[group.service]
 
@@ -177,13 +178,16 @@
         if not is_busy:
             member.failed(self._clock())
 
-    async def _ask_leader(self, group: Group, leader: Member) -> None:
-        """Learn the leader's term; its positions may show it only from a commit on."""
+    async def _ask_leader(self, group: Group, leader: Member, term: int) -> None:
+        """Ask a leader that may have been replaced by one of a newer term."""
         asked_at = self._clock()
-        status = await self.ask_status(leader)
-        if status.is_primary:
-            group.status_heard(leader, status, asked_at)
-        else:
+        try:
+            status = await self.ask_status(leader)
+        except (SessionError, TimeoutError) as error:
+            self._question_failed(leader, error)
+            return
+        group.status_heard(leader, status, asked_at)
+        if not status.is_primary or status.term < term:
             group.lead_denied(leader)
 
     def _nearest(self, group: Group) -> list[Member]:
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -37,6 +37,14 @@
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """Tell one reign from another by the leader changes seen and the leader's term."""
+
+    leader_changes: int
+    term: int
+
+
 class Member:
     """One database as this proxy finds it: failures, load and applied position.
 
@@ -53,6 +61,7 @@
         self.latency_seconds = FIRST_LATENCY_SECONDS
         self.applied: Position | None = None
         self.is_lead_denied = False
+        self.is_lead_heard = False
         self.lead_serial = 0
         self.term = 0
         self.stalled_since: float | None = None
@@ -61,6 +70,11 @@
         self._failing_since: float | None = None
         self._lagging_until = NEVER
 
+    @property
+    def is_lead_claimed(self) -> bool:
+        """Tell whether the database says that it leads, in its entry or when asked."""
+        return self.database.is_primary or self.is_lead_heard
+
     @property
     def failing_since(self) -> float | None:
         """Return when the present run of failures began."""
@@ -123,6 +137,7 @@
         self._leader: str | None = None
         self._term = 0
         self._lead_serial = 0
+        self._leader_changes = 0
         self._proved_until = NEVER
         self._samples: deque[Sample] = deque()
 
@@ -136,6 +151,17 @@
         """Return the leader's term, as far as known."""
         return self._term
 
+    @property
+    def tenure(self) -> Tenure:
+        """Return the present reign."""
+        leader = self.leader
+        return Tenure(self._leader_changes, leader.term if leader else 0)
+
+    @property
+    def leader_changes(self) -> int:
+        """Return how often another database was believed to lead."""
+        return self._leader_changes
+
     @property
     def proved_until(self) -> float:
         """Return up to when the leader's term is proved to be in force."""
@@ -165,6 +191,7 @@
                 member = Member(database)
             if database.is_primary != member.database.is_primary:
                 member.is_lead_denied = False
+                member.is_lead_heard = False
                 self._lead_serial += 1
                 member.lead_serial = self._lead_serial if database.is_primary else 0
             member.database = database
@@ -174,6 +201,7 @@
     def lead_denied(self, member: Member) -> None:
         """Take in that a database refused work that only a primary does."""
         member.is_lead_denied = True
+        member.is_lead_heard = False
         self._choose_leader()
 
     def heard(self, member: Member, position: Position | None, asked_at: float) -> None:
@@ -185,6 +213,8 @@
             self._enter_term(position.term)
         if member.database.identifier == self._leader:
             self._add_sample(Sample(asked_at, position))
+        else:
+            self._replicated(position)
 
     def acknowledged(self, member: Member, asked_at: float) -> None:
         """Take in a commit of the leader that a replica has received."""
@@ -209,12 +239,25 @@
         member.term = max(member.term, status.term)
         if status.term > self._term:
             self._enter_term(status.term)
+        if status.is_primary:
+            self._primary_heard(member)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.term and not status.fenced_term:
             self._prove(asked_at)
 
+    def _primary_heard(self, member: Member) -> None:
+        """Take in that a database leads, perhaps in a newer term than the leader's."""
+        leader = self.leader
+        if member is leader or (leader is not None and member.term <= leader.term):
+            return
+        self._lead_serial += 1
+        member.lead_serial = self._lead_serial
+        member.is_lead_denied = False
+        member.is_lead_heard = True
+        self._choose_leader()
+
     def all_replicas_heard(self, position: Position, asked_at: float) -> None:
         """Take in the most advanced log of all replicas, none of them fenced.
 
@@ -244,6 +287,22 @@
         self._proved_until = NEVER
         self._samples.clear()
 
+    def _replicated(self, position: Position) -> None:
+        """Take in how far a replica has applied.
+
+        An entry beyond what the leader's log held when it answered was written after
+        the leader was asked, and received by a replica that was not fenced then.
+        """
+        leader = self.leader
+        if leader is None or position.term != leader.term:
+            return
+        for sample in reversed(self._samples):
+            if sample.asked_at + TERM_PROOF_SECONDS <= self._proved_until:
+                return
+            if sample.position < position:
+                self._prove(sample.asked_at)
+                return
+
     def _prove(self, asked_at: float) -> None:
         until = asked_at + TERM_PROOF_SECONDS
         self._proved_until = max(self._proved_until, until)
@@ -270,12 +329,13 @@
         candidates = [
             member
             for member in self.members.values()
-            if member.database.is_primary and not member.is_lead_denied
+            if member.is_lead_claimed and not member.is_lead_denied
         ]
         leader = max(candidates, key=_lead_rank, default=None)
         identifier = leader.database.identifier if leader else None
         if identifier != self._leader:
             self._leader = identifier
+            self._leader_changes += 1
             self._drop_unproved()
 
 
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -11,7 +11,7 @@
 from beryltiller.sessions.catalog import Configuration, Route
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.fleet import Fleet
-from beryltiller.sessions.groups import Group, Member
+from beryltiller.sessions.groups import Group, Member, Tenure
 from beryltiller.sessions.lending import Lender, Lent
 from beryltiller.sessions.placement import Need, Placement, Placer, read_need
 from beryltiller.sessions.session import Pin, Session, Transaction
@@ -221,6 +221,7 @@
         lender = self._fleet.lender(placement.member.database)
         queue = route.objective_seconds * QUEUE_SHARE_OF_OBJECTIVE
         wait = min(queue, deadline - self._clock())
+        changes = group.leader_changes
         await lender.gate.enter(route.priority, wait)
         try:
             lent = await self._lend(placement.member, lender, session, wait)
@@ -235,7 +236,8 @@
             reply = replace(reply, state=SessionState.IDLE)
         is_write = session.is_write(request.statement)
         if reply.is_success and placement.needs_proof and not is_write:
-            await self._prove(group, need, deadline)
+            tenure = Tenure(changes, placement.member.term)
+            await self._prove(group, tenure, need, deadline)
         return reply
 
     async def _step(
@@ -301,9 +303,6 @@
                 reply = await self._begin_at(
                     session, transaction, group, placement, request, deadline
                 )
-            except BrokenError as error:
-                last = NotSentError(Code.ABORTED, error.reason)
-                continue
             except NotSentError as error:
                 last = error
                 continue
@@ -334,13 +333,18 @@
         lender = self._fleet.lender(placement.member.database)
         queue = route.objective_seconds * QUEUE_SHARE_OF_OBJECTIVE
         wait = min(queue, deadline - self._clock())
+        changes = group.leader_changes
         await lender.gate.enter(route.priority, wait)
         try:
             lent = await self._lend(placement.member, lender, session, wait)
             pin = Pin(lent, lender, placement)
             begin = Request(Begin(transaction.is_read_only), "", placement.since)
-            # A statement sent behind a refused begin would run by itself.
-            begun = await self._run(session, group, pin, begin, deadline)
+            # A statement sent behind a refused begin would run by itself; one that has
+            # run inside the transaction must not run again elsewhere.
+            try:
+                begun = await self._run(session, group, pin, begin, deadline)
+            except BrokenError:
+                return None
             if not begun.is_success:
                 self._refused(group, pin, begun)
                 return None
@@ -352,21 +356,22 @@
             return None
         transaction.pin = pin
         if placement.needs_proof:
-            await self._prove_pinned(session, transaction, group, deadline)
+            tenure = Tenure(changes, placement.member.term)
+            await self._prove_pinned(transaction, group, tenure, deadline)
         return reply
 
     async def _prove_pinned(
         self,
-        session: Session,
         transaction: Transaction,
         group: Group,
+        tenure: Tenure,
         deadline: float,
     ) -> None:
         try:
-            await self._prove(group, transaction.need, deadline)
-        except NotSentError:
-            await self.end_session(session)
-            raise
+            await self._prove(group, tenure, transaction.need, deadline)
+        except NotSentError as error:
+            await self._undo(transaction)
+            raise BrokenError(error.reason) from error
 
     def _refused(self, group: Group, pin: Pin, reply: Reply) -> None:
         pin.lender.drop(pin.lent)
@@ -491,12 +496,17 @@
             case Code.READ_ONLY if member is group.leader:
                 group.lead_denied(member)
 
-    async def _prove(self, group: Group, need: Need, deadline: float) -> None:
-        """Wait until the leader's term is proved up to the needed moment."""
-        if group.is_proved(need.moment):
-            return
-        wait = deadline - self._clock()
-        if not await self._fleet.prove(group, need.moment, wait):
+    async def _prove(
+        self, group: Group, tenure: Tenure, need: Need, deadline: float
+    ) -> None:
+        """Wait until the term in which a read ran is proved up to the needed moment.
+
+        Evidence counts only if the same database has led in the same term throughout.
+        """
+        if not group.is_proved(need.moment):
+            wait = deadline - self._clock()
+            await self._fleet.prove(group, need.moment, wait)
+        if not group.is_proved(need.moment) or group.tenure != tenure:
             raise NotSentError(Code.ABORTED, "the primary's term could not be proved")
 
     def _route(self, database_name: str) -> Route | None:
--- /dev/null
+++ b/tests/fake_group.py
@@ -0,0 +1,217 @@
+"""A database group in memory for tests of sessions: a leader and replicas, no I/O."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from beryltiller.position import Position
+from beryltiller.sessions.catalog import (
+    Configuration,
+    Database,
+    Directory,
+    Route,
+    RouteKind,
+    Service,
+)
+from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.fleet import Fleet
+from beryltiller.sessions.placement import Placer
+from beryltiller.sessions.serving import SessionService
+from beryltiller.sessions.session import Session
+from beryltiller.sessions.statements import (
+    AskStatus,
+    Begin,
+    CallerStatement,
+    Code,
+    Commit,
+    DatabaseStatus,
+    Execute,
+    Fence,
+    OwnStatement,
+    Prepare,
+    Read,
+    Reply,
+    Request,
+    Reset,
+    Rollback,
+    SessionState,
+    SetValue,
+    StepDown,
+    Unfence,
+    Write,
+)
+from tests.virtual_loop import virtual_now
+
+ROUND_TRIP_SECONDS = 0.01
+
+
+@dataclass
+class FakeDatabase:
+    """One database: its log position, and faults that tests switch on.
+
+    `hang` names statement types that are never answered, `cut` those after which the
+    connection breaks, `refuse` gives a code for a statement type.
+    """
+
+    identifier: str
+    zone: str = "a"
+    is_primary: bool = False
+    term: int = 1
+    index: int = 10
+    fenced_term: int = 0
+    is_dark: bool = False
+    hang: set[type] = field(default_factory=set)
+    cut: set[type] = field(default_factory=set)
+    refuse: dict[type, Code] = field(default_factory=dict)
+    ran: list[tuple[int, Request]] = field(default_factory=list)
+    connections: int = 0
+
+    @property
+    def position(self) -> Position:
+        return Position(self.term, self.index)
+
+    def entry(self) -> Database:
+        address = "127.0.0.1:1"
+        return Database(
+            self.identifier, "s", address, self.zone, 3, self.is_primary, False
+        )
+
+    def texts(self) -> list[str]:
+        """Return the statements that ran, by type."""
+        return [type(request.statement).__name__ for _, request in self.ran]
+
+
+class FakeConnection:
+    """A connection that runs statements on its fake database."""
+
+    def __init__(self, database: FakeDatabase) -> None:
+        database.connections += 1
+        self.number = database.connections
+        self.database = database
+        self.state = SessionState.IDLE
+        self._is_open = True
+
+    @property
+    def is_open(self) -> bool:
+        return self._is_open
+
+    async def ask(self, requests: Sequence[Request]) -> list[Reply]:
+        replies = []
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        for request in requests:
+            replies.append(await self._run(request))
+        return replies
+
+    async def command(self, statement: OwnStatement) -> DatabaseStatus:
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        database = self.database
+        if database.is_dark:
+            await asyncio.Event().wait()
+        match statement:
+            case Fence(term):
+                database.fenced_term = term
+            case Unfence():
+                database.fenced_term = 0
+            case StepDown():
+                database.is_primary = False
+            case AskStatus() | Reset():
+                pass
+        return DatabaseStatus(
+            database.is_primary,
+            database.term,
+            database.position,
+            database.fenced_term,
+            0,
+        )
+
+    def close(self) -> None:
+        self._is_open = False
+
+    async def _run(self, request: Request) -> Reply:
+        database = self.database
+        kind = type(request.statement)
+        if database.is_dark or kind in database.hang:
+            await asyncio.sleep(3600)
+        database.ran.append((self.number, request))
+        if kind in database.cut:
+            self.close()
+            raise BrokenError("cut")
+        code = database.refuse.get(kind) or self._refusal(request)
+        if code is not None:
+            return Reply(self.state, code=code, position=database.position)
+        self._advance(request)
+        rows = ("row",) if kind in (Read, Execute) else ()
+        return Reply(self.state, rows, signature="signed", position=database.position)
+
+    def _refusal(self, request: Request) -> Code | None:
+        database = self.database
+        if request.since is not None and request.since > database.position:
+            return Code.LAGGING
+        match request.statement:
+            case Write() if not database.is_primary:
+                return Code.READ_ONLY
+            case Begin(is_read_only=False) if not database.is_primary:
+                return Code.READ_ONLY
+        return None
+
+    def _advance(self, request: Request) -> None:
+        match request.statement:
+            case Begin():
+                self.state = SessionState.OPEN
+            case Commit() | Rollback():
+                self.state = SessionState.IDLE
+            case Write():
+                self.database.index += 1
+            case SetValue() | Prepare():
+                pass
+
+
+class Rig:
+    """A session service over one fake group of a leader and two replicas."""
+
+    def __init__(self, kind: RouteKind = RouteKind.READ_YOUR_WRITES) -> None:
+        self.leader = FakeDatabase("leader", "a", is_primary=True)
+        self.near = FakeDatabase("near", "a")
+        self.far = FakeDatabase("far", "b")
+        self.databases = {each.identifier: each for each in self._all()}
+        self.fleet = Fleet(self._connect, "a", virtual_now)
+        self.service = SessionService(self.fleet, Placer("a"), virtual_now)
+        route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
+        configuration = Configuration(1, {"db": route}, {"s": Service("s", 20, 1)}, 3.0)
+        self.fleet.adopt(configuration)
+        self.register()
+
+    @property
+    def group(self) -> object:
+        return self.fleet.group("s")
+
+    def register(self) -> None:
+        """Let the proxy learn the databases' entries as they are now."""
+        entries = {each.identifier: each.entry() for each in self._all()}
+        self.fleet.register(Directory(entries))
+
+    def session(self) -> Session:
+        session = self.service.open_session("db")
+        assert session is not None
+        return session
+
+    async def run(
+        self, session: Session, statement: CallerStatement, name: str = "q"
+    ) -> Reply:
+        """Run a caller's statement now."""
+        return await self.service.answer(session, name, statement, virtual_now())
+
+    def _all(self) -> tuple[FakeDatabase, ...]:
+        return self.leader, self.near, self.far
+
+    async def _connect(self, database: Database) -> FakeConnection:
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        fake = self.databases[database.identifier]
+        if fake.is_dark:
+            raise NotSentError(Code.WRONG_DATABASE, "dark")
+        return FakeConnection(fake)
+
+
+def later(seconds: float, function: Callable[[], object]) -> None:
+    """Call a function after some virtual time."""
+    asyncio.get_running_loop().call_later(seconds, function)
--- /dev/null
+++ b/tests/test_session_serving.py
@@ -0,0 +1,280 @@
+"""Tests of serving sessions over a fake group on a virtual clock."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+from beryltiller.sessions.catalog import RouteKind
+from beryltiller.sessions.statements import (
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    Reset,
+    Rollback,
+    SessionState,
+    SetValue,
+    Write,
+)
+from tests.fake_group import Rig, later
+from tests.virtual_loop import run_virtual
+
+Work = Callable[[Rig], Awaitable[None]]
+
+
+def on_rig(work: Work, kind: RouteKind = RouteKind.READ_YOUR_WRITES) -> Rig:
+    """Run work on a rig whose leader is proved to lead; return the rig."""
+    rig = Rig(kind)
+
+    async def entered() -> None:
+        await work(rig)
+        rig.fleet.close()
+
+    run_virtual(entered())
+    return rig
+
+
+class SingleStatementTest(unittest.TestCase):
+    """One statement outside a transaction."""
+
+    def test_write_is_answered_by_the_leader(self) -> None:
+        async def work(rig: Rig) -> None:
+            reply = await rig.run(rig.session(), Write("i", "d"))
+            self.assertEqual((reply.signature, reply.state), ("signed", IDLE))
+
+        self.assertEqual(on_rig(work).leader.texts(), ["Write"])
+
+    def test_write_without_answer_has_an_unknown_outcome_and_is_not_repeated(
+        self,
+    ) -> None:
+        for fault in ("hang", "cut"):
+            with self.subTest(fault):
+
+                async def work(rig: Rig, fault: str = fault) -> None:
+                    getattr(rig.leader, fault).add(Write)
+                    reply = await rig.run(rig.session(), Write("i", "d"))
+                    self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+
+                self.assertLessEqual(len(on_rig(work).leader.ran), 1)
+
+    def test_write_without_a_leader_is_refused_at_once(self) -> None:
+        async def work(rig: Rig) -> None:
+            rig.leader.is_primary = False
+            rig.register()
+            reply = await rig.run(rig.session(), Write("i", "d"))
+            self.assertIs(reply.code, Code.BUSY)
+
+        self.assertEqual(on_rig(work).leader.ran, [])
+
+    def test_read_goes_elsewhere_when_the_connection_breaks(self) -> None:
+        async def work(rig: Rig) -> None:
+            await rig.run(rig.session(), Write("i", "d"))
+            rig.near.index = rig.far.index = rig.leader.index
+            rig.near.cut.add(Read)
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertTrue(reply.is_success)
+
+        on_rig(work)
+
+    def test_read_sees_the_sessions_own_commit(self) -> None:
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            await rig.run(session, Write("i", "d"))
+            reply = await rig.run(session, Read("i"))
+            self.assertTrue(reply.is_success)
+            self.assertEqual(reply.position, rig.leader.position)
+
+        on_rig(work)
+
+    def test_unknown_route_and_prepared_name_are_refused(self) -> None:
+        async def work(rig: Rig) -> None:
+            self.assertIsNone(rig.service.open_session("nothing"))
+            reply = await rig.run(rig.session(), Execute("s1", "i"))
+            self.assertIs(reply.code, Code.NO_SUCH_STATEMENT)
+            reply = await rig.run(rig.session(), Deallocate("s1"))
+            self.assertIs(reply.code, Code.NO_SUCH_STATEMENT)
+
+        on_rig(work)
+
+
+IDLE = SessionState.IDLE
+OPEN = SessionState.OPEN
+FAILED = SessionState.FAILED
+
+
+class TransactionTest(unittest.TestCase):
+    """Statements between a begin and its end, on one connection."""
+
+    def test_statements_share_a_connection_and_commit(self) -> None:
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            for statement in (Begin(), Read("i"), Write("i", "d")):
+                reply = await rig.run(session, statement)
+                self.assertEqual((reply.code, reply.state), (None, OPEN))
+            reply = await rig.run(session, Commit())
+            self.assertEqual((reply.signature, reply.state), ("signed", IDLE))
+
+        ran = on_rig(work).leader.ran
+        self.assertEqual(len({number for number, _ in ran}), 1)
+
+    def test_first_statement_waits_for_the_begin(self) -> None:
+        """A statement sent behind a refused begin ran outside the transaction."""
+
+        async def work(rig: Rig) -> None:
+            await rig.run(rig.session(), Write("i", "d"))
+            rig.leader.zone = "b"
+            rig.register()
+            rig.near.index = 0
+            session = rig.session()
+            await rig.run(session, Begin(is_read_only=True))
+            reply = await rig.run(session, Read("i"))
+            self.assertTrue(reply.is_success)
+
+        self.assertNotIn("Read", on_rig(work).near.texts())
+
+    def test_first_statement_that_may_have_run_is_not_sent_elsewhere(self) -> None:
+        async def work(rig: Rig) -> None:
+            await rig.run(rig.session(), Write("i", "d"))
+            rig.near.index = rig.far.index = rig.leader.index
+            for database in rig.databases.values():
+                database.cut.add(Read)
+            session = rig.session()
+            await rig.run(session, Begin(is_read_only=True))
+            reply = await rig.run(session, Read("i"))
+            self.assertEqual((reply.code, reply.state), (Code.ABORTED, FAILED))
+
+        rig = on_rig(work)
+        reads = [*rig.leader.texts(), *rig.near.texts(), *rig.far.texts()]
+        self.assertEqual(reads.count("Read"), 1)
+
+    def test_failed_transaction_refuses_all_but_its_end(self) -> None:
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            await rig.run(session, Begin())
+            rig.leader.cut.add(Write)
+            await rig.run(session, Write("i", "d"))
+            reply = await rig.run(session, Read("i"))
+            self.assertIs(reply.code, Code.MALFORMED)
+            reply = await rig.run(session, Commit())
+            self.assertEqual((reply.code, reply.state), (Code.ABORTED, IDLE))
+
+        on_rig(work)
+
+    def test_commit_without_answer_is_unknown_only_after_a_write(self) -> None:
+        for statement, code in (
+            (Write("i", "d"), Code.UNKNOWN_OUTCOME),
+            (Read("i"), Code.ABORTED),
+        ):
+            with self.subTest(code=code):
+
+                async def work(
+                    rig: Rig, first: Write | Read = statement, code: Code = code
+                ) -> None:
+                    session = rig.session()
+                    await rig.run(session, Begin())
+                    await rig.run(session, first)
+                    rig.leader.cut.add(Commit)
+                    reply = await rig.run(session, Commit())
+                    self.assertEqual((reply.code, reply.state), (code, IDLE))
+
+                on_rig(work)
+
+    def test_rollback_and_a_caller_that_leaves_undo_at_the_database(self) -> None:
+        async def work(rig: Rig) -> None:
+            for end in ("rollback", "leave"):
+                session = rig.session()
+                await rig.run(session, Begin())
+                await rig.run(session, Write("i", "d"))
+                if end == "rollback":
+                    await rig.run(session, Rollback())
+                else:
+                    await rig.service.end_session(session)
+
+        self.assertEqual(on_rig(work).leader.texts().count("Rollback"), 2)
+
+    def test_idle_transaction_is_ended(self) -> None:
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            await rig.run(session, Begin())
+            await rig.run(session, Write("i", "d"))
+            await rig.service.expire(session)
+            self.assertIs(session.state, FAILED)
+
+        self.assertEqual(on_rig(work).leader.texts()[-1], "Rollback")
+
+
+class SessionValuesTest(unittest.TestCase):
+    """Values and prepared statements follow the session, not the connection."""
+
+    def test_connection_takes_the_sessions_values(self) -> None:
+        async def work(rig: Rig) -> None:
+            first, second = rig.session(), rig.session()
+            await rig.run(first, SetValue("v", "1"))
+            await rig.run(first, Write("i", "d"))
+            await rig.run(second, Write("i", "d"))
+
+        rig = on_rig(work)
+        self.assertEqual(rig.leader.texts(), ["SetValue", "Write", "Reset", "Write"])
+
+    def test_prepared_names_of_two_sessions_do_not_collide(self) -> None:
+        async def work(rig: Rig) -> None:
+            for shape in ("q1", "q2"):
+                session = rig.session()
+                await rig.run(session, Prepare("s1", True, shape))
+                reply = await rig.run(session, Execute("s1", "i d"))
+                self.assertTrue(reply.is_success)
+
+        ran = [request.statement for _, request in on_rig(work).leader.ran]
+        executed = {each.name for each in ran if isinstance(each, Execute)}
+        self.assertEqual(executed, {"w-q1", "w-q2"})
+        self.assertNotIn(Reset(), ran)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Reads at the primary are handed out only while its term is proved."""
+
+    def test_read_is_proved_by_a_replica_that_is_not_fenced(self) -> None:
+        async def work(rig: Rig) -> None:
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertTrue(reply.is_success)
+
+        on_rig(work, RouteKind.PRIMARY)
+
+    def test_read_is_refused_when_all_replicas_are_fenced(self) -> None:
+        async def work(rig: Rig) -> None:
+            rig.near.fenced_term = rig.far.fenced_term = 2
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertIs(reply.code, Code.ABORTED)
+
+        on_rig(work, RouteKind.PRIMARY)
+
+    def test_evidence_of_a_later_leader_does_not_prove_an_earlier_read(self) -> None:
+        """A read at a replaced primary waited until the new one was proved."""
+
+        async def work(rig: Rig) -> None:
+            def replace_leader() -> None:
+                rig.near.is_primary = True
+                rig.far.fenced_term = 0
+                for database in (rig.near, rig.far):
+                    database.is_dark = False
+                    database.term = 2
+                rig.register()
+
+            rig.near.is_dark = True
+            rig.far.fenced_term = 2
+            later(0.035, replace_leader)
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertEqual(reply.position, rig.near.position)
+
+        on_rig(work, RouteKind.PRIMARY)
+
+    def test_an_acknowledged_write_proves_the_reads_after_it(self) -> None:
+        async def work(rig: Rig) -> None:
+            await rig.run(rig.session(), Write("i", "d"))
+            rig.near.is_dark = rig.far.is_dark = True
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertTrue(reply.is_success)
+
+        on_rig(work, RouteKind.PRIMARY)
