--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/beryltiller bench
 
 documents: $(VENV)/ready
-	$(BIN)/python -m beryltiller.documents docs
+	$(BIN)/python -m beryltiller.commands.documents docs
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/src/beryltiller/__init__.py
+++ b/src/beryltiller/__init__.py
@@ -3,12 +3,24 @@
 The names below are public: values, ports, and the parts of admission and sessions
 that do no I/O. Larger decisions are modules of their own, each with a function
 `decide` that takes a state and an event and returns a new state with actions:
-`beryltiller.terms`, `beryltiller.membership` and `beryltiller.adoption`.
+`beryltiller.primaries.terms`, `beryltiller.membership.membership` and
+`beryltiller.configuration.adoption`.
 """
 
-from beryltiller.explanations import Explanation, explain
-from beryltiller.outcome import Kind, Outcome, Refusal
-from beryltiller.ports import (
+from beryltiller.admission.explanations import Explanation, explain
+from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.admission.tickets import Drop, Grant, Rejection, Ticket
+from beryltiller.configuration.tables import Configuration, Database, Group, Pool, Route
+from beryltiller.consistency.tokens import (
+    Mark,
+    Session,
+    TokenKeys,
+    decode_token,
+    encode_token,
+)
+from beryltiller.core.outcome import Kind, Outcome, Refusal
+from beryltiller.core.ports import (
     Connection,
     Endpoint,
     HostList,
@@ -18,12 +30,7 @@
     RefusedError,
     TableService,
 )
-from beryltiller.position import History, Position, TermStart
-from beryltiller.queues import AdmissionQueue, QueuePolicy
-from beryltiller.records import AdmissionRecords
-from beryltiller.tables import Configuration, Database, Group, Pool, Route
-from beryltiller.tickets import Drop, Grant, Rejection, Ticket
-from beryltiller.tokens import Mark, Session, TokenKeys, decode_token, encode_token
+from beryltiller.core.position import History, Position, TermStart
 
 __version__ = "0.1.0"
 
--- a/src/beryltiller/__main__.py
+++ b/src/beryltiller/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from beryltiller.cli import main
+from beryltiller.commands.cli import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/src/beryltiller/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to outside systems and between proxies."""
--- a/src/beryltiller/callers.py
+++ b/src/beryltiller/adapters/callers.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from beryltiller.outcome import Outcome
+from beryltiller.core.outcome import Outcome
 
 _STATEMENTS_PATH = "/v1/statements"
 _MARGIN_SECONDS = 1.0
--- a/src/beryltiller/channels.py
+++ b/src/beryltiller/adapters/channels.py
@@ -6,7 +6,7 @@
 import zmq
 import zmq.asyncio
 
-from beryltiller.messages import MAX_MESSAGE_BYTES
+from beryltiller.membership.messages import MAX_MESSAGE_BYTES
 
 HIGH_WATER_MARK_MESSAGES = 256
 _FRAME_OVERHEAD_BYTES = 1_024
--- a/src/beryltiller/configuration_store.py
+++ b/src/beryltiller/adapters/configuration_store.py
@@ -9,9 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
-from beryltiller.changes import Conflict, conflict
-from beryltiller.ports import LostAnswerError, RefusedError, Row, TableService
-from beryltiller.tables import (
+from beryltiller.configuration.changes import Conflict, conflict
+from beryltiller.configuration.tables import (
     KEY,
     TABLE,
     Configuration,
@@ -19,6 +18,7 @@
     from_row,
     to_write,
 )
+from beryltiller.core.ports import LostAnswerError, RefusedError, Row, TableService
 
 _COMMIT_ATTEMPTS = 3
 
--- a/src/beryltiller/endpoints.py
+++ b/src/beryltiller/adapters/endpoints.py
@@ -6,8 +6,8 @@
 import aiohttp
 import msgspec
 
-from beryltiller import transport
-from beryltiller.ports import (
+from beryltiller.adapters import transport
+from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
     Load,
@@ -15,7 +15,7 @@
     RefusedError,
     Statement,
 )
-from beryltiller.position import ORIGIN, Position
+from beryltiller.core.position import ORIGIN, Position
 
 _T = TypeVar("_T")
 
--- a/src/beryltiller/network.py
+++ b/src/beryltiller/adapters/network.py
@@ -1,9 +1,9 @@
 """Reach databases and peers by name, for the authority."""
 
-from beryltiller.databases import Databases
-from beryltiller.messages import Message, ReplyTo
-from beryltiller.peers import Peers
-from beryltiller.ports import Endpoint
+from beryltiller.adapters.peers import Peers
+from beryltiller.core.ports import Endpoint
+from beryltiller.dispatching.databases import Databases
+from beryltiller.membership.messages import Message, ReplyTo
 
 
 class Network:
--- a/src/beryltiller/peers.py
+++ b/src/beryltiller/adapters/peers.py
@@ -20,7 +20,7 @@
 from returns.result import Failure, Success
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from beryltiller.channels import (
+from beryltiller.adapters.channels import (
     Channel,
     PeerError,
     PeerLostError,
@@ -28,7 +28,7 @@
     cancel_task,
     limit_socket,
 )
-from beryltiller.messages import (
+from beryltiller.membership.messages import (
     Message,
     MessageError,
     Refused,
--- a/src/beryltiller/platform_watch.py
+++ b/src/beryltiller/adapters/platform_watch.py
@@ -4,10 +4,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
-from beryltiller import logs
-from beryltiller.metrics import Counter, Metrics, Timer
-from beryltiller.ports import Host, PortError, RefusedError, Row, Scan, Write
-from beryltiller.services import Platform
+from beryltiller.adapters.services import Platform
+from beryltiller.core.ports import Host, PortError, RefusedError, Row, Scan, Write
+from beryltiller.observability import logs
+from beryltiller.observability.metrics import Counter, Metrics, Timer
 
 _Value = TypeVar("_Value")
 
--- a/src/beryltiller/services.py
+++ b/src/beryltiller/adapters/services.py
@@ -7,8 +7,8 @@
 import aiohttp
 import msgspec
 
-from beryltiller import transport
-from beryltiller.ports import Host, HostKind, LostAnswerError, Row, Scan, Write
+from beryltiller.adapters import transport
+from beryltiller.core.ports import Host, HostKind, LostAnswerError, Row, Scan, Write
 
 _T = TypeVar("_T")
 
--- a/src/beryltiller/transport.py
+++ b/src/beryltiller/adapters/transport.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from beryltiller.ports import LostAnswerError, RefusedError
+from beryltiller.core.ports import LostAnswerError, RefusedError
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
--- /dev/null
+++ b/src/beryltiller/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: who is served next at a database, and why."""
--- a/src/beryltiller/accounts.py
+++ b/src/beryltiller/admission/accounts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
-from beryltiller.tickets import Lane, Ticket
+from beryltiller.admission.tickets import Lane, Ticket
 
 
 @dataclass(slots=True)
--- a/src/beryltiller/estimates.py
+++ b/src/beryltiller/admission/estimates.py
@@ -1,7 +1,7 @@
 """Measured service times of one database, by kind of work and by lane."""
 
-from beryltiller.outcome import Kind
-from beryltiller.tickets import LANES, Lane
+from beryltiller.admission.tickets import LANES, Lane
+from beryltiller.core.outcome import Kind
 
 _DEVIATIONS = 2.0
 
--- a/src/beryltiller/explanations.py
+++ b/src/beryltiller/admission/explanations.py
@@ -6,9 +6,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.records import AdmissionRecord, AdmissionRecords
-from beryltiller.tickets import Rejection, Rule, rule_between
+from beryltiller.admission.records import AdmissionRecord, AdmissionRecords
+from beryltiller.admission.tickets import Rejection, Rule, rule_between
+from beryltiller.core.outcome import Kind, Outcome
 
 _RULES = {
     Rule.ARRIVED_EARLIER: "it had arrived earlier",
--- a/src/beryltiller/ledgers.py
+++ b/src/beryltiller/admission/ledgers.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass, field
 
-from beryltiller.budgets import BackoffPolicy, backoff_seconds
+from beryltiller.core.budgets import BackoffPolicy, backoff_seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/queues.py
+++ b/src/beryltiller/admission/queues.py
@@ -15,7 +15,7 @@
 nor more places than its own limit while the other lane has been in use lately: the
 reserve.
 
->>> from beryltiller.outcome import Kind
+>>> from beryltiller.core.outcome import Kind
 >>> queue = AdmissionQueue()
 >>> queue.offer(Ticket("r1", "shop", Kind.READ, 5.0), now=0.0, limit=1)
 >>> grant = queue.take(now=0.0, limit=1)
@@ -27,9 +27,17 @@
 from itertools import count
 from math import inf
 
-from beryltiller.accounts import Account, Entry
-from beryltiller.estimates import ServiceEstimates
-from beryltiller.tickets import LANES, Cause, Drop, Grant, Lane, Rejection, Ticket
+from beryltiller.admission.accounts import Account, Entry
+from beryltiller.admission.estimates import ServiceEstimates
+from beryltiller.admission.tickets import (
+    LANES,
+    Cause,
+    Drop,
+    Grant,
+    Lane,
+    Rejection,
+    Ticket,
+)
 
 _LEAST_LIMIT = 0.1
 
--- a/src/beryltiller/records.py
+++ b/src/beryltiller/admission/records.py
@@ -13,8 +13,8 @@
 
 from xxhash import xxh3_64_intdigest
 
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.tickets import Cause, Drop, Grant, Lane, Ticket
+from beryltiller.admission.tickets import Cause, Drop, Grant, Lane, Ticket
+from beryltiller.core.outcome import Kind, Outcome
 
 _LAYOUT = Struct("<QQQdddddddIHBBBB")
 RECORD_BYTES = _LAYOUT.size
--- a/src/beryltiller/tickets.py
+++ b/src/beryltiller/admission/tickets.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum, unique
 
-from beryltiller.outcome import Kind, Refusal
+from beryltiller.core.outcome import Kind, Refusal
 
 
 @unique
--- a/src/beryltiller/windows.py
+++ b/src/beryltiller/admission/windows.py
@@ -17,7 +17,7 @@
 
 from dataclasses import dataclass
 
-from beryltiller.ports import Load
+from beryltiller.core.ports import Load
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/beryltiller/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, loads and scenarios."""
--- a/src/beryltiller/bench.py
+++ b/src/beryltiller/benchmarks/bench.py
@@ -82,5 +82,5 @@
 def _run(benchmark: Benchmark, seed: int) -> int:
     print(f"{benchmark.name}: {benchmark.meaning}; seed {seed}", flush=True)
     function: Callable[[int], int]
-    function = resolve_name(f"beryltiller.{benchmark.function}")
+    function = resolve_name(f"beryltiller.benchmarks.{benchmark.function}")
     return function(seed)
--- a/src/beryltiller/bench_admission.py
+++ b/src/beryltiller/benchmarks/bench_admission.py
@@ -1,4 +1,6 @@
-"""Policy benchmark of admission: `python -m beryltiller.bench_admission --seed 7`.
+"""Policy benchmark of admission.
+
+Run it as `python -m beryltiller.benchmarks.bench_admission --seed 7`.
 
 All but the processor cost runs on a virtual clock, so that a seed always gives the same
 table. Each figure stands beside those of first come first served with a static window
@@ -14,17 +16,17 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from beryltiller.bench_model import FirstComeQueue, Model, Proxy, Setup, Work
-from beryltiller.outcome import Kind
-from beryltiller.queues import AdmissionQueue, QueuePolicy
-from beryltiller.tickets import Grant, Ticket
-from beryltiller.windows import (
+from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
+from beryltiller.admission.tickets import Grant, Ticket
+from beryltiller.admission.windows import (
     AdaptiveLimit,
     LimitPolicy,
     Limits,
     LimitsPolicy,
     StaticLimit,
 )
+from beryltiller.benchmarks.bench_model import FirstComeQueue, Model, Proxy, Setup, Work
+from beryltiller.core.outcome import Kind
 
 _SLOTS = 3
 _PROXIES = 5
@@ -341,7 +343,8 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Print the table of every comparison."""
     parser = argparse.ArgumentParser(
-        prog="python -m beryltiller.bench_admission", description=main.__doc__
+        prog="python -m beryltiller.benchmarks.bench_admission",
+        description=main.__doc__,
     )
     parser.add_argument("--seed", type=int, default=7, help="random seed")
     seed = parser.parse_args(arguments).seed
--- a/src/beryltiller/bench_control.py
+++ b/src/beryltiller/benchmarks/bench_control.py
@@ -2,7 +2,7 @@
 
 Two ways: the decisions and the codec of many proxies in one process on a virtual
 clock, and a few proxies over real sockets, each with the daemon's actors. Run it as
-`python -m beryltiller.bench_control`.
+`python -m beryltiller.benchmarks.bench_control`.
 """
 
 import argparse
@@ -11,10 +11,10 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, fields, is_dataclass, replace
 
-from beryltiller.control_sockets import measure_sockets
-from beryltiller.ports import Row
-from beryltiller.tables import EMPTY, KEY, encode
-from beryltiller.virtual import Network, Proxy, entry_hosts
+from beryltiller.benchmarks.control_sockets import measure_sockets
+from beryltiller.benchmarks.virtual import Network, Proxy, entry_hosts
+from beryltiller.configuration.tables import EMPTY, KEY, encode
+from beryltiller.core.ports import Row
 
 VIRTUAL_SIZES = (5, 20, 60, 150, 500)
 SOCKET_SIZES = (5, 20)
@@ -110,7 +110,7 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Print both tables; return 1 when a limit is passed."""
     parser = argparse.ArgumentParser(
-        prog="beryltiller.bench_control", description=__doc__
+        prog="beryltiller.benchmarks.bench_control", description=__doc__
     )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--sizes", type=int, nargs="*", default=VIRTUAL_SIZES)
--- a/src/beryltiller/bench_daemon.py
+++ b/src/beryltiller/benchmarks/bench_daemon.py
@@ -12,13 +12,18 @@
 
 import msgspec
 
-from beryltiller.cluster import Cluster, ClusterSizes, start_cluster
-from beryltiller.cluster_setup import configure
-from beryltiller.launcher import Launcher
-from beryltiller.load import LoadPlan, LoadReport
-from beryltiller.load_runs import cpu_seconds, per_second, percentile, start_load
-from beryltiller.outcome import Outcome
-from beryltiller.text import columns
+from beryltiller.benchmarks.load import LoadPlan, LoadReport
+from beryltiller.benchmarks.load_runs import (
+    cpu_seconds,
+    per_second,
+    percentile,
+    start_load,
+)
+from beryltiller.core.outcome import Outcome
+from beryltiller.core.text import columns
+from beryltiller.standins.cluster import Cluster, ClusterSizes, start_cluster
+from beryltiller.standins.cluster_setup import configure
+from beryltiller.standins.launcher import Launcher
 
 SIZES = ClusterSizes(
     zones=("zone-a",),
--- a/src/beryltiller/bench_failover.py
+++ b/src/beryltiller/benchmarks/bench_failover.py
@@ -24,10 +24,10 @@
 import aiohttp
 import msgspec
 
-from beryltiller.callers import Request, send
-from beryltiller.cluster import Cluster, ClusterSizes, request, start_cluster
-from beryltiller.launcher import LaunchedProcess, Launcher
-from beryltiller.outcome import Outcome
+from beryltiller.adapters.callers import Request, send
+from beryltiller.core.outcome import Outcome
+from beryltiller.standins.cluster import Cluster, ClusterSizes, request, start_cluster
+from beryltiller.standins.launcher import LaunchedProcess, Launcher
 
 RUNS = 20
 BASELINE_RUNS = 3
@@ -112,7 +112,7 @@
 
     async def _start_again(self, name: str) -> None:
         command = (
-            *(sys.executable, "-m", "beryltiller.database_standin"),
+            *(sys.executable, "-m", "beryltiller.standins.database_standin"),
             *("--listen", self._addresses[name], "--name", name, "--zone", "zone-a"),
         )
         launcher = self._cluster.launcher
--- a/src/beryltiller/bench_memory.py
+++ b/src/beryltiller/benchmarks/bench_memory.py
@@ -16,18 +16,18 @@
 
 from aiohttp import web
 
-from beryltiller.database_standin import DatabaseStandin, Sizes
-from beryltiller.databases import Databases
-from beryltiller.dispatch import Dispatcher, DispatchPolicy
-from beryltiller.endpoints import HttpEndpoint
-from beryltiller.evidence import Evidence
-from beryltiller.members import Member
-from beryltiller.plans import DatabaseView, RoutingPolicy
-from beryltiller.records import AdmissionRecords
-from beryltiller.session import Planner
-from beryltiller.shares import SharePolicy
-from beryltiller.tables import Configuration, Database, Group
-from beryltiller.term_rows import TermRow, TermState
+from beryltiller.adapters.endpoints import HttpEndpoint
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.configuration.tables import Configuration, Database, Group
+from beryltiller.consistency.plans import DatabaseView, RoutingPolicy
+from beryltiller.consistency.session import Planner
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.dispatch import Dispatcher, DispatchPolicy
+from beryltiller.membership.members import Member
+from beryltiller.membership.shares import SharePolicy
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.term_rows import TermRow, TermState
+from beryltiller.standins.database_standin import DatabaseStandin, Sizes
 
 MEMBERS = 5_000
 GROUPS = 1_000
--- a/src/beryltiller/bench_model.py
+++ b/src/beryltiller/benchmarks/bench_model.py
@@ -12,9 +12,9 @@
 from itertools import count
 from typing import Protocol
 
-from beryltiller.ports import Load
-from beryltiller.tickets import Cause, Drop, Grant, Lane, Rejection, Ticket
-from beryltiller.windows import Limits
+from beryltiller.admission.tickets import Cause, Drop, Grant, Lane, Rejection, Ticket
+from beryltiller.admission.windows import Limits
+from beryltiller.core.ports import Load
 
 _ONE_WAY_SECONDS = 0.0005
 
--- a/src/beryltiller/bench_overload.py
+++ b/src/beryltiller/benchmarks/bench_overload.py
@@ -13,11 +13,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from beryltiller.cluster import Cluster, ClusterSizes, start_cluster
-from beryltiller.cluster_setup import configure
-from beryltiller.launcher import Launcher
-from beryltiller.load import LoadPlan, LoadReport
-from beryltiller.load_runs import (
+from beryltiller.benchmarks.load import LoadPlan, LoadReport
+from beryltiller.benchmarks.load_runs import (
     per_second,
     percentile,
     recovery_seconds,
@@ -25,8 +22,11 @@
     window_rates,
     worst_share,
 )
-from beryltiller.outcome import Outcome
-from beryltiller.text import columns
+from beryltiller.core.outcome import Outcome
+from beryltiller.core.text import columns
+from beryltiller.standins.cluster import Cluster, ClusterSizes, start_cluster
+from beryltiller.standins.cluster_setup import configure
+from beryltiller.standins.launcher import Launcher
 
 # A service time at which the databases are the limit, and not the machine.
 SIZES = ClusterSizes(
--- a/src/beryltiller/bench_session_processes.py
+++ b/src/beryltiller/benchmarks/bench_session_processes.py
@@ -16,12 +16,9 @@
 
 import aiohttp
 
-from beryltiller.bench_sessions import SIZES
-from beryltiller.callers import Answer, Request, send
-from beryltiller.cluster import Cluster, ClusterSizes, request, start_cluster
-from beryltiller.launcher import Launcher
-from beryltiller.outcome import Outcome
-from beryltiller.session_simulation import (
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.benchmarks.bench_sessions import SIZES
+from beryltiller.benchmarks.session_simulation import (
     AGED_SHARE,
     GROUPS,
     GUESS_SECONDS,
@@ -30,6 +27,9 @@
     Size,
     Way,
 )
+from beryltiller.core.outcome import Outcome
+from beryltiller.standins.cluster import Cluster, ClusterSizes, request, start_cluster
+from beryltiller.standins.launcher import Launcher
 
 PROXIES = 5
 CALLERS = 36
--- a/src/beryltiller/bench_sessions.py
+++ b/src/beryltiller/benchmarks/bench_sessions.py
@@ -9,7 +9,7 @@
 import argparse
 from collections.abc import Mapping
 
-from beryltiller.session_simulation import (
+from beryltiller.benchmarks.session_simulation import (
     TIMEOUT_SECONDS,
     Counts,
     Simulation,
--- a/src/beryltiller/control_sockets.py
+++ b/src/beryltiller/benchmarks/control_sockets.py
@@ -6,24 +6,29 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from beryltiller import adoption, adoption_state, membership, membership_state
-from beryltiller.actors import EventLoop, Mailboxes, Part, Supervisor
-from beryltiller.adoption_events import Confirm, PeersChanged
-from beryltiller.distribution import AdoptionIO, AdoptionOutlets, to_peer_digest
-from beryltiller.gossip import MembershipIO, MembershipOutlets, is_for_membership
-from beryltiller.members import Member, Members
-from beryltiller.membership_events import (
+from beryltiller.adapters.peers import PeerKeys, Peers, PeerSettings, open_peers
+from beryltiller.benchmarks.virtual import CONFIGURATION_KEY, POLLERS_PER_ZONE
+from beryltiller.configuration import adoption, adoption_state
+from beryltiller.configuration.adoption_events import Confirm, PeersChanged
+from beryltiller.configuration.tables import EMPTY, KEY, Configuration, encode
+from beryltiller.core.ports import Host, Row, Scan, Write
+from beryltiller.membership import membership, membership_state
+from beryltiller.membership.members import Member, Members
+from beryltiller.membership.membership_events import (
     Facts,
     HostsListed,
     Received,
     ReportDigest,
     Tick,
 )
-from beryltiller.messages import Message, ReplyTo
-from beryltiller.peers import PeerKeys, Peers, PeerSettings, open_peers
-from beryltiller.ports import Host, Row, Scan, Write
-from beryltiller.tables import EMPTY, KEY, Configuration, encode
-from beryltiller.virtual import CONFIGURATION_KEY, POLLERS_PER_ZONE
+from beryltiller.membership.messages import Message, ReplyTo
+from beryltiller.process.actors import EventLoop, Mailboxes, Part, Supervisor
+from beryltiller.process.distribution import AdoptionIO, AdoptionOutlets, to_peer_digest
+from beryltiller.process.gossip import (
+    MembershipIO,
+    MembershipOutlets,
+    is_for_membership,
+)
 
 MEMBERSHIP = "membership"
 ADOPTION = "adoption"
--- a/src/beryltiller/history.py
+++ b/src/beryltiller/benchmarks/history.py
@@ -15,7 +15,7 @@
 from enum import Enum, unique
 from itertools import groupby
 
-from beryltiller.outcome import Outcome
+from beryltiller.core.outcome import Outcome
 
 FinalValues = Mapping[str, tuple[str, ...]]
 
--- a/src/beryltiller/load.py
+++ b/src/beryltiller/benchmarks/load.py
@@ -19,10 +19,10 @@
 import aiohttp
 import msgspec
 
-from beryltiller.callers import Answer, Request, send
-from beryltiller.endpoints import HttpEndpoint
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.ports import Connection, LostAnswerError, RefusedError, Statement
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.adapters.endpoints import HttpEndpoint
+from beryltiller.core.outcome import Kind, Outcome
+from beryltiller.core.ports import Connection, LostAnswerError, RefusedError, Statement
 
 BUCKET_SECONDS = 0.1
 MAX_SECONDS = 60.0
--- a/src/beryltiller/load_runs.py
+++ b/src/beryltiller/benchmarks/load_runs.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from beryltiller.launcher import LaunchedProcess, Launcher
-from beryltiller.load import BUCKET_SECONDS, LoadPlan, LoadReport
+from beryltiller.benchmarks.load import BUCKET_SECONDS, LoadPlan, LoadReport
+from beryltiller.standins.launcher import LaunchedProcess, Launcher
 
 START_SECONDS_PER_PROCESS = 1.0
 _END_SECONDS = 10.0
@@ -56,7 +56,7 @@
         )
         path = launcher.directory / f"load-{time.monotonic_ns()}-{number}.json"
         command = (
-            *(sys.executable, "-m", "beryltiller.load"),
+            *(sys.executable, "-m", "beryltiller.benchmarks.load"),
             *("--plan", msgspec.json.encode(part).decode(), "--report", str(path)),
         )
         started.append(await launcher.start(f"load-{number}", command))
--- a/src/beryltiller/scenario.py
+++ b/src/beryltiller/benchmarks/scenario.py
@@ -14,9 +14,7 @@
 from itertools import pairwise
 from typing import Any
 
-from beryltiller.cluster import Cluster, ClusterSizes, request, start_cluster
-from beryltiller.cluster_setup import configure
-from beryltiller.history import (
+from beryltiller.benchmarks.history import (
     FinalValues,
     Record,
     Rule,
@@ -25,10 +23,12 @@
     check_left,
     check_uncut,
 )
-from beryltiller.launcher import LaunchedProcess, Launcher, LaunchError
-from beryltiller.outcome import Outcome
-from beryltiller.text import columns
-from beryltiller.workload import Workload, WorkloadSizes, split_value
+from beryltiller.benchmarks.workload import Workload, WorkloadSizes, split_value
+from beryltiller.core.outcome import Outcome
+from beryltiller.core.text import columns
+from beryltiller.standins.cluster import Cluster, ClusterSizes, request, start_cluster
+from beryltiller.standins.cluster_setup import configure
+from beryltiller.standins.launcher import LaunchedProcess, Launcher, LaunchError
 
 _SIZES = ClusterSizes(zones=("zone-a", "zone-b", "zone-c"), proxies=3)
 _BEFORE_SECONDS = 2.0
--- a/src/beryltiller/session_simulation.py
+++ b/src/beryltiller/benchmarks/session_simulation.py
@@ -7,26 +7,26 @@
 from enum import Enum, unique
 from typing import cast
 
-from beryltiller.attempts import Answered, Refused, Result, Work
-from beryltiller.outcome import Kind
-from beryltiller.plans import (
+from beryltiller.consistency.attempts import Answered, Refused, Result, Work
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     RoutingPolicy,
     WaitForTerm,
 )
-from beryltiller.ports import (
+from beryltiller.consistency.serving import Done, Job, Reply, Run, Sleep, Verdict, serve
+from beryltiller.consistency.session import Claim, Planner
+from beryltiller.consistency.tokens import Session
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
     Load,
     RefusedError,
     Statement,
 )
-from beryltiller.position import ORIGIN, Position
-from beryltiller.serving import Done, Job, Reply, Run, Sleep, Verdict, serve
-from beryltiller.session import Claim, Planner
-from beryltiller.simulated_group import SimulatedDatabase, SimulatedGroup
-from beryltiller.tokens import Session
+from beryltiller.core.position import ORIGIN, Position
+from beryltiller.standins.simulated_group import SimulatedDatabase, SimulatedGroup
 
 GROUPS = 3
 PROXIES = 5
--- a/src/beryltiller/virtual.py
+++ b/src/beryltiller/benchmarks/virtual.py
@@ -15,14 +15,21 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from beryltiller import adoption, adoption_events, membership, membership_events
-from beryltiller.adoption_events import AskPeer, PutInForce, ReadStore
-from beryltiller.adoption_state import State as Adoption
-from beryltiller.distribution import to_peer_digest
-from beryltiller.members import Member, Members
-from beryltiller.membership_events import Facts, HostsListed, Received, Reply, Tick
-from beryltiller.membership_state import State as Membership
-from beryltiller.messages import (
+from beryltiller.configuration import adoption, adoption_events
+from beryltiller.configuration.adoption_events import AskPeer, PutInForce, ReadStore
+from beryltiller.configuration.adoption_state import State as Adoption
+from beryltiller.core.ports import Host, HostKind, Row
+from beryltiller.membership import membership, membership_events
+from beryltiller.membership.members import Member, Members
+from beryltiller.membership.membership_events import (
+    Facts,
+    HostsListed,
+    Received,
+    Reply,
+    Tick,
+)
+from beryltiller.membership.membership_state import State as Membership
+from beryltiller.membership.messages import (
     ConfigurationReply,
     ConfigurationRequest,
     Message,
@@ -30,7 +37,7 @@
     decode,
     encode,
 )
-from beryltiller.ports import Host, HostKind, Row
+from beryltiller.process.distribution import to_peer_digest
 
 LATENCY_SECONDS = 0.0005
 HOST_LIST_SECONDS = 5.0
--- a/src/beryltiller/workload.py
+++ b/src/beryltiller/benchmarks/workload.py
@@ -13,9 +13,9 @@
 import aiohttp
 import msgspec
 
-from beryltiller.callers import Answer, Request, send
-from beryltiller.history import Record
-from beryltiller.outcome import Outcome
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.benchmarks.history import Record
+from beryltiller.core.outcome import Outcome
 
 _SEPARATOR = ";"
 _LOST_SESSION_STATUS = 409
--- /dev/null
+++ b/src/beryltiller/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/src/beryltiller/cli.py
+++ b/src/beryltiller/commands/cli.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Sequence
 from pkgutil import resolve_name
 
-from beryltiller.cli_parser import make_parser
-from beryltiller.command_errors import CommandError, ExitCode
+from beryltiller.commands.cli_parser import make_parser
+from beryltiller.commands.command_errors import CommandError, ExitCode
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/beryltiller/cli_flags.py
+++ b/src/beryltiller/commands/cli_flags.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from beryltiller.addresses import Address
-from beryltiller.settings import ENVIRONMENT_PREFIX
+from beryltiller.core.addresses import Address
+from beryltiller.process.settings import ENVIRONMENT_PREFIX
 
 DEFAULT_TIMEOUT_SECONDS = 5.0
 
--- a/src/beryltiller/cli_parser.py
+++ b/src/beryltiller/commands/cli_parser.py
@@ -9,7 +9,7 @@
 from typing import Any, NoReturn
 
 from beryltiller import __version__
-from beryltiller.cli_flags import (
+from beryltiller.commands.cli_flags import (
     add_file,
     add_json_flag,
     add_operator_address,
@@ -18,8 +18,8 @@
     add_wait_flag,
     parse_version,
 )
-from beryltiller.command_errors import ExitCode
-from beryltiller.settings_source import add_flags
+from beryltiller.commands.command_errors import ExitCode
+from beryltiller.process.settings_source import add_flags
 
 _FAILOVER_TIMEOUT_SECONDS = 35.0
 _TABLES = ("routes", "pools", "groups")
@@ -92,7 +92,7 @@
         formatter_class=RawDescriptionHelpFormatter,
         allow_abbrev=False,
     )
-    parser.set_defaults(command=f"beryltiller.{function}")
+    parser.set_defaults(command=f"beryltiller.commands.{function}")
     return parser
 
 
--- a/src/beryltiller/configuration_commands.py
+++ b/src/beryltiller/commands/configuration_commands.py
@@ -12,17 +12,15 @@
 import aiohttp
 import msgspec
 
-from beryltiller.addresses import Address
-from beryltiller.changes import Conflict, Delete, apply, difference
-from beryltiller.command_errors import CommandError, ExitCode
-from beryltiller.configuration_store import (
+from beryltiller.adapters.configuration_store import (
     LostAnswer,
     read_configuration,
     replace_configuration,
 )
-from beryltiller.ports import LostAnswerError, RefusedError, TableService
-from beryltiller.services import Platform
-from beryltiller.tables import (
+from beryltiller.adapters.services import Platform
+from beryltiller.commands.command_errors import CommandError, ExitCode
+from beryltiller.configuration.changes import Conflict, Delete, apply, difference
+from beryltiller.configuration.tables import (
     Configuration,
     Group,
     InvalidConfiguration,
@@ -30,7 +28,9 @@
     Route,
     decode,
 )
-from beryltiller.text import columns
+from beryltiller.core.addresses import Address
+from beryltiller.core.ports import LostAnswerError, RefusedError, TableService
+from beryltiller.core.text import columns
 
 _Value = TypeVar("_Value")
 _ROW_CLASSES: dict[str, type[Route] | type[Pool] | type[Group]] = {
--- a/src/beryltiller/documents.py
+++ b/src/beryltiller/commands/documents.py
@@ -1,7 +1,7 @@
 """Pages that are made from the code: settings, reports, modules.
 
-`python -m beryltiller.documents docs` writes them; a test checks that those in the
-repository are current.
+`python -m beryltiller.commands.documents docs` writes them; a test checks that those
+in the repository are current.
 """
 
 import ast
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from beryltiller.logs import message_rows
-from beryltiller.metrics import MAX_SAMPLES_PER_FLUSH, metric_rows
-from beryltiller.settings_commands import settings_page
-from beryltiller.text import markdown_table
-from beryltiller.traces import MAX_SPANS, Hop
+from beryltiller.commands.settings_commands import settings_page
+from beryltiller.core.text import markdown_table
+from beryltiller.observability.logs import message_rows
+from beryltiller.observability.metrics import MAX_SAMPLES_PER_FLUSH, metric_rows
+from beryltiller.observability.traces import MAX_SPANS, Hop
 
 _MADE = "Made by `make documents`; a test checks that it is current."
 _LOGS_TEXT = f"""\
@@ -61,7 +61,7 @@
 def modules_page() -> Iterator[str]:
     """Yield the lines of docs/MODULES.md."""
     yield from ("# Modules", "", _MADE)
-    root = Path(__file__).parent
+    root = Path(__file__).parent.parent
     for package in (root, *sorted(path.parent for path in root.glob("*/__init__.py"))):
         name = "/".join(package.relative_to(root.parent).parts)
         yield from ("", f"`src/{name}/`", "")
--- a/src/beryltiller/operator_client.py
+++ b/src/beryltiller/commands/operator_client.py
@@ -8,8 +8,8 @@
 import aiohttp
 import msgspec
 
-from beryltiller.addresses import Address
-from beryltiller.command_errors import CommandError, ExitCode
+from beryltiller.commands.command_errors import CommandError, ExitCode
+from beryltiller.core.addresses import Address
 
 _Model = TypeVar("_Model")
 
--- a/src/beryltiller/operator_commands.py
+++ b/src/beryltiller/commands/operator_commands.py
@@ -9,18 +9,18 @@
 
 import msgspec
 
-from beryltiller.command_errors import CommandError, ExitCode
-from beryltiller.configuration_commands import store_version
-from beryltiller.operator_client import OperatorClient, get_from_all
-from beryltiller.operator_models import (
+from beryltiller.commands.command_errors import CommandError, ExitCode
+from beryltiller.commands.configuration_commands import store_version
+from beryltiller.commands.operator_client import OperatorClient, get_from_all
+from beryltiller.core.text import columns
+from beryltiller.observability.trace_text import render_trace
+from beryltiller.process.operator_models import (
     ExplanationModel,
     FailoverModel,
     FailoverRequestModel,
     StatusModel,
     TraceModel,
 )
-from beryltiller.text import columns
-from beryltiller.trace_text import render_trace
 
 _Model = TypeVar("_Model")
 
--- a/src/beryltiller/settings_commands.py
+++ b/src/beryltiller/commands/settings_commands.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from beryltiller.command_errors import CommandError, ExitCode
-from beryltiller.settings import Definition, definitions
-from beryltiller.settings_source import LoadedSettings, read_settings
-from beryltiller.text import columns, markdown_table
+from beryltiller.commands.command_errors import CommandError, ExitCode
+from beryltiller.core.text import columns, markdown_table
+from beryltiller.process.settings import Definition, definitions
+from beryltiller.process.settings_source import LoadedSettings, read_settings
 
 
 def load_settings(arguments: Namespace) -> LoadedSettings:
@@ -74,7 +74,7 @@
 
 def new_keys(arguments: Namespace) -> ExitCode:
     """Write a new set of keys to a directory and say how to use them."""
-    from beryltiller.keys import new_keys, write_keys
+    from beryltiller.process.keys import new_keys, write_keys
 
     try:
         paths = write_keys(new_keys(), Path(arguments.directory))
--- /dev/null
+++ b/src/beryltiller/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: routes, pools and groups, and how versions are adopted."""
--- a/src/beryltiller/adoption.py
+++ b/src/beryltiller/configuration/adoption.py
@@ -19,8 +19,7 @@
 
 from returns.result import Failure
 
-from beryltiller import probing
-from beryltiller.adoption_events import (
+from beryltiller.configuration.adoption_events import (
     Action,
     AskPeer,
     Confirm,
@@ -35,7 +34,7 @@
     StoreAnswered,
     StoreFailed,
 )
-from beryltiller.adoption_state import (
+from beryltiller.configuration.adoption_state import (
     NO_VERSION,
     State,
     pack,
@@ -43,16 +42,17 @@
     with_known,
     without_question,
 )
-from beryltiller.membership_events import HostsListed, Received, Reply, Tick
-from beryltiller.messages import (
+from beryltiller.configuration.tables import Configuration, from_row
+from beryltiller.core.ports import HostKind, Row
+from beryltiller.membership import probing
+from beryltiller.membership.membership_events import HostsListed, Received, Reply, Tick
+from beryltiller.membership.messages import (
     UNKNOWN_AGE_MS,
     ConfigurationReply,
     ConfigurationRequest,
     Message,
     Refused,
 )
-from beryltiller.ports import HostKind, Row
-from beryltiller.tables import Configuration, from_row
 
 POLL_SECONDS = 1.0
 UNRANKED_POLL_SECONDS = 30.0
--- a/src/beryltiller/adoption_events.py
+++ b/src/beryltiller/configuration/adoption_events.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from beryltiller.membership_events import HostsListed, Received, Reply, Tick
-from beryltiller.messages import ConfigurationReply
-from beryltiller.ports import Row
-from beryltiller.tables import Configuration, InvalidConfiguration
+from beryltiller.configuration.tables import Configuration, InvalidConfiguration
+from beryltiller.core.ports import Row
+from beryltiller.membership.membership_events import HostsListed, Received, Reply, Tick
+from beryltiller.membership.messages import ConfigurationReply
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/adoption_state.py
+++ b/src/beryltiller/configuration/adoption_state.py
@@ -7,9 +7,7 @@
 
 from returns.result import Failure, Result
 
-from beryltiller.outcome import Refusal
-from beryltiller.ports import Row
-from beryltiller.tables import (
+from beryltiller.configuration.tables import (
     KEY,
     MAX_DOCUMENT_BYTES,
     Configuration,
@@ -17,6 +15,8 @@
     encode,
     from_row,
 )
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.ports import Row
 
 NO_VERSION = -1
 
--- a/src/beryltiller/changes.py
+++ b/src/beryltiller/configuration/changes.py
@@ -1,6 +1,6 @@
 """Changes to a configuration: applying them, and saying how two versions differ.
 
->>> from beryltiller.tables import Configuration, Pool
+>>> from beryltiller.configuration.tables import Configuration, Pool
 >>> before = Configuration(version=4)
 >>> after = Configuration(version=5, pools=(Pool("workshop", ("g1",)),))
 >>> print(*difference(before, after))
@@ -15,8 +15,7 @@
 
 from returns.result import Failure, Result
 
-from beryltiller.outcome import Refusal
-from beryltiller.tables import (
+from beryltiller.configuration.tables import (
     Configuration,
     Group,
     InvalidConfiguration,
@@ -24,6 +23,7 @@
     Route,
     validate,
 )
+from beryltiller.core.outcome import Refusal
 
 _Row = TypeVar("_Row", Route, Pool, Group)
 
--- a/src/beryltiller/tables.py
+++ b/src/beryltiller/configuration/tables.py
@@ -20,8 +20,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.outcome import Kind, Refusal
-from beryltiller.ports import Row, Write
+from beryltiller.core.outcome import Kind, Refusal
+from beryltiller.core.ports import Row, Write
 
 TABLE = "configuration"
 KEY = "current"
--- /dev/null
+++ b/src/beryltiller/consistency/__init__.py
@@ -0,0 +1,1 @@
+"""Session consistency: which database may serve a statement."""
--- a/src/beryltiller/attempts.py
+++ b/src/beryltiller/consistency/attempts.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum, auto, unique
 
-from beryltiller.outcome import Kind, Outcome, Refusal
-from beryltiller.ports import EndpointAnswer
+from beryltiller.core.outcome import Kind, Outcome, Refusal
+from beryltiller.core.ports import EndpointAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/freshness.py
+++ b/src/beryltiller/consistency/freshness.py
@@ -9,7 +9,7 @@
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field, replace
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 
 MAX_PAIRS = 128
 AGE_RESOLUTION = 0.15
--- a/src/beryltiller/group_state.py
+++ b/src/beryltiller/consistency/group_state.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 
-from beryltiller.freshness import Pair, Timeline
-from beryltiller.plans import (
+from beryltiller.consistency.freshness import Pair, Timeline
+from beryltiller.consistency.plans import (
     DatabaseView,
     GroupView,
 )
-from beryltiller.ports import EndpointAnswer, EndpointStatus, Role
-from beryltiller.position import ORIGIN, Position
+from beryltiller.core.ports import EndpointAnswer, EndpointStatus, Role
+from beryltiller.core.position import ORIGIN, Position
 
 LAG_MEMORY_SECONDS = 5.0
 
--- a/src/beryltiller/plans.py
+++ b/src/beryltiller/consistency/plans.py
@@ -3,9 +3,9 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from beryltiller.outcome import Refusal
-from beryltiller.ports import Load
-from beryltiller.position import ORIGIN, History, Position
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.ports import Load
+from beryltiller.core.position import ORIGIN, History, Position
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/routing.py
+++ b/src/beryltiller/consistency/routing.py
@@ -8,8 +8,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum, auto, unique
 
-from beryltiller.outcome import Refusal
-from beryltiller.plans import (
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     GroupView,
@@ -23,8 +22,9 @@
     WaitForTerm,
     WaitThen,
 )
-from beryltiller.position import Position
-from beryltiller.tokens import Mark
+from beryltiller.consistency.tokens import Mark
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.position import Position
 
 
 @unique
@@ -40,7 +40,7 @@
 def standing(view: GroupView, position: Position) -> Standing:
     """Tell whether `position` survives in the group's present term.
 
-    >>> from beryltiller.position import History
+    >>> from beryltiller.core.position import History
     >>> view = GroupView("g", 2, "a", True, History(), Position(2, 4))
     >>> standing(view, Position(1, 9)).name
     'LOST'
--- a/src/beryltiller/serving.py
+++ b/src/beryltiller/consistency/serving.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 
-from beryltiller.attempts import (
+from beryltiller.consistency.attempts import (
     PACED_CODES,
     Answered,
     Attempts,
@@ -21,8 +21,7 @@
     Work,
     decide,
 )
-from beryltiller.outcome import Outcome, Refusal
-from beryltiller.plans import (
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     Refuse,
     RunAt,
@@ -30,8 +29,9 @@
     WaitForTerm,
     WaitThen,
 )
-from beryltiller.ports import EndpointAnswer, EndpointStatus, Statement
-from beryltiller.session import Claim, Planner, Served
+from beryltiller.consistency.session import Claim, Planner, Served
+from beryltiller.core.outcome import Outcome, Refusal
+from beryltiller.core.ports import EndpointAnswer, EndpointStatus, Statement
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/session.py
+++ b/src/beryltiller/consistency/session.py
@@ -10,11 +10,10 @@
 
 from returns.result import Result, Success
 
-from beryltiller.attempts import Unconfirmed
-from beryltiller.freshness import Pair
-from beryltiller.group_state import GroupState
-from beryltiller.outcome import Kind, Refusal
-from beryltiller.plans import (
+from beryltiller.consistency.attempts import Unconfirmed
+from beryltiller.consistency.freshness import Pair
+from beryltiller.consistency.group_state import GroupState
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     GroupView,
@@ -26,10 +25,23 @@
     RoutingPolicy,
     WaitForTerm,
 )
-from beryltiller.ports import EndpointAnswer, EndpointStatus
-from beryltiller.position import ORIGIN, Position
-from beryltiller.routing import Standing, find_loss, plan_read, plan_write, standing
-from beryltiller.tokens import Mark, Session, TokenFault, TokenKeys, decode_token
+from beryltiller.consistency.routing import (
+    Standing,
+    find_loss,
+    plan_read,
+    plan_write,
+    standing,
+)
+from beryltiller.consistency.tokens import (
+    Mark,
+    Session,
+    TokenFault,
+    TokenKeys,
+    decode_token,
+)
+from beryltiller.core.outcome import Kind, Refusal
+from beryltiller.core.ports import EndpointAnswer, EndpointStatus
+from beryltiller.core.position import ORIGIN, Position
 
 NEW_SESSION = "new"
 
--- a/src/beryltiller/statement.py
+++ b/src/beryltiller/consistency/statement.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.outcome import Kind, Refusal
+from beryltiller.core.outcome import Kind, Refusal
 
 DEFAULT_TIMEOUT_MILLISECONDS = 5_000
 MAX_TIMEOUT_MILLISECONDS = 60_000
--- a/src/beryltiller/tokens.py
+++ b/src/beryltiller/consistency/tokens.py
@@ -12,8 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.outcome import Refusal
-from beryltiller.position import ORIGIN, Position
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.position import ORIGIN, Position
 
 MAX_TOKEN_CHARACTERS = 2_048
 MAX_GROUPS = 16
--- /dev/null
+++ b/src/beryltiller/core/__init__.py
@@ -0,0 +1,1 @@
+"""Values, ports and small helpers that every other part uses."""
--- a/src/beryltiller/budgets.py
+++ b/src/beryltiller/core/budgets.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from beryltiller.outcome import Outcome
+from beryltiller.core.outcome import Outcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/ports.py
+++ b/src/beryltiller/core/ports.py
@@ -11,8 +11,8 @@
 from enum import Enum, unique
 from typing import Protocol
 
-from beryltiller.outcome import Kind
-from beryltiller.position import ORIGIN, History, Position
+from beryltiller.core.outcome import Kind
+from beryltiller.core.position import ORIGIN, History, Position
 
 
 class PortError(Exception):
--- /dev/null
+++ b/src/beryltiller/dispatching/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatching: carry statements and transactions to databases."""
--- a/src/beryltiller/connections.py
+++ b/src/beryltiller/dispatching/connections.py
@@ -7,8 +7,8 @@
 from types import TracebackType
 from typing import Any
 
-from beryltiller.ledgers import ConnectionLedger, PoolPolicy
-from beryltiller.ports import Connection, Endpoint, PortError
+from beryltiller.admission.ledgers import ConnectionLedger, PoolPolicy
+from beryltiller.core.ports import Connection, Endpoint, PortError
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/databases.py
+++ b/src/beryltiller/dispatching/databases.py
@@ -12,13 +12,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from beryltiller.dispatch import Dispatcher, DispatchPolicy
-from beryltiller.holdings import Holdings
-from beryltiller.ports import Endpoint
-from beryltiller.records import AdmissionRecords
-from beryltiller.shares import EndpointCap, Member, SharePolicy
-from beryltiller.tables import Configuration, Database, Group
-from beryltiller.transaction_runner import TransactionRunner
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.configuration.tables import Configuration, Database, Group
+from beryltiller.core.ports import Endpoint
+from beryltiller.dispatching.dispatch import Dispatcher, DispatchPolicy
+from beryltiller.dispatching.transaction_runner import TransactionRunner
+from beryltiller.membership.holdings import Holdings
+from beryltiller.membership.shares import EndpointCap, Member, SharePolicy
 
 EndpointMaker = Callable[[str], Endpoint]
 
--- a/src/beryltiller/dispatch.py
+++ b/src/beryltiller/dispatching/dispatch.py
@@ -21,11 +21,13 @@
 from types import TracebackType
 from typing import TypeVar
 
-from beryltiller.connections import ConnectionPool, Lease
-from beryltiller.dispatch_errors import NotRunError, UnknownOutcomeError
-from beryltiller.ledgers import PoolPolicy
-from beryltiller.outcome import Outcome, Refusal
-from beryltiller.ports import (
+from beryltiller.admission.ledgers import PoolPolicy
+from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.admission.tickets import Cause, Drop, Grant, Rejection, Ticket
+from beryltiller.admission.windows import Limits, LimitsPolicy
+from beryltiller.core.outcome import Outcome, Refusal
+from beryltiller.core.ports import (
     Connection,
     Endpoint,
     EndpointAnswer,
@@ -34,10 +36,8 @@
     RefusedError,
     Statement,
 )
-from beryltiller.queues import AdmissionQueue, QueuePolicy
-from beryltiller.records import AdmissionRecords
-from beryltiller.tickets import Cause, Drop, Grant, Rejection, Ticket
-from beryltiller.windows import Limits, LimitsPolicy
+from beryltiller.dispatching.connections import ConnectionPool, Lease
+from beryltiller.dispatching.dispatch_errors import NotRunError, UnknownOutcomeError
 
 _TEND_SECONDS = 1.0
 
--- a/src/beryltiller/dispatch_errors.py
+++ b/src/beryltiller/dispatching/dispatch_errors.py
@@ -1,6 +1,6 @@
 """Errors of dispatching: a statement without a whole answer."""
 
-from beryltiller.outcome import Outcome, Refusal
+from beryltiller.core.outcome import Outcome, Refusal
 
 
 class DispatchError(Exception):
--- a/src/beryltiller/driver.py
+++ b/src/beryltiller/dispatching/driver.py
@@ -6,23 +6,29 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from beryltiller.attempts import Answered, Lost, Refused, Result, Unconfirmed
-from beryltiller.databases import Databases, Place
-from beryltiller.dispatch_errors import NotRunError, UnknownOutcomeError
-from beryltiller.evidence import LOGS_NEEDED, Verdict, is_in_two_logs
-from beryltiller.flights import Flight, Flights
-from beryltiller.forwarding import Forwarder
-from beryltiller.hops import Attempt, Hops
-from beryltiller.metrics import Counter, Metrics
-from beryltiller.outcome import Kind
-from beryltiller.plans import AskPrimaryPosition, WaitForTerm
-from beryltiller.ports import EndpointStatus, PortError, Statement
-from beryltiller.position import Position
-from beryltiller.serving import Effect, Job, Reply, Run, Sleep, serve
-from beryltiller.serving import Verdict as Served
-from beryltiller.session import Planner
-from beryltiller.term_board import TermBoard
-from beryltiller.tickets import Ticket
+from beryltiller.admission.tickets import Ticket
+from beryltiller.consistency.attempts import (
+    Answered,
+    Lost,
+    Refused,
+    Result,
+    Unconfirmed,
+)
+from beryltiller.consistency.plans import AskPrimaryPosition, WaitForTerm
+from beryltiller.consistency.serving import Effect, Job, Reply, Run, Sleep, serve
+from beryltiller.consistency.serving import Verdict as Served
+from beryltiller.consistency.session import Planner
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import EndpointStatus, PortError, Statement
+from beryltiller.core.position import Position
+from beryltiller.dispatching.databases import Databases, Place
+from beryltiller.dispatching.dispatch_errors import NotRunError, UnknownOutcomeError
+from beryltiller.dispatching.flights import Flight, Flights
+from beryltiller.dispatching.forwarding import Forwarder
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.observability.hops import Attempt, Hops
+from beryltiller.observability.metrics import Counter, Metrics
+from beryltiller.primaries.evidence import LOGS_NEEDED, Verdict, is_in_two_logs
 
 MIN_CONFIRM_STEP_SECONDS = 0.005
 MAX_CONFIRM_STEP_SECONDS = 0.08
--- a/src/beryltiller/forwarded_transactions.py
+++ b/src/beryltiller/dispatching/forwarded_transactions.py
@@ -7,22 +7,22 @@
 import time
 from collections.abc import Callable
 
-from beryltiller.attempts import Answered, Lost, Refused, Result
-from beryltiller.channels import PeerLostError, PeerRefusedError
-from beryltiller.databases import Databases
-from beryltiller.dispatch_errors import NotRunError, UnknownOutcomeError
-from beryltiller.forwarding import (
+from beryltiller.adapters.channels import PeerLostError, PeerRefusedError
+from beryltiller.adapters.peers import Peers
+from beryltiller.admission.tickets import Ticket
+from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.core.outcome import Kind, Refusal
+from beryltiller.core.ports import EndpointAnswer, Statement
+from beryltiller.core.position import ORIGIN
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.dispatch_errors import NotRunError, UnknownOutcomeError
+from beryltiller.dispatching.forwarding import (
     RETURN_MARGIN_SECONDS,
     from_reply,
     to_reply,
 )
-from beryltiller.messages import ForwardReply, ForwardTransaction
-from beryltiller.outcome import Kind, Refusal
-from beryltiller.peers import Peers
-from beryltiller.ports import EndpointAnswer, Statement
-from beryltiller.position import ORIGIN
-from beryltiller.tickets import Ticket
-from beryltiller.transaction_runner import TransactionRunner
+from beryltiller.dispatching.transaction_runner import TransactionRunner
+from beryltiller.membership.messages import ForwardReply, ForwardTransaction
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/src/beryltiller/forwarding.py
+++ b/src/beryltiller/dispatching/forwarding.py
@@ -12,23 +12,23 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from beryltiller.attempts import Answered, Lost, Refused, Result
-from beryltiller.channels import PeerLostError, PeerRefusedError
-from beryltiller.databases import Databases, Place
-from beryltiller.dispatch_errors import NotRunError, UnknownOutcomeError
-from beryltiller.endpoints import format_load, parse_load
-from beryltiller.hops import Hops
-from beryltiller.members import Members
-from beryltiller.messages import Forward, ForwardReply, Message, ReplyTo
-from beryltiller.messages import Refused as PeerRefusal
-from beryltiller.metrics import Counter, Metrics
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.peers import Peers
-from beryltiller.ports import EndpointAnswer, Statement
-from beryltiller.position import Position
-from beryltiller.shares import choose_holder
-from beryltiller.tickets import Ticket
-from beryltiller.traces import Hop
+from beryltiller.adapters.channels import PeerLostError, PeerRefusedError
+from beryltiller.adapters.endpoints import format_load, parse_load
+from beryltiller.adapters.peers import Peers
+from beryltiller.admission.tickets import Ticket
+from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.core.outcome import Kind, Outcome
+from beryltiller.core.ports import EndpointAnswer, Statement
+from beryltiller.core.position import Position
+from beryltiller.dispatching.databases import Databases, Place
+from beryltiller.dispatching.dispatch_errors import NotRunError, UnknownOutcomeError
+from beryltiller.membership.members import Members
+from beryltiller.membership.messages import Forward, ForwardReply, Message, ReplyTo
+from beryltiller.membership.messages import Refused as PeerRefusal
+from beryltiller.membership.shares import choose_holder
+from beryltiller.observability.hops import Hops
+from beryltiller.observability.metrics import Counter, Metrics
+from beryltiller.observability.traces import Hop
 
 RETURN_MARGIN_SECONDS = 0.05
 UNREACHABLE_SECONDS = 2.0
--- a/src/beryltiller/observer.py
+++ b/src/beryltiller/dispatching/observer.py
@@ -5,12 +5,17 @@
 import time
 from collections.abc import Callable
 
-from beryltiller.attempts import Answered, Lost, Refused, Result
-from beryltiller.databases import Databases, Place
-from beryltiller.draining import EndpointAnswered
-from beryltiller.ports import EndpointStatus, LostAnswerError, PortError, RefusedError
-from beryltiller.session import Planner
-from beryltiller.term_events import DatabaseObserved, Observation
+from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.consistency.session import Planner
+from beryltiller.core.ports import (
+    EndpointStatus,
+    LostAnswerError,
+    PortError,
+    RefusedError,
+)
+from beryltiller.dispatching.databases import Databases, Place
+from beryltiller.membership.draining import EndpointAnswered
+from beryltiller.primaries.term_events import DatabaseObserved, Observation
 
 STATUS_INTERVAL_SECONDS = 0.25
 MAX_STATUS_AGE_SECONDS = 0.7
--- a/src/beryltiller/term_board.py
+++ b/src/beryltiller/dispatching/term_board.py
@@ -8,8 +8,8 @@
 import time
 from collections.abc import Callable
 
-from beryltiller.evidence import Evidence, Verdict
-from beryltiller.session import Planner
+from beryltiller.consistency.session import Planner
+from beryltiller.primaries.evidence import Evidence, Verdict
 
 
 class TermBoard:
--- a/src/beryltiller/transaction_runner.py
+++ b/src/beryltiller/dispatching/transaction_runner.py
@@ -16,13 +16,13 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from beryltiller.connections import Lease
-from beryltiller.dispatch import Dispatcher
-from beryltiller.dispatch_errors import NotRunError
-from beryltiller.outcome import Refusal
-from beryltiller.ports import Connection, EndpointAnswer, Statement
-from beryltiller.tickets import Rejection, Ticket
-from beryltiller.transactions import (
+from beryltiller.admission.tickets import Rejection, Ticket
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.ports import Connection, EndpointAnswer, Statement
+from beryltiller.dispatching.connections import Lease
+from beryltiller.dispatching.dispatch import Dispatcher
+from beryltiller.dispatching.dispatch_errors import NotRunError
+from beryltiller.dispatching.transactions import (
     Transaction,
     TransactionPolicy,
     TransactionTable,
--- a/src/beryltiller/transaction_service.py
+++ b/src/beryltiller/dispatching/transaction_service.py
@@ -10,10 +10,8 @@
 from enum import Enum, unique
 from typing import Protocol
 
-from beryltiller.dispatch_errors import DispatchError, NotRunError
-from beryltiller.driver import Driver
-from beryltiller.outcome import Kind, Outcome, Refusal
-from beryltiller.plans import (
+from beryltiller.admission.tickets import Ticket
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     Plan,
     Refuse,
@@ -21,12 +19,14 @@
     SessionLost,
     WaitForTerm,
 )
-from beryltiller.ports import EndpointAnswer, Statement
-from beryltiller.routing import find_loss
-from beryltiller.session import Claim, Planner
-from beryltiller.term_board import TermBoard
-from beryltiller.tickets import Ticket
-from beryltiller.tokens import Session
+from beryltiller.consistency.routing import find_loss
+from beryltiller.consistency.session import Claim, Planner
+from beryltiller.consistency.tokens import Session
+from beryltiller.core.outcome import Kind, Outcome, Refusal
+from beryltiller.core.ports import EndpointAnswer, Statement
+from beryltiller.dispatching.dispatch_errors import DispatchError, NotRunError
+from beryltiller.dispatching.driver import Driver
+from beryltiller.dispatching.term_board import TermBoard
 
 TRANSACTIONS_PATH = "/v1/transactions"
 MAX_AGE_SECONDS = 120.0
--- a/src/beryltiller/transactions.py
+++ b/src/beryltiller/dispatching/transactions.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from beryltiller.connections import Lease
-from beryltiller.outcome import Refusal
-from beryltiller.tickets import Cause, Rejection
+from beryltiller.admission.tickets import Cause, Rejection
+from beryltiller.core.outcome import Refusal
+from beryltiller.dispatching.connections import Lease
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/beryltiller/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: which proxies run, and how they share out work."""
--- a/src/beryltiller/draining.py
+++ b/src/beryltiller/membership/draining.py
@@ -10,8 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from beryltiller.membership_events import EndpointNote, HostsListed, Tick
-from beryltiller.ports import Host, HostKind
+from beryltiller.core.ports import Host, HostKind
+from beryltiller.membership.membership_events import EndpointNote, HostsListed, Tick
 
 HOST_LIST_LAG_SECONDS = 15.0
 
--- a/src/beryltiller/holdings.py
+++ b/src/beryltiller/membership/holdings.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from beryltiller.shares import (
+from beryltiller.membership.shares import (
     EndpointCap,
     Member,
     SharePolicy,
--- a/src/beryltiller/membership.py
+++ b/src/beryltiller/membership/membership.py
@@ -15,9 +15,9 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from beryltiller import probing
-from beryltiller.members import MemberState
-from beryltiller.membership_events import (
+from beryltiller.membership import probing
+from beryltiller.membership.members import MemberState
+from beryltiller.membership.membership_events import (
     Action,
     Drain,
     EndpointNote,
@@ -34,7 +34,7 @@
     Request,
     Tick,
 )
-from beryltiller.membership_state import (
+from beryltiller.membership.membership_state import (
     Relay,
     State,
     Suspicion,
@@ -47,7 +47,7 @@
     without,
     write_gossip,
 )
-from beryltiller.messages import (
+from beryltiller.membership.messages import (
     Ack,
     Gossip,
     MemberEntry,
@@ -60,8 +60,8 @@
     Refused,
     ReplyTo,
 )
-from beryltiller.news import to_entry
-from beryltiller.probe_rounds import (
+from beryltiller.membership.news import to_entry
+from beryltiller.membership.probe_rounds import (
     INDIRECT_TIMEOUT_SECONDS,
     Step,
     expire_probes,
--- a/src/beryltiller/membership_events.py
+++ b/src/beryltiller/membership/membership_events.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from beryltiller.members import Members
-from beryltiller.messages import Digest, Message, ReplyTo
-from beryltiller.ports import Host
+from beryltiller.core.ports import Host
+from beryltiller.membership.members import Members
+from beryltiller.membership.messages import Digest, Message, ReplyTo
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/membership_state.py
+++ b/src/beryltiller/membership/membership_state.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
-from beryltiller import news, probing
-from beryltiller.members import Member, Members, MemberState
-from beryltiller.membership_events import EndpointNote, Facts
-from beryltiller.messages import (
+from beryltiller.core.ports import Host, HostKind
+from beryltiller.membership import news, probing
+from beryltiller.membership.members import Member, Members, MemberState
+from beryltiller.membership.membership_events import EndpointNote, Facts
+from beryltiller.membership.messages import (
     UNKNOWN_AGE_MS,
     Digest,
     EndpointEntry,
@@ -16,8 +17,7 @@
     MemberEntry,
     ReplyTo,
 )
-from beryltiller.news import News, from_entry, to_entry
-from beryltiller.ports import Host, HostKind
+from beryltiller.membership.news import News, from_entry, to_entry
 
 SUSPICION_SECONDS = 0.8
 LISTED_NEWS_SECONDS = 15.0
--- a/src/beryltiller/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -36,7 +36,7 @@
 
 
 class MemberEntry(_Part, frozen=True, array_like=True):
-    """Hold what the sender knows of one member; see `beryltiller.members`."""
+    """Hold what the sender knows of one member; see `membership.members`."""
 
     address: _Text
     name: _Text
--- a/src/beryltiller/news.py
+++ b/src/beryltiller/membership/news.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from beryltiller.members import Member, MemberState
-from beryltiller.messages import MemberEntry
+from beryltiller.membership.members import Member, MemberState
+from beryltiller.membership.messages import MemberEntry
 
 MEMBER_NEWS_BYTES = 280
 MAX_ENDPOINT_NEWS = 4
--- a/src/beryltiller/probe_rounds.py
+++ b/src/beryltiller/membership/probe_rounds.py
@@ -2,10 +2,10 @@
 
 from dataclasses import replace
 
-from beryltiller import probing
-from beryltiller.members import Member, MemberState
-from beryltiller.membership_events import Action, Reply, Request
-from beryltiller.membership_state import (
+from beryltiller.membership import probing
+from beryltiller.membership.members import Member, MemberState
+from beryltiller.membership.membership_events import Action, Reply, Request
+from beryltiller.membership.membership_state import (
     SUSPICION_SECONDS,
     Probe,
     State,
@@ -15,7 +15,7 @@
     without,
     write_gossip,
 )
-from beryltiller.messages import Ping, PingRequest, Refused
+from beryltiller.membership.messages import Ping, PingRequest, Refused
 
 PROBE_INTERVAL_SECONDS = 0.5
 DIRECT_TIMEOUT_SECONDS = 0.3
--- a/src/beryltiller/probing.py
+++ b/src/beryltiller/membership/probing.py
@@ -12,7 +12,7 @@
 
 from xxhash import xxh64_intdigest
 
-from beryltiller.members import Member, score
+from beryltiller.membership.members import Member, score
 
 WATCHED_MEMBERS = 4
 CYCLE_SLOTS = 8
--- /dev/null
+++ b/src/beryltiller/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- a/src/beryltiller/announcer.py
+++ b/src/beryltiller/observability/announcer.py
@@ -3,11 +3,11 @@
 import time
 from collections.abc import Callable
 
-from beryltiller import logs
-from beryltiller.evidence import Evidence
-from beryltiller.members import Member, Members
-from beryltiller.metrics import Counter, Gauge, Metrics, Timer
-from beryltiller.term_actions import ReportPromotion
+from beryltiller.membership.members import Member, Members
+from beryltiller.observability import logs
+from beryltiller.observability.metrics import Counter, Gauge, Metrics, Timer
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.term_actions import ReportPromotion
 
 
 class Announcer:
--- a/src/beryltiller/gauges.py
+++ b/src/beryltiller/observability/gauges.py
@@ -3,10 +3,16 @@
 import asyncio
 import time
 
-from beryltiller.databases import Databases
-from beryltiller.metrics import Counter, Gauge, Metrics, Timer, resident_bytes
-from beryltiller.peers import Peers
-from beryltiller.proxy import Proxy
+from beryltiller.adapters.peers import Peers
+from beryltiller.dispatching.databases import Databases
+from beryltiller.observability.metrics import (
+    Counter,
+    Gauge,
+    Metrics,
+    Timer,
+    resident_bytes,
+)
+from beryltiller.process.proxy import Proxy
 
 METRICS_INTERVAL_SECONDS = 1.0
 
--- a/src/beryltiller/hops.py
+++ b/src/beryltiller/observability/hops.py
@@ -6,8 +6,14 @@
 from types import TracebackType
 from typing import Self
 
-from beryltiller.metrics import Counter, Metrics, Timer
-from beryltiller.traces import AnySpan, Hop, TraceContext, Tracer, parse_trace_parent
+from beryltiller.observability.metrics import Counter, Metrics, Timer
+from beryltiller.observability.traces import (
+    AnySpan,
+    Hop,
+    TraceContext,
+    Tracer,
+    parse_trace_parent,
+)
 
 _TIMERS = {
     Hop.QUEUE: Timer.QUEUE,
--- a/src/beryltiller/metrics.py
+++ b/src/beryltiller/observability/metrics.py
@@ -18,7 +18,7 @@
 
 from statsd import StatsClient
 
-from beryltiller.addresses import Address
+from beryltiller.core.addresses import Address
 
 FLUSH_INTERVAL_SECONDS = 1.0
 MAX_SAMPLES_PER_FLUSH = 20
--- a/src/beryltiller/trace_text.py
+++ b/src/beryltiller/observability/trace_text.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from beryltiller.traces import SpanModel
+from beryltiller.observability.traces import SpanModel
 
 _INDENT = "  "
 
--- a/src/beryltiller/platform/daemon.py
+++ b/src/beryltiller/platform/daemon.py
@@ -6,8 +6,8 @@
 import threading
 from contextlib import AsyncExitStack, ExitStack
 
-from beryltiller import __version__, logs
-from beryltiller.actors import EventLoop, Mailboxes, Supervisor
+from beryltiller import __version__
+from beryltiller.observability import logs
 from beryltiller.platform.node import PlatformNode
 from beryltiller.platform.settings import (
     SETTINGS_VARIABLE,
@@ -15,6 +15,7 @@
     SettingsFileError,
     read_settings_file,
 )
+from beryltiller.process.actors import EventLoop, Mailboxes, Supervisor
 
 START_TIMEOUT_SECONDS = 10.0
 
--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Sequence
 
-from beryltiller.addresses import Address
+from beryltiller.core.addresses import Address
 from beryltiller.platform import wire
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.errors import BrokenError, NotSentError
--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -9,9 +9,9 @@
 import aiohttp
 import msgspec
 
-from beryltiller import transport
+from beryltiller.adapters import transport
+from beryltiller.core.ports import RefusedError, Row, Write
 from beryltiller.platform.store import Store, check
-from beryltiller.ports import RefusedError, Row, Write
 
 TABLE = "succession"
 DUTY_KEY = "duty"
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -13,13 +13,13 @@
 import aiohttp
 from aiohttp import web
 
-from beryltiller import logs
-from beryltiller.actors import Part
+from beryltiller.observability import logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
 from beryltiller.platform.settings import PlatformSettings
 from beryltiller.platform.store import Store
+from beryltiller.process.actors import Part
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.following import Rows, TableFollower
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from beryltiller import logs
-from beryltiller.addresses import Address
-from beryltiller.ports import Row
+from beryltiller.core.addresses import Address
+from beryltiller.core.ports import Row
+from beryltiller.observability import logs
 from beryltiller.sessions.catalog import (
     Configuration,
     Database,
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from beryltiller.addresses import Address
+from beryltiller.core.addresses import Address
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 
--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -13,8 +13,8 @@
 import aiohttp
 import msgspec
 
-from beryltiller import transport
-from beryltiller.ports import (
+from beryltiller.adapters import transport
+from beryltiller.core.ports import (
     Changes,
     HistoryLostError,
     LostAnswerError,
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.statements import (
     AskStatus,
     Begin,
--- /dev/null
+++ b/src/beryltiller/primaries/__init__.py
@@ -0,0 +1,1 @@
+"""Primaries: terms, evidence, and promotion under asynchronous replication."""
--- a/src/beryltiller/detection.py
+++ b/src/beryltiller/primaries/detection.py
@@ -17,8 +17,8 @@
 
 from xxhash import xxh64_intdigest
 
-from beryltiller.evidence import LOGS_NEEDED
-from beryltiller.term_events import DatabaseGroup, Member, Observation
+from beryltiller.primaries.evidence import LOGS_NEEDED
+from beryltiller.primaries.term_events import DatabaseGroup, Member, Observation
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/evidence.py
+++ b/src/beryltiller/primaries/evidence.py
@@ -15,9 +15,9 @@
 from enum import Enum, unique
 from math import inf
 
-from beryltiller.ports import EndpointStatus
-from beryltiller.position import Position
-from beryltiller.term_rows import TermRow
+from beryltiller.core.ports import EndpointStatus
+from beryltiller.core.position import Position
+from beryltiller.primaries.term_rows import TermRow
 
 LOGS_NEEDED = 2
 
--- a/src/beryltiller/evidence_refresh.py
+++ b/src/beryltiller/primaries/evidence_refresh.py
@@ -11,9 +11,14 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from beryltiller.evidence import Evidence
-from beryltiller.term_actions import Action, AskEvidence, ScanTerms, TellEvidence
-from beryltiller.term_events import EvidenceAsked, EvidenceTold, Member
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.term_actions import (
+    Action,
+    AskEvidence,
+    ScanTerms,
+    TellEvidence,
+)
+from beryltiller.primaries.term_events import EvidenceAsked, EvidenceTold, Member
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/promotion.py
+++ b/src/beryltiller/primaries/promotion.py
@@ -23,13 +23,13 @@
 from dataclasses import replace
 from math import inf
 
-from beryltiller.evidence import LOGS_NEEDED
-from beryltiller.ports import EndpointStatus, Role
-from beryltiller.promotion_requests import due_requests, follow_requests
-from beryltiller.promotion_state import Promotion, PromotionSettings, Step
-from beryltiller.term_actions import Action, Fence
-from beryltiller.term_events import DatabaseGroup
-from beryltiller.term_rows import TermRow, TermState
+from beryltiller.core.ports import EndpointStatus, Role
+from beryltiller.primaries.evidence import LOGS_NEEDED
+from beryltiller.primaries.promotion_requests import due_requests, follow_requests
+from beryltiller.primaries.promotion_state import Promotion, PromotionSettings, Step
+from beryltiller.primaries.term_actions import Action, Fence
+from beryltiller.primaries.term_events import DatabaseGroup
+from beryltiller.primaries.term_rows import TermRow, TermState
 
 FIRST_TERM = 1
 
--- a/src/beryltiller/promotion_requests.py
+++ b/src/beryltiller/primaries/promotion_requests.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
-from beryltiller.promotion_state import Promotion, Step
-from beryltiller.term_actions import (
+from beryltiller.primaries.promotion_state import Promotion, Step
+from beryltiller.primaries.term_actions import (
     Action,
     CommitRow,
     Fence,
@@ -12,7 +12,7 @@
     Open,
     ProbeStatus,
 )
-from beryltiller.term_rows import TermState
+from beryltiller.primaries.term_rows import TermState
 
 
 def due_requests(promotion: Promotion, now: float) -> Iterator[Action]:
--- a/src/beryltiller/promotion_state.py
+++ b/src/beryltiller/primaries/promotion_state.py
@@ -5,10 +5,10 @@
 from enum import Enum, unique
 from math import inf
 
-from beryltiller.evidence import LeaseSettings
-from beryltiller.ports import EndpointStatus
-from beryltiller.term_events import DatabaseGroup
-from beryltiller.term_rows import TermRow
+from beryltiller.core.ports import EndpointStatus
+from beryltiller.primaries.evidence import LeaseSettings
+from beryltiller.primaries.term_events import DatabaseGroup
+from beryltiller.primaries.term_rows import TermRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/term_actions.py
+++ b/src/beryltiller/primaries/term_actions.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from beryltiller.evidence import Evidence
-from beryltiller.term_rows import TermRow
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.term_rows import TermRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/term_events.py
+++ b/src/beryltiller/primaries/term_events.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from beryltiller.ports import EndpointStatus
-from beryltiller.term_rows import TermRow
+from beryltiller.core.ports import EndpointStatus
+from beryltiller.primaries.term_rows import TermRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/term_rows.py
+++ b/src/beryltiller/primaries/term_rows.py
@@ -15,8 +15,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.outcome import Refusal
-from beryltiller.ports import Row, Write
+from beryltiller.core.outcome import Refusal
+from beryltiller.core.ports import Row, Write
 
 TABLE = "terms"
 
--- a/src/beryltiller/terms.py
+++ b/src/beryltiller/primaries/terms.py
@@ -6,19 +6,19 @@
 
 from dataclasses import replace
 
-from beryltiller import evidence_refresh, promotion, watching
-from beryltiller.detection import Detection, Opinion, watchers_of
-from beryltiller.evidence import Evidence
-from beryltiller.evidence_refresh import evidence_sources
-from beryltiller.ports import EndpointStatus, Role
-from beryltiller.term_actions import (
+from beryltiller.core.ports import EndpointStatus, Role
+from beryltiller.primaries import evidence_refresh, promotion, watching
+from beryltiller.primaries.detection import Detection, Opinion, watchers_of
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.evidence_refresh import evidence_sources
+from beryltiller.primaries.term_actions import (
     Action,
     Follow,
     ProbeStatus,
     PublishTerms,
     TellOpinion,
 )
-from beryltiller.term_events import (
+from beryltiller.primaries.term_events import (
     DatabaseGroup,
     DatabaseObserved,
     Event,
@@ -38,8 +38,13 @@
     Tick,
     WriteUncertain,
 )
-from beryltiller.term_rows import TermRow
-from beryltiller.terms_state import Result, Sighting, TermsState, with_promotion
+from beryltiller.primaries.term_rows import TermRow
+from beryltiller.primaries.terms_state import (
+    Result,
+    Sighting,
+    TermsState,
+    with_promotion,
+)
 
 
 def decide(state: TermsState, event: Event, now: float) -> Result:
--- a/src/beryltiller/terms_state.py
+++ b/src/beryltiller/primaries/terms_state.py
@@ -3,13 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from beryltiller import promotion
-from beryltiller.detection import Detection, DetectionSettings
-from beryltiller.evidence import Evidence
-from beryltiller.evidence_refresh import Refresh
-from beryltiller.promotion_state import Promotion, PromotionSettings
-from beryltiller.term_actions import Action, ReportPromotion
-from beryltiller.term_events import DatabaseGroup, Member
+from beryltiller.primaries import promotion
+from beryltiller.primaries.detection import Detection, DetectionSettings
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.evidence_refresh import Refresh
+from beryltiller.primaries.promotion_state import Promotion, PromotionSettings
+from beryltiller.primaries.term_actions import Action, ReportPromotion
+from beryltiller.primaries.term_events import DatabaseGroup, Member
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/watching.py
+++ b/src/beryltiller/primaries/watching.py
@@ -3,12 +3,17 @@
 from dataclasses import replace
 from math import inf
 
-from beryltiller import evidence_refresh, promotion
-from beryltiller.detection import Detection
-from beryltiller.promotion_state import Promotion, Step
-from beryltiller.term_actions import Action, AskOpinion, ProbeStatus
-from beryltiller.term_rows import TermRow, TermState
-from beryltiller.terms_state import Result, Sighting, TermsState, with_promotion
+from beryltiller.primaries import evidence_refresh, promotion
+from beryltiller.primaries.detection import Detection
+from beryltiller.primaries.promotion_state import Promotion, Step
+from beryltiller.primaries.term_actions import Action, AskOpinion, ProbeStatus
+from beryltiller.primaries.term_rows import TermRow, TermState
+from beryltiller.primaries.terms_state import (
+    Result,
+    Sighting,
+    TermsState,
+    with_promotion,
+)
 
 
 def tick(state: TermsState, now: float) -> Result:
--- /dev/null
+++ b/src/beryltiller/process/__init__.py
@@ -0,0 +1,1 @@
+"""The process of a proxy: actors, servers, settings."""
--- a/src/beryltiller/adopter.py
+++ b/src/beryltiller/process/adopter.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from beryltiller.adoption_state import NO_VERSION
-from beryltiller.tables import Configuration
+from beryltiller.configuration.adoption_state import NO_VERSION
+from beryltiller.configuration.tables import Configuration
 
 
 class Adopter:
--- a/src/beryltiller/answer_headers.py
+++ b/src/beryltiller/process/answer_headers.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from beryltiller.attempts import Finish
-from beryltiller.outcome import Outcome, Refusal
-from beryltiller.tickets import Cause
+from beryltiller.admission.tickets import Cause
+from beryltiller.consistency.attempts import Finish
+from beryltiller.core.outcome import Outcome, Refusal
 
 _OVER_LIMIT_CODES = frozenset(
     cause.code
--- a/src/beryltiller/authority.py
+++ b/src/beryltiller/process/authority.py
@@ -12,10 +12,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from beryltiller import messages
-from beryltiller.channels import PeerError
-from beryltiller.messages import Message, ReplyTo
-from beryltiller.ports import (
+from beryltiller.adapters.channels import PeerError
+from beryltiller.core.ports import (
     Endpoint,
     EndpointStatus,
     LostAnswerError,
@@ -24,7 +22,9 @@
     Row,
     TableService,
 )
-from beryltiller.term_actions import (
+from beryltiller.membership import messages
+from beryltiller.membership.messages import Message, ReplyTo
+from beryltiller.primaries.term_actions import (
     Action,
     AskEvidence,
     AskOpinion,
@@ -41,7 +41,7 @@
     TellEvidence,
     TellOpinion,
 )
-from beryltiller.term_events import (
+from beryltiller.primaries.term_events import (
     DatabaseObserved,
     Event,
     EvidenceAsked,
@@ -56,7 +56,7 @@
     TermsRead,
     WriteUncertain,
 )
-from beryltiller.term_rows import TABLE, TermRow, decode_row, encode_write
+from beryltiller.primaries.term_rows import TABLE, TermRow, decode_row, encode_write
 
 MILLISECONDS = 1000.0
 MAX_AGE_SECONDS = 1_000_000.0
--- a/src/beryltiller/control.py
+++ b/src/beryltiller/process/control.py
@@ -11,29 +11,26 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from beryltiller import (
-    adoption,
-    adoption_state,
-    draining,
-    logs,
-    membership,
-    membership_state,
-    terms,
+from beryltiller.adapters.network import Network
+from beryltiller.adapters.peers import Peers
+from beryltiller.adapters.platform_watch import PlatformWatch
+from beryltiller.configuration import adoption, adoption_state
+from beryltiller.configuration.adoption_events import (
+    Confirm,
+    PeersChanged,
+    RejectDocument,
 )
-from beryltiller.actors import Part
-from beryltiller.adopter import Adopter
-from beryltiller.adoption_events import Confirm, PeersChanged, RejectDocument
-from beryltiller.announcer import Announcer
-from beryltiller.authority import Authority
-from beryltiller.databases import Databases
-from beryltiller.detection import DetectionSettings
-from beryltiller.distribution import AdoptionIO, AdoptionOutlets, to_peer_digest
-from beryltiller.driver import Driver
-from beryltiller.evidence import Evidence, LeaseSettings
-from beryltiller.evidence_refresh import Refresh, RefreshSettings
-from beryltiller.gossip import MembershipIO, MembershipOutlets, is_for_membership
-from beryltiller.members import Member, Members
-from beryltiller.membership_events import (
+from beryltiller.configuration.tables import Configuration
+from beryltiller.consistency.plans import DatabaseView
+from beryltiller.consistency.session import Planner
+from beryltiller.core.ports import Host, HostKind, PortError
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.driver import Driver
+from beryltiller.dispatching.observer import DRAINING, TERMS, Observer
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.membership import draining, membership, membership_state
+from beryltiller.membership.members import Member, Members
+from beryltiller.membership.membership_events import (
     Drain,
     EndpointNote,
     Facts,
@@ -43,37 +40,43 @@
     ReportDigest,
     Tick,
 )
-from beryltiller.messages import (
+from beryltiller.membership.messages import (
     ConfigurationRequest,
     Message,
     ReplyTo,
 )
-from beryltiller.metrics import (
+from beryltiller.observability import logs
+from beryltiller.observability.announcer import Announcer
+from beryltiller.observability.metrics import (
     Gauge,
     Metrics,
 )
-from beryltiller.network import Network
-from beryltiller.observer import DRAINING, TERMS, Observer
-from beryltiller.peers import Peers
-from beryltiller.plans import DatabaseView
-from beryltiller.platform_watch import PlatformWatch
-from beryltiller.ports import Host, HostKind, PortError
-from beryltiller.promotion_state import PromotionSettings
-from beryltiller.proxy import Proxy
-from beryltiller.session import Planner
-from beryltiller.settings import Settings
-from beryltiller.tables import Configuration
-from beryltiller.term_actions import PublishTerms, ReportPromotion
-from beryltiller.term_board import TermBoard
-from beryltiller.term_events import (
+from beryltiller.primaries import terms
+from beryltiller.primaries.detection import DetectionSettings
+from beryltiller.primaries.evidence import Evidence, LeaseSettings
+from beryltiller.primaries.evidence_refresh import Refresh, RefreshSettings
+from beryltiller.primaries.promotion_state import PromotionSettings
+from beryltiller.primaries.term_actions import PublishTerms, ReportPromotion
+from beryltiller.primaries.term_events import (
     Database,
     DatabaseGroup,
     GroupsChanged,
     MembersChanged,
 )
-from beryltiller.term_events import Member as TermMember
-from beryltiller.term_events import Tick as TermsTick
-from beryltiller.terms_state import TermsSettings, TermsState
+from beryltiller.primaries.term_events import Member as TermMember
+from beryltiller.primaries.term_events import Tick as TermsTick
+from beryltiller.primaries.terms_state import TermsSettings, TermsState
+from beryltiller.process.actors import Part
+from beryltiller.process.adopter import Adopter
+from beryltiller.process.authority import Authority
+from beryltiller.process.distribution import AdoptionIO, AdoptionOutlets, to_peer_digest
+from beryltiller.process.gossip import (
+    MembershipIO,
+    MembershipOutlets,
+    is_for_membership,
+)
+from beryltiller.process.proxy import Proxy
+from beryltiller.process.settings import Settings
 
 MEMBERSHIP = "membership"
 ADOPTION = "adoption"
--- a/src/beryltiller/daemon.py
+++ b/src/beryltiller/process/daemon.py
@@ -8,11 +8,12 @@
 import threading
 from contextlib import AsyncExitStack, ExitStack
 
-from beryltiller import __version__, logs
-from beryltiller.actors import EventLoop, Mailboxes, Supervisor
-from beryltiller.node import Node
-from beryltiller.settings import Settings
-from beryltiller.settings_source import read_settings
+from beryltiller import __version__
+from beryltiller.observability import logs
+from beryltiller.process.actors import EventLoop, Mailboxes, Supervisor
+from beryltiller.process.node import Node
+from beryltiller.process.settings import Settings
+from beryltiller.process.settings_source import read_settings
 
 START_TIMEOUT_SECONDS = 10.0
 STOP_TIMEOUT_SECONDS = 5.0
--- a/src/beryltiller/distribution.py
+++ b/src/beryltiller/process/distribution.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beryltiller.adoption import ASK_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS
-from beryltiller.adoption_events import (
+from beryltiller.adapters.channels import PeerError
+from beryltiller.adapters.peers import Peers
+from beryltiller.configuration.adoption import ASK_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS
+from beryltiller.configuration.adoption_events import (
     Action,
     AskPeer,
     Confirm,
@@ -19,16 +21,14 @@
     StoreAnswered,
     StoreFailed,
 )
-from beryltiller.channels import PeerError
-from beryltiller.membership_events import Reply, ReportDigest
-from beryltiller.messages import (
+from beryltiller.configuration.tables import KEY, TABLE, Configuration
+from beryltiller.core.ports import PortError, TableService
+from beryltiller.membership.membership_events import Reply, ReportDigest
+from beryltiller.membership.messages import (
     UNKNOWN_AGE_MS,
     ConfigurationReply,
     ConfigurationRequest,
 )
-from beryltiller.peers import Peers
-from beryltiller.ports import PortError, TableService
-from beryltiller.tables import KEY, TABLE, Configuration
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/gossip.py
+++ b/src/beryltiller/process/gossip.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beryltiller.channels import PeerError
-from beryltiller.members import Members
-from beryltiller.membership_events import (
+from beryltiller.adapters.channels import PeerError
+from beryltiller.adapters.peers import Peers
+from beryltiller.membership.members import Members
+from beryltiller.membership.membership_events import (
     Action,
     EndpointNote,
     PublishMembers,
@@ -15,8 +16,7 @@
     ReportEndpoint,
     Request,
 )
-from beryltiller.messages import MembersRequest, Message, Ping, PingRequest
-from beryltiller.peers import Peers
+from beryltiller.membership.messages import MembersRequest, Message, Ping, PingRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/node.py
+++ b/src/beryltiller/process/node.py
@@ -13,49 +13,50 @@
 import aiohttp
 from aiohttp import web
 
-from beryltiller import (
-    logs,
+from beryltiller.adapters.endpoints import HttpEndpoint
+from beryltiller.adapters.peers import PeerKeys, PeerSettings, open_peers
+from beryltiller.adapters.platform_watch import PlatformWatch
+from beryltiller.adapters.services import Platform
+from beryltiller.admission.ledgers import PoolPolicy
+from beryltiller.admission.queues import QueuePolicy
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.consistency.plans import RoutingPolicy
+from beryltiller.consistency.session import Planner
+from beryltiller.consistency.tokens import TokenKeys
+from beryltiller.core.ports import Endpoint
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.dispatch import DispatchPolicy
+from beryltiller.dispatching.driver import Driver
+from beryltiller.dispatching.forwarded_transactions import (
+    RemoteTransactions,
+    serve_step,
 )
-from beryltiller.actors import Part
-from beryltiller.control import Control, StatementPath
-from beryltiller.databases import Databases
-from beryltiller.dispatch import DispatchPolicy
-from beryltiller.driver import Driver
-from beryltiller.endpoints import HttpEndpoint
-from beryltiller.forwarded_transactions import RemoteTransactions, serve_step
-from beryltiller.forwarding import Forwarder
-from beryltiller.gauges import Gauges
-from beryltiller.hops import Hops
-from beryltiller.ledgers import PoolPolicy
-from beryltiller.messages import (
+from beryltiller.dispatching.forwarding import Forwarder
+from beryltiller.dispatching.observer import Observer
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.dispatching.transaction_service import Runner, Transactions
+from beryltiller.membership.messages import (
     Forward,
     ForwardTransaction,
     Message,
     Refused,
     ReplyTo,
 )
-from beryltiller.metrics import (
+from beryltiller.membership.shares import SharePolicy
+from beryltiller.observability import logs
+from beryltiller.observability.gauges import Gauges
+from beryltiller.observability.hops import Hops
+from beryltiller.observability.metrics import (
     Metrics,
     statsd_client,
 )
-from beryltiller.observer import Observer
-from beryltiller.operators import Draining, Operators, Views
-from beryltiller.peers import PeerKeys, PeerSettings, open_peers
-from beryltiller.plans import RoutingPolicy
-from beryltiller.platform_watch import PlatformWatch
-from beryltiller.ports import Endpoint
-from beryltiller.proxy import Proxy
-from beryltiller.queues import QueuePolicy
-from beryltiller.records import AdmissionRecords
-from beryltiller.services import Platform
-from beryltiller.session import Planner
-from beryltiller.settings import Settings
-from beryltiller.shares import SharePolicy
-from beryltiller.switchovers import Switchovers
-from beryltiller.term_board import TermBoard
-from beryltiller.tokens import TokenKeys
-from beryltiller.traces import Tracer
-from beryltiller.transaction_service import Runner, Transactions
+from beryltiller.observability.traces import Tracer
+from beryltiller.process.actors import Part
+from beryltiller.process.control import Control, StatementPath
+from beryltiller.process.operators import Draining, Operators, Views
+from beryltiller.process.proxy import Proxy
+from beryltiller.process.settings import Settings
+from beryltiller.process.switchovers import Switchovers
 
 PLATFORM_TIMEOUT_SECONDS = 2.0
 # Callers of a drained proxy are still told so, instead of finding it gone.
--- a/src/beryltiller/operator_models.py
+++ b/src/beryltiller/process/operator_models.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from beryltiller.traces import SpanModel
+from beryltiller.observability.traces import SpanModel
 
 
 class TermModel(msgspec.Struct, frozen=True):
--- a/src/beryltiller/operators.py
+++ b/src/beryltiller/process/operators.py
@@ -7,10 +7,13 @@
 import msgspec
 from aiohttp import web
 
-from beryltiller.databases import Databases
-from beryltiller.explanations import explain
-from beryltiller.members import Members
-from beryltiller.operator_models import (
+from beryltiller.admission.explanations import explain
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.membership.members import Members
+from beryltiller.observability.traces import Tracer
+from beryltiller.process.operator_models import (
     ExplanationModel,
     FailoverModel,
     FailoverRequestModel,
@@ -19,11 +22,8 @@
     TermModel,
     TraceModel,
 )
-from beryltiller.proxy import Proxy
-from beryltiller.records import AdmissionRecords
-from beryltiller.settings import Settings
-from beryltiller.term_board import TermBoard
-from beryltiller.traces import Tracer
+from beryltiller.process.proxy import Proxy
+from beryltiller.process.settings import Settings
 
 FAILOVER_TIMEOUT_SECONDS = 30.0
 
--- a/src/beryltiller/proxy.py
+++ b/src/beryltiller/process/proxy.py
@@ -12,27 +12,18 @@
 from returns.result import Failure
 from xxhash import xxh64_intdigest
 
-from beryltiller.answer_headers import (
-    CallerAnswer,
-    bad_input,
-    conflict,
-    error_answer,
-    finished,
-)
-from beryltiller.attempts import Work
-from beryltiller.budgets import RetryBudget
-from beryltiller.driver import Driver
-from beryltiller.metrics import Counter, Metrics, Timer
-from beryltiller.outcome import Kind, Outcome, Refusal
-from beryltiller.plans import SessionLost
-from beryltiller.serving import Done, Job
-from beryltiller.session import Claim, read_claim
-from beryltiller.statement import Request, check_request, parse_request
-from beryltiller.tables import Configuration, Route
-from beryltiller.tickets import Ticket
-from beryltiller.tokens import Session, TokenKeys, encode_token
-from beryltiller.traces import Hop, Tracer
-from beryltiller.transaction_service import (
+from beryltiller.admission.tickets import Ticket
+from beryltiller.configuration.tables import Configuration, Route
+from beryltiller.consistency.attempts import Work
+from beryltiller.consistency.plans import SessionLost
+from beryltiller.consistency.serving import Done, Job
+from beryltiller.consistency.session import Claim, read_claim
+from beryltiller.consistency.statement import Request, check_request, parse_request
+from beryltiller.consistency.tokens import Session, TokenKeys, encode_token
+from beryltiller.core.budgets import RetryBudget
+from beryltiller.core.outcome import Kind, Outcome, Refusal
+from beryltiller.dispatching.driver import Driver
+from beryltiller.dispatching.transaction_service import (
     Step,
     TransactionError,
     TransactionPart,
@@ -40,6 +31,15 @@
     Verb,
     transaction_step,
 )
+from beryltiller.observability.metrics import Counter, Metrics, Timer
+from beryltiller.observability.traces import Hop, Tracer
+from beryltiller.process.answer_headers import (
+    CallerAnswer,
+    bad_input,
+    conflict,
+    error_answer,
+    finished,
+)
 
 _logger = logging.getLogger(__name__)
 
--- a/src/beryltiller/settings.py
+++ b/src/beryltiller/process/settings.py
@@ -17,7 +17,7 @@
 import msgspec
 from msgspec import Meta
 
-from beryltiller.addresses import Address
+from beryltiller.core.addresses import Address
 
 ENVIRONMENT_PREFIX = "BERYLTILLER_"
 FILE_SUFFIX = "_file"
--- a/src/beryltiller/settings_source.py
+++ b/src/beryltiller/process/settings_source.py
@@ -16,8 +16,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.addresses import Address
-from beryltiller.settings import (
+from beryltiller.core.addresses import Address
+from beryltiller.process.settings import (
     ENVIRONMENT_PREFIX,
     FILE_SUFFIX,
     Definition,
--- a/src/beryltiller/switchovers.py
+++ b/src/beryltiller/process/switchovers.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-from beryltiller.control import Control
-from beryltiller.databases import Databases
-from beryltiller.observer import TERMS
-from beryltiller.session import Planner
-from beryltiller.tables import Group
-from beryltiller.term_board import TermBoard
-from beryltiller.term_events import SwitchoverAsked
+from beryltiller.configuration.tables import Group
+from beryltiller.consistency.session import Planner
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.observer import TERMS
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.primaries.term_events import SwitchoverAsked
+from beryltiller.process.control import Control
 
 SWITCHOVER_INTERVAL_SECONDS = 1.0
 
--- a/src/beryltiller/sessions/following.py
+++ b/src/beryltiller/sessions/following.py
@@ -8,9 +8,9 @@
 import random
 from collections.abc import Callable, Mapping
 
-from beryltiller import logs
-from beryltiller.budgets import BackoffPolicy, backoff_seconds
-from beryltiller.ports import HistoryLostError, PortError, Row, TableFeed
+from beryltiller.core.budgets import BackoffPolicy, backoff_seconds
+from beryltiller.core.ports import HistoryLostError, PortError, Row, TableFeed
+from beryltiller.observability import logs
 
 FEED_WAIT_SECONDS = 4.0
 _BACKOFF = BackoffPolicy()
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -7,7 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.statements import DatabaseStatus
 
--- a/src/beryltiller/sessions/placement.py
+++ b/src/beryltiller/sessions/placement.py
@@ -7,7 +7,7 @@
 from collections.abc import Set
 from dataclasses import dataclass
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Route, RouteKind
 from beryltiller.sessions.groups import Group, Member
 
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Route
 from beryltiller.sessions.lending import Lender, Lent
 from beryltiller.sessions.placement import Need, Placement
--- a/src/beryltiller/sessions/statements.py
+++ b/src/beryltiller/sessions/statements.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from beryltiller import logs
-from beryltiller.actors import Part
-from beryltiller.ports import PortError, RefusedError
+from beryltiller.core.ports import PortError, RefusedError
+from beryltiller.observability import logs
+from beryltiller.process.actors import Part
 from beryltiller.sessions import succession
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.errors import SessionError
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 
--- /dev/null
+++ b/src/beryltiller/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, and small systems of processes on one machine."""
--- a/src/beryltiller/cluster.py
+++ b/src/beryltiller/standins/cluster.py
@@ -14,10 +14,10 @@
 import aiohttp
 import msgspec
 
-from beryltiller.addresses import Address
-from beryltiller.keys import Keys, new_keys
-from beryltiller.launcher import LaunchedProcess, Launcher
-from beryltiller.settings import ENVIRONMENT_PREFIX
+from beryltiller.core.addresses import Address
+from beryltiller.process.keys import Keys, new_keys
+from beryltiller.process.settings import ENVIRONMENT_PREFIX
+from beryltiller.standins.launcher import LaunchedProcess, Launcher
 
 _READ_ROUTE_AGE_MS = 2000
 _REQUEST_TIMEOUT_SECONDS = 5.0
@@ -199,7 +199,7 @@
 
 
 def _module(name: str) -> tuple[str, str, str]:
-    return sys.executable, "-m", f"beryltiller.{name}"
+    return sys.executable, "-m", f"beryltiller.standins.{name}"
 
 
 def _ip(network: int, host: int) -> str:
--- a/src/beryltiller/cluster_setup.py
+++ b/src/beryltiller/standins/cluster_setup.py
@@ -5,13 +5,13 @@
 import aiohttp
 import msgspec
 
-from beryltiller.callers import Answer, Request, send
-from beryltiller.cluster import Cluster
-from beryltiller.configuration_store import replace_configuration
-from beryltiller.launcher import LaunchError
-from beryltiller.outcome import Outcome
-from beryltiller.services import Platform
-from beryltiller.tables import decode
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.adapters.configuration_store import replace_configuration
+from beryltiller.adapters.services import Platform
+from beryltiller.configuration.tables import decode
+from beryltiller.core.outcome import Outcome
+from beryltiller.standins.cluster import Cluster
+from beryltiller.standins.launcher import LaunchError
 
 _READY_TIMEOUT_SECONDS = 15.0
 _POLL_INTERVAL_SECONDS = 0.05
--- a/src/beryltiller/database_model.py
+++ b/src/beryltiller/standins/database_model.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from beryltiller.ports import RefusedError, Role
-from beryltiller.position import History, Position, TermStart
+from beryltiller.core.ports import RefusedError, Role
+from beryltiller.core.position import History, Position, TermStart
 
 
 class Operation(msgspec.Struct, frozen=True):
--- a/src/beryltiller/database_standin.py
+++ b/src/beryltiller/standins/database_standin.py
@@ -11,7 +11,10 @@
 import msgspec
 from aiohttp import web
 
-from beryltiller.database_model import (
+from beryltiller.adapters.endpoints import format_load
+from beryltiller.core.ports import EndpointStatus, Load, RefusedError
+from beryltiller.core.position import ORIGIN, History, Position
+from beryltiller.standins.database_model import (
     Committed,
     DatabaseModel,
     Entry,
@@ -19,10 +22,7 @@
     apply_operation,
     parse_operation,
 )
-from beryltiller.endpoints import format_load
-from beryltiller.ports import EndpointStatus, Load, RefusedError
-from beryltiller.position import ORIGIN, History, Position
-from beryltiller.standin import (
+from beryltiller.standins.standin import (
     Faults,
     faults_handler,
     parser,
--- a/src/beryltiller/demo.py
+++ b/src/beryltiller/standins/demo.py
@@ -13,13 +13,13 @@
 
 import aiohttp
 
-from beryltiller.callers import Answer, Request, send
-from beryltiller.cluster import Cluster, ClusterSizes, start_cluster
-from beryltiller.cluster_setup import send_until_run
-from beryltiller.command_errors import ExitCode
-from beryltiller.launcher import Launcher, LaunchError
-from beryltiller.outcome import Outcome
-from beryltiller.settings import ENVIRONMENT_PREFIX
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.commands.command_errors import ExitCode
+from beryltiller.core.outcome import Outcome
+from beryltiller.process.settings import ENVIRONMENT_PREFIX
+from beryltiller.standins.cluster import Cluster, ClusterSizes, start_cluster
+from beryltiller.standins.cluster_setup import send_until_run
+from beryltiller.standins.launcher import Launcher, LaunchError
 
 _READY_TIMEOUT_SECONDS = 10
 _ORDER = {"op": "put", "key": "order-17", "value": "120x50x50 low-iron"}
--- a/src/beryltiller/platform_standin.py
+++ b/src/beryltiller/standins/platform_standin.py
@@ -10,9 +10,15 @@
 import msgspec
 from aiohttp import web
 
-from beryltiller.ports import RefusedError, Row
-from beryltiller.services import HostModel
-from beryltiller.standin import Faults, faults_handler, parser, serve, with_faults
+from beryltiller.adapters.services import HostModel
+from beryltiller.core.ports import RefusedError, Row
+from beryltiller.standins.standin import (
+    Faults,
+    faults_handler,
+    parser,
+    serve,
+    with_faults,
+)
 
 
 class WriteModel(msgspec.Struct, frozen=True):
--- a/src/beryltiller/simulated_group.py
+++ b/src/beryltiller/standins/simulated_group.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from beryltiller.ports import (
+from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
     RefusedError,
     Role,
     Statement,
 )
-from beryltiller.position import ORIGIN, History, Position, TermStart
+from beryltiller.core.position import ORIGIN, History, Position, TermStart
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/standin.py
+++ b/src/beryltiller/standins/standin.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from beryltiller.ports import RefusedError
+from beryltiller.core.ports import RefusedError
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/tests/callers_rig.py
+++ b/tests/callers_rig.py
@@ -14,31 +14,31 @@
 import msgspec
 from aiohttp import web
 
-from beryltiller.callers import Answer, Request, send
-from beryltiller.database_standin import DatabaseStandin, Sizes
-from beryltiller.databases import Databases
-from beryltiller.dispatch import DispatchPolicy
-from beryltiller.driver import Driver
-from beryltiller.endpoints import HttpEndpoint
-from beryltiller.evidence import Evidence
-from beryltiller.forwarding import Forwarder
-from beryltiller.hops import Hops
-from beryltiller.members import Member, Members
-from beryltiller.metrics import Metrics
-from beryltiller.observer import Observer
-from beryltiller.outcome import Kind
-from beryltiller.peers import PeerKeys, PeerSettings, open_peers
-from beryltiller.plans import DatabaseView, RoutingPolicy
-from beryltiller.proxy import Proxy
-from beryltiller.records import AdmissionRecords
-from beryltiller.session import Planner
-from beryltiller.shares import SharePolicy
-from beryltiller.tables import Configuration, Database, Group, Pool, Route
-from beryltiller.term_board import TermBoard
-from beryltiller.term_rows import TermRow, TermState
-from beryltiller.tokens import TokenKeys
-from beryltiller.traces import Tracer
-from beryltiller.transaction_service import Transactions
+from beryltiller.adapters.callers import Answer, Request, send
+from beryltiller.adapters.endpoints import HttpEndpoint
+from beryltiller.adapters.peers import PeerKeys, PeerSettings, open_peers
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.configuration.tables import Configuration, Database, Group, Pool, Route
+from beryltiller.consistency.plans import DatabaseView, RoutingPolicy
+from beryltiller.consistency.session import Planner
+from beryltiller.consistency.tokens import TokenKeys
+from beryltiller.core.outcome import Kind
+from beryltiller.dispatching.databases import Databases
+from beryltiller.dispatching.dispatch import DispatchPolicy
+from beryltiller.dispatching.driver import Driver
+from beryltiller.dispatching.forwarding import Forwarder
+from beryltiller.dispatching.observer import Observer
+from beryltiller.dispatching.term_board import TermBoard
+from beryltiller.dispatching.transaction_service import Transactions
+from beryltiller.membership.members import Member, Members
+from beryltiller.membership.shares import SharePolicy
+from beryltiller.observability.hops import Hops
+from beryltiller.observability.metrics import Metrics
+from beryltiller.observability.traces import Tracer
+from beryltiller.primaries.evidence import Evidence
+from beryltiller.primaries.term_rows import TermRow, TermState
+from beryltiller.process.proxy import Proxy
+from beryltiller.standins.database_standin import DatabaseStandin, Sizes
 from tests import servers
 
 NAMES = ("d1", "d2", "d3")
--- a/tests/fake_cluster.py
+++ b/tests/fake_cluster.py
@@ -9,16 +9,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from beryltiller import term_actions as actions
-from beryltiller import term_events as events
-from beryltiller.evidence import Evidence, LeaseSettings, Verdict, is_in_two_logs
-from beryltiller.ports import EndpointStatus, Role
-from beryltiller.position import History, Position, TermStart
-from beryltiller.promotion_state import PromotionSettings
-from beryltiller.term_events import Observation
-from beryltiller.term_rows import TermRow
-from beryltiller.terms import decide
-from beryltiller.terms_state import TermsSettings, TermsState
+from beryltiller.core.ports import EndpointStatus, Role
+from beryltiller.core.position import History, Position, TermStart
+from beryltiller.primaries import term_actions as actions
+from beryltiller.primaries import term_events as events
+from beryltiller.primaries.evidence import (
+    Evidence,
+    LeaseSettings,
+    Verdict,
+    is_in_two_logs,
+)
+from beryltiller.primaries.promotion_state import PromotionSettings
+from beryltiller.primaries.term_events import Observation
+from beryltiller.primaries.term_rows import TermRow
+from beryltiller.primaries.terms import decide
+from beryltiller.primaries.terms_state import TermsSettings, TermsState
 
 GROUP = events.DatabaseGroup(
     "orders", tuple(events.Database(f"db{n}", f"db{n}") for n in range(3))
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from beryltiller.ports import (
+from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
     Load,
@@ -11,7 +11,7 @@
     RefusedError,
     Statement,
 )
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 
 OPEN_SECONDS = 0.01
 
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from beryltiller.position import Position
+from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import (
     Configuration,
     Database,
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -7,10 +7,10 @@
 import aiohttp
 from aiohttp import web
 
-from beryltiller.database_standin import DatabaseStandin, Sizes
-from beryltiller.endpoints import HttpEndpoint
-from beryltiller.platform_standin import PlatformStandin
-from beryltiller.services import Platform
+from beryltiller.adapters.endpoints import HttpEndpoint
+from beryltiller.adapters.services import Platform
+from beryltiller.standins.database_standin import DatabaseStandin, Sizes
+from beryltiller.standins.platform_standin import PlatformStandin
 
 LOOPBACK = "127.0.0.1"
 UNTIL_TIMEOUT_SECONDS = 5.0
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -4,7 +4,13 @@
 import threading
 import unittest
 
-from beryltiller.actors import MAX_RESTARTS, EventLoop, Mailboxes, Part, Supervisor
+from beryltiller.process.actors import (
+    MAX_RESTARTS,
+    EventLoop,
+    Mailboxes,
+    Part,
+    Supervisor,
+)
 
 WAIT_SECONDS = 5.0
 
--- a/tests/test_adopter.py
+++ b/tests/test_adopter.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from beryltiller.adopter import Adopter
-from beryltiller.tables import Configuration
+from beryltiller.configuration.tables import Configuration
+from beryltiller.process.adopter import Adopter
 
 
 class AdopterTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beryltiller.adoption import decide
-from beryltiller.adoption_events import (
+from beryltiller.benchmarks.virtual import Network, entry_hosts
+from beryltiller.configuration.adoption import decide
+from beryltiller.configuration.adoption_events import (
     Action,
     AskPeer,
     Confirm,
@@ -23,12 +24,15 @@
     StoreAnswered,
     StoreFailed,
 )
-from beryltiller.adoption_state import State, pack
-from beryltiller.membership_events import Received, Reply, Tick
-from beryltiller.messages import ConfigurationReply, ConfigurationRequest, ReplyTo
-from beryltiller.ports import Row
-from beryltiller.tables import EMPTY, KEY, encode
-from beryltiller.virtual import Network, entry_hosts
+from beryltiller.configuration.adoption_state import State, pack
+from beryltiller.configuration.tables import EMPTY, KEY, encode
+from beryltiller.core.ports import Row
+from beryltiller.membership.membership_events import Received, Reply, Tick
+from beryltiller.membership.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    ReplyTo,
+)
 
 PEERS = tuple(f"10.0.0.{number}:7100" for number in range(2, 6))
 START = 100.0
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from beryltiller.attempts import (
+from beryltiller.consistency.attempts import (
     Answered,
     Attempts,
     Finish,
@@ -18,9 +18,9 @@
     Work,
     decide,
 )
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.ports import EndpointAnswer
-from beryltiller.position import Position
+from beryltiller.core.outcome import Kind, Outcome
+from beryltiller.core.ports import EndpointAnswer
+from beryltiller.core.position import Position
 
 NOW = 10.0
 DEADLINE = 15.0
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -4,15 +4,15 @@
 import random
 import unittest
 
-from beryltiller import budgets
-from beryltiller.budgets import (
+from beryltiller.core import budgets
+from beryltiller.core.budgets import (
     BackoffPolicy,
     BudgetPolicy,
     RetryBudget,
     backoff_seconds,
     is_repeatable,
 )
-from beryltiller.outcome import Outcome
+from beryltiller.core.outcome import Outcome
 
 
 class RetryBudgetTest(unittest.TestCase):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -17,11 +17,11 @@
 
 from aiohttp import web
 
-from beryltiller import text
-from beryltiller.cli import main
-from beryltiller.cli_parser import make_parser
-from beryltiller.command_errors import ExitCode
-from beryltiller.platform_standin import PlatformStandin
+from beryltiller.commands.cli import main
+from beryltiller.commands.cli_parser import make_parser
+from beryltiller.commands.command_errors import ExitCode
+from beryltiller.core import text
+from beryltiller.standins.platform_standin import PlatformStandin
 
 _GROUP = {
     "name": "g1",
@@ -96,7 +96,7 @@
         for parser in _leaves(make_parser()):
             with self.subTest(command=parser.prog):
                 command = parser.get_default("command")
-                if command != "beryltiller.run_commands:proxy":
+                if command != "beryltiller.commands.run_commands:proxy":
                     self.assertTrue(callable(resolve_name(command)))
                 self.assertIn(f"example:\n  {parser.prog}", parser.format_help())
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from beryltiller.changes import Conflict
-from beryltiller.configuration_store import LostAnswer, replace_configuration
-from beryltiller.ports import LostAnswerError, RefusedError, Row, Scan, Write
-from beryltiller.tables import Configuration, Pool, encode
+from beryltiller.adapters.configuration_store import LostAnswer, replace_configuration
+from beryltiller.configuration.changes import Conflict
+from beryltiller.configuration.tables import Configuration, Pool, encode
+from beryltiller.core.ports import LostAnswerError, RefusedError, Row, Scan, Write
 
 _WANTED = Configuration(version=4, pools=(Pool("counter", ("g1",)),))
 _OTHER = Configuration(version=4, pools=(Pool("floor", ("g1",)),))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,13 +6,22 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
-from beryltiller.dispatch import Dispatcher, DispatchPolicy
-from beryltiller.dispatch_errors import DispatchError, NotRunError, UnknownOutcomeError
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.ports import EndpointAnswer, LostAnswerError, RefusedError, Statement
-from beryltiller.records import AdmissionRecords
-from beryltiller.tickets import Ticket
-from beryltiller.windows import AdaptiveLimit, LimitsPolicy, StaticLimit
+from beryltiller.admission.records import AdmissionRecords
+from beryltiller.admission.tickets import Ticket
+from beryltiller.admission.windows import AdaptiveLimit, LimitsPolicy, StaticLimit
+from beryltiller.core.outcome import Kind, Outcome
+from beryltiller.core.ports import (
+    EndpointAnswer,
+    LostAnswerError,
+    RefusedError,
+    Statement,
+)
+from beryltiller.dispatching.dispatch import Dispatcher, DispatchPolicy
+from beryltiller.dispatching.dispatch_errors import (
+    DispatchError,
+    NotRunError,
+    UnknownOutcomeError,
+)
 from tests.fake_endpoint import OPEN_SECONDS, FakeEndpoint
 from tests.virtual_loop import run_virtual, virtual_now
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,9 +7,9 @@
 import unittest
 from collections.abc import Sequence
 
-from beryltiller import bench_control
-from beryltiller.adopter import Adopter
-from beryltiller.adoption_events import (
+from beryltiller.adapters.peers import PeerKeys, Peers, PeerSettings, open_peers
+from beryltiller.benchmarks import bench_control
+from beryltiller.configuration.adoption_events import (
     AskPeer,
     Event,
     PeerAnswered,
@@ -18,19 +18,19 @@
     StoreAnswered,
     StoreFailed,
 )
-from beryltiller.distribution import AdoptionIO, AdoptionOutlets
-from beryltiller.gossip import MembershipIO, MembershipOutlets
-from beryltiller.membership_events import Request
-from beryltiller.messages import (
+from beryltiller.configuration.tables import Configuration
+from beryltiller.core.ports import LostAnswerError, RefusedError, Row, Scan, Write
+from beryltiller.membership.membership_events import Request
+from beryltiller.membership.messages import (
     ConfigurationReply,
     MembersRequest,
     Message,
     Refused,
     ReplyTo,
 )
-from beryltiller.peers import PeerKeys, Peers, PeerSettings, open_peers
-from beryltiller.ports import LostAnswerError, RefusedError, Row, Scan, Write
-from beryltiller.tables import Configuration
+from beryltiller.process.adopter import Adopter
+from beryltiller.process.distribution import AdoptionIO, AdoptionOutlets
+from beryltiller.process.gossip import MembershipIO, MembershipOutlets
 
 KEYS = PeerKeys.generate()
 SETTINGS = PeerSettings("127.0.0.1:0", KEYS)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -3,7 +3,7 @@
 import unittest
 from pathlib import Path
 
-from beryltiller.documents import PAGES, page
+from beryltiller.commands.documents import PAGES, page
 
 _DOCS = Path(__file__).resolve().parent.parent / "docs"
 
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from beryltiller.draining import (
+from beryltiller.core.ports import Host, HostKind
+from beryltiller.membership.draining import (
     HOST_LIST_LAG_SECONDS,
     EndpointAnswered,
     Event,
@@ -11,8 +12,7 @@
     TellPeers,
     decide,
 )
-from beryltiller.membership_events import EndpointNote, HostsListed, Tick
-from beryltiller.ports import Host, HostKind
+from beryltiller.membership.membership_events import EndpointNote, HostsListed, Tick
 
 
 def _list(is_leaving: bool) -> HostsListed:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from beryltiller.endpoints import HttpConnection
-from beryltiller.outcome import Kind
-from beryltiller.ports import LostAnswerError, RefusedError, Role, Statement
-from beryltiller.position import ORIGIN, Position
+from beryltiller.adapters.endpoints import HttpConnection
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import LostAnswerError, RefusedError, Role, Statement
+from beryltiller.core.position import ORIGIN, Position
 from tests import servers
 
 
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -2,16 +2,25 @@
 
 import unittest
 
-from beryltiller import evidence_refresh
-from beryltiller.evidence import Evidence, Verdict, is_in_two_logs
-from beryltiller.evidence_refresh import EvidenceSources, Refresh, RefreshSettings
-from beryltiller.ports import EndpointStatus, Role, Row
-from beryltiller.position import History, Position, TermStart
-from beryltiller.term_actions import AskEvidence, ScanTerms, TellEvidence
-from beryltiller.term_events import EvidenceAsked, EvidenceTold, Member, TermsRead
-from beryltiller.term_rows import TermRow, TermState, decode_row, encode_write
-from beryltiller.terms import decide
-from beryltiller.terms_state import TermsState
+from beryltiller.core.ports import EndpointStatus, Role, Row
+from beryltiller.core.position import History, Position, TermStart
+from beryltiller.primaries import evidence_refresh
+from beryltiller.primaries.evidence import Evidence, Verdict, is_in_two_logs
+from beryltiller.primaries.evidence_refresh import (
+    EvidenceSources,
+    Refresh,
+    RefreshSettings,
+)
+from beryltiller.primaries.term_actions import AskEvidence, ScanTerms, TellEvidence
+from beryltiller.primaries.term_events import (
+    EvidenceAsked,
+    EvidenceTold,
+    Member,
+    TermsRead,
+)
+from beryltiller.primaries.term_rows import TermRow, TermState, decode_row, encode_write
+from beryltiller.primaries.terms import decide
+from beryltiller.primaries.terms_state import TermsState
 
 OPEN = TermRow("orders", 2, TermState.OPEN, "db0", "p0", version=4)
 PENDING = TermRow("orders", 3, TermState.PENDING, "db0", "p1", version=5)
--- a/tests/test_flights.py
+++ b/tests/test_flights.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from beryltiller.flights import Flight, Flights
+from beryltiller.dispatching.flights import Flight, Flights
 
 
 class FlightsTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,13 +2,18 @@
 
 import unittest
 
-from beryltiller import messages
-from beryltiller.attempts import Answered, Lost, Refused, Result
-from beryltiller.forwarding import from_message, from_reply, to_message, to_reply
-from beryltiller.outcome import Kind
-from beryltiller.ports import EndpointAnswer, Load, Statement
-from beryltiller.position import Position
-from beryltiller.tickets import Ticket
+from beryltiller.admission.tickets import Ticket
+from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import EndpointAnswer, Load, Statement
+from beryltiller.core.position import Position
+from beryltiller.dispatching.forwarding import (
+    from_message,
+    from_reply,
+    to_message,
+    to_reply,
+)
+from beryltiller.membership import messages
 
 STATEMENT = Statement(
     Kind.UNSAFE_WRITE, b"\x00body", 3, Position(2, 7), "shop k1", "", 1.5
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beryltiller import freshness
-from beryltiller.freshness import MAX_PAIRS, Pair, Timeline, pair_from_peer
-from beryltiller.position import Position
+from beryltiller.consistency import freshness
+from beryltiller.consistency.freshness import MAX_PAIRS, Pair, Timeline, pair_from_peer
+from beryltiller.core.position import Position
 
 
 class TimelineTest(unittest.TestCase):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -4,9 +4,9 @@
 import unittest
 from dataclasses import replace
 
-from beryltiller import history
-from beryltiller.history import Record, Rule, check, check_left, check_uncut
-from beryltiller.outcome import Outcome
+from beryltiller.benchmarks import history
+from beryltiller.benchmarks.history import Record, Rule, check, check_left, check_uncut
+from beryltiller.core.outcome import Outcome
 
 _DONE, _NOT_RUN, _UNKNOWN = Outcome.DONE, Outcome.NOT_RUN, Outcome.UNKNOWN
 
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from beryltiller.holdings import Holdings
-from beryltiller.members import Member
-from beryltiller.shares import EndpointCap, SharePolicy, holders, share
+from beryltiller.membership.holdings import Holdings
+from beryltiller.membership.members import Member
+from beryltiller.membership.shares import EndpointCap, SharePolicy, holders, share
 
 ZONES = ("a", "b", "c")
 CAPS = tuple(
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -4,7 +4,7 @@
 import sys
 import unittest
 
-from beryltiller.launcher import LaunchedProcess, Launcher, LaunchError
+from beryltiller.standins.launcher import LaunchedProcess, Launcher, LaunchError
 
 _LISTEN = (
     'import json, sys; print(json.dumps({"listening": "127.0.0.1:1"}), flush=True)'
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from beryltiller import ledgers
-from beryltiller.ledgers import ConnectionLedger, PoolPolicy
-from beryltiller.outcome import Kind
-from beryltiller.queues import AdmissionQueue, QueuePolicy
-from beryltiller.tickets import Drop, Grant, Rule, Ticket, rule_between
+from beryltiller.admission import ledgers
+from beryltiller.admission.ledgers import ConnectionLedger, PoolPolicy
+from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
+from beryltiller.admission.tickets import Drop, Grant, Rule, Ticket, rule_between
+from beryltiller.core.outcome import Kind
 
 
 def opened_ledger(number: int, share: int = 9) -> ConnectionLedger:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from beryltiller import bench_overload, load, load_runs
-from beryltiller.load import LoadPlan, LoadReport, caller_names, refusal_code
-from beryltiller.load_runs import (
+from beryltiller.benchmarks import bench_overload, load, load_runs
+from beryltiller.benchmarks.load import LoadPlan, LoadReport, caller_names, refusal_code
+from beryltiller.benchmarks.load_runs import (
     joined,
     parse_cpu_seconds,
     percentile,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,10 +5,12 @@
 from dataclasses import replace
 from functools import partial
 
-from beryltiller import members
-from beryltiller.members import Member, Members, MemberState
-from beryltiller.membership import decide
-from beryltiller.membership_events import (
+from beryltiller.benchmarks.virtual import Network, Proxy, entry_hosts
+from beryltiller.core.ports import HostKind
+from beryltiller.membership import members
+from beryltiller.membership.members import Member, Members, MemberState
+from beryltiller.membership.membership import decide
+from beryltiller.membership.membership_events import (
     Drain,
     EndpointNote,
     Leave,
@@ -18,11 +20,16 @@
     Reply,
     Tick,
 )
-from beryltiller.membership_state import State
-from beryltiller.messages import Ack, Gossip, MemberEntry, Ping, PingRequest, ReplyTo
-from beryltiller.news import MEMBER_NEWS_BYTES, to_entry
-from beryltiller.ports import HostKind
-from beryltiller.virtual import Network, Proxy, entry_hosts
+from beryltiller.membership.membership_state import State
+from beryltiller.membership.messages import (
+    Ack,
+    Gossip,
+    MemberEntry,
+    Ping,
+    PingRequest,
+    ReplyTo,
+)
+from beryltiller.membership.news import MEMBER_NEWS_BYTES, to_entry
 
 ME = Member("10.0.0.1:7100", "me", "zone-0", 100)
 PEER = Member("10.0.0.2:7100", "peer", "zone-0", 100)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from beryltiller import messages
-from beryltiller.messages import (
+from beryltiller.membership import messages
+from beryltiller.membership.messages import (
     MAX_MESSAGE_BYTES,
     Ack,
     BadMessage,
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -15,10 +15,12 @@
 import eliot
 from statsd import StatsClient
 
-from beryltiller import logs, traces
-from beryltiller.addresses import Address
-from beryltiller.hops import Hops
-from beryltiller.metrics import (
+from beryltiller.adapters.platform_watch import PlatformWatch
+from beryltiller.core.addresses import Address
+from beryltiller.core.ports import LostAnswerError, PortError, RefusedError
+from beryltiller.observability import logs, traces
+from beryltiller.observability.hops import Hops
+from beryltiller.observability.metrics import (
     MAX_SAMPLES_PER_FLUSH,
     Counter,
     Gauge,
@@ -27,10 +29,8 @@
     metric_rows,
     statsd_client,
 )
-from beryltiller.platform_watch import PlatformWatch
-from beryltiller.ports import LostAnswerError, PortError, RefusedError
-from beryltiller.trace_text import render_trace
-from beryltiller.traces import Hop, Tracer, parse_trace_parent
+from beryltiller.observability.trace_text import render_trace
+from beryltiller.observability.traces import Hop, Tracer, parse_trace_parent
 
 _LISTED = (*Counter, *Timer, *Gauge, *Hop)
 _TRACE_ID = "ab" * 16
@@ -144,7 +144,7 @@
     """Whatever the page of logs lists is written or counted somewhere."""
 
     def test_everything_listed_is_used(self) -> None:
-        modules = Path(logs.__file__).parent.rglob("*.py")
+        modules = Path(logs.__file__).parent.parent.rglob("*.py")
         code = "\n".join(path.read_text(encoding="utf-8") for path in modules)
         names = [f"{type(item).__name__}.{item.name}" for item in _LISTED]
         names += [f"logs.{kind.__name__}(" for kind in get_args(logs.Event)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,8 +8,9 @@
 import zmq
 import zmq.asyncio
 
-from beryltiller.channels import PeerError, PeerLostError, PeerRefusedError
-from beryltiller.messages import (
+from beryltiller.adapters.channels import PeerError, PeerLostError, PeerRefusedError
+from beryltiller.adapters.peers import PeerKeys, Peers, PeerSettings, open_peers
+from beryltiller.membership.messages import (
     MAX_MESSAGE_BYTES,
     Forward,
     ForwardReply,
@@ -18,7 +19,6 @@
     PositionRequest,
     ReplyTo,
 )
-from beryltiller.peers import PeerKeys, Peers, PeerSettings, open_peers
 
 KEYS = PeerKeys.generate()
 SETTINGS = PeerSettings("127.0.0.1:0", KEYS)
--- a/tests/test_position.py
+++ b/tests/test_position.py
@@ -3,8 +3,8 @@
 import doctest
 import unittest
 
-from beryltiller import position
-from beryltiller.position import History, Position, TermStart
+from beryltiller.core import position
+from beryltiller.core.position import History, Position, TermStart
 
 
 class PositionTest(unittest.TestCase):
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beryltiller.evidence import LeaseSettings
-from beryltiller.ports import EndpointStatus, Role
-from beryltiller.position import History, Position, TermStart
-from beryltiller.promotion import claim, observe_row, observe_status, proceed
-from beryltiller.promotion_state import Promotion, PromotionSettings, Step
-from beryltiller.term_actions import Fence, Open
-from beryltiller.term_events import SwitchoverAsked
-from beryltiller.term_rows import TermRow, TermState
+from beryltiller.core.ports import EndpointStatus, Role
+from beryltiller.core.position import History, Position, TermStart
+from beryltiller.primaries.evidence import LeaseSettings
+from beryltiller.primaries.promotion import claim, observe_row, observe_status, proceed
+from beryltiller.primaries.promotion_state import Promotion, PromotionSettings, Step
+from beryltiller.primaries.term_actions import Fence, Open
+from beryltiller.primaries.term_events import SwitchoverAsked
+from beryltiller.primaries.term_rows import TermRow, TermState
 from tests.fake_cluster import GROUP, STORE, Cluster
 
 SETTINGS = PromotionSettings()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from beryltiller.callers import Answer, Request
-from beryltiller.explanations import explain
-from beryltiller.outcome import Kind, Outcome
+from beryltiller.adapters.callers import Answer, Request
+from beryltiller.admission.explanations import explain
+from beryltiller.core.outcome import Kind, Outcome
 from tests import callers_rig, servers
 from tests.callers_rig import body
 
@@ -140,7 +140,7 @@
     async def test_an_error_of_the_proxy_is_unknown(self) -> None:
         with (
             mock.patch.object(self.rig.planner, "begin", side_effect=ZeroDivisionError),
-            self.assertLogs("beryltiller.proxy"),
+            self.assertLogs("beryltiller.process.proxy"),
         ):
             answer = await self.write("a", "1")
         self.assertEqual((answer.status, answer.outcome), (500, Outcome.UNKNOWN))
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -3,10 +3,9 @@
 import doctest
 import unittest
 
-from beryltiller import estimates, queues
-from beryltiller.outcome import Kind
-from beryltiller.queues import AdmissionQueue, QueuePolicy
-from beryltiller.tickets import (
+from beryltiller.admission import estimates, queues
+from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
+from beryltiller.admission.tickets import (
     Cause,
     Drop,
     Grant,
@@ -15,6 +14,7 @@
     Ticket,
     rule_between,
 )
+from beryltiller.core.outcome import Kind
 
 READ, WRITE, UNSAFE = Kind.READ, Kind.WRITE, Kind.UNSAFE_WRITE
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -2,11 +2,10 @@
 
 import unittest
 
-from beryltiller.explanations import Explanation, explain
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.queues import AdmissionQueue
-from beryltiller.records import RECORD_BYTES, AdmissionRecords
-from beryltiller.tickets import (
+from beryltiller.admission.explanations import Explanation, explain
+from beryltiller.admission.queues import AdmissionQueue
+from beryltiller.admission.records import RECORD_BYTES, AdmissionRecords
+from beryltiller.admission.tickets import (
     LANES,
     Cause,
     Drop,
@@ -17,6 +16,7 @@
     Ticket,
     rule_between,
 )
+from beryltiller.core.outcome import Kind, Outcome
 
 KINDS = {"r": Kind.READ, "w": Kind.WRITE}
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,8 +5,8 @@
 import unittest
 from dataclasses import replace
 
-from beryltiller import questions, routing
-from beryltiller.plans import (
+from beryltiller.consistency import routing
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     GroupView,
@@ -20,11 +20,18 @@
     WaitForTerm,
     WaitThen,
 )
-from beryltiller.ports import Load
-from beryltiller.position import ORIGIN, History, Position, TermStart
-from beryltiller.questions import Deliver, Question, Send
-from beryltiller.routing import Standing, find_loss, plan_read, plan_write, standing
-from beryltiller.tokens import Mark
+from beryltiller.consistency.routing import (
+    Standing,
+    find_loss,
+    plan_read,
+    plan_write,
+    standing,
+)
+from beryltiller.consistency.tokens import Mark
+from beryltiller.core.ports import Load
+from beryltiller.core.position import ORIGIN, History, Position, TermStart
+from beryltiller.dispatching import questions
+from beryltiller.dispatching.questions import Deliver, Question, Send
 
 NOW = 100.0
 POLICY = RoutingPolicy("zone-a", short_wait_seconds=0.05, long_wait_seconds=1.0)
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -2,15 +2,15 @@
 
 import unittest
 
-from beryltiller.history import Record, Rule, Violation
-from beryltiller.outcome import Outcome
-from beryltiller.scenario import (
+from beryltiller.benchmarks.history import Record, Rule, Violation
+from beryltiller.benchmarks.scenario import (
     FreezePrimary,
     KillPrimary,
     KillProxy,
     Scenario,
     is_loss_in_lag,
 )
+from beryltiller.core.outcome import Outcome
 
 FAULT_AT = 100.0
 KILLED = Scenario("killed", KillPrimary(), lag_ms=200.0)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
-from beryltiller import transport
-from beryltiller.ports import HostKind, LostAnswerError, RefusedError, Write
-from beryltiller.services import HostModel, Platform
+from beryltiller.adapters import transport
+from beryltiller.adapters.services import HostModel, Platform
+from beryltiller.core.ports import HostKind, LostAnswerError, RefusedError, Write
 from tests import servers
 
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -3,10 +3,9 @@
 import random
 import unittest
 
-from beryltiller.attempts import Unconfirmed
-from beryltiller.freshness import Pair
-from beryltiller.outcome import Kind
-from beryltiller.plans import (
+from beryltiller.consistency.attempts import Unconfirmed
+from beryltiller.consistency.freshness import Pair
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     Plan,
@@ -17,10 +16,11 @@
     WaitForTerm,
     WaitThen,
 )
-from beryltiller.ports import EndpointAnswer, EndpointStatus, Role
-from beryltiller.position import History, Position, TermStart
-from beryltiller.session import Claim, Planner, Served, read_claim
-from beryltiller.tokens import Session, TokenKeys, encode_token
+from beryltiller.consistency.session import Claim, Planner, Served, read_claim
+from beryltiller.consistency.tokens import Session, TokenKeys, encode_token
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import EndpointAnswer, EndpointStatus, Role
+from beryltiller.core.position import History, Position, TermStart
 
 NOW = 100.0
 KEYS = TokenKeys(b"0123456789abcdef")
--- a/tests/test_session_properties.py
+++ b/tests/test_session_properties.py
@@ -13,20 +13,27 @@
     run_state_machine_as_test,
 )
 
-from beryltiller.attempts import Answered, Finish, Lost, Refused, Result, Work
-from beryltiller.outcome import Kind, Outcome
-from beryltiller.plans import (
+from beryltiller.consistency.attempts import (
+    Answered,
+    Finish,
+    Lost,
+    Refused,
+    Result,
+    Work,
+)
+from beryltiller.consistency.plans import (
     AskPrimaryPosition,
     DatabaseView,
     RoutingPolicy,
     SessionLost,
     WaitForTerm,
 )
-from beryltiller.ports import EndpointStatus, RefusedError, Statement
-from beryltiller.serving import Done, Job, Reply, Run, Sleep, Verdict, serve
-from beryltiller.session import Planner, Served, read_claim
-from beryltiller.simulated_group import SimulatedGroup
-from beryltiller.tokens import TokenKeys, encode_token
+from beryltiller.consistency.serving import Done, Job, Reply, Run, Sleep, Verdict, serve
+from beryltiller.consistency.session import Planner, Served, read_claim
+from beryltiller.consistency.tokens import TokenKeys, encode_token
+from beryltiller.core.outcome import Kind, Outcome
+from beryltiller.core.ports import EndpointStatus, RefusedError, Statement
+from beryltiller.standins.simulated_group import SimulatedGroup
 
 KEYS = TokenKeys(b"0123456789abcdef")
 NAMES = ("g-1", "g-2", "g-3")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,10 +7,10 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from beryltiller import addresses
-from beryltiller.addresses import Address
-from beryltiller.settings import Settings, definitions
-from beryltiller.settings_source import (
+from beryltiller.core import addresses
+from beryltiller.core.addresses import Address
+from beryltiller.process.settings import Settings, definitions
+from beryltiller.process.settings_source import (
     LoadedSettings,
     SettingsError,
     Source,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from beryltiller.shares import (
+from beryltiller.membership.shares import (
     EndpointCap,
     SharePolicy,
     forward_target,
--- a/tests/test_statement.py
+++ b/tests/test_statement.py
@@ -3,15 +3,15 @@
 import doctest
 import unittest
 
-from beryltiller import statement
-from beryltiller.outcome import Kind
-from beryltiller.statement import (
+from beryltiller.consistency import statement
+from beryltiller.consistency.statement import (
     MAX_BODY_BYTES,
     MAX_SESSION_BYTES,
     Request,
     check_request,
     parse_request,
 )
+from beryltiller.core.outcome import Kind
 
 TRACE = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -7,11 +7,18 @@
 from dataclasses import replace
 from typing import Any
 
-from beryltiller import changes, tables
-from beryltiller.changes import Delete, Put, ReplaceAll, apply, conflict, difference
-from beryltiller.outcome import Kind
-from beryltiller.ports import Row
-from beryltiller.tables import Configuration, Group, Pool, Route
+from beryltiller.configuration import changes, tables
+from beryltiller.configuration.changes import (
+    Delete,
+    Put,
+    ReplaceAll,
+    apply,
+    conflict,
+    difference,
+)
+from beryltiller.configuration.tables import Configuration, Group, Pool, Route
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import Row
 
 
 def _database(number: int) -> dict[str, Any]:
--- a/tests/test_terms_machine.py
+++ b/tests/test_terms_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beryltiller.term_events import SwitchoverAsked
+from beryltiller.primaries.term_events import SwitchoverAsked
 from tests.fake_cluster import GROUP, STORE, Cluster
 
 PROXIES = ("p0", "p1", "p2")
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -4,9 +4,8 @@
 import itertools
 import unittest
 
-from beryltiller import tokens
-from beryltiller.position import Position
-from beryltiller.tokens import (
+from beryltiller.consistency import tokens
+from beryltiller.consistency.tokens import (
     MAX_GROUPS,
     MAX_TOKEN_CHARACTERS,
     Mark,
@@ -16,6 +15,7 @@
     decode_token,
     encode_token,
 )
+from beryltiller.core.position import Position
 
 OLD = b"old key, old key"
 NEW = b"new key, new key"
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -5,12 +5,16 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from beryltiller import transactions
-from beryltiller.dispatch_errors import DispatchError, NotRunError, UnknownOutcomeError
-from beryltiller.outcome import Kind
-from beryltiller.ports import EndpointAnswer, Statement
-from beryltiller.tickets import Ticket
-from beryltiller.transaction_runner import TransactionRunner
+from beryltiller.admission.tickets import Ticket
+from beryltiller.core.outcome import Kind
+from beryltiller.core.ports import EndpointAnswer, Statement
+from beryltiller.dispatching import transactions
+from beryltiller.dispatching.dispatch_errors import (
+    DispatchError,
+    NotRunError,
+    UnknownOutcomeError,
+)
+from beryltiller.dispatching.transaction_runner import TransactionRunner
 from tests.test_dispatch import Bench, on_bench
 from tests.virtual_loop import virtual_now
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -3,9 +3,15 @@
 import doctest
 import unittest
 
-from beryltiller import windows
-from beryltiller.ports import Load
-from beryltiller.windows import AdaptiveLimit, Limits, LimitsPolicy, StaticLimit, Window
+from beryltiller.admission import windows
+from beryltiller.admission.windows import (
+    AdaptiveLimit,
+    Limits,
+    LimitsPolicy,
+    StaticLimit,
+    Window,
+)
+from beryltiller.core.ports import Load
 
 
 def load(waiting: int) -> Load:
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -9,11 +9,11 @@
 
 from aiohttp import web
 
-from beryltiller import bench, workload
-from beryltiller.history import Record, Rule, check
-from beryltiller.outcome import Outcome
-from beryltiller.scenario import longest_write_gap
-from beryltiller.workload import Workload, WorkloadSizes, split_value
+from beryltiller.benchmarks import bench, workload
+from beryltiller.benchmarks.history import Record, Rule, check
+from beryltiller.benchmarks.scenario import longest_write_gap
+from beryltiller.benchmarks.workload import Workload, WorkloadSizes, split_value
+from beryltiller.core.outcome import Outcome
 
 _STOP_AFTER = 60
 
@@ -118,7 +118,7 @@
     def test_each_benchmark_is_a_function(self) -> None:
         for benchmark in bench.BENCHMARKS:
             with self.subTest(benchmark=benchmark.name):
-                function = resolve_name(f"beryltiller.{benchmark.function}")
+                function = resolve_name(f"beryltiller.benchmarks.{benchmark.function}")
                 self.assertTrue(callable(function))
 
     def test_unknown_benchmark_is_refused(self) -> None:
