Send callers elsewhere while cut off; never unfence what may still be promoted

A succession looks at every database first and leaves a group alone that has a primary; replicas stay fenced while a promotion may take effect. Connections to the store are watched for silence.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -195,7 +195,7 @@
 
     service: str
     term: int
-    positions: dict[str, str]
+    positions: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,6 +217,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class IsolationChanged:
+    """The proxy finds itself cut off and sends callers elsewhere, or no longer so."""
+
+    is_isolated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WorkFailed:
     """A piece of the proxy's own work failed and is tried again later."""
@@ -249,6 +256,7 @@
     | ReplicasFenced
     | PromotionAsked
     | CommandFailed
+    | IsolationChanged
     | WorkFailed
 )
 
--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Sequence
+from typing import Any
 
 from beryltiller.core.addresses import Address
 from beryltiller.platform import wire
@@ -156,7 +157,18 @@
 
 def watch_for_silence(transport: asyncio.BaseTransport) -> None:
     """Let the kernel end a connection whose other side has gone dark."""
-    raw = transport.get_extra_info("socket")
+    _watch(transport.get_extra_info("socket"))
+
+
+def watched_socket(address: tuple[Any, ...]) -> socket.socket:
+    """Return a new TCP socket for an address, watched for silence."""
+    family, kind, protocol, _, _ = address
+    new = socket.socket(family, kind, protocol)
+    _watch(new)
+    return new
+
+
+def _watch(raw: socket.socket) -> None:
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -4,18 +4,20 @@
 with each transaction, so a later claim has a higher token, also after a restart.
 """
 
+import asyncio
 from typing import NamedTuple
 
 import aiohttp
 import msgspec
 
 from beryltiller.adapters import transport
-from beryltiller.core.ports import RefusedError, Row, Write
+from beryltiller.core.ports import PortError, RefusedError, Row, Write
 from beryltiller.platform.store import Store, check
 
 TABLE = "succession"
 DUTY_KEY = "duty"
 PROMOTE_TIMEOUT_SECONDS = 1.0
+LOOK_TIMEOUT_SECONDS = 0.4
 
 _CONFLICT = 409
 
@@ -59,6 +61,18 @@
         write = Write(TABLE, DUTY_KEY, held.version, value)
         return await self._store.commit((write,))
 
+    async def is_store_reachable(self) -> bool:
+        """Tell whether the store answers, by a read of the duty row."""
+        try:
+            async with asyncio.timeout(LOOK_TIMEOUT_SECONDS):
+                await self._store.read(TABLE, DUTY_KEY)
+        except RefusedError as error:
+            # A refusal with a status is an answer.
+            return error.code != "unreachable"
+        except (PortError, TimeoutError):
+            return False
+        return True
+
     async def promote(self, service: str, identifier: str, token: int) -> None:
         """Name the database that takes the lead."""
         reply = await transport.exchange(
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -23,6 +23,7 @@
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.following import Rows, TableFollower
+from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.lending import DatabaseConnection
 from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.registry import Registry
@@ -56,15 +57,20 @@
         self._registry = Registry()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_draining = False
+        self._monitor = IsolationMonitor()
         zone = settings.availability_zone
         self._fleet = Fleet(self._connect, zone, boot_clock)
-        self._service = SessionService(self._fleet, Placer(zone), boot_clock)
+        self._service = SessionService(
+            self._fleet, Placer(zone), self._monitor, boot_clock
+        )
         self._ingress = Ingress(self._service, boot_clock)
 
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        if self._is_draining or self._fleet.configuration is None:
+        if self._is_draining or self._monitor.is_isolated:
+            return False
+        if self._fleet.configuration is None:
             return False
         return bool(self._fleet.directory.databases)
 
@@ -77,7 +83,10 @@
         """Open sockets and servers; the stack closes them in reverse."""
         settings = self._settings
         connector = aiohttp.TCPConnector(
-            local_addr=(settings.source_ip, 0), limit=0, use_dns_cache=False
+            local_addr=(settings.source_ip, 0),
+            limit=0,
+            use_dns_cache=False,
+            socket_factory=databases.watched_socket,
         )
         session = await stack.enter_async_context(
             aiohttp.ClientSession(
@@ -160,10 +169,23 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._fleet.close_idle()
             await self._steward.probe_failing()
+            await self._watch_isolation()
             lapse = self._registry.next_lapse()
             if lapse is not None and lapse <= boot_clock():
                 self._update_directory()
 
+    async def _watch_isolation(self) -> None:
+        """Look at the store while in doubt; let callers go while cut off."""
+        was_isolated = self._monitor.is_isolated
+        if not was_isolated and not self._monitor.is_suspected(boot_clock()):
+            return
+        is_reachable = await self._duty.is_store_reachable()
+        self._monitor.store_looked_at(is_reachable, boot_clock())
+        if self._monitor.is_isolated != was_isolated:
+            logs.log(logs.IsolationChanged(not was_isolated))
+        if self._monitor.is_isolated:
+            self._ingress.close_idle(is_lasting=False)
+
     async def _serve_readiness(self, stack: AsyncExitStack) -> None:
         app = web.Application()
         app.router.add_get(READINESS_PATH, self._answer_readiness)
--- a/src/beryltiller/sessions/following.py
+++ b/src/beryltiller/sessions/following.py
@@ -13,7 +13,7 @@
 from beryltiller.observability import logs
 
 FEED_WAIT_SECONDS = 4.0
-_BACKOFF = BackoffPolicy()
+_BACKOFF = BackoffPolicy(max_seconds=1.0)
 
 Rows = Mapping[str, Row]
 
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -12,6 +12,7 @@
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.groups import Group, Member, Tenure
+from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.lending import Lender, Lent
 from beryltiller.sessions.placement import Need, Placement, Placer, read_need
 from beryltiller.sessions.session import Pin, Session, Transaction
@@ -38,14 +39,20 @@
 # its caller can still be served elsewhere.
 QUEUE_SHARE_OF_OBJECTIVE = 0.5
 
+# Refusals that every proxy would give.
+_CALLERS_FAULTS = frozenset({Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE})
+
 Clock = Callable[[], float]
 
 
 class SessionService:
     """Answer statements of sessions, on one event loop."""
 
-    def __init__(self, fleet: Fleet, placer: Placer, clock: Clock) -> None:
-        """Serve from the fleet's databases."""
+    def __init__(
+        self, fleet: Fleet, placer: Placer, monitor: IsolationMonitor, clock: Clock
+    ) -> None:
+        """Serve from the fleet's databases, and tell the monitor how it goes."""
+        self._monitor = monitor
         self._fleet = fleet
         self._placer = placer
         self._clock = clock
@@ -62,6 +69,8 @@
         """Answer one statement that arrived at a moment."""
         reply = await self._answer(session, identifier, statement, arrived)
         session.state = reply.state
+        if reply.code not in _CALLERS_FAULTS:
+            self._monitor.answered(reply.is_success, self._clock())
         if reply.position is not None:
             session.position = reply.position
         return reply
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -19,6 +19,7 @@
 from beryltiller.sessions.groups import Group, Member
 from beryltiller.sessions.registry import Registry
 from beryltiller.sessions.statements import (
+    AskStatus,
     DatabaseStatus,
     Fence,
     OwnStatement,
@@ -169,16 +170,22 @@
 
     async def _fence_all(self, action: succession.FenceAll) -> succession.Event:
         service = action.service
+        others = (*action.replicas, *action.departed)
+        seen = await self._command_all(service, others, AskStatus())
+        if any(item is not None and item.is_primary for item in seen.values()):
+            return succession.FencesAnswered(service, seen)
         if action.former is not None:
             await self._command_all(service, (action.former,), StepDown(action.term))
-        names = (*action.replicas, *action.departed)
-        statuses = await self._command_all(service, names, Fence(action.term))
+        statuses = await self._command_all(service, others, Fence(action.term))
         gone = frozenset(name for name in action.departed if statuses[name] is None)
         logs.log(
             logs.ReplicasFenced(
                 service,
                 action.term,
-                {name: str(item and item.received) for name, item in statuses.items()},
+                ", ".join(
+                    f"{name} {item.received if item else 'silent'}"
+                    for name, item in statuses.items()
+                ),
             )
         )
         return succession.FencesAnswered(service, statuses, gone)
@@ -216,13 +223,18 @@
         database = self._database(service, name)
         if database is None:
             return None
+        asked_at = self._clock()
         try:
-            return await self._fleet.command(
+            status = await self._fleet.command(
                 database, statement, COMMAND_TIMEOUT_SECONDS
             )
         except (SessionError, TimeoutError) as error:
             logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
             return None
+        member = self._fleet.group(service).members.get(name)
+        if member is not None and status.is_primary:
+            self._fleet.group(service).status_heard(member, status, asked_at)
+        return status
 
     def _database(self, service: str, name: str) -> Database | None:
         member: Member | None = self._fleet.group(service).members.get(name)
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -164,7 +164,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Succession:
-    """One service's succession under this proxy's claim."""
+    """One service's succession under this proxy's claim.
+
+    `may_take_effect` tells that a promotion was asked for and not refused.
+    """
 
     service: str
     cause: Cause
@@ -176,6 +179,7 @@
     term: int = 0
     successor: str = ""
     refused: frozenset[str] = frozenset()
+    may_take_effect: bool = False
     next_step_at: float = 0.0
 
 
@@ -295,6 +299,9 @@
         if succession is None or succession.phase is not Phase.FENCING:
             return state, ()
         heard = {name: item for name, item in event.statuses.items() if item}
+        if any(item.is_primary for item in heard.values()):
+            # The group has a primary that this proxy did not know of.
+            return self._give_up(state, succession, now)
         silent = event.statuses.keys() - heard.keys() - event.gone
         newest = max((item.term for item in heard.values()), default=0)
         newest = max(newest, max((s.fenced_term for s in heard.values()), default=0))
@@ -347,7 +354,7 @@
     def _promote(self, state: State, succession: Succession, now: float) -> Decision:
         if now > succession.deadline:
             return self._give_up(state, succession, now)
-        promoting = replace(succession, phase=Phase.PROMOTING)
+        promoting = replace(succession, phase=Phase.PROMOTING, may_take_effect=True)
         action = Promote(
             succession.service,
             succession.successor,
@@ -369,7 +376,7 @@
             return self._give_up(state, succession, now)
         if event.is_refused:
             refused = succession.refused | {succession.successor}
-            retry = replace(succession, refused=refused)
+            retry = replace(succession, refused=refused, may_take_effect=False)
             return self._fence(state, retry, now)
         retry = replace(
             succession, phase=Phase.HOLDING, next_step_at=now + RETRY_SECONDS
@@ -377,14 +384,22 @@
         return _with(state, retry), ()
 
     def _give_up(self, state: State, succession: Succession, now: float) -> Decision:
-        """End a succession, done or not; paused replicas receive again."""
+        """End a succession, done or not; paused replicas receive again.
+
+        Not while a promotion may still take effect: the former primary could then
+        acknowledge what the successor's log lacks. The next succession goes on from
+        the paused replicas.
+        """
         view = state.groups.get(succession.service)
+        state = _drop(state, succession.service, now + PAUSE_SECONDS)
+        is_done = view is not None and view.leader == succession.successor
+        if succession.may_take_effect and not is_done:
+            return state, ()
         replicas = tuple(
             name
             for name in (view.replicas if view else ())
-            if name != succession.successor or succession.phase is not Phase.AWAITING
+            if name != succession.successor
         )
-        state = _drop(state, succession.service, now + PAUSE_SECONDS)
         return state, (UnfenceAll(succession.service, replicas),)
 
 
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -15,6 +15,7 @@
 )
 from beryltiller.sessions.errors import BrokenError, NotSentError
 from beryltiller.sessions.fleet import Fleet
+from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.serving import SessionService
 from beryltiller.sessions.session import Session
@@ -175,7 +176,9 @@
         self.far = FakeDatabase("far", "b")
         self.databases = {each.identifier: each for each in self._all()}
         self.fleet = Fleet(self._connect, "a", virtual_now)
-        self.service = SessionService(self.fleet, Placer("a"), virtual_now)
+        self.service = SessionService(
+            self.fleet, Placer("a"), IsolationMonitor(), virtual_now
+        )
         route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
         configuration = Configuration(1, {"db": route}, {"s": Service("s", 20, 1)}, 3.0)
         self.fleet.adopt(configuration)
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -103,7 +103,7 @@
     """Each event is one JSON line with its type and fields."""
 
     def test_each_event_is_written(self) -> None:
-        samples: dict[Any, Any] = {str: "text", int: 3, float: 0.5}
+        samples: dict[Any, Any] = {str: "text", int: 3, float: 0.5, bool: True}
         for kind in get_args(logs.Event):
             event = kind(*(samples[item.type] for item in fields(kind)))
             stream = io.StringIO()
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,191 @@
+"""Tests of the decisions of a succession, step by step on a virtual clock."""
+
+import random
+import unittest
+from collections.abc import Mapping
+from dataclasses import replace
+
+from beryltiller.core.position import Position
+from beryltiller.sessions import succession
+from beryltiller.sessions.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.succession import (
+    Action,
+    Cause,
+    Claim,
+    Claimed,
+    ClaimLost,
+    Event,
+    FenceAll,
+    FencesAnswered,
+    GroupView,
+    Promote,
+    PromotionAnswered,
+    Seen,
+    State,
+    SuccessionPolicy,
+    UnfenceAll,
+    cause_of,
+)
+
+HEALTHY = GroupView("s", "old", False, 1, ("a", "b"))
+FAILING = replace(HEALTHY, failing_since=0.0)
+
+
+def status(
+    index: int, fenced_term: int = 2, is_primary: bool = False
+) -> DatabaseStatus:
+    """Return a status in term 1."""
+    return DatabaseStatus(is_primary, 1, Position(1, index), fenced_term, 0)
+
+
+class Driver:
+    """Feed events to the policy, and keep its state and actions."""
+
+    def __init__(self) -> None:
+        self.policy = SuccessionPolicy(random.Random(1))
+        self.state = State()
+        self.now = 10.0
+
+    def tell(self, event: Event, after: float = 0.0) -> tuple[Action, ...]:
+        self.now += after
+        self.state, actions = self.policy.decide(self.state, event, self.now)
+        return actions
+
+    def see(
+        self, view: GroupView, after: float = 0.0, is_store_reachable: bool = True
+    ) -> tuple[Action, ...]:
+        return self.tell(Seen((view,), is_store_reachable), after)
+
+    def claim(self, view: GroupView = FAILING) -> tuple[Action, ...]:
+        """Go on until the duty is claimed; return what follows."""
+        self.see(view)
+        claimed = self.see(view, 0.5)
+        assert [type(action) for action in claimed] == [Claim], claimed
+        return self.tell(Claimed("s", 7, self.now))
+
+    def fence(
+        self, statuses: Mapping[str, DatabaseStatus | None], **more: frozenset[str]
+    ) -> tuple[Action, ...]:
+        return self.tell(FencesAnswered("s", statuses, **more))
+
+    def promote(self) -> tuple[Action, ...]:
+        """Let the hold pass."""
+        return self.see(FAILING, PROMOTION_HOLD_SECONDS + 0.01)
+
+
+class CauseTest(unittest.TestCase):
+    """Why a primary is replaced."""
+
+    def test_each_cause(self) -> None:
+        leaving = replace(HEALTHY, is_leader_leaving=True)
+        cases = (
+            ("healthy", HEALTHY, None),
+            ("failing", FAILING, Cause.FAILING),
+            ("failing just now", replace(HEALTHY, failing_since=9.8), None),
+            ("stalled", replace(HEALTHY, stalled_since=9.0), Cause.STALLED),
+            ("leaving", leaving, Cause.LEAVING),
+            ("all leave", replace(leaving, leaving=frozenset("ab")), None),
+            (
+                "headless",
+                replace(HEALTHY, leader=None, headless_since=8.0),
+                Cause.HEADLESS,
+            ),
+            ("alone", replace(FAILING, replicas=()), None),
+        )
+        for name, view, cause in cases:
+            with self.subTest(name):
+                self.assertIs(cause_of(view, 10.0), cause)
+
+
+class SuccessionTest(unittest.TestCase):
+    """Claim, fence all, name the longest, hold, promote."""
+
+    def test_whole_succession(self) -> None:
+        driver = Driver()
+        self.assertEqual(driver.claim(), (FenceAll("s", 2, "old", ("a", "b"), ()),))
+        self.assertEqual(driver.fence({"a": status(5), "b": status(6)}), ())
+        (promote,) = driver.promote()
+        assert isinstance(promote, Promote)
+        self.assertEqual((promote.successor, promote.token), ("b", 7))
+        driver.tell(PromotionAnswered("s", True, False))
+        led = replace(HEALTHY, leader="b", replicas=("a", "old"))
+        self.assertEqual(driver.see(led, 0.3), (UnfenceAll("s", ("a", "old")),))
+
+    def test_nothing_without_the_store(self) -> None:
+        driver = Driver()
+        for _ in range(5):
+            self.assertEqual(driver.see(FAILING, 1.0, is_store_reachable=False), ())
+
+    def test_lost_claim_waits(self) -> None:
+        driver = Driver()
+        driver.see(FAILING)
+        driver.see(FAILING, 0.5)
+        driver.tell(ClaimLost("s"))
+        self.assertEqual(driver.see(FAILING, 0.5), ())
+        claims = driver.see(FAILING, succession.PAUSE_SECONDS)
+        self.assertEqual(claims, (Claim("s", Cause.FAILING),))
+
+    def test_no_promotion_before_the_hold_is_over(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence({"a": status(5), "b": status(6)})
+        self.assertEqual(driver.see(FAILING, PROMOTION_HOLD_SECONDS - 0.01), ())
+
+    def test_silent_or_unfenced_replica_holds_up(self) -> None:
+        cases = (
+            ("silent", {"a": status(5), "b": None}),
+            ("not fenced", {"a": status(5), "b": status(5, fenced_term=0)}),
+        )
+        for name, statuses in cases:
+            with self.subTest(name):
+                driver = Driver()
+                driver.claim()
+                driver.fence(statuses)
+                (again,) = driver.promote()
+                self.assertIsInstance(again, FenceAll)
+
+    def test_database_that_is_gone_is_not_waited_for(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence({"a": status(5), "b": None}, gone=frozenset({"b"}))
+        (promote,) = driver.promote()
+        self.assertIsInstance(promote, Promote)
+
+    def test_group_that_has_another_primary_is_left_alone(self) -> None:
+        """A proxy that had been cut off fenced the followers of a new primary."""
+        driver = Driver()
+        driver.claim()
+        statuses = {"a": status(5, is_primary=True), "b": status(6)}
+        (unfence,) = driver.fence(statuses)
+        self.assertIsInstance(unfence, UnfenceAll)
+        self.assertEqual(driver.promote(), ())
+
+    def test_replicas_stay_fenced_while_a_promotion_may_take_effect(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence({"a": status(5), "b": status(6)})
+        driver.promote()
+        driver.tell(PromotionAnswered("s", False, False))
+        actions = driver.see(FAILING, succession.DUTY_SECONDS)
+        self.assertEqual(actions, ())
+        self.assertEqual(driver.state.successions, {})
+
+    def test_refused_successor_is_passed_over(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence({"a": status(6), "b": status(6)})
+        driver.promote()
+        (again,) = driver.tell(PromotionAnswered("s", False, True))
+        self.assertIsInstance(again, FenceAll)
+        driver.fence({"a": status(6), "b": status(6)})
+        (promote,) = driver.promote()
+        assert isinstance(promote, Promote)
+        self.assertEqual(promote.successor, "b")
+
+    def test_claim_is_not_used_after_its_time(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence({"a": status(5), "b": status(6)})
+        (unfence,) = driver.see(FAILING, succession.DUTY_SECONDS)
+        self.assertIsInstance(unfence, UnfenceAll)
