Close a database session whose start fails, and pause when its cap is reached

Change: connect closes what it opened on every failure; after a refusal because of the cap a lender tries no other connection for 150 ms. Conclusion: tests/test_platform_databases.py hangs with the close taken out.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -134,7 +134,11 @@
             self._awaited.popleft().fail(error)
 
 
-async def connect(database: Database, source_ip: str) -> LineConnection:
+async def connect(
+    database: Database,
+    source_ip: str,
+    timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+) -> LineConnection:
     """Return an open connection to a database.
 
     Raise `NotSentError`: with the database's own code when it refuses the session,
@@ -142,16 +146,22 @@
     """
     loop = asyncio.get_running_loop()
     address = Address.parse(database.address)
+    connection = LineConnection()
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            transport, connection = await loop.create_connection(
-                LineConnection, address.ip, address.port, local_addr=(source_ip, 0)
+        async with asyncio.timeout(timeout_seconds):
+            transport, _ = await loop.create_connection(
+                lambda: connection, address.ip, address.port, local_addr=(source_ip, 0)
             )
             watch_for_silence(transport)
             await connection.start(database)
     except (OSError, TimeoutError, BrokenError) as error:
+        connection.close()
         reason = f"{type(error).__name__}: {error}"
         raise NotSentError(Code.WRONG_DATABASE, reason) from error
+    except BaseException:
+        # A session that nobody waits for would still count against the cap.
+        connection.close()
+        raise
     return connection
 
 
--- a/src/beryltiller/sessions/lending.py
+++ b/src/beryltiller/sessions/lending.py
@@ -58,10 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LendingPolicy:
-    """Bound one proxy's connections to one database."""
+    """Bound one proxy's connections to one database.
+
+    After the database has refused one because its cap is reached, no other is tried
+    for `full_pause_seconds`.
+    """
 
     max_connections: int
     idle_seconds: float = 10.0
+    full_pause_seconds: float = 0.15
 
 
 class Lent:
@@ -179,6 +184,7 @@
         self._opening = 0
         self._waiting: list[asyncio.Future[Lent | None]] = []
         self._is_closed = False
+        self._full_until = 0.0
         self.gate = gate
 
     @property
@@ -202,10 +208,14 @@
             found = self._take_idle(values)
             if found is not None:
                 return found
-            if self.held < self._policy.max_connections:
+            is_full = loop.time() < self._full_until
+            if self.held < self._policy.max_connections and not is_full:
                 opened = await self._try_open(deadline - loop.time())
                 if opened is not None:
                     return opened
+            if is_full and not self._lent:
+                reason = "the database's connections are all taken"
+                raise NotSentError(Code.CONNECTION_LIMIT, reason)
             given = await self._wait(max(0.0, deadline - loop.time()))
             if given is not None:
                 return given
@@ -260,9 +270,13 @@
         try:
             return await self._open(wait_seconds)
         except NotSentError as error:
-            if error.code is Code.CONNECTION_LIMIT and self._lent:
-                return None
-            raise
+            if error.code is not Code.CONNECTION_LIMIT:
+                raise
+            now = asyncio.get_running_loop().time()
+            self._full_until = now + self._policy.full_pause_seconds
+            if not self._lent:
+                raise
+            return None
 
     async def _open(self, wait_seconds: float) -> Lent:
         self._opening += 1
--- /dev/null
+++ b/tests/test_platform_databases.py
@@ -0,0 +1,115 @@
+"""Tests of connections to databases, against a small server of the line protocol."""
+
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+
+from beryltiller.platform.databases import LineConnection, connect
+from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.statements import (
+    AskStatus,
+    Code,
+    Read,
+    Request,
+    SessionState,
+)
+
+IP = "127.0.0.1"
+READY = b"READY I 1.5\r\n"
+REFUSAL = b"ERROR CONNLIMIT full\r\n"
+
+
+class LineServer:
+    """Answer each line by a script; None answers nothing, `REFUSAL` or b"" closes."""
+
+    def __init__(self, script: dict[str, bytes | None]) -> None:
+        self.script = script
+        self.ended = asyncio.Event()
+        self.lines: list[str] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.readline():
+            line = data.decode().rstrip()
+            self.lines.append(line)
+            answer = self.answer(line)
+            if answer == b"":
+                break
+            writer.write(answer or b"")
+            if answer == REFUSAL:
+                break
+        writer.close()
+        await writer.wait_closed()
+        self.ended.set()
+
+    def answer(self, line: str) -> bytes | None:
+        for part, answer in self.script.items():
+            if part in line:
+                return answer
+        return None
+
+
+class ConnectTest(unittest.IsolatedAsyncioTestCase):
+    """A connection is open, or an error says why and nothing is left behind."""
+
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+
+    async def connect(
+        self, script: dict[str, bytes | None], timeout_seconds: float = 5.0
+    ) -> tuple[LineServer, LineConnection]:
+        line_server = LineServer(script)
+        self.line_server = line_server
+        server = await asyncio.start_server(line_server.serve, IP, 0)
+        self.stack.callback(server.close)
+        self.stack.push_async_callback(line_server.ended.wait)
+        port = server.sockets[0].getsockname()[1]
+        database = Database("i-1", "s", f"{IP}:{port}", "a", 3, True, False)
+        connection = await connect(database, IP, timeout_seconds)
+        self.stack.callback(connection.close)
+        return line_server, connection
+
+    async def test_session_that_is_never_ready_is_closed(self) -> None:
+        """It counted against the database's cap until the process ended."""
+        with self.assertRaises(NotSentError) as raised:
+            await self.connect({"STARTUP": None}, timeout_seconds=0.05)
+        self.assertIs(raised.exception.code, Code.WRONG_DATABASE)
+        async with asyncio.timeout(5.0):
+            await self.line_server.ended.wait()
+
+    async def test_refusal_carries_the_databases_code(self) -> None:
+        with self.assertRaises(NotSentError) as raised:
+            await self.connect({"STARTUP": REFUSAL})
+        self.assertIs(raised.exception.code, Code.CONNECTION_LIMIT)
+
+    async def test_replies_come_in_order(self) -> None:
+        script: dict[str, bytes | None] = {
+            "STARTUP": READY,
+            "READ a": b"DATAROW one\r\nCOMPLETE x\r\n" + READY,
+            "READ b": b"ERROR LAGGING no\r\nREADY I 1.4\r\n",
+        }
+        server, connection = await self.connect(script)
+        first, second = await connection.ask(
+            (Request(Read("a"), "q1"), Request(Read("b"), "q2"))
+        )
+        self.assertEqual((first.rows, first.signature), (("one",), "x"))
+        self.assertEqual((second.code, second.state), (Code.LAGGING, SessionState.IDLE))
+        self.assertEqual(server.lines[1:], ["QUERY q1 READ a", "QUERY q2 READ b"])
+
+    async def test_answer_cut_off_is_broken(self) -> None:
+        _, connection = await self.connect({"STARTUP": READY, "READ": b""})
+        with self.assertRaises(BrokenError):
+            await connection.ask((Request(Read("a"), "q1"),))
+        self.assertFalse(connection.is_open)
+
+    async def test_status_is_decoded(self) -> None:
+        row = b"DATAROW replica 3 3.1209 4 12 2 17\r\nCOMPLETE -\r\n"
+        _, connection = await self.connect({"STARTUP": READY, "STATUS": row + READY})
+        status = await connection.command(AskStatus())
+        self.assertEqual(
+            (status.is_primary, status.term, status.fenced_term, status.lag_ms),
+            (False, 3, 4, 12),
+        )
