Survey replicas while no primary is reached; one claim for all services

Change: every acknowledged commit lies in two logs, so all databases of a group but one bound what was acknowledged; reads of a stated age go on from that. One claim of the duty serves all services. The hold before a promotion is 0.8 s, so that evidence of a term lasts 0.9 s and replicas are asked less often. Conclusion: tests/test_session_serving.py SurveyTest fails without the survey.

--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
@@ -13,11 +14,14 @@
 from beryltiller.adapters import transport
 from beryltiller.core.ports import PortError, RefusedError, Row, Write
 from beryltiller.platform.store import Store, check
+from beryltiller.sessions.steward import HeldDuty
 
 TABLE = "succession"
 DUTY_KEY = "duty"
 PROMOTE_TIMEOUT_SECONDS = 1.0
 LOOK_TIMEOUT_SECONDS = 0.4
+# A claim serves further successions for this long.
+NEW_CLAIM_SECONDS = 1.0
 
 _CONFLICT = 409
 
@@ -42,16 +46,36 @@
     """Claim the duty and make its call; implements `DutyPort`."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, store: Store, address: str, holder: str
+        self,
+        session: aiohttp.ClientSession,
+        store: Store,
+        address: str,
+        holder: str,
+        clock: Callable[[], float],
     ) -> None:
         """Use `session`, whose owner closes it; `holder` is this proxy's host name."""
+        self._clock = clock
+        self._lock = asyncio.Lock()
+        self._held: HeldDuty | None = None
         self._session = session
         self._store = store
         self._holder = holder
         self.address = address
 
-    async def claim(self, service: str, seconds: float) -> int:
-        """Claim the duty and return the fencing token."""
+    async def claim(self, service: str, seconds: float) -> HeldDuty:
+        """Claim the duty, or return a claim that is still new.
+
+        One claim serves the successions of all services, so that several primaries
+        that are lost together are replaced together.
+        """
+        async with self._lock:
+            held = self._held
+            if held is None or self._clock() > held.asked_at + NEW_CLAIM_SECONDS:
+                held = self._held = await self._claim(service, seconds)
+            return held
+
+    async def _claim(self, service: str, seconds: float) -> HeldDuty:
+        asked_at = self._clock()
         dated = await self._store.read(TABLE, DUTY_KEY)
         held = _held(dated.row)
         if held.holder != self._holder and dated.now_ms < held.until_ms:
@@ -59,7 +83,7 @@
         until_ms = dated.now_ms + round(seconds * 1000)
         value = msgspec.json.encode(ClaimModel(self._holder, service, until_ms))
         write = Write(TABLE, DUTY_KEY, held.version, value)
-        return await self._store.commit((write,))
+        return HeldDuty(await self._store.commit((write,)), asked_at)
 
     async def is_store_reachable(self) -> bool:
         """Tell whether the store answers, by a read of the duty row."""
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -95,11 +95,14 @@
         )
         self._store = Store(session, str(settings.store_address))
         self._duty = Duty(
-            session, self._store, str(settings.duty_address), settings.host_name
+            session,
+            self._store,
+            str(settings.duty_address),
+            settings.host_name,
+            boot_clock,
         )
         self._steward = Steward(
             self._fleet,
-            self._registry,
             self._duty,
             self._is_store_reachable,
             self._source,
--- a/src/beryltiller/sessions/catalog.py
+++ b/src/beryltiller/sessions/catalog.py
@@ -74,9 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Directory:
-    """All registered databases by identifier."""
+    """All registered databases by identifier.
+
+    `departed` are those whose entries went without a drain; they may live all the same.
+    """
 
     databases: Mapping[str, Database] = field(default_factory=dict)
+    departed: tuple[Database, ...] = ()
 
     def of_service(self, service: str) -> tuple[Database, ...]:
         """Return the service's databases."""
@@ -86,3 +90,7 @@
             if database.service == service
         )
         return tuple(found)
+
+    def departed_of(self, service: str) -> tuple[Database, ...]:
+        """Return the service's databases that departed."""
+        return tuple(each for each in self.departed if each.service == service)
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -44,6 +44,7 @@
         self._groups: dict[str, Group] = {}
         self._lenders: dict[Key, Lender] = {}
         self._questions: dict[str, asyncio.Task[None]] = {}
+        self._surveys: dict[str, asyncio.Task[None]] = {}
 
     @property
     def configuration(self) -> Configuration | None:
@@ -110,6 +111,17 @@
             await asyncio.wait((question,), timeout=left)
         return group.is_proved(moment)
 
+    async def survey(self, group: Group) -> None:
+        """Learn from all databases but one what has been acknowledged.
+
+        Reads of a stated age can then go on while no primary is to be reached.
+        """
+        survey = self._surveys.get(group.service)
+        if survey is None:
+            survey = asyncio.create_task(self._survey(group))
+            self._surveys[group.service] = survey
+        await asyncio.wait((survey,))
+
     async def ask_status(self, member: Member) -> DatabaseStatus:
         """Ask a database for its status."""
         database = member.database
@@ -147,8 +159,8 @@
 
     def close(self) -> None:
         """Close every connection."""
-        for question in self._questions.values():
-            question.cancel()
+        for task in (*self._questions.values(), *self._surveys.values()):
+            task.cancel()
         for lender in self._lenders.values():
             lender.close()
 
@@ -172,6 +184,28 @@
         finally:
             del self._questions[group.service]
 
+    async def _survey(self, group: Group) -> None:
+        try:
+            asked_at = self._clock()
+            members = tuple(group.members.values())
+            departed = self._directory.departed_of(group.service)
+            statuses = await asyncio.gather(*map(self._status_or_none, members))
+            heard = [status.received for status in statuses if status is not None]
+            if heard and len(heard) >= len(members) + len(departed) - 1:
+                group.surveyed(tuple(heard), asked_at)
+        finally:
+            del self._surveys[group.service]
+
+    async def _status_or_none(self, member: Member) -> DatabaseStatus | None:
+        """Return a database's status, or None when it does not answer."""
+        if not member.is_available(self._clock()):
+            return None
+        try:
+            return await self.ask_status(member)
+        except (SessionError, TimeoutError) as error:
+            self._question_failed(member, error)
+            return None
+
     def _question_failed(self, member: Member, error: Exception) -> None:
         """Take in a failure; a refusal because of load says nothing of health."""
         is_busy = isinstance(error, SessionError) and error.code is Code.BUSY
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -14,10 +14,10 @@
 NEVER = float("-inf")
 
 # A promoter waits this long between fencing the replicas and naming a new primary.
-PROMOTION_HOLD_SECONDS = 0.4
+PROMOTION_HOLD_SECONDS = 0.8
 # A term proved in force at a moment stays so for this long: the hold, and the time
 # that a database takes at the least to take over the lead.
-TERM_PROOF_SECONDS = 0.5
+TERM_PROOF_SECONDS = 0.9
 
 KEPT_SAMPLES_SECONDS = 4.0
 MIN_SAMPLE_SPACING_SECONDS = 0.02
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """The leader's position at some moment after `asked_at`."""
+    """A position that covers every commit acknowledged before `asked_at`."""
 
     asked_at: float
     position: Position
@@ -140,6 +140,7 @@
         self._leader_changes = 0
         self._proved_until = NEVER
         self._samples: deque[Sample] = deque()
+        self._surveys: deque[Sample] = deque()
 
     @property
     def leader(self) -> Member | None:
@@ -258,13 +259,15 @@
         member.is_lead_heard = True
         self._choose_leader()
 
-    def all_replicas_heard(self, position: Position, asked_at: float) -> None:
-        """Take in the most advanced log of all replicas, none of them fenced.
+    def surveyed(self, positions: tuple[Position, ...], asked_at: float) -> None:
+        """Take in the received positions of all databases but one.
 
-        Every acknowledged commit is in one of them.
+        An acknowledged commit lies in two logs at least, so in one of these.
         """
-        self._add_sample(Sample(asked_at, position))
-        self._prove(asked_at)
+        surveys = self._surveys
+        surveys.append(Sample(asked_at, max(positions)))
+        while surveys[0].asked_at < asked_at - KEPT_SAMPLES_SECONDS:
+            surveys.popleft()
 
     def is_proved(self, moment: float) -> bool:
         """Tell whether no later term can have begun by the moment."""
@@ -277,7 +280,10 @@
         """
         for sample in self._samples:
             if sample.asked_at > self._proved_until:
-                return None
+                break
+            if sample.asked_at >= moment:
+                return sample.position
+        for sample in self._surveys:
             if sample.asked_at >= moment:
                 return sample.position
         return None
@@ -286,6 +292,7 @@
         """Drop all evidence, as after the process stood still."""
         self._proved_until = NEVER
         self._samples.clear()
+        self._surveys.clear()
 
     def _replicated(self, position: Position) -> None:
         """Take in how far a replica has applied.
--- a/src/beryltiller/sessions/registry.py
+++ b/src/beryltiller/sessions/registry.py
@@ -52,12 +52,9 @@
             if not database.is_draining:
                 self._departed[identifier] = (database, now)
         held = {key: database for key, (database, _) in self._missing.items()}
-        return Directory({**held, **self._present})
-
-    def departed(self, service: str, now: float) -> tuple[Database, ...]:
-        """Return the service's databases whose entries went without a drain."""
-        return tuple(
+        departed = tuple(
             database
             for database, since in self._departed.values()
-            if database.service == service and now < since + DEPARTED_SECONDS
+            if now < since + DEPARTED_SECONDS
         )
+        return Directory({**held, **self._present}, departed)
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -39,6 +39,8 @@
 # its caller can still be served elsewhere.
 QUEUE_SHARE_OF_OBJECTIVE = 0.5
 
+# A read that must be newer than this cannot be placed by what replicas have received.
+SURVEY_MIN_AGE_SECONDS = 0.1
 # Refusals that every proxy would give.
 _CALLERS_FAULTS = frozenset({Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE})
 
@@ -169,7 +171,7 @@
         tried: set[str] = set()
         last = NotSentError(Code.BUSY, f"no database of {route.service} can serve")
         for _ in range(MAX_READ_ATTEMPTS):
-            placement = self._placer.place_read(group, need, self._clock(), tried)
+            placement = await self._place_read(group, need, tried)
             if placement is None:
                 break
             tried.add(placement.member.database.identifier)
@@ -304,7 +306,7 @@
         tried: set[str] = set()
         last = NotSentError(Code.BUSY, "no database can serve the transaction")
         for _ in range(MAX_READ_ATTEMPTS):
-            placement = self._place(transaction, group, tried)
+            placement = await self._place(transaction, group, tried)
             if placement is None:
                 break
             tried.add(placement.member.database.identifier)
@@ -320,13 +322,24 @@
             last = NotSentError(Code.BUSY, "the database refused the transaction")
         raise last
 
-    def _place(
+    async def _place(
         self, transaction: Transaction, group: Group, tried: set[str]
     ) -> Placement | None:
-        now = self._clock()
         if transaction.is_read_only:
-            return self._placer.place_read(group, transaction.need, now, tried)
-        return self._placer.place_leader(group, now, tried)
+            return await self._place_read(group, transaction.need, tried)
+        return self._placer.place_leader(group, self._clock(), tried)
+
+    async def _place_read(
+        self, group: Group, need: Need, tried: set[str]
+    ) -> Placement | None:
+        """Place a read; without a leader, ask the other databases where they are."""
+        placement = self._placer.place_read(group, need, self._clock(), tried)
+        if placement is not None or group.floor(need.moment) is not None:
+            return placement
+        if need.moment >= self._clock() - SURVEY_MIN_AGE_SECONDS:
+            return None
+        await self._fleet.survey(group)
+        return self._placer.place_read(group, need, self._clock(), tried)
 
     async def _begin_at(
         self,
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -17,7 +17,6 @@
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.groups import Group, Member
-from beryltiller.sessions.registry import Registry
 from beryltiller.sessions.statements import (
     AskStatus,
     DatabaseStatus,
@@ -40,11 +39,19 @@
 Action = Look | succession.Action
 
 
+@dataclass(frozen=True, slots=True)
+class HeldDuty:
+    """A claim of the duty, with its fencing token; it counts from `asked_at`."""
+
+    token: int
+    asked_at: float
+
+
 class DutyPort(Protocol):
     """The platform's promotion duty: a claim in the store, and the call itself."""
 
-    async def claim(self, service: str, seconds: float) -> int:
-        """Claim the duty for `seconds` and return the fencing token.
+    async def claim(self, service: str, seconds: float) -> HeldDuty:
+        """Claim the duty for `seconds`, or return a claim that is still new.
 
         Raise `RefusedError` while another holds it.
         """
@@ -64,7 +71,6 @@
     def __init__(
         self,
         fleet: Fleet,
-        registry: Registry,
         duty: DutyPort,
         is_store_reachable: Callable[[], bool],
         source: random.Random,
@@ -72,7 +78,6 @@
     ) -> None:
         """Perform on the fleet's databases and through the duty port."""
         self._fleet = fleet
-        self._registry = registry
         self._duty = duty
         self._is_store_reachable = is_store_reachable
         self._policy = succession.SuccessionPolicy(source)
@@ -114,7 +119,7 @@
         else:
             self._headless_since.setdefault(service, now)
         self._log_leader(group, leader)
-        departed = self._registry.departed(service, now)
+        departed = self._fleet.directory.departed_of(service)
         return succession.GroupView(
             service,
             leader.database.identifier if leader else None,
@@ -158,15 +163,15 @@
             leader = self._fleet.group(action.service).leader
             if leader is not None and leader.failing_since is None:
                 return succession.ClaimLost(action.service)
-        asked_at = self._clock()
         try:
-            token = await self._duty.claim(action.service, succession.DUTY_SECONDS)
+            held = await self._duty.claim(action.service, succession.DUTY_SECONDS)
         except PortError as error:
             logs.log(logs.ClaimRefused(action.service, str(error)))
             return succession.ClaimLost(action.service)
-        self._newest_token = max(self._newest_token, token)
-        logs.log(logs.SuccessionStarted(action.service, token, action.cause.value))
-        return succession.Claimed(action.service, token, asked_at)
+        self._newest_token = max(self._newest_token, held.token)
+        cause = action.cause.value
+        logs.log(logs.SuccessionStarted(action.service, held.token, cause))
+        return succession.Claimed(action.service, held.token, held.asked_at)
 
     async def _fence_all(self, action: succession.FenceAll) -> succession.Event:
         service = action.service
@@ -240,7 +245,7 @@
         member: Member | None = self._fleet.group(service).members.get(name)
         if member is not None:
             return member.database
-        for database in self._registry.departed(service, self._clock()):
+        for database in self._fleet.directory.departed_of(service):
             if database.identifier == name:
                 return database
         return None
@@ -249,10 +254,11 @@
         """Ask leaders that fail whether they live, so that trouble is seen to end."""
         for group in tuple(self._fleet.groups()):
             leader = group.leader
-            if leader is None or leader.failing_since is None:
+            if leader is not None and leader.failing_since is None:
                 continue
-            if leader.is_available(self._clock()):
+            if leader is not None and leader.is_available(self._clock()):
                 await self._fleet.probe(leader)
+            await self._fleet.survey(group)
 
     async def _probe(self, service: str) -> None:
         leader = self._fleet.group(service).leader
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -2,8 +2,9 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-from beryltiller.sessions.catalog import RouteKind
+from beryltiller.sessions.catalog import Directory, RouteKind
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -19,7 +20,7 @@
     Write,
 )
 from tests.fake_group import Rig, later
-from tests.virtual_loop import run_virtual
+from tests.virtual_loop import run_virtual, virtual_now
 
 Work = Callable[[Rig], Awaitable[None]]
 
@@ -278,3 +279,40 @@
             self.assertTrue(reply.is_success)
 
         on_rig(work, RouteKind.PRIMARY)
+
+
+class SurveyTest(unittest.TestCase):
+    """Reads of a stated age go on without a primary, from what replicas received."""
+
+    def read_without_leader(self, *more_dark: str, departed: bool = False) -> bool:
+        results: list[bool] = []
+
+        async def work(rig: Rig) -> None:
+            rig.leader.is_dark = True
+            for name in more_dark:
+                rig.databases[name].is_dark = True
+            if departed:
+                gone = replace(rig.far.entry(), identifier="gone")
+                entries = rig.fleet.directory.databases
+                rig.fleet.register(Directory(entries, (gone,)))
+            reply = await rig.run(rig.session(), Read("i"))
+            results.append(reply.is_success)
+
+        on_rig(work, RouteKind.BOUNDED_STALENESS)
+        return results[0]
+
+    def test_all_databases_but_one_are_needed(self) -> None:
+        self.assertTrue(self.read_without_leader())
+        self.assertFalse(self.read_without_leader("far"))
+        self.assertFalse(self.read_without_leader(departed=True))
+
+    def test_primary_route_is_refused_at_once(self) -> None:
+        async def work(rig: Rig) -> None:
+            rig.leader.is_dark = True
+            await rig.run(rig.session(), Read("i"))
+            began = virtual_now()
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertIs(reply.code, Code.BUSY)
+            self.assertEqual(virtual_now(), began)
+
+        on_rig(work, RouteKind.PRIMARY)
