Ask silent primaries whether they live; survey replicas on demand only

Change: a primary that leaves statements without any answer for 0.4 s is asked for its status; one that fails is replaced after 0.4 s; the hold is 0.4 s again; surveys are made only for reads that need one.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -171,7 +171,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._fleet.close_idle()
-            await self._steward.probe_failing()
+            await self._steward.probe_doubtful()
             await self._watch_isolation()
             lapse = self._registry.next_lapse()
             if lapse is not None and lapse <= boot_clock():
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -14,10 +14,10 @@
 NEVER = float("-inf")
 
 # A promoter waits this long between fencing the replicas and naming a new primary.
-PROMOTION_HOLD_SECONDS = 0.8
+PROMOTION_HOLD_SECONDS = 0.4
 # A term proved in force at a moment stays so for this long: the hold, and the time
 # that a database takes at the least to take over the lead.
-TERM_PROOF_SECONDS = 0.9
+TERM_PROOF_SECONDS = 0.5
 
 KEPT_SAMPLES_SECONDS = 4.0
 MIN_SAMPLE_SPACING_SECONDS = 0.02
@@ -57,7 +57,8 @@
     def __init__(self, database: Database) -> None:
         """Start with no opinion."""
         self.database = database
-        self.in_flight = 0
+        self._in_flight = 0
+        self._silent_since: float | None = None
         self.latency_seconds = FIRST_LATENCY_SECONDS
         self.applied: Position | None = None
         self.is_lead_denied = False
@@ -70,6 +71,16 @@
         self._failing_since: float | None = None
         self._lagging_until = NEVER
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many statements are in execution."""
+        return self._in_flight
+
+    @property
+    def silent_since(self) -> float | None:
+        """Return since when statements are in execution without any answer."""
+        return self._silent_since
+
     @property
     def is_lead_claimed(self) -> bool:
         """Tell whether the database says that it leads, in its entry or when asked."""
@@ -107,6 +118,20 @@
         if self.applied is None or position > self.applied:
             self.applied = position
 
+    def sent(self, now: float) -> None:
+        """Take in that a statement goes out."""
+        if not self._in_flight:
+            self._silent_since = now
+        self._in_flight += 1
+
+    def ended(self, now: float, is_answered: bool) -> None:
+        """Take in that a statement was answered, or given up."""
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._silent_since = None
+        elif is_answered:
+            self._silent_since = now
+
     def served(self, duration_seconds: float) -> None:
         """Take in how long a statement took."""
         change = duration_seconds - self.latency_seconds
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -475,10 +475,12 @@
         """
         member = pin.placement.member
         asked_at = self._clock()
-        member.in_flight += 1
+        member.sent(asked_at)
+        is_answered = False
         try:
             async with asyncio.timeout(max(0.0, deadline - asked_at)):
                 reply = await pin.lent.run(request, session.values, session.prepared)
+            is_answered = True
         except TimeoutError as error:
             pin.lender.drop(pin.lent)
             self._fleet.failed(member)
@@ -493,7 +495,7 @@
             pin.lender.drop(pin.lent)
             raise
         finally:
-            member.in_flight -= 1
+            member.ended(self._clock(), is_answered)
         self._take_in(session, group, member, request, reply, asked_at)
         return reply
 
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -29,6 +29,8 @@
 PART_NAME = "succession"
 LOOK_SECONDS = 0.2
 COMMAND_TIMEOUT_SECONDS = 0.5
+# A leader that leaves statements without any answer for this long is asked.
+SILENCE_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,17 +252,30 @@
                 return database
         return None
 
-    async def probe_failing(self) -> None:
-        """Ask leaders that fail whether they live, so that trouble is seen to end."""
-        for group in tuple(self._fleet.groups()):
-            leader = group.leader
-            if leader is not None and leader.failing_since is None:
-                continue
-            if leader is not None and leader.is_available(self._clock()):
-                await self._fleet.probe(leader)
-            await self._fleet.survey(group)
+    async def probe_doubtful(self) -> None:
+        """Ask leaders that fail or are silent whether they live.
+
+        So trouble is found before statements time out, and is seen to end.
+        """
+        now = self._clock()
+        leaders = (group.leader for group in tuple(self._fleet.groups()))
+        doubtful = [
+            leader
+            for leader in leaders
+            if leader is not None
+            and leader.is_available(now)
+            and _is_doubtful(leader, now)
+        ]
+        await asyncio.gather(*map(self._fleet.probe, doubtful))
 
     async def _probe(self, service: str) -> None:
         leader = self._fleet.group(service).leader
         if leader is not None:
             await self._fleet.probe(leader)
+
+
+def _is_doubtful(leader: Member, now: float) -> bool:
+    if leader.failing_since is not None:
+        return True
+    silent_since = leader.silent_since
+    return silent_since is not None and now > silent_since + SILENCE_SECONDS
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -19,7 +19,7 @@
 # The holder stops using a claim this much earlier.
 DUTY_MARGIN_SECONDS = 1.2
 # A primary is replaced after it has been failing for this long.
-FAILING_SECONDS = 0.7
+FAILING_SECONDS = 0.4
 # A primary that answers but acknowledges no write is replaced after this long.
 STALLED_SECONDS = 0.5
 # A service without any primary is given one after this long.
