--- /dev/null
+++ b/tests/test_platform_ingress.py
@@ -0,0 +1,172 @@
+"""Tests of callers' connections over a fake group, on a virtual clock."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from beryltiller.platform.ingress import CallerConnection, Ingress
+from tests.fake_group import Rig
+from tests.virtual_loop import run_virtual, virtual_now
+
+
+class FakeSocket:
+    """A socket whose options nobody reads."""
+
+    def setsockopt(self, *option: object) -> None:
+        pass
+
+
+class FakeTransport(asyncio.Transport):
+    """Keep what is written, and whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.is_closed = False
+        self._is_reading = True
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return FakeSocket()
+
+    def write(self, data: Any) -> None:
+        self.written += bytes(data)
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def is_reading(self) -> bool:
+        return self._is_reading
+
+    def pause_reading(self) -> None:
+        self._is_reading = False
+
+    def resume_reading(self) -> None:
+        self._is_reading = True
+
+
+class Caller:
+    """One caller of an ingress over a rig."""
+
+    def __init__(self, ingress: Ingress, rig: Rig) -> None:
+        self.connection = CallerConnection(rig.service, ingress)
+        self.transport = FakeTransport()
+        self.connection.connection_made(self.transport)
+
+    async def say(self, text: str, seconds: float = 0.5) -> list[str]:
+        """Send a line, wait, and return the lines of the answer."""
+        self.transport.written = b""
+        self.connection.data_received(f"{text}\r\n".encode())
+        await asyncio.sleep(seconds)
+        return self.transport.written.decode().split("\r\n")[:-1]
+
+
+Work = Callable[[Rig, Ingress, Caller], Awaitable[None]]
+
+
+def on_ingress(work: Work) -> Rig:
+    """Run work with one caller; return the rig."""
+    rig = Rig()
+
+    async def entered() -> None:
+        ingress = Ingress(rig.service, virtual_now)
+        await work(rig, ingress, Caller(ingress, rig))
+        rig.fleet.close()
+
+    run_virtual(entered())
+    return rig
+
+
+class ConversationTest(unittest.TestCase):
+    """Each message has its answer, in order."""
+
+    def test_session_with_a_transaction(self) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            self.assertEqual(await caller.say("STARTUP db u1"), ["READY I -"])
+            self.assertEqual(
+                await caller.say("QUERY 1 BEGIN"), ["COMPLETE -", "READY T -"]
+            )
+            answer = await caller.say("QUERY 2 WRITE i some data")
+            self.assertEqual(answer, ["COMPLETE signed", "READY T 1.11"])
+            answer = await caller.say("QUERY 3 COMMIT")
+            self.assertEqual(answer, ["COMPLETE signed", "READY I 1.11"])
+            self.assertTrue(caller.connection.is_idle)
+
+        on_ingress(work)
+
+    def test_errors_name_the_cause(self) -> None:
+        cases = (
+            ("STARTUP nothing u1", "ERROR NODATABASE nothing"),
+            ("HELLO", "ERROR MALFORMED unknown word 'HELLO'"),
+            ("QUERY 1 READ i", "ERROR MALFORMED a statement before the startup"),
+        )
+        for text, expected in cases:
+            with self.subTest(text):
+
+                async def work(
+                    rig: Rig,
+                    ingress: Ingress,
+                    caller: Caller,
+                    text: str = text,
+                    expected: str = expected,
+                ) -> None:
+                    self.assertEqual(await caller.say(text), [expected])
+                    self.assertTrue(caller.transport.is_closed)
+
+                on_ingress(work)
+
+    def test_unreadable_statement_keeps_the_session(self) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            await caller.say("STARTUP db u1")
+            answer = await caller.say("QUERY 1 DANCE")
+            self.assertEqual(answer[1], "READY I -")
+            self.assertFalse(caller.transport.is_closed)
+
+        on_ingress(work)
+
+
+class LeavingTest(unittest.TestCase):
+    """Sessions are closed only with nothing outstanding."""
+
+    def test_drain_closes_idle_sessions_at_once_and_others_after_their_answer(
+        self,
+    ) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            busy = Caller(ingress, rig)
+            for each in (caller, busy):
+                await each.say("STARTUP db u1")
+            await busy.say("QUERY 1 BEGIN")
+            await busy.say("QUERY 2 WRITE i d", seconds=0.0)
+            ingress.close_idle()
+            self.assertTrue(caller.transport.is_closed)
+            await asyncio.sleep(0.5)
+            self.assertFalse(busy.transport.is_closed)
+            answer = await busy.say("QUERY 3 COMMIT")
+            self.assertEqual(answer[0], "COMPLETE signed")
+            self.assertTrue(busy.transport.is_closed)
+
+        on_ingress(work)
+
+    def test_transaction_left_idle_is_ended_and_told_so(self) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            await caller.say("STARTUP db u1")
+            await caller.say("QUERY 1 BEGIN")
+            await caller.say("QUERY 2 WRITE i d", seconds=4.0)
+            answer = await caller.say("QUERY 3 COMMIT")
+            self.assertEqual(answer[0].split(" ")[:2], ["ERROR", "ABORTED"])
+
+        self.assertEqual(on_ingress(work).leader.texts()[-1], "Rollback")
+
+    def test_caller_that_leaves_in_a_transaction_is_rolled_back(self) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            await caller.say("STARTUP db u1")
+            await caller.say("QUERY 1 BEGIN")
+            await caller.say("QUERY 2 WRITE i d")
+            caller.connection.connection_lost(None)
+            await asyncio.sleep(0.5)
+            self.assertEqual(ingress.open_connections, 0)
+
+        self.assertEqual(on_ingress(work).leader.texts()[-1], "Rollback")
