Find a new primary without the store; stop a draining one in time

Cause: a proxy that the store refused kept refusing writes after a promotion, as only the store told it of the new primary; a draining primary whose succession could not be made would have got work past its drain time. Change: when no leader is known to work, the group's databases are asked who leads, at most every 0.3 s; a draining leader gets no new work a second before its drain time is over. Conclusion: tests/test_session_serving.py and test_session_groups.py state both.

--- a/src/beryltiller/platform/daemon.py
+++ b/src/beryltiller/platform/daemon.py
@@ -1,9 +1,11 @@
 """Run one proxy on the platform as a process."""
 
+import argparse
 import os
 import signal
 import sys
 import threading
+from collections.abc import Sequence
 from contextlib import AsyncExitStack, ExitStack
 
 from beryltiller import __version__
@@ -81,12 +83,33 @@
         logs.log(started)
 
 
-def main() -> int:
-    """Run a proxy with the platform's settings file."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a proxy with the platform's settings file, or only check the file."""
+    parsed = _parser().parse_args(arguments)
+    path = parsed.settings or os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_settings_file(path)
     except SettingsFileError as error:
         print(f"beryltiller: {error}", file=sys.stderr)
         return EXIT_INVALID
+    if parsed.check:
+        print(f"{path}: good for {settings.host_name}")
+        return EXIT_OK
     return PlatformDaemon(path, settings).run()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m beryltiller.platform",
+        description="Run a proxy on the users' platform until SIGTERM.",
+        epilog="example: python -m beryltiller.platform --settings local.json --check",
+    )
+    parser.add_argument(
+        "--settings",
+        metavar="PATH",
+        help=f"the platform's settings file (default: ${SETTINGS_VARIABLE})",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="only check the settings file"
+    )
+    return parser
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -35,6 +35,8 @@
 # Balancers need two missed probes, a second apart, to send no more callers.
 BALANCER_SECONDS = 2.3
 DRAIN_STEP_SECONDS = 0.05
+# Statements are on their way to a draining database for less than this.
+DRAIN_MARGIN_SECONDS = 1.0
 # What is left of the grace period for closing and the process's own end.
 STOP_MARGIN_SECONDS = 0.7
 
@@ -61,7 +63,10 @@
         zone = settings.availability_zone
         self._fleet = Fleet(self._connect, zone, boot_clock)
         self._service = SessionService(
-            self._fleet, Placer(zone), self._monitor, boot_clock
+            self._fleet,
+            Placer(zone, settings.drain_seconds - DRAIN_MARGIN_SECONDS),
+            self._monitor,
+            boot_clock,
         )
         self._ingress = Ingress(self._service, boot_clock)
 
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -37,6 +37,7 @@
     """Bounds of the rules."""
 
     grace_period_s: float = 6.0
+    drain_timeout_ms: float = 7000.0
 
 
 class FileModel(msgspec.Struct, frozen=True):
@@ -63,10 +64,13 @@
     store_address: Address
     duty_address: Address
     grace_seconds: float
+    drain_seconds: float
 
 
 def read_settings_file(path: str) -> PlatformSettings:
     """Return the settings, or raise `SettingsFileError`."""
+    if not path:
+        raise SettingsFileError(f"${SETTINGS_VARIABLE}: no settings file is named")
     try:
         model = msgspec.json.decode(Path(path).read_bytes(), type=FileModel)
     except OSError as error:
@@ -84,6 +88,7 @@
         store_address=_address("platform.address", model.platform.address),
         duty_address=_address("cloud_api.address", model.cloud_api.address),
         grace_seconds=model.bounds.grace_period_s,
+        drain_seconds=model.bounds.drain_timeout_ms / 1000,
     )
 
 
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -6,7 +6,7 @@
 from beryltiller.sessions.catalog import Configuration, Database, Directory
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.gates import Gate
-from beryltiller.sessions.groups import Group, Member
+from beryltiller.sessions.groups import NEVER, Group, Member
 from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -24,6 +24,10 @@
 
 QUESTION_TIMEOUT_SECONDS = 0.3
 MAX_QUESTIONS = 2
+# A statement waits no longer for a survey: it is refused early, or served later.
+SURVEY_WAIT_SECONDS = 0.04
+# While a group has no leader that works, its databases are asked this often.
+FIND_LEADER_SECONDS = 0.3
 
 Connect = Callable[[Database], Awaitable[DatabaseConnection]]
 Key = tuple[str, str, int]
@@ -45,6 +49,7 @@
         self._lenders: dict[Key, Lender] = {}
         self._questions: dict[str, asyncio.Task[None]] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
+        self._leader_asked_at: dict[str, float] = {}
 
     @property
     def configuration(self) -> Configuration | None:
@@ -80,7 +85,7 @@
         group = self._groups.get(service)
         if group is None:
             group = self._groups[service] = Group(service)
-            group.update(self._directory.of_service(service))
+            group.update(self._directory.of_service(service), self._clock())
         return group
 
     def lender(self, database: Database) -> Lender:
@@ -120,7 +125,22 @@
         if survey is None:
             survey = asyncio.create_task(self._survey(group))
             self._surveys[group.service] = survey
-        await asyncio.wait((survey,))
+        await asyncio.wait((survey,), timeout=SURVEY_WAIT_SECONDS)
+
+    async def find_leader(self, group: Group) -> None:
+        """Ask the databases who leads, when none is known to and works.
+
+        So a proxy that the store does not serve learns of a new primary.
+        """
+        now = self._clock()
+        leader = group.leader
+        if leader is not None and leader.is_available(now):
+            return
+        asked_at = self._leader_asked_at.get(group.service, NEVER)
+        if now < asked_at + FIND_LEADER_SECONDS:
+            return
+        self._leader_asked_at[group.service] = now
+        await self.survey(group)
 
     async def ask_status(self, member: Member) -> DatabaseStatus:
         """Ask a database for its status."""
@@ -190,7 +210,11 @@
             members = tuple(group.members.values())
             departed = self._directory.departed_of(group.service)
             statuses = await asyncio.gather(*map(self._status_or_none, members))
-            heard = [status.received for status in statuses if status is not None]
+            heard = []
+            for member, status in zip(members, statuses, strict=True):
+                if status is not None:
+                    heard.append(status.received)
+                    group.status_heard(member, status, asked_at)
             if heard and len(heard) >= len(members) + len(departed) - 1:
                 group.surveyed(tuple(heard), asked_at)
         finally:
@@ -237,7 +261,7 @@
         for name in names:
             self.group(name)
         for service, group in self._groups.items():
-            group.update(self._directory.of_service(service))
+            group.update(self._directory.of_service(service), self._clock())
 
     def _open_lender(self, database: Database) -> Lender:
         services = self._configuration.services if self._configuration else {}
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -66,6 +66,7 @@
         self.lead_serial = 0
         self.term = 0
         self.stalled_since: float | None = None
+        self.drains_since: float | None = None
         self._failures = 0
         self._retry_at = NEVER
         self._failing_since: float | None = None
@@ -202,7 +203,7 @@
             if identifier != self._leader
         )
 
-    def update(self, databases: tuple[Database, ...]) -> None:
+    def update(self, databases: tuple[Database, ...], now: float) -> None:
         """Take in the group's registered databases."""
         known = self.members
         self.members = {}
@@ -221,6 +222,10 @@
                 self._lead_serial += 1
                 member.lead_serial = self._lead_serial if database.is_primary else 0
             member.database = database
+            if not database.is_draining:
+                member.drains_since = None
+            elif member.drains_since is None:
+                member.drains_since = now
             self.members[database.identifier] = member
         self._choose_leader()
 
--- a/src/beryltiller/sessions/placement.py
+++ b/src/beryltiller/sessions/placement.py
@@ -15,6 +15,7 @@
 # nearby database is preferred until it is this much slower.
 REMOTE_ZONE_SECONDS = 0.04
 LAGGING_SECONDS = 0.5
+DRAIN_SECONDS = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,9 +55,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Placer:
-    """Place reads from one availability zone."""
+    """Place statements from one availability zone.
+
+    A draining primary without a successor gets no new work after `drain_seconds`.
+    """
 
     availability_zone: str
+    drain_seconds: float = DRAIN_SECONDS
 
     def place_read(
         self, group: Group, need: Need, now: float, tried: Set[str]
@@ -91,6 +96,9 @@
             return None
         if leader.database.identifier in tried:
             return None
+        drains_since = leader.drains_since
+        if drains_since is not None and now > drains_since + self.drain_seconds:
+            return None
         return Placement(leader, None, needs_proof=True)
 
     def _cost(
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -199,7 +199,7 @@
         tried: set[str] = set()
         last = NotSentError(Code.BUSY, f"no primary of {route.service} is known")
         for _ in range(MAX_WRITE_ATTEMPTS):
-            placement = self._placer.place_leader(group, self._clock(), tried)
+            placement = await self._place_leader(group, tried)
             if placement is None:
                 break
             tried.add(placement.member.database.identifier)
@@ -327,6 +327,14 @@
     ) -> Placement | None:
         if transaction.is_read_only:
             return await self._place_read(group, transaction.need, tried)
+        return await self._place_leader(group, tried)
+
+    async def _place_leader(self, group: Group, tried: set[str]) -> Placement | None:
+        """Place at the leader; ask who leads when none is known to work."""
+        placement = self._placer.place_leader(group, self._clock(), tried)
+        if placement is not None:
+            return placement
+        await self._fleet.find_leader(group)
         return self._placer.place_leader(group, self._clock(), tried)
 
     async def _place_read(
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -69,15 +69,15 @@
 
 def on_ingress(work: Work) -> Rig:
     """Run work with one caller; return the rig."""
-    rig = Rig()
 
-    async def entered() -> None:
+    async def entered() -> Rig:
+        rig = Rig()
         ingress = Ingress(rig.service, virtual_now)
         await work(rig, ingress, Caller(ingress, rig))
         rig.fleet.close()
+        return rig
 
-    run_virtual(entered())
-    return rig
+    return run_virtual(entered())
 
 
 class ConversationTest(unittest.TestCase):
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,72 @@
+"""Tests of the platform's settings file and of the command that reads it."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from beryltiller.platform.daemon import EXIT_INVALID, EXIT_OK, main
+from beryltiller.platform.settings import SettingsFileError, read_settings_file
+
+SETTINGS: dict[str, Any] = {
+    "node_name": "front-a-1",
+    "ip_address": "127.0.0.1",
+    "zone": "a",
+    "listen_addresses": {"front": "127.0.0.1:8784", "ready": "127.0.0.1:8785"},
+    "platform": {"address": "127.0.0.1:8783", "form": "table"},
+    "cloud_api": {"address": "127.0.0.1:8782"},
+    "bounds": {"grace_period_s": 5, "drain_timeout_ms": 9000},
+    "a_field_of_tomorrow": True,
+}
+
+
+class SettingsFileTest(unittest.TestCase):
+    """A file is used whole, or refused with the field and the reason."""
+
+    def write(self, settings: object) -> str:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(folder, "local.json")
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return str(path)
+
+    def test_good_file(self) -> None:
+        found = read_settings_file(self.write(SETTINGS))
+        self.assertEqual(str(found.store_address), "127.0.0.1:8783")
+        self.assertEqual((found.grace_seconds, found.drain_seconds), (5, 9))
+
+    def test_bad_files_name_the_field(self) -> None:
+        cases: tuple[tuple[str, object], ...] = (
+            ("zone", {**SETTINGS, "zone": 3}),
+            ("node_name", {k: v for k, v in SETTINGS.items() if k != "node_name"}),
+            ("platform.address", {**SETTINGS, "platform": {"address": "nowhere"}}),
+            ("object", []),
+        )
+        for field, settings in cases:
+            with self.subTest(field):
+                path = self.write(settings)
+                with self.assertRaisesRegex(SettingsFileError, field):
+                    read_settings_file(path)
+
+    def test_missing_file_and_missing_variable(self) -> None:
+        for path in ("", "/nonexistent/local.json"):
+            with self.subTest(path), self.assertRaises(SettingsFileError):
+                read_settings_file(path)
+
+    def test_check_command(self) -> None:
+        cases: tuple[tuple[dict[str, Any], int], ...] = (
+            (SETTINGS, EXIT_OK),
+            ({}, EXIT_INVALID),
+        )
+        for settings, code in cases:
+            with self.subTest(code=code):
+                path = self.write(settings)
+                output = io.StringIO()
+                with (
+                    contextlib.redirect_stdout(output),
+                    contextlib.redirect_stderr(output),
+                ):
+                    self.assertEqual(main(["--settings", path, "--check"]), code)
+                self.assertIn(path, output.getvalue())
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -10,7 +10,7 @@
     TERM_PROOF_SECONDS,
     Group,
 )
-from beryltiller.sessions.placement import Need, Placer, read_need
+from beryltiller.sessions.placement import DRAIN_SECONDS, Need, Placer, read_need
 from beryltiller.sessions.registry import LAPSE_GRACE_SECONDS, Registry
 from beryltiller.sessions.statements import DatabaseStatus
 
@@ -28,7 +28,7 @@
 def group(*databases: Database) -> Group:
     """Return a group of the databases given, or of a leader and two replicas."""
     made = Group("s")
-    made.update(databases or (LEADER, NEAR, FAR))
+    made.update(databases or (LEADER, NEAR, FAR), 0.0)
     return made
 
 
@@ -43,7 +43,7 @@
     def test_the_one_that_became_primary_last(self) -> None:
         """The entry of a dead primary stays for some seconds."""
         made = group()
-        made.update((LEADER, replace(NEAR, is_primary=True), FAR))
+        made.update((LEADER, replace(NEAR, is_primary=True), FAR), 0.0)
         leader = made.leader
         assert leader is not None
         self.assertEqual(leader.database.identifier, "r1")
@@ -62,7 +62,7 @@
     def test_database_that_started_anew_is_not_known(self) -> None:
         made = group()
         made.members["r1"].answered(Position(1, 9))
-        made.update((LEADER, replace(NEAR, incarnation=7), FAR))
+        made.update((LEADER, replace(NEAR, incarnation=7), FAR), 0.0)
         self.assertIsNone(made.members["r1"].applied)
 
 
@@ -108,7 +108,7 @@
     def test_tenure_tells_reigns_apart(self) -> None:
         made = self.proved()
         before = made.tenure
-        made.update((LEADER, replace(NEAR, is_primary=True), FAR))
+        made.update((LEADER, replace(NEAR, is_primary=True), FAR), 0.0)
         self.assertNotEqual(made.tenure, before)
 
 
@@ -175,9 +175,20 @@
 
     def test_draining_database_gets_no_reads(self) -> None:
         made = self.with_floor()
-        made.update((LEADER, NEAR, replace(FAR, is_draining=True)))
+        made.update((LEADER, NEAR, replace(FAR, is_draining=True)), 0.0)
         self.assertNotEqual(self.place(made), "r2")
 
+    def test_draining_leader_without_successor_gets_no_work_in_the_end(self) -> None:
+        made = group()
+        made.update((replace(LEADER, is_draining=True), NEAR, FAR), 1.0)
+        for now, is_placed in (
+            (1.0 + DRAIN_SECONDS, True),
+            (1.1 + DRAIN_SECONDS, False),
+        ):
+            with self.subTest(now=now):
+                placement = Placer("b").place_leader(made, now, frozenset())
+                self.assertEqual(placement is not None, is_placed)
+
     def test_need_of_each_kind(self) -> None:
         own = Position(1, 3)
         cases = (
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -27,14 +27,14 @@
 
 def on_rig(work: Work, kind: RouteKind = RouteKind.READ_YOUR_WRITES) -> Rig:
     """Run work on a rig whose leader is proved to lead; return the rig."""
-    rig = Rig(kind)
 
-    async def entered() -> None:
+    async def entered() -> Rig:
+        rig = Rig(kind)
         await work(rig)
         rig.fleet.close()
+        return rig
 
-    run_virtual(entered())
-    return rig
+    return run_virtual(entered())
 
 
 class SingleStatementTest(unittest.TestCase):
@@ -69,6 +69,18 @@
 
         self.assertEqual(on_rig(work).leader.ran, [])
 
+    def test_new_leader_is_found_without_the_store(self) -> None:
+        """A proxy that the store refused went on refusing writes after a promotion."""
+
+        async def work(rig: Rig) -> None:
+            rig.leader.is_primary = False
+            rig.near.is_primary = True
+            rig.near.term = rig.far.term = 2
+            reply = await rig.run(rig.session(), Write("i", "d"))
+            self.assertTrue(reply.is_success)
+
+        self.assertIn("Write", on_rig(work).near.texts())
+
     def test_read_goes_elsewhere_when_the_connection_breaks(self) -> None:
         async def work(rig: Rig) -> None:
             await rig.run(rig.session(), Write("i", "d"))
