Ask the databases for a new primary only while the store is away

Change: while the entries are followed, they tell of a new primary; the databases are asked only when the store cannot be followed.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -176,6 +176,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._fleet.close_idle()
+            self._fleet.store_seen(self._databases_feed.is_reachable)
             await self._steward.probe_doubtful()
             await self._watch_isolation()
             lapse = self._registry.next_lapse()
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -50,6 +50,7 @@
         self._questions: dict[str, asyncio.Task[None]] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
         self._leader_asked_at: dict[str, float] = {}
+        self._follows_store = False
 
     @property
     def configuration(self) -> Configuration | None:
@@ -80,6 +81,10 @@
         self._update_groups()
         self._close_lenders()
 
+    def store_seen(self, is_followed: bool) -> None:
+        """Take in whether the databases' entries are followed just now."""
+        self._follows_store = is_followed
+
     def group(self, service: str) -> Group:
         """Return a service's group."""
         group = self._groups.get(service)
@@ -128,13 +133,13 @@
         await asyncio.wait((survey,), timeout=SURVEY_WAIT_SECONDS)
 
     async def find_leader(self, group: Group) -> None:
-        """Ask the databases who leads, when none is known to and works.
+        """Ask the databases who leads, when neither they nor the store have told.
 
         So a proxy that the store does not serve learns of a new primary.
         """
         now = self._clock()
         leader = group.leader
-        if leader is not None and leader.is_available(now):
+        if self._follows_store or (leader and leader.is_available(now)):
             return
         asked_at = self._leader_asked_at.get(group.service, NEVER)
         if now < asked_at + FIND_LEADER_SECONDS:
