Forget unanswered writes after a second: they said a healthy primary was stalled

Change: a primary counts as stalled only while writes go unanswered, the last one within a second. Conclusion: tests/test_session_groups.py StallTest fails without the limit.

--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -22,6 +22,9 @@
 KEPT_SAMPLES_SECONDS = 4.0
 MIN_SAMPLE_SPACING_SECONDS = 0.02
 
+# A write that went unanswered longer ago says nothing of now.
+STALL_MEMORY_SECONDS = 1.0
+
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.0
 LAGGING_PENALTY_SECONDS = 0.15
@@ -49,9 +52,7 @@
     """One database as this proxy finds it: failures, load and applied position.
 
     `term` is the newest term in which it is known to have led or followed;
-    `lead_serial` grows with each database that was seen to become primary;
-    `stalled_since` is when a write was sent that it has left unanswered, with none
-    acknowledged since.
+    `lead_serial` grows with each database that was seen to become primary.
     """
 
     def __init__(self, database: Database) -> None:
@@ -65,7 +66,8 @@
         self.is_lead_heard = False
         self.lead_serial = 0
         self.term = 0
-        self.stalled_since: float | None = None
+        self._stalled_since: float | None = None
+        self._unacknowledged_at = NEVER
         self.drains_since: float | None = None
         self._failures = 0
         self._retry_at = NEVER
@@ -77,6 +79,26 @@
         """Return how many statements are in execution."""
         return self._in_flight
 
+    def stalled_since(self, now: float) -> float | None:
+        """Return since when writes go unanswered, with none acknowledged.
+
+        None when no write has gone unanswered of late: what was seen in a cut says
+        nothing of the time after it.
+        """
+        if now > self._unacknowledged_at + STALL_MEMORY_SECONDS:
+            return None
+        return self._stalled_since
+
+    def unacknowledged(self, asked_at: float, now: float) -> None:
+        """Take in that a write was not answered in time."""
+        if self.stalled_since(now) is None:
+            self._stalled_since = asked_at
+        self._unacknowledged_at = now
+
+    def acknowledged(self) -> None:
+        """Take in that a write was acknowledged."""
+        self._stalled_since = None
+
     @property
     def silent_since(self) -> float | None:
         """Return since when statements are in execution without any answer."""
@@ -249,15 +271,10 @@
 
     def acknowledged(self, member: Member, asked_at: float) -> None:
         """Take in a commit of the leader that a replica has received."""
-        member.stalled_since = None
+        member.acknowledged()
         if member.database.identifier == self._leader:
             self._prove(asked_at)
 
-    def unacknowledged(self, member: Member, asked_at: float) -> None:
-        """Take in that a write was not answered in time."""
-        if member.stalled_since is None:
-            member.stalled_since = asked_at
-
     def status_heard(
         self, member: Member, status: DatabaseStatus, asked_at: float
     ) -> None:
--- a/src/beryltiller/sessions/serving.py
+++ b/src/beryltiller/sessions/serving.py
@@ -493,7 +493,7 @@
             pin.lender.drop(pin.lent)
             self._fleet.failed(member)
             if _is_commit_of_write(session, request):
-                group.unacknowledged(member, asked_at)
+                member.unacknowledged(asked_at, self._clock())
             raise BrokenError("the database did not answer in time") from error
         except BrokenError:
             pin.lender.drop(pin.lent)
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -135,7 +135,7 @@
             ),
             tuple(database.identifier for database in departed),
             leader.failing_since if leader else None,
-            leader.stalled_since if leader else None,
+            leader.stalled_since(now) if leader else None,
             self._headless_since.get(service),
         )
 
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -7,6 +7,7 @@
 from beryltiller.sessions.catalog import Database, Route, RouteKind
 from beryltiller.sessions.groups import (
     KEPT_SAMPLES_SECONDS,
+    STALL_MEMORY_SECONDS,
     TERM_PROOF_SECONDS,
     Group,
 )
@@ -66,6 +67,28 @@
         self.assertIsNone(made.members["r1"].applied)
 
 
+class StallTest(unittest.TestCase):
+    """A primary that acknowledges no write, and what is forgotten of it."""
+
+    def test_stalled_until_a_write_is_acknowledged(self) -> None:
+        made = group()
+        leader = made.members["p"]
+        leader.unacknowledged(1.0, 2.0)
+        leader.unacknowledged(1.5, 2.5)
+        self.assertEqual(leader.stalled_since(2.6), 1.0)
+        made.acknowledged(leader, 2.4)
+        self.assertIsNone(leader.stalled_since(2.6))
+
+    def test_what_was_seen_long_ago_does_not_count(self) -> None:
+        """After a cut, a healthy primary was replaced for writes lost in the cut."""
+        leader = group().members["p"]
+        leader.unacknowledged(1.0, 2.0)
+        late = 2.1 + STALL_MEMORY_SECONDS
+        self.assertIsNone(leader.stalled_since(late))
+        leader.unacknowledged(late - 1.0, late)
+        self.assertEqual(leader.stalled_since(late), late - 1.0)
+
+
 class EvidenceTest(unittest.TestCase):
     """What proves that the leader's term is in force, and for how long."""
 
