Split the serving of sessions; give a transaction's connection back on a late step

Change: execution, single, transacting and serving are modules of their own, as are the types of a succession; a transaction that fails is undone whatever failed. Conclusion: the new test fails on the module before and passes now.

--- /dev/null
+++ b/src/beryltiller/sessions/single.py
@@ -0,0 +1,137 @@
+"""Single statements of sessions, outside a transaction.
+
+A read is tried at another database when one refuses or breaks off. A write is never
+sent twice: once it was sent and its answer is lost, its outcome is unknown.
+"""
+
+from dataclasses import replace
+
+from beryltiller.sessions.catalog import Route
+from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
+from beryltiller.sessions.execution import Executor, may_run_elsewhere, return_pin
+from beryltiller.sessions.groups import Group, Tenure
+from beryltiller.sessions.placement import Need, Placement, read_need
+from beryltiller.sessions.session import Pin, Session
+from beryltiller.sessions.statements import (
+    Code,
+    Reply,
+    Request,
+    SessionState,
+    Statement,
+)
+
+MAX_READ_ATTEMPTS = 4
+MAX_WRITE_ATTEMPTS = 2
+
+
+class SingleStatements:
+    """Serve the single statements of all sessions; on one event loop."""
+
+    def __init__(self, executor: Executor) -> None:
+        """Run through the executor."""
+        self._executor = executor
+
+    async def answer(
+        self, session: Session, identifier: str, statement: Statement, arrived: float
+    ) -> Reply:
+        """Answer a read or a write that arrived at a moment."""
+        route = self._executor.route(session.database_name)
+        if route is None:
+            return session.refuse(Code.NO_ROUTE, session.database_name)
+        request = Request(statement, identifier)
+        try:
+            if session.is_write(statement):
+                return await self._write(session, route, request, arrived)
+            return await self._read(session, route, request, arrived)
+        except SessionError as error:
+            return session.refuse(error.code, error.reason)
+
+    async def _read(
+        self, session: Session, route: Route, request: Request, arrived: float
+    ) -> Reply:
+        group = self._executor.group(route.service)
+        need = read_need(route, arrived, session.committed.get(route.service))
+        deadline = arrived + route.timeout_seconds
+        tried: set[str] = set()
+        last = NotSentError(Code.BUSY, f"no database of {route.service} can serve")
+        for _ in range(MAX_READ_ATTEMPTS):
+            placement = await self._executor.place_read(group, need, tried)
+            if placement is None:
+                break
+            tried.add(placement.member.database.identifier)
+            placed = Request(request.statement, request.identifier, placement.since)
+            try:
+                reply = await self._run_single(
+                    session, route, group, placement, placed, need, deadline
+                )
+            except BrokenError as error:
+                last = NotSentError(Code.ABORTED, error.reason)
+                continue
+            except NotSentError as error:
+                last = error
+                continue
+            if reply.code is None or not _may_read_elsewhere(reply.code):
+                return reply
+            last = NotSentError(reply.code, reply.text)
+        raise last
+
+    async def _write(
+        self, session: Session, route: Route, request: Request, arrived: float
+    ) -> Reply:
+        group = self._executor.group(route.service)
+        deadline = arrived + route.timeout_seconds
+        tried: set[str] = set()
+        last = NotSentError(Code.BUSY, f"no primary of {route.service} is known")
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            placement = await self._executor.place_leader(group, tried)
+            if placement is None:
+                break
+            tried.add(placement.member.database.identifier)
+            need = Need(arrived)
+            try:
+                reply = await self._run_single(
+                    session, route, group, placement, request, need, deadline
+                )
+            except NotSentError as error:
+                last = error
+                continue
+            if reply.is_success:
+                session.commits(route.service, reply.position)
+            if reply.code is not Code.READ_ONLY:
+                return reply
+            last = NotSentError(Code.READ_ONLY, reply.text)
+        raise last
+
+    async def _run_single(
+        self,
+        session: Session,
+        route: Route,
+        group: Group,
+        placement: Placement,
+        request: Request,
+        need: Need,
+        deadline: float,
+    ) -> Reply:
+        """Run a statement outside a transaction on a connection lent for it."""
+        lender = self._executor.lender(placement)
+        wait = self._executor.queue_seconds(route, deadline)
+        changes = group.leader_changes
+        await lender.gate.enter(route.priority, wait)
+        try:
+            lent = await self._executor.lend(placement.member, lender, session, wait)
+            pin = Pin(lent, lender, placement)
+            reply = await self._executor.run(session, group, pin, request, deadline)
+        finally:
+            lender.gate.leave()
+        return_pin(pin, reply)
+        if reply.state is not SessionState.IDLE:
+            reply = replace(reply, state=SessionState.IDLE)
+        is_write = session.is_write(request.statement)
+        if reply.is_success and placement.needs_proof and not is_write:
+            tenure = Tenure(changes, placement.member.term)
+            await self._executor.prove(group, tenure, need, deadline)
+        return reply
+
+
+def _may_read_elsewhere(code: Code) -> bool:
+    return may_run_elsewhere(code) or code is Code.FAILED
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -12,7 +12,7 @@
 from beryltiller.core.ports import PortError, RefusedError
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
-from beryltiller.sessions import succession
+from beryltiller.sessions import succession, succession_state
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.fleet import Fleet
@@ -38,7 +38,7 @@
     """Look at the groups."""
 
 
-Action = Look | succession.Action
+Action = Look | succession_state.Action
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,30 +90,33 @@
 
     def part(
         self,
-    ) -> Part[succession.State, succession.Event | None, Action]:
+    ) -> Part[succession_state.State, succession_state.Event | None, Action]:
         """Return the part whose actor decides; its ticks are empty."""
         return Part(
             PART_NAME,
             LOOK_SECONDS,
             None,
-            lambda now: succession.State(),
+            lambda now: succession_state.State(),
             self._decide,
             self._perform,
         )
 
     def _decide(
-        self, state: succession.State, event: succession.Event | None, _: float
-    ) -> tuple[succession.State, tuple[Action, ...]]:
+        self,
+        state: succession_state.State,
+        event: succession_state.Event | None,
+        _: float,
+    ) -> tuple[succession_state.State, tuple[Action, ...]]:
         """Decide in the actor; what the loop owns is looked at on the loop."""
         if event is None:
             return state, (Look(),)
         return self._policy.decide(state, event, self._clock())
 
-    def _look(self, now: float) -> succession.Seen:
+    def _look(self, now: float) -> succession_state.Seen:
         views = tuple(self._view(group, now) for group in tuple(self._fleet.groups()))
-        return succession.Seen(views, self._is_store_reachable())
+        return succession_state.Seen(views, self._is_store_reachable())
 
-    def _view(self, group: Group, now: float) -> succession.GroupView:
+    def _view(self, group: Group, now: float) -> succession_state.GroupView:
         leader = group.leader
         service = group.service
         if leader is not None:
@@ -122,7 +125,7 @@
             self._headless_since.setdefault(service, now)
         self._log_leader(group, leader)
         departed = self._fleet.directory.departed_of(service)
-        return succession.GroupView(
+        return succession_state.GroupView(
             service,
             leader.database.identifier if leader else None,
             leader.database.is_draining if leader else False,
@@ -145,42 +148,44 @@
             self._leaders[group.service] = name
             logs.log(logs.LeaderChanged(group.service, name, group.term))
 
-    async def _perform(self, action: Action) -> succession.Event | None:
+    async def _perform(self, action: Action) -> succession_state.Event | None:
         match action:
             case Look():
                 return self._look(self._clock())
-            case succession.Claim():
+            case succession_state.Claim():
                 return await self._claim(action)
-            case succession.FenceAll():
+            case succession_state.FenceAll():
                 return await self._fence_all(action)
-            case succession.Promote():
+            case succession_state.Promote():
                 return await self._promote(action)
-            case succession.UnfenceAll(service, replicas):
+            case succession_state.UnfenceAll(service, replicas):
                 await self._command_all(service, replicas, Unfence())
                 return None
 
-    async def _claim(self, action: succession.Claim) -> succession.Event:
-        if action.cause is succession.Cause.FAILING:
+    async def _claim(self, action: succession_state.Claim) -> succession_state.Event:
+        if action.cause is succession_state.Cause.FAILING:
             await self._probe(action.service)
             leader = self._fleet.group(action.service).leader
             if leader is not None and leader.failing_since is None:
-                return succession.ClaimLost(action.service)
+                return succession_state.ClaimLost(action.service)
         try:
             held = await self._duty.claim(action.service, succession.DUTY_SECONDS)
         except PortError as error:
             logs.log(logs.ClaimRefused(action.service, str(error)))
-            return succession.ClaimLost(action.service)
+            return succession_state.ClaimLost(action.service)
         self._newest_token = max(self._newest_token, held.token)
         cause = action.cause.value
         logs.log(logs.SuccessionStarted(action.service, held.token, cause))
-        return succession.Claimed(action.service, held.token, held.asked_at)
+        return succession_state.Claimed(action.service, held.token, held.asked_at)
 
-    async def _fence_all(self, action: succession.FenceAll) -> succession.Event:
+    async def _fence_all(
+        self, action: succession_state.FenceAll
+    ) -> succession_state.Event:
         service = action.service
         others = (*action.replicas, *action.departed)
         seen = await self._command_all(service, others, AskStatus())
         if any(item is not None and item.is_primary for item in seen.values()):
-            return succession.FencesAnswered(service, seen)
+            return succession_state.FencesAnswered(service, seen)
         if action.former is not None:
             await self._command_all(service, (action.former,), StepDown(action.term))
         statuses = await self._command_all(service, others, Fence(action.term))
@@ -195,14 +200,16 @@
                 ),
             )
         )
-        return succession.FencesAnswered(service, statuses, gone)
+        return succession_state.FencesAnswered(service, statuses, gone)
 
-    async def _promote(self, action: succession.Promote) -> succession.Event | None:
+    async def _promote(
+        self, action: succession_state.Promote
+    ) -> succession_state.Event | None:
         service, successor = action.service, action.successor
         is_accepted = is_refused = False
         reason = ""
         if self._clock() > action.deadline:
-            return succession.PromotionAnswered(service, False, False)
+            return succession_state.PromotionAnswered(service, False, False)
         try:
             await self._duty.promote(service, successor, self._newest_token)
             is_accepted = True
@@ -212,7 +219,7 @@
         except PortError as error:
             reason = str(error)
         logs.log(logs.PromotionAsked(service, successor, is_accepted, reason))
-        return succession.PromotionAnswered(service, is_accepted, is_refused)
+        return succession_state.PromotionAnswered(service, is_accepted, is_refused)
 
     async def _command_all(
         self, service: str, names: Iterable[str], statement: OwnStatement
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -27,6 +27,7 @@
     "registry",
     "statements",
     "succession",
+    "succession_state",
 )
 _IO = frozenset(
     {
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -207,6 +207,22 @@
 
         self.assertEqual(on_rig(work).leader.texts().count("Rollback"), 2)
 
+    def test_step_that_waits_too_long_gives_its_connection_back(self) -> None:
+        """The connection stayed lent, with the transaction open, for ever."""
+
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            await rig.run(session, Begin())
+            await rig.run(session, Write("i", "d"))
+            lender = rig.fleet.lender(rig.leader.entry())
+            while lender.gate.try_enter():
+                pass
+            reply = await rig.run(session, Read("i"))
+            self.assertEqual((reply.code, reply.state), (Code.BUSY, FAILED))
+            self.assertEqual(lender.lent, 0)
+
+        self.assertEqual(on_rig(work).leader.texts()[-1], "Rollback")
+
     def test_idle_transaction_is_ended(self) -> None:
         async def work(rig: Rig) -> None:
             session = rig.session()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -9,7 +9,8 @@
 from beryltiller.sessions import succession
 from beryltiller.sessions.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession import (
+from beryltiller.sessions.succession import SuccessionPolicy, cause_of
+from beryltiller.sessions.succession_state import (
     Action,
     Cause,
     Claim,
@@ -23,9 +24,7 @@
     PromotionAnswered,
     Seen,
     State,
-    SuccessionPolicy,
     UnfenceAll,
-    cause_of,
 )
 
 HEALTHY = GroupView("s", "old", False, 1, ("a", "b"))
