--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,123 @@
+"""Tests of the store's client and of the promotion duty, against a stand-in."""
+
+import time
+import unittest
+
+import aiohttp
+
+from beryltiller.core.ports import (
+    HistoryLostError,
+    LostAnswerError,
+    RefusedError,
+    Write,
+)
+from beryltiller.platform.duty import DUTY_KEY, TABLE, Duty
+from beryltiller.platform.store import Store
+from tests.fake_store import FakeStore
+
+
+class StoreRig(unittest.IsolatedAsyncioTestCase):
+    """A stand-in with a client of it."""
+
+    async def asyncSetUp(self) -> None:
+        self.fake = FakeStore()
+        runner, self.address = await self.fake.start()
+        self.addAsyncCleanup(runner.cleanup)
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        self.store = Store(self.session, self.address)
+
+    def duty(self, holder: str) -> Duty:
+        """Return the duty as one proxy sees it."""
+        return Duty(self.session, self.store, self.address, holder, time.monotonic)
+
+
+class StoreTest(StoreRig):
+    """Reads, feeds and conditional writes."""
+
+    async def test_whole_table_over_many_pages(self) -> None:
+        for number in range(1200):
+            self.fake.put("t", f"k{number:04}", b"v")
+        self.fake.put("other", "k", b"v")
+        scan = await self.store.whole("t")
+        self.assertEqual(len({row.key for row in scan.rows}), 1200)
+        self.assertEqual(scan.revision, self.fake.version)
+
+    async def test_changes_and_removals(self) -> None:
+        self.fake.put("t", "a", b"1")
+        scan = await self.store.whole("t")
+        self.fake.put("t", "b", b"2")
+        self.fake.drop("t", "a")
+        changes = await self.store.changes("t", scan.revision, 0.0)
+        self.assertEqual([(row.key, row.value) for row in changes.rows], [("b", b"2")])
+        self.assertEqual(changes.removed, ("a",))
+
+    async def test_lost_history_is_told_apart(self) -> None:
+        self.fake.oldest = 100
+        with self.assertRaises(HistoryLostError):
+            await self.store.changes("t", 5, 0.0)
+
+    async def test_refusals_and_lost_answers_are_told_apart(self) -> None:
+        write = (Write("t", "a", 0, b"1"),)
+        for status in (429, 503):
+            self.fake.refuse = status
+            with self.subTest(status), self.assertRaises(RefusedError):
+                await self.store.commit(write)
+        self.fake.refuse = 0
+        self.fake.loses_answers = True
+        with self.assertRaises(LostAnswerError):
+            await self.store.commit(write)
+        self.fake.loses_answers = False
+        with self.assertRaisesRegex(RefusedError, "conflict"):
+            await self.store.commit(write)
+
+    async def test_nobody_there(self) -> None:
+        store = Store(self.session, "127.0.0.1:1")
+        with self.assertRaisesRegex(RefusedError, "unreachable"):
+            await store.read("t", "a")
+
+
+class DutyTest(StoreRig):
+    """One holder at a time, with a token that rises with every claim."""
+
+    async def test_second_holder_waits_until_the_first_claim_is_over(self) -> None:
+        first = await self.duty("one").claim("s", 4.0)
+        with self.assertRaisesRegex(RefusedError, "held: by one"):
+            await self.duty("two").claim("s", 4.0)
+        self.fake.now_ms += 4_000
+        second = await self.duty("two").claim("s", 4.0)
+        self.assertGreater(second.token, first.token)
+
+    async def test_same_host_started_anew_has_a_higher_token(self) -> None:
+        first = await self.duty("one").claim("s", 4.0)
+        again = await self.duty("one").claim("s", 4.0)
+        self.assertGreater(again.token, first.token)
+
+    async def test_new_claim_serves_other_services_too(self) -> None:
+        duty = self.duty("one")
+        first = await duty.claim("s", 4.0)
+        self.assertEqual(await duty.claim("t", 4.0), first)
+
+    async def test_two_that_read_the_same_row_cannot_both_claim(self) -> None:
+        dated = await self.store.read(TABLE, DUTY_KEY)
+        self.assertIsNone(dated.row)
+        await self.duty("one").claim("s", 4.0)
+        with self.assertRaisesRegex(RefusedError, "conflict"):
+            await self.store.commit((Write(TABLE, DUTY_KEY, 0, b"{}"),))
+
+    async def test_claim_whose_answer_is_lost_is_not_used(self) -> None:
+        duty = self.duty("one")
+        self.fake.loses_answers = True
+        with self.assertRaises(LostAnswerError):
+            await duty.claim("s", 4.0)
+        self.fake.loses_answers = False
+        held = await duty.claim("s", 4.0)
+        self.assertEqual(held.token, self.fake.version)
+
+    async def test_promotion_carries_holder_and_token(self) -> None:
+        duty = self.duty("one")
+        await duty.promote("s", "i-1", 17)
+        self.assertEqual(self.fake.promotions, [("s", "i-1", "one", "17")])
+        for status, pattern in ((409, "not running"), (429, "status 429")):
+            self.fake.promotion_status = status
+            with self.subTest(status), self.assertRaisesRegex(RefusedError, pattern):
+                await duty.promote("s", "i-1", 17)
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -117,6 +117,33 @@
 FAILED = SessionState.FAILED
 
 
+class ConfigurationTest(unittest.TestCase):
+    """A configuration is in force from the next transaction on, and never reverts."""
+
+    def test_older_configuration_is_not_adopted(self) -> None:
+        async def work(rig: Rig) -> None:
+            present = rig.fleet.configuration
+            assert present is not None
+            newer = replace(present, version=3, routes={})
+            self.assertTrue(rig.fleet.adopt(newer))
+            self.assertFalse(rig.fleet.adopt(replace(present, version=2)))
+            self.assertIs(rig.fleet.configuration, newer)
+
+        on_rig(work)
+
+    def test_removed_route_is_refused_in_open_sessions(self) -> None:
+        async def work(rig: Rig) -> None:
+            session = rig.session()
+            present = rig.fleet.configuration
+            assert present is not None
+            rig.fleet.adopt(replace(present, version=2, routes={}))
+            for statement in (Read("i"), Write("i", "d"), Begin()):
+                reply = await rig.run(session, statement)
+                self.assertIs(reply.code, Code.NO_ROUTE)
+
+        self.assertEqual(on_rig(work).leader.ran, [])
+
+
 class TransactionTest(unittest.TestCase):
     """Statements between a begin and its end, on one connection."""
 
