--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -93,6 +93,8 @@
 
     def test_read_sees_the_sessions_own_commit(self) -> None:
         async def work(rig: Rig) -> None:
+            rig.leader.zone = "b"
+            rig.register()
             session = rig.session()
             await rig.run(session, Write("i", "d"))
             reply = await rig.run(session, Read("i"))
