Wait for a replica that may be hidden with a failing primary, drained or not

Change: a database whose entry went after the trouble began is waited for; one that went before is gone. A survey needs the leader's entry; a group without any primary is given one after 4 s.

--- a/src/beryltiller/sessions/catalog.py
+++ b/src/beryltiller/sessions/catalog.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+HIDDEN_MARGIN_SECONDS = 1.0
+
 
 @unique
 class RouteKind(Enum):
@@ -73,14 +75,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Directory:
-    """All registered databases by identifier.
+class Departed:
+    """A database whose entry went at `missing_since`; it may live all the same."""
+
+    database: Database
+    missing_since: float
 
-    `departed` are those whose entries went without a drain; they may live all the same.
-    """
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """All registered databases by identifier, and those that have departed."""
 
     databases: Mapping[str, Database] = field(default_factory=dict)
-    departed: tuple[Database, ...] = ()
+    departed: tuple[Departed, ...] = ()
 
     def of_service(self, service: str) -> tuple[Database, ...]:
         """Return the service's databases."""
@@ -91,6 +98,18 @@
         )
         return tuple(found)
 
-    def departed_of(self, service: str) -> tuple[Database, ...]:
+    def departed_of(self, service: str) -> tuple[Departed, ...]:
         """Return the service's databases that departed."""
-        return tuple(each for each in self.departed if each.service == service)
+        return tuple(each for each in self.departed if each.database.service == service)
+
+    def hidden_of(self, service: str, trouble_since: float) -> tuple[Departed, ...]:
+        """Return the departed that may be cut off together with a failing primary.
+
+        One whose entry went before the trouble began is gone for good; one that went
+        later may be with the primary on the other side of a cut, also when it was
+        draining, and may go on receiving what the primary acknowledges.
+        """
+        since = trouble_since - HIDDEN_MARGIN_SECONDS
+        return tuple(
+            each for each in self.departed_of(service) if each.missing_since >= since
+        )
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -213,13 +213,16 @@
         try:
             asked_at = self._clock()
             members = tuple(group.members.values())
-            departed = self._directory.departed_of(group.service)
+            departed = self._directory.hidden_of(group.service, _trouble_since(group))
             statuses = await asyncio.gather(*map(self._status_or_none, members))
             heard = []
             for member, status in zip(members, statuses, strict=True):
                 if status is not None:
                     heard.append(status.received)
                     group.status_heard(member, status, asked_at)
+            if group.leader is None:
+                # A fresh process may not know all databases that hold commits.
+                return
             if heard and len(heard) >= len(members) + len(departed) - 1:
                 group.surveyed(tuple(heard), asked_at)
         finally:
@@ -284,3 +287,11 @@
 
 def _key(database: Database) -> Key:
     return database.identifier, database.address, database.incarnation
+
+
+def _trouble_since(group: Group) -> float:
+    """Return since when the leader fails; without one, all that departed count."""
+    leader = group.leader
+    if leader is None or leader.failing_since is None:
+        return NEVER
+    return leader.failing_since
--- a/src/beryltiller/sessions/registry.py
+++ b/src/beryltiller/sessions/registry.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Iterable
 
-from beryltiller.sessions.catalog import Database, Directory
+from beryltiller.sessions.catalog import Database, Departed, Directory
 
 # Entries that lapsed by mistake are back within two seconds of the store's return.
 LAPSE_GRACE_SECONDS = 2.5
-# How long a database that went without draining is remembered as perhaps alive.
+# How long a database whose entry went is remembered as perhaps alive.
 DEPARTED_SECONDS = 60.0
 
 
@@ -49,11 +49,10 @@
             if now < since + LAPSE_GRACE_SECONDS:
                 continue
             del self._missing[identifier]
-            if not database.is_draining:
-                self._departed[identifier] = (database, now)
+            self._departed[identifier] = (database, since)
         held = {key: database for key, (database, _) in self._missing.items()}
         departed = tuple(
-            database
+            Departed(database, since)
             for database, since in self._departed.values()
             if now < since + DEPARTED_SECONDS
         )
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -31,6 +31,8 @@
 COMMAND_TIMEOUT_SECONDS = 0.5
 # A leader that leaves statements without any answer for this long is asked.
 SILENCE_SECONDS = 0.4
+# A primary whose entry is no longer used may have been silent for this long.
+ENTRY_SILENCE_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +138,7 @@
                 for member in group.replicas
                 if member.database.is_draining
             ),
-            tuple(database.identifier for database in departed),
+            tuple(each.database.identifier for each in departed),
             leader.failing_since if leader else None,
             leader.stalled_since(now) if leader else None,
             self._headless_since.get(service),
@@ -189,7 +191,12 @@
         if action.former is not None:
             await self._command_all(service, (action.former,), StepDown(action.term))
         statuses = await self._command_all(service, others, Fence(action.term))
-        gone = frozenset(name for name in action.departed if statuses[name] is None)
+        hidden = self._hidden(service)
+        gone = frozenset(
+            name
+            for name in action.departed
+            if statuses[name] is None and name not in hidden
+        )
         logs.log(
             logs.ReplicasFenced(
                 service,
@@ -202,6 +209,23 @@
         )
         return succession_state.FencesAnswered(service, statuses, gone)
 
+    def _hidden(self, service: str) -> frozenset[str]:
+        """Return the departed that may be cut off together with the former primary."""
+        now = self._clock()
+        leader = self._fleet.group(service).leader
+        times = [now]
+        if leader is None:
+            headless_since = self._headless_since.get(service, now)
+            times.append(headless_since - ENTRY_SILENCE_SECONDS)
+        else:
+            times += [
+                since
+                for since in (leader.failing_since, leader.stalled_since(now))
+                if since is not None
+            ]
+        hidden = self._fleet.directory.hidden_of(service, min(times))
+        return frozenset(each.database.identifier for each in hidden)
+
     async def _promote(
         self, action: succession_state.Promote
     ) -> succession_state.Event | None:
@@ -254,9 +278,9 @@
         member: Member | None = self._fleet.group(service).members.get(name)
         if member is not None:
             return member.database
-        for database in self._fleet.directory.departed_of(service):
-            if database.identifier == name:
-                return database
+        for departed in self._fleet.directory.departed_of(service):
+            if departed.database.identifier == name:
+                return departed.database
         return None
 
     async def probe_doubtful(self) -> None:
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -39,8 +39,9 @@
 FAILING_SECONDS = 0.4
 # A primary that answers but acknowledges no write is replaced after this long.
 STALLED_SECONDS = 0.5
-# A service without any primary is given one after this long.
-HEADLESS_SECONDS = 1.0
+# A service without any primary is given one after this long: entries that lapsed by
+# mistake are back by then, also for a process that has just started.
+HEADLESS_SECONDS = 4.0
 # Proxies that notice together claim one after the other.
 CLAIM_SPREAD_SECONDS = 0.15
 RETRY_SECONDS = 0.2
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Database, Route, RouteKind
+from beryltiller.sessions.catalog import Database, Departed, Route, RouteKind
 from beryltiller.sessions.groups import (
     KEPT_SAMPLES_SECONDS,
     STALL_MEMORY_SECONDS,
@@ -236,7 +236,7 @@
         self.assertEqual(registry.next_lapse(), 2.0 + LAPSE_GRACE_SECONDS)
         directory = registry.directory(2.0 + LAPSE_GRACE_SECONDS)
         self.assertNotIn("r1", directory.databases)
-        self.assertEqual(directory.departed_of("s"), (NEAR,))
+        self.assertEqual(directory.departed_of("s"), (Departed(NEAR, 2.0),))
 
     def test_entry_that_is_back_is_as_before(self) -> None:
         registry = Registry()
@@ -248,8 +248,13 @@
         self.assertIn("r1", directory.databases)
         self.assertEqual(directory.departed, ())
 
-    def test_database_that_drained_is_not_waited_for(self) -> None:
+    def test_one_that_went_after_the_trouble_began_may_be_hidden(self) -> None:
+        """A draining replica, cut off with the primary, went on receiving."""
         registry = Registry()
         registry.replace((LEADER, replace(NEAR, is_draining=True)), 1.0)
-        registry.replace((LEADER,), 2.0)
-        self.assertEqual(registry.directory(9.0).departed, ())
+        registry.replace((LEADER,), 20.0)
+        directory = registry.directory(20.0 + LAPSE_GRACE_SECONDS)
+        for trouble_since, is_hidden in ((17.0, True), (20.5, True), (30.0, False)):
+            with self.subTest(trouble_since=trouble_since):
+                hidden = directory.hidden_of("s", trouble_since)
+                self.assertEqual(bool(hidden), is_hidden)
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from beryltiller.sessions.catalog import Directory, RouteKind
+from beryltiller.sessions.catalog import Departed, Directory, RouteKind
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -341,17 +341,18 @@
 class SurveyTest(unittest.TestCase):
     """Reads of a stated age go on without a primary, from what replicas received."""
 
-    def read_without_leader(self, *more_dark: str, departed: bool = False) -> bool:
+    def read_without_leader(self, *more_dark: str, has_departed: bool = False) -> bool:
         results: list[bool] = []
 
         async def work(rig: Rig) -> None:
             rig.leader.is_dark = True
             for name in more_dark:
                 rig.databases[name].is_dark = True
-            if departed:
+            if has_departed:
                 gone = replace(rig.far.entry(), identifier="gone")
                 entries = rig.fleet.directory.databases
-                rig.fleet.register(Directory(entries, (gone,)))
+                departed = (Departed(gone, virtual_now()),)
+                rig.fleet.register(Directory(entries, departed))
             reply = await rig.run(rig.session(), Read("i"))
             results.append(reply.is_success)
 
@@ -361,7 +362,19 @@
     def test_all_databases_but_one_are_needed(self) -> None:
         self.assertTrue(self.read_without_leader())
         self.assertFalse(self.read_without_leader("far"))
-        self.assertFalse(self.read_without_leader(departed=True))
+        self.assertFalse(self.read_without_leader(has_departed=True))
+
+    def test_nothing_is_known_without_a_leaders_entry(self) -> None:
+        """A process that had just started did not know of two hidden databases."""
+
+        async def work(rig: Rig) -> None:
+            entries = dict(rig.fleet.directory.databases)
+            del entries["leader"]
+            rig.fleet.register(Directory(entries))
+            reply = await rig.run(rig.session(), Read("i"))
+            self.assertFalse(reply.is_success)
+
+        on_rig(work, RouteKind.BOUNDED_STALENESS)
 
     def test_primary_route_is_refused_at_once(self) -> None:
         async def work(rig: Rig) -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -87,7 +87,7 @@
             ("all leave", replace(leaving, leaving=frozenset("ab")), None),
             (
                 "headless",
-                replace(HEALTHY, leader=None, headless_since=8.0),
+                replace(HEALTHY, leader=None, headless_since=5.0),
                 Cause.HEADLESS,
             ),
             ("alone", replace(FAILING, replicas=()), None),
