--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -90,6 +90,11 @@
                 replace(HEALTHY, leader=None, headless_since=5.0),
                 Cause.HEADLESS,
             ),
+            (
+                "headless just now",
+                replace(HEALTHY, leader=None, headless_since=7.0),
+                None,
+            ),
             ("alone", replace(FAILING, replicas=()), None),
         )
         for name, view, cause in cases:
