--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -219,9 +219,15 @@
 
 @dataclass(frozen=True, slots=True)
 class IsolationChanged:
-    """The proxy finds itself cut off and sends callers elsewhere, or no longer so."""
+    """The proxy finds itself cut off and sends callers elsewhere, or no longer so.
+
+    Of `services`, `whole` had a majority of their databases within reach when last
+    asked.
+    """
 
     is_isolated: bool
+    whole: int
+    services: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -23,7 +23,7 @@
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.following import Rows, TableFollower
-from beryltiller.sessions.isolation import IsolationMonitor
+from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
 from beryltiller.sessions.lending import DatabaseConnection
 from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.registry import Registry
@@ -32,6 +32,7 @@
 
 READINESS_PATH = "/beryltiller/readiness"
 HOUSEKEEPING_SECONDS = 0.3
+WATCH_SECONDS = 0.1
 # Balancers need two missed probes, a second apart, to send no more callers.
 BALANCER_SECONDS = 2.3
 DRAIN_STEP_SECONDS = 0.05
@@ -113,11 +114,16 @@
             self._source,
             boot_clock,
         )
+        self._isolation = IsolationWatch(
+            self._monitor, self._fleet, self._duty.is_store_reachable, boot_clock
+        )
         stack.callback(self._cancel_tasks)
         stack.callback(self._fleet.close)
         self._follow(records.OPERATOR_TABLE, self._configured)
         self._databases_feed = self._follow(records.DATABASES_TABLE, self._registered)
         self._spawn(self._keep_house())
+        self._spawn(self._watch_leaders())
+        self._spawn(self._watch_isolation())
         await self._serve_readiness(stack)
         caller = settings.caller_address
         await self._ingress.listen(caller.ip, caller.port)
@@ -177,23 +183,21 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._fleet.close_idle()
             self._fleet.store_seen(self._databases_feed.is_reachable)
-            await self._steward.probe_doubtful()
-            await self._watch_isolation()
+            if self._isolation.isolated_seconds() > BALANCER_SECONDS:
+                self._ingress.close_idle(is_lasting=False)
             lapse = self._registry.next_lapse()
             if lapse is not None and lapse <= boot_clock():
                 self._update_directory()
 
+    async def _watch_leaders(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            await self._steward.probe_doubtful()
+
     async def _watch_isolation(self) -> None:
-        """Look at the store while in doubt; let callers go while cut off."""
-        was_isolated = self._monitor.is_isolated
-        if not was_isolated and not self._monitor.is_suspected(boot_clock()):
-            return
-        is_reachable = await self._duty.is_store_reachable()
-        self._monitor.store_looked_at(is_reachable, boot_clock())
-        if self._monitor.is_isolated != was_isolated:
-            logs.log(logs.IsolationChanged(not was_isolated))
-        if self._monitor.is_isolated:
-            self._ingress.close_idle(is_lasting=False)
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            await self._isolation.look()
 
     async def _serve_readiness(self, stack: AsyncExitStack) -> None:
         app = web.Application()
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
 
 from beryltiller.sessions.catalog import Configuration, Database, Directory
 from beryltiller.sessions.errors import SessionError
@@ -29,10 +30,21 @@
 # While a group has no leader that works, its databases are asked this often.
 FIND_LEADER_SECONDS = 0.3
 
+# A leader that leaves statements without any answer for this long is asked.
+SILENCE_SECONDS = 0.25
+
 Connect = Callable[[Database], Awaitable[DatabaseConnection]]
 Key = tuple[str, str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """How many services have a majority of their databases within reach."""
+
+    services: int
+    whole: int
+
+
 class Fleet:
     """Own groups and lenders of one proxy; on one event loop."""
 
@@ -174,7 +186,48 @@
         except (SessionError, TimeoutError) as error:
             self._question_failed(member, error)
             return
-        member.answered(None)
+        member.lives(self._clock())
+
+    def doubtful_leaders(self) -> tuple[Member, ...]:
+        """Return the leaders that fail, or leave statements without any answer.
+
+        Other leaders of the same availability zone may have been lost with them.
+        """
+        now = self._clock()
+        leaders = [group.leader for group in self._groups.values() if group.leader]
+        doubtful = [each for each in leaders if _is_doubtful(each, now)]
+        zones = {each.database.availability_zone for each in doubtful}
+        return tuple(
+            each
+            for each in leaders
+            if each in doubtful
+            or (each.database.availability_zone in zones and not each.is_known(now))
+        )
+
+    def has_doubtful_leader(self) -> bool:
+        """Tell whether some leader fails or is silent."""
+        now = self._clock()
+        leaders = (group.leader for group in self._groups.values())
+        return any(each is not None and _is_doubtful(each, now) for each in leaders)
+
+    async def reach(self) -> Reach:
+        """Ask every database, and count the services whose majority answers."""
+        groups = [group for group in self._groups.values() if group.members]
+        results = await asyncio.gather(*map(self._has_majority, groups))
+        return Reach(len(groups), sum(results))
+
+    async def _has_majority(self, group: Group) -> bool:
+        members = tuple(group.members.values())
+        answers = await asyncio.gather(*map(self._answers, members))
+        return sum(answers) > len(members) // 2
+
+    async def _answers(self, member: Member) -> bool:
+        """Tell whether a database answers a question, if only that it is busy."""
+        try:
+            await self.ask_status(member)
+        except (SessionError, TimeoutError) as error:
+            return _is_refused_for_load(error)
+        return True
 
     def close_idle(self) -> None:
         """Close connections that nobody has used for long."""
@@ -239,9 +292,8 @@
             return None
 
     def _question_failed(self, member: Member, error: Exception) -> None:
-        """Take in a failure; a refusal because of load says nothing of health."""
-        is_busy = isinstance(error, SessionError) and error.code is Code.BUSY
-        if not is_busy:
+        """Take in a failure; a refusal because of load is no failure."""
+        if not _is_refused_for_load(error):
             member.failed(self._clock())
 
     async def _ask_leader(self, group: Group, leader: Member, term: int) -> None:
@@ -289,6 +341,19 @@
     return database.identifier, database.address, database.incarnation
 
 
+def _is_refused_for_load(error: Exception) -> bool:
+    """Tell whether a database refused, alive, what it has no slot or connection for."""
+    codes = (Code.BUSY, Code.CONNECTION_LIMIT)
+    return isinstance(error, SessionError) and error.code in codes
+
+
+def _is_doubtful(leader: Member, now: float) -> bool:
+    if leader.failing_since is not None:
+        return True
+    silent_since = leader.silent_since
+    return silent_since is not None and now > silent_since + SILENCE_SECONDS
+
+
 def _trouble_since(group: Group) -> float:
     """Return since when the leader fails; without one, all that departed count."""
     leader = group.leader
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -25,6 +25,9 @@
 # A write that went unanswered longer ago says nothing of now.
 STALL_MEMORY_SECONDS = 1.0
 
+# What was found out about a database's life counts for this long.
+KNOWN_SECONDS = 0.4
+
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.0
 LAGGING_PENALTY_SECONDS = 0.15
@@ -72,6 +75,8 @@
         self._failures = 0
         self._retry_at = NEVER
         self._failing_since: float | None = None
+        self._failed_at = NEVER
+        self._lived_at = NEVER
         self._lagging_until = NEVER
 
     @property
@@ -118,14 +123,23 @@
         """Tell whether statements may be sent, or a failed database tried again."""
         return now >= self._retry_at
 
+    def is_known(self, now: float) -> bool:
+        """Tell whether it was found out just now whether the database lives."""
+        return now < max(self._failed_at, self._lived_at) + KNOWN_SECONDS
+
     def is_lagging(self, now: float) -> bool:
         """Tell whether the database refused a read as too far behind just now."""
         return now < self._lagging_until
 
     def failed(self, now: float) -> None:
-        """Take in that the database could not be reached or broke off."""
+        """Take in that the database could not be reached or broke off.
+
+        It has been failing since it last answered, if statements were in execution.
+        """
         if self._failing_since is None:
-            self._failing_since = now
+            self._failing_since = (
+                now if self._silent_since is None else self._silent_since
+            )
         delay = min(FIRST_RETRY_SECONDS * 2**self._failures, MAX_RETRY_SECONDS)
         self._failures += 1
         self._retry_at = now + delay
@@ -155,6 +169,13 @@
         elif is_answered:
             self._silent_since = now
 
+    def lives(self, now: float) -> None:
+        """Take in that the database answered a question; statements may go on."""
+        self.answered(None)
+        self._lived_at = now
+        if self._in_flight:
+            self._silent_since = now
+
     def served(self, duration_seconds: float) -> None:
         """Take in how long a statement took."""
         change = duration_seconds - self.latency_seconds
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -27,10 +27,8 @@
 )
 
 PART_NAME = "succession"
-LOOK_SECONDS = 0.2
+LOOK_SECONDS = 0.1
 COMMAND_TIMEOUT_SECONDS = 0.5
-# A leader that leaves statements without any answer for this long is asked.
-SILENCE_SECONDS = 0.4
 # A primary whose entry is no longer used may have been silent for this long.
 ENTRY_SILENCE_SECONDS = 8.0
 
@@ -156,8 +154,14 @@
                 return self._look(self._clock())
             case succession_state.Claim():
                 return await self._claim(action)
+            case succession_state.StepFormerDown(service, term, former):
+                await self._command(service, former, StepDown(term))
+                return None
             case succession_state.FenceAll():
                 return await self._fence_all(action)
+            case succession_state.LookAfter(seconds):
+                await asyncio.sleep(seconds)
+                return self._look(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
             case succession_state.UnfenceAll(service, replicas):
@@ -188,8 +192,6 @@
         seen = await self._command_all(service, others, AskStatus())
         if any(item is not None and item.is_primary for item in seen.values()):
             return succession_state.FencesAnswered(service, seen)
-        if action.former is not None:
-            await self._command_all(service, (action.former,), StepDown(action.term))
         statuses = await self._command_all(service, others, Fence(action.term))
         hidden = self._hidden(service)
         gone = frozenset(
@@ -289,24 +291,11 @@
         So trouble is found before statements time out, and is seen to end.
         """
         now = self._clock()
-        leaders = (group.leader for group in tuple(self._fleet.groups()))
-        doubtful = [
-            leader
-            for leader in leaders
-            if leader is not None
-            and leader.is_available(now)
-            and _is_doubtful(leader, now)
-        ]
-        await asyncio.gather(*map(self._fleet.probe, doubtful))
+        leaders = self._fleet.doubtful_leaders()
+        asked = [leader for leader in leaders if leader.is_available(now)]
+        await asyncio.gather(*map(self._fleet.probe, asked))
 
     async def _probe(self, service: str) -> None:
         leader = self._fleet.group(service).leader
-        if leader is not None:
+        if leader is not None and not leader.is_known(self._clock()):
             await self._fleet.probe(leader)
-
-
-def _is_doubtful(leader: Member, now: float) -> bool:
-    if leader.failing_since is not None:
-        return True
-    silent_since = leader.silent_since
-    return silent_since is not None and now > silent_since + SILENCE_SECONDS
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -2,7 +2,8 @@
 
 Pure decisions: a state and an event go in, a new state and actions come out. The
 protocol is that of docs/PLATFORM.md, checked by `tests/spec_succession.py`:
-claim the duty, fence every replica, name the most advanced, hold, promote.
+claim the duty, fence every replica, name the most advanced, hold, promote. The former
+primary is stepped down meanwhile, which no step waits for.
 """
 
 import random
@@ -22,11 +23,13 @@
     FenceAll,
     FencesAnswered,
     GroupView,
+    LookAfter,
     Phase,
     Promote,
     PromotionAnswered,
     Seen,
     State,
+    StepFormerDown,
     Succession,
     UnfenceAll,
 )
@@ -36,7 +39,7 @@
 # The holder stops using a claim this much earlier.
 DUTY_MARGIN_SECONDS = 1.2
 # A primary is replaced after it has been failing for this long.
-FAILING_SECONDS = 0.4
+FAILING_SECONDS = 0.3
 # A primary that answers but acknowledges no write is replaced after this long.
 STALLED_SECONDS = 0.5
 # A service without any primary is given one after this long: entries that lapsed by
@@ -147,8 +150,11 @@
         former = succession.former
         replicas = tuple(name for name in view.replicas if name != former)
         departed = tuple(name for name in view.departed if name != former)
-        action = FenceAll(succession.service, term, former, replicas, departed)
-        return _with(state, succession), (action,)
+        service = succession.service
+        fence = FenceAll(service, term, replicas, departed)
+        if former is None:
+            return _with(state, succession), (fence,)
+        return _with(state, succession), (StepFormerDown(service, term, former), fence)
 
     def _fenced(
         self, state: State, event: FencesAnswered, service: str, now: float
@@ -167,15 +173,10 @@
         successor = self._choose(state, succession, heard)
         if silent or behind or not successor:
             term = max(succession.term, newest + 1) if behind else succession.term
-            retry = replace(succession, term=term, next_step_at=now + RETRY_SECONDS)
-            return _with(state, retry), ()
-        holding = replace(
-            succession,
-            phase=Phase.HOLDING,
-            successor=successor,
-            next_step_at=now + PROMOTION_HOLD_SECONDS,
-        )
-        return _with(state, holding), ()
+            retry = replace(succession, term=term)
+            return _wait(state, retry, now, RETRY_SECONDS)
+        holding = replace(succession, phase=Phase.HOLDING, successor=successor)
+        return _wait(state, holding, now, PROMOTION_HOLD_SECONDS)
 
     def _choose(
         self,
@@ -236,10 +237,8 @@
             refused = succession.refused | {succession.successor}
             retry = replace(succession, refused=refused, may_take_effect=False)
             return self._fence(state, retry, now)
-        retry = replace(
-            succession, phase=Phase.HOLDING, next_step_at=now + RETRY_SECONDS
-        )
-        return _with(state, retry), ()
+        retry = replace(succession, phase=Phase.HOLDING)
+        return _wait(state, retry, now, RETRY_SECONDS)
 
     def _give_up(self, state: State, succession: Succession, now: float) -> Decision:
         """End a succession, done or not; paused replicas receive again.
@@ -270,6 +269,12 @@
     return replace(state, successions=successions)
 
 
+def _wait(state: State, succession: Succession, now: float, seconds: float) -> Decision:
+    """Take a succession's next step after `seconds`."""
+    waiting = replace(succession, next_step_at=now + seconds)
+    return _with(state, waiting), (LookAfter(seconds),)
+
+
 def _drop(state: State, service: str, not_before: float) -> State:
     successions = {
         name: item for name, item in state.successions.items() if name != service
--- a/src/beryltiller/sessions/succession_state.py
+++ b/src/beryltiller/sessions/succession_state.py
@@ -94,17 +94,32 @@
     cause: Cause
 
 
+@dataclass(frozen=True, slots=True)
+class StepFormerDown:
+    """Make the former primary a replica, if it can be reached; nothing waits for it."""
+
+    service: str
+    term: int
+    former: str
+
+
 @dataclass(frozen=True, slots=True)
 class FenceAll:
-    """Step the former primary down, and pause all replicas, below `term`."""
+    """Pause all replicas, below `term`."""
 
     service: str
     term: int
-    former: str | None
     replicas: tuple[str, ...]
     departed: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LookAfter:
+    """Look at the groups again when a succession's next step is due."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Promote:
     """Name the database that takes the lead; not after `deadline`."""
@@ -123,7 +138,7 @@
     replicas: tuple[str, ...]
 
 
-Action = Claim | FenceAll | Promote | UnfenceAll
+Action = Claim | StepFormerDown | FenceAll | LookAfter | Promote | UnfenceAll
 
 
 @unique
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -51,7 +51,8 @@
     """One database: its log position, and faults that tests switch on.
 
     `hang` names statement types that are never answered, `cut` those after which the
-    connection breaks, `refuse` gives a code for a statement type.
+    connection breaks, `refuse` gives a code for a statement type, `refuse_start` one
+    for new connections.
     """
 
     identifier: str
@@ -65,6 +66,7 @@
     cut: set[type] = field(default_factory=set)
     refuse: dict[type, Code] = field(default_factory=dict)
     ran: list[tuple[int, Request]] = field(default_factory=list)
+    refuse_start: Code | None = None
     connections: int = 0
 
     @property
@@ -212,6 +214,8 @@
         fake = self.databases[database.identifier]
         if fake.is_dark:
             raise NotSentError(Code.WRONG_DATABASE, "dark")
+        if fake.refuse_start is not None:
+            raise NotSentError(fake.refuse_start, "refused")
         return FakeConnection(fake)
 
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -1,16 +1,25 @@
 """Tests of when a proxy sends its callers elsewhere."""
 
+import asyncio
 import unittest
 
+from beryltiller.sessions.fleet import SILENCE_SECONDS, Reach
 from beryltiller.sessions.isolation import (
     MIN_OUTCOMES,
     WINDOW_SECONDS,
     IsolationMonitor,
+    IsolationWatch,
 )
+from tests.fake_group import Rig
+from tests.virtual_loop import run_virtual, virtual_now
+
+NOTHING = Reach(3, 0)
+PARTLY = Reach(3, 2)
+WHOLE = Reach(3, 3)
 
 
 class IsolationTest(unittest.TestCase):
-    """Both a refused majority and an unreachable store are needed."""
+    """The store must be out of reach, and databases too."""
 
     def monitor(self, served: int, refused: int) -> IsolationMonitor:
         monitor = IsolationMonitor()
@@ -18,29 +27,73 @@
             monitor.answered(is_served, 10.0)
         return monitor
 
-    def test_needs_refusals_and_a_store_out_of_reach(self) -> None:
+    def test_what_cuts_a_proxy_off(self) -> None:
         cases = (
-            ("cut off", 2, 8, False, True),
-            ("store away, callers served", 9, 1, False, False),
-            ("refusals, store reached", 0, 9, True, False),
-            ("too few to tell", 0, MIN_OUTCOMES - 1, False, False),
+            ("cut off from some", 2, 8, False, PARTLY, True),
+            ("cut off from all, before any refusal", 9, 0, False, NOTHING, True),
+            ("cut off without callers", 0, 0, False, NOTHING, True),
+            ("cut off from some, callers served", 9, 1, False, PARTLY, False),
+            ("refusals, only the store away", 0, 9, False, WHOLE, False),
+            ("refusals, store reached", 0, 9, True, NOTHING, False),
+            ("too few to tell", 0, MIN_OUTCOMES - 1, False, PARTLY, False),
         )
-        for name, served, refused, is_reachable, expected in cases:
+        for name, served, refused, is_reachable, reach, expected in cases:
             with self.subTest(name):
                 monitor = self.monitor(served, refused)
-                monitor.store_looked_at(is_reachable, 10.1)
+                monitor.looked(is_reachable, reach, 10.1)
                 self.assertEqual(monitor.is_isolated, expected)
 
-    def test_stays_isolated_without_callers_until_the_store_is_back(self) -> None:
-        monitor = self.monitor(0, 9)
-        monitor.store_looked_at(False, 10.1)
+    def test_stays_isolated_without_callers_until_the_cut_heals(self) -> None:
         later = 10.0 + 2 * WINDOW_SECONDS
-        monitor.store_looked_at(False, later)
-        self.assertTrue(monitor.is_isolated)
-        monitor.store_looked_at(True, later)
-        self.assertFalse(monitor.is_isolated)
+        for is_reachable, reach in ((True, PARTLY), (False, WHOLE)):
+            with self.subTest(is_reachable=is_reachable):
+                monitor = self.monitor(0, 9)
+                monitor.looked(False, PARTLY, 10.1)
+                monitor.looked(False, PARTLY, later)
+                self.assertTrue(monitor.is_isolated)
+                monitor.looked(is_reachable, reach, later)
+                self.assertFalse(monitor.is_isolated)
 
     def test_old_outcomes_do_not_count(self) -> None:
         monitor = self.monitor(0, 9)
         self.assertTrue(monitor.is_suspected(10.0 + WINDOW_SECONDS))
         self.assertFalse(monitor.is_suspected(10.1 + WINDOW_SECONDS))
+
+
+class WatchTest(unittest.TestCase):
+    """A cut is found before callers are refused for seconds."""
+
+    def isolated_after(self, dark: tuple[str, ...], store: bool) -> float | None:
+        """Return how long it takes after the databases named go dark, or None."""
+
+        async def is_store_reachable() -> bool:
+            await asyncio.sleep(0.0 if store else 0.4)
+            return store
+
+        async def work() -> float | None:
+            rig = Rig()
+            monitor = IsolationMonitor()
+            watch = IsolationWatch(monitor, rig.fleet, is_store_reachable, virtual_now)
+            leader = rig.fleet.group("s").leader
+            assert leader is not None
+            for name in dark:
+                rig.databases[name].is_dark = True
+            began = virtual_now()
+            leader.sent(began)
+            while not monitor.is_isolated and virtual_now() < began + 10.0:
+                await asyncio.sleep(0.1)
+                await watch.look()
+            rig.fleet.close()
+            return virtual_now() - began if monitor.is_isolated else None
+
+        return run_virtual(work())
+
+    def test_cut_off_within_a_second(self) -> None:
+        passed = self.isolated_after(("leader", "far"), store=False)
+        self.assertIsNotNone(passed)
+        assert passed is not None
+        self.assertLess(passed, SILENCE_SECONDS + 0.1 + 0.4 + 0.3 + 0.1)
+
+    def test_not_with_a_majority_or_the_store(self) -> None:
+        self.assertIsNone(self.isolated_after(("leader",), store=False))
+        self.assertIsNone(self.isolated_after(("leader", "far"), store=True))
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,12 +1,20 @@
 """Tests of what a steward reports of the databases that it fences."""
 
+import asyncio
 import random
 import unittest
 from dataclasses import replace
 
 from beryltiller.sessions.catalog import Departed, Directory
+from beryltiller.sessions.fleet import SILENCE_SECONDS
+from beryltiller.sessions.statements import Code
 from beryltiller.sessions.steward import HeldDuty, Steward
-from beryltiller.sessions.succession_state import FenceAll, FencesAnswered
+from beryltiller.sessions.succession_state import (
+    FenceAll,
+    FencesAnswered,
+    LookAfter,
+    Seen,
+)
 from tests.fake_group import FakeDatabase, Rig
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -21,6 +29,11 @@
         raise AssertionError("not to be promoted")
 
 
+def steward(rig: Rig) -> Steward:
+    """Return a steward that nobody drives, of the rig's databases."""
+    return Steward(rig.fleet, IdleDuty(), lambda: True, random.Random(1), virtual_now)
+
+
 class DepartedTest(unittest.TestCase):
     """A silent database is gone only if it went before the primary began to fail."""
 
@@ -37,16 +50,106 @@
                     leader = rig.fleet.group("s").leader
                     assert leader is not None
                     leader.failed(virtual_now())
-                    steward = Steward(
-                        rig.fleet,
-                        IdleDuty(),
-                        lambda: True,
-                        random.Random(1),
-                        virtual_now,
-                    )
-                    action = FenceAll("s", 2, None, ("near", "far"), ("d",))
-                    answered = await steward.part().perform(action)
+                    action = FenceAll("s", 2, ("near", "far"), ("d",))
+                    answered = await steward(rig).part().perform(action)
                     assert isinstance(answered, FencesAnswered)
                     return answered
 
                 self.assertEqual("d" in run_virtual(work()).gone, is_gone)
+
+
+class PaceTest(unittest.TestCase):
+    """Steps of a succession wait for nothing but what they need."""
+
+    def test_look_comes_when_the_next_step_is_due(self) -> None:
+        async def work() -> tuple[object, float]:
+            rig = Rig()
+            began = virtual_now()
+            seen = await steward(rig).part().perform(LookAfter(0.4))
+            return seen, virtual_now() - began
+
+        seen, passed = run_virtual(work())
+        self.assertIsInstance(seen, Seen)
+        self.assertAlmostEqual(passed, 0.4)
+
+    def test_fence_does_not_wait_for_a_dark_former_primary(self) -> None:
+        async def work() -> float:
+            rig = Rig()
+            rig.leader.is_dark = True
+            began = virtual_now()
+            await steward(rig).part().perform(FenceAll("s", 2, ("near", "far"), ()))
+            return virtual_now() - began
+
+        self.assertLess(run_virtual(work()), 0.1)
+
+    def test_silent_leader_has_failed_since_its_last_answer(self) -> None:
+        async def work() -> tuple[float | None, float]:
+            rig = Rig()
+            leader = rig.fleet.group("s").leader
+            assert leader is not None
+            leader.sent(virtual_now())
+            began = virtual_now()
+            rig.leader.is_dark = True
+            keeper = steward(rig)
+            while leader.failing_since is None and virtual_now() < began + 5.0:
+                await asyncio.sleep(0.1)
+                await keeper.probe_doubtful()
+            return leader.failing_since, began
+
+        failing_since, began = run_virtual(work())
+        self.assertEqual(failing_since, began)
+
+    def test_leader_that_answers_a_question_is_not_asked_again_at_once(self) -> None:
+        async def work() -> bool:
+            rig = Rig()
+            leader = rig.fleet.group("s").leader
+            assert leader is not None
+            leader.sent(virtual_now())
+            await asyncio.sleep(SILENCE_SECONDS + 0.01)
+            await steward(rig).probe_doubtful()
+            silent_since = leader.silent_since
+            assert silent_since is not None
+            return virtual_now() - silent_since < SILENCE_SECONDS
+
+        self.assertTrue(run_virtual(work()))
+
+    def test_leaders_of_the_same_zone_are_asked_with_one_that_is_silent(self) -> None:
+        async def work() -> tuple[int, int]:
+            rig = Rig()
+            other = FakeDatabase("other", "a", is_primary=True)
+            entry = replace(other.entry(), service="t")
+            rig.databases["other"] = other
+            entries = dict(rig.fleet.directory.databases)
+            rig.fleet.register(Directory({**entries, "other": entry}))
+            rig.fleet.group("t")
+            keeper = steward(rig)
+            await keeper.probe_doubtful()
+            before = other.connections
+            leader = rig.fleet.group("s").leader
+            assert leader is not None
+            leader.sent(virtual_now())
+            await asyncio.sleep(SILENCE_SECONDS + 0.01)
+            await keeper.probe_doubtful()
+            return before, other.connections
+
+        self.assertEqual(run_virtual(work()), (0, 1))
+
+
+class RefusedForLoadTest(unittest.TestCase):
+    """A primary that has no connection or slot left is alive."""
+
+    def test_primary_at_its_cap_is_not_failing(self) -> None:
+        async def work(code: Code) -> bool:
+            rig = Rig()
+            rig.leader.refuse_start = code
+            leader = rig.fleet.group("s").leader
+            assert leader is not None
+            await rig.fleet.probe(leader)
+            return leader.failing_since is not None
+
+        for code, is_failing in (
+            (Code.CONNECTION_LIMIT, False),
+            (Code.WRONG_DATABASE, True),
+        ):
+            with self.subTest(code):
+                self.assertEqual(run_virtual(work(code)), is_failing)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -20,10 +20,12 @@
     FenceAll,
     FencesAnswered,
     GroupView,
+    LookAfter,
     Promote,
     PromotionAnswered,
     Seen,
     State,
+    StepFormerDown,
     UnfenceAll,
 )
 
@@ -81,7 +83,7 @@
         cases = (
             ("healthy", HEALTHY, None),
             ("failing", FAILING, Cause.FAILING),
-            ("failing just now", replace(HEALTHY, failing_since=9.7), None),
+            ("failing just now", replace(HEALTHY, failing_since=9.8), None),
             ("stalled", replace(HEALTHY, stalled_since=9.0), Cause.STALLED),
             ("leaving", leaving, Cause.LEAVING),
             ("all leave", replace(leaving, leaving=frozenset("ab")), None),
@@ -107,8 +109,10 @@
 
     def test_whole_succession(self) -> None:
         driver = Driver()
-        self.assertEqual(driver.claim(), (FenceAll("s", 2, "old", ("a", "b"), ()),))
-        self.assertEqual(driver.fence({"a": status(5), "b": status(6)}), ())
+        fence = FenceAll("s", 2, ("a", "b"), ())
+        self.assertEqual(driver.claim(), (StepFormerDown("s", 2, "old"), fence))
+        held = driver.fence({"a": status(5), "b": status(6)})
+        self.assertEqual(held, (LookAfter(PROMOTION_HOLD_SECONDS),))
         (promote,) = driver.promote()
         assert isinstance(promote, Promote)
         self.assertEqual((promote.successor, promote.token), ("b", 7))
@@ -116,6 +120,23 @@
         led = replace(HEALTHY, leader="b", replicas=("a", "old"))
         self.assertEqual(driver.see(led, 0.3), (UnfenceAll("s", ("a", "old")),))
 
+    def test_each_wait_ends_with_a_look_when_it_is_due(self) -> None:
+        """Waits that only ticks ended took up to a tick longer."""
+        driver = Driver()
+        driver.claim()
+        (look,) = driver.fence({"a": status(5), "b": None})
+        self.assertEqual(look, LookAfter(succession.RETRY_SECONDS))
+        driver.see(FAILING, succession.RETRY_SECONDS)
+        driver.fence({"a": status(5), "b": status(6)})
+        driver.promote()
+        (look,) = driver.tell(PromotionAnswered("s", False, False))
+        self.assertEqual(look, LookAfter(succession.RETRY_SECONDS))
+
+    def test_group_without_a_former_primary_steps_nobody_down(self) -> None:
+        driver = Driver()
+        headless = replace(HEALTHY, leader=None, headless_since=0.0)
+        self.assertEqual(driver.claim(headless), (FenceAll("s", 2, ("a", "b"), ()),))
+
     def test_nothing_without_the_store(self) -> None:
         driver = Driver()
         for _ in range(5):
@@ -146,8 +167,10 @@
                 driver = Driver()
                 driver.claim()
                 driver.fence(statuses)
-                (again,) = driver.promote()
-                self.assertIsInstance(again, FenceAll)
+                again = driver.promote()
+                self.assertEqual(
+                    [type(each) for each in again], [StepFormerDown, FenceAll]
+                )
 
     def test_database_that_is_gone_is_not_waited_for(self) -> None:
         driver = Driver()
@@ -180,8 +203,8 @@
         driver.claim()
         driver.fence({"a": status(6), "b": status(6)})
         driver.promote()
-        (again,) = driver.tell(PromotionAnswered("s", False, True))
-        self.assertIsInstance(again, FenceAll)
+        again = driver.tell(PromotionAnswered("s", False, True))
+        self.assertEqual([type(each) for each in again], [StepFormerDown, FenceAll])
         driver.fence({"a": status(6), "b": status(6)})
         (promote,) = driver.promote()
         assert isinstance(promote, Promote)
