Believe a claim to lead only in the newest term; confirm all right before the call

A primary that was replaced while its zone was cut came back and still called itself primary, as its successor had died. A promoter that met it left the group alone; once the dead successor's entry lapsed it led again, its reads proved by evidence of its successor's reign. Stepped down at last, it was the one database that was not fenced: it followed the dead primary when that came back under another name, and acknowledged with it.

Change: a database leads only if it was asked and leads in the newest term known, or was seen to become primary after all others. Evidence ends with the leader it was taken for. Primaries of older terms are stepped down and fenced, a former primary too. Right before the call all databases are asked and fenced once more, new ones too; one that had lost its fence, a longer log or another primary begins the hold anew. The specification has the new rule first: it holds now with replicas that restart before the call.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -193,6 +193,7 @@
         while True:
             await asyncio.sleep(WATCH_SECONDS)
             await self._steward.probe_doubtful()
+            await self._fleet.confirm_leaders()
 
     async def _watch_isolation(self) -> None:
         while True:
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -210,6 +210,27 @@
         leaders = (group.leader for group in self._groups.values())
         return any(each is not None and _is_doubtful(each, now) for each in leaders)
 
+    async def confirm_leaders(self) -> None:
+        """Ask databases that claim to lead, and were not asked, in which term."""
+        now = self._clock()
+        asked = [
+            self._confirm(group, member)
+            for group in tuple(self._groups.values())
+            for member in group.unconfirmed()
+            if not member.is_known(now)
+        ]
+        await asyncio.gather(*asked)
+
+    async def _confirm(self, group: Group, member: Member) -> None:
+        asked_at = self._clock()
+        try:
+            status = await self.ask_status(member)
+        except (SessionError, TimeoutError) as error:
+            self._question_failed(member, error)
+            return
+        member.lives(self._clock())
+        group.status_heard(member, status, asked_at)
+
     async def reach(self) -> Reach:
         """Ask every database, and count the services whose majority answers."""
         groups = [group for group in self._groups.values() if group.members]
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -19,6 +19,9 @@
 # that a database takes at the least to take over the lead.
 TERM_PROOF_SECONDS = 0.5
 
+# Lead serial of a database that registers as primary later than others: it is asked.
+LATE = -1
+
 KEPT_SAMPLES_SECONDS = 4.0
 MIN_SAMPLE_SPACING_SECONDS = 0.02
 
@@ -55,7 +58,8 @@
     """One database as this proxy finds it: failures, load and applied position.
 
     `term` is the newest term in which it is known to have led or followed;
-    `lead_serial` grows with each database that was seen to become primary.
+    `lead_serial` grows with each database that was seen to become primary, and
+    `lead_term` is the term in which it said it leads, or 0 when it was not asked.
     """
 
     def __init__(self, database: Database) -> None:
@@ -68,6 +72,7 @@
         self.is_lead_denied = False
         self.is_lead_heard = False
         self.lead_serial = 0
+        self.lead_term = 0
         self.term = 0
         self._stalled_since: float | None = None
         self._unacknowledged_at = NEVER
@@ -205,9 +210,10 @@
         self.members: dict[str, Member] = {}
         self._leader: str | None = None
         self._term = 0
-        self._lead_serial = 0
+        self._newest_serial = 0
         self._leader_changes = 0
         self._proved_until = NEVER
+        self._leader_proved_until = NEVER
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Sample] = deque()
 
@@ -259,11 +265,12 @@
             )
             if member is None or not is_same:
                 member = Member(database)
+                member.lead_serial = LATE if known else 0
             if database.is_primary != member.database.is_primary:
                 member.is_lead_denied = False
                 member.is_lead_heard = False
-                self._lead_serial += 1
-                member.lead_serial = self._lead_serial if database.is_primary else 0
+                member.lead_serial = self._next_serial() if database.is_primary else 0
+                member.lead_term = 0
             member.database = database
             if not database.is_draining:
                 member.drains_since = None
@@ -309,24 +316,39 @@
         if status.term > self._term:
             self._enter_term(status.term)
         if status.is_primary:
-            self._primary_heard(member)
+            self._primary_heard(member, status.term)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.term and not status.fenced_term:
             self._prove(asked_at)
 
-    def _primary_heard(self, member: Member) -> None:
-        """Take in that a database leads, perhaps in a newer term than the leader's."""
+    def _primary_heard(self, member: Member, term: int) -> None:
+        """Take in that a database leads, perhaps in a newer term than the leader's.
+
+        One of an older term has been replaced and does not know it yet.
+        """
         leader = self.leader
-        if member is leader or (leader is not None and member.term <= leader.term):
-            return
-        self._lead_serial += 1
-        member.lead_serial = self._lead_serial
-        member.is_lead_denied = False
-        member.is_lead_heard = True
+        is_new = leader is None or (member is not leader and term > leader.term)
+        member.lead_term = term
+        if term >= self._term:
+            member.is_lead_denied = False
+            member.is_lead_heard = True
+        if is_new and term >= self._term:
+            member.lead_serial = self._next_serial()
         self._choose_leader()
 
+    def unconfirmed(self) -> tuple[Member, ...]:
+        """Return who should be asked whether it leads.
+
+        That is the leader before it was asked, or all that claim to lead while none of
+        them can be believed.
+        """
+        leader = self.leader
+        if leader is not None:
+            return () if leader.lead_term else (leader,)
+        return tuple(each for each in self.members.values() if each.is_lead_claimed)
+
     def surveyed(self, positions: tuple[Position, ...], asked_at: float) -> None:
         """Take in the received positions of all databases but one.
 
@@ -338,8 +360,8 @@
             surveys.popleft()
 
     def is_proved(self, moment: float) -> bool:
-        """Tell whether no later term can have begun by the moment."""
-        return self._proved_until >= moment
+        """Tell whether no term later than the leader's can have begun by the moment."""
+        return self._leader_proved_until >= moment
 
     def floor(self, moment: float) -> Position | None:
         """Return a position that covers all commits acknowledged before the moment.
@@ -359,6 +381,7 @@
     def forget_proofs(self) -> None:
         """Drop all evidence, as after the process stood still."""
         self._proved_until = NEVER
+        self._leader_proved_until = NEVER
         self._samples.clear()
         self._surveys.clear()
 
@@ -381,6 +404,7 @@
     def _prove(self, asked_at: float) -> None:
         until = asked_at + TERM_PROOF_SECONDS
         self._proved_until = max(self._proved_until, until)
+        self._leader_proved_until = max(self._leader_proved_until, until)
 
     def _add_sample(self, sample: Sample) -> None:
         samples = self._samples
@@ -395,22 +419,36 @@
     def _enter_term(self, term: int) -> None:
         self._term = term
         self._drop_unproved()
+        self._choose_leader()
+
+    def _next_serial(self) -> int:
+        self._newest_serial += 1
+        return self._newest_serial
+
+    def _may_lead(self, member: Member) -> bool:
+        """Tell whether a database that claims to lead can be believed.
+
+        One that was asked must lead in the newest term known. One that was not must
+        have been seen to become primary after all others, or have led from the start.
+        """
+        if not member.is_lead_claimed or member.is_lead_denied:
+            return False
+        if member.lead_term:
+            return member.lead_term >= self._term
+        return member.lead_serial >= self._newest_serial
 
     def _drop_unproved(self) -> None:
         while self._samples and self._samples[-1].asked_at > self._proved_until:
             self._samples.pop()
 
     def _choose_leader(self) -> None:
-        candidates = [
-            member
-            for member in self.members.values()
-            if member.is_lead_claimed and not member.is_lead_denied
-        ]
+        candidates = [each for each in self.members.values() if self._may_lead(each)]
         leader = max(candidates, key=_lead_rank, default=None)
         identifier = leader.database.identifier if leader else None
         if identifier != self._leader:
             self._leader = identifier
             self._leader_changes += 1
+            self._leader_proved_until = NEVER
             self._drop_unproved()
 
 
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -154,8 +154,10 @@
                 return self._look(self._clock())
             case succession_state.Claim():
                 return await self._claim(action)
-            case succession_state.StepFormerDown(service, term, former):
-                await self._command(service, former, StepDown(term))
+            case succession_state.StepDownOne(service, term, identifier):
+                # A replica that is not fenced could follow another primary.
+                if await self._command(service, identifier, StepDown(term)):
+                    await self._command(service, identifier, Fence(term))
                 return None
             case succession_state.FenceAll():
                 return await self._fence_all(action)
@@ -192,6 +194,11 @@
         seen = await self._command_all(service, others, AskStatus())
         if any(item is not None and item.is_primary for item in seen.values()):
             return succession_state.FencesAnswered(service, seen)
+        were_fenced = all(
+            item is not None and item.fenced_term >= action.term
+            for name, item in seen.items()
+            if name not in action.departed
+        )
         statuses = await self._command_all(service, others, Fence(action.term))
         hidden = self._hidden(service)
         gone = frozenset(
@@ -203,13 +210,12 @@
             logs.ReplicasFenced(
                 service,
                 action.term,
-                ", ".join(
-                    f"{name} {item.received if item else 'silent'}"
-                    for name, item in statuses.items()
+                "; ".join(
+                    f"{name} {_status_text(item)}" for name, item in statuses.items()
                 ),
             )
         )
-        return succession_state.FencesAnswered(service, statuses, gone)
+        return succession_state.FencesAnswered(service, statuses, gone, were_fenced)
 
     def _hidden(self, service: str) -> frozenset[str]:
         """Return the departed that may be cut off together with the former primary."""
@@ -299,3 +305,10 @@
         leader = self._fleet.group(service).leader
         if leader is not None and not leader.is_known(self._clock()):
             await self._fleet.probe(leader)
+
+
+def _status_text(status: DatabaseStatus | None) -> str:
+    if status is None:
+        return "silent"
+    role = "primary" if status.is_primary else "replica"
+    return f"{role} term {status.term} at {status.received} fenced {status.fenced_term}"
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -2,8 +2,8 @@
 
 Pure decisions: a state and an event go in, a new state and actions come out. The
 protocol is that of docs/PLATFORM.md, checked by `tests/spec_succession.py`:
-claim the duty, fence every replica, name the most advanced, hold, promote. The former
-primary is stepped down meanwhile, which no step waits for.
+claim the duty, fence every replica, name the most advanced, hold, confirm, promote. The
+former primary is stepped down meanwhile, which no step waits for.
 """
 
 import random
@@ -29,7 +29,7 @@
     PromotionAnswered,
     Seen,
     State,
-    StepFormerDown,
+    StepDownOne,
     Succession,
     UnfenceAll,
 )
@@ -140,41 +140,64 @@
         return self._fence(state, succession, now)
 
     def _fence(self, state: State, succession: Succession, now: float) -> Decision:
+        state, actions = self._fence_again(state, succession, Phase.FENCING, now)
+        succeeding = state.successions.get(succession.service)
+        if succeeding is None or succession.former is None:
+            return state, actions
+        step_down = StepDownOne(succession.service, succeeding.term, succession.former)
+        return state, (step_down, *actions)
+
+    def _fence_again(
+        self, state: State, succession: Succession, phase: Phase, now: float
+    ) -> Decision:
+        """Fence all databases but the former primary, also those that are new."""
         view = state.groups.get(succession.service)
+        former = succession.former
         if view is None or now > succession.deadline:
             return self._give_up(state, succession, now)
+        if view.leader is not None and view.leader != former:
+            # The group has a primary again.
+            return self._give_up(state, succession, now)
         term = max(view.term + 1, succession.term)
         succession = replace(
-            succession, phase=Phase.FENCING, term=term, next_step_at=now + 60.0
+            succession, phase=phase, term=term, next_step_at=now + 60.0
         )
-        former = succession.former
         replicas = tuple(name for name in view.replicas if name != former)
         departed = tuple(name for name in view.departed if name != former)
-        service = succession.service
-        fence = FenceAll(service, term, replicas, departed)
-        if former is None:
-            return _with(state, succession), (fence,)
-        return _with(state, succession), (StepFormerDown(service, term, former), fence)
+        fence = FenceAll(succession.service, term, replicas, departed)
+        return _with(state, succession), (fence,)
 
     def _fenced(
         self, state: State, event: FencesAnswered, service: str, now: float
     ) -> Decision:
         succession = state.successions.get(service)
-        if succession is None or succession.phase is not Phase.FENCING:
+        if succession is None:
+            return state, ()
+        if succession.phase not in (Phase.FENCING, Phase.CONFIRMING):
             return state, ()
         heard = {name: item for name, item in event.statuses.items() if item}
-        if any(item.is_primary for item in heard.values()):
+        newest = max((item.term for item in heard.values()), default=0)
+        newest = max(newest, state.groups[service].term)
+        primaries = {name: item for name, item in heard.items() if item.is_primary}
+        if any(item.term >= newest for item in primaries.values()):
             # The group has a primary that this proxy did not know of.
             return self._give_up(state, succession, now)
         silent = event.statuses.keys() - heard.keys() - event.gone
-        newest = max((item.term for item in heard.values()), default=0)
-        newest = max(newest, max((s.fenced_term for s in heard.values()), default=0))
+        fences = max((item.fenced_term for item in heard.values()), default=0)
         behind = [s for s in heard.values() if s.fenced_term < succession.term]
         successor = self._choose(state, succession, heard)
         if silent or behind or not successor:
-            term = max(succession.term, newest + 1) if behind else succession.term
-            retry = replace(succession, term=term)
-            return _wait(state, retry, now, RETRY_SECONDS)
+            term = succession.term
+            if behind:
+                term = max(term, newest + 1, fences)
+            retry = replace(succession, phase=Phase.FENCING, term=term)
+            state, actions = _wait(state, retry, now, RETRY_SECONDS)
+            # Primaries of older terms have been replaced and do not know it yet.
+            replaced = tuple(StepDownOne(service, term, name) for name in primaries)
+            return state, (*replaced, *actions)
+        is_confirmed = event.were_fenced and successor == succession.successor
+        if succession.phase is Phase.CONFIRMING and is_confirmed:
+            return self._promote(state, succession, now)
         holding = replace(succession, phase=Phase.HOLDING, successor=successor)
         return _wait(state, holding, now, PROMOTION_HOLD_SECONDS)
 
@@ -189,7 +212,8 @@
         longest = max((s.received for s in heard.values()), default=Position(0, 0))
         names = [name for name, s in heard.items() if s.received == longest]
         names = [name for name in names if name not in succession.refused]
-        names.sort(key=lambda name: (name in view.leaving, name))
+        present = succession.successor
+        names.sort(key=lambda name: (name in view.leaving, name != present, name))
         return names[0] if names else ""
 
     def _advance(self, state: State, succession: Succession, now: float) -> Decision:
@@ -201,7 +225,7 @@
             case Phase.FENCING if now >= succession.next_step_at:
                 return self._fence(state, succession, now)
             case Phase.HOLDING if now >= succession.next_step_at:
-                return self._promote(state, succession, now)
+                return self._fence_again(state, succession, Phase.CONFIRMING, now)
             case Phase.PROMOTING if now > succession.deadline + DUTY_MARGIN_SECONDS:
                 return self._give_up(state, succession, now)
             case Phase.AWAITING if view and view.leader == succession.successor:
--- a/src/beryltiller/sessions/succession_state.py
+++ b/src/beryltiller/sessions/succession_state.py
@@ -66,12 +66,14 @@
 class FencesAnswered:
     """What each database answered when it was fenced; None: nothing or a refusal.
 
-    `gone` are those that can't be reached and whose entries are gone for good.
+    `gone` are those that can't be reached and whose entries are gone for good;
+    `were_fenced` tells that all the others were fenced already.
     """
 
     service: str
     statuses: Mapping[str, DatabaseStatus | None]
     gone: frozenset[str] = frozenset()
+    were_fenced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +97,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StepFormerDown:
-    """Make the former primary a replica, if it can be reached; nothing waits for it."""
+class StepDownOne:
+    """Make a primary a fenced replica, if it can be reached; nothing waits for it."""
 
     service: str
     term: int
-    former: str
+    identifier: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +140,7 @@
     replicas: tuple[str, ...]
 
 
-Action = Claim | StepFormerDown | FenceAll | LookAfter | Promote | UnfenceAll
+Action = Claim | StepDownOne | FenceAll | LookAfter | Promote | UnfenceAll
 
 
 @unique
@@ -148,6 +150,7 @@
     CLAIMING = "claiming"
     FENCING = "fencing"
     HOLDING = "holding"
+    CONFIRMING = "confirming"
     PROMOTING = "promoting"
     AWAITING = "awaiting"
 
--- a/tests/spec_succession.py
+++ b/tests/spec_succession.py
@@ -4,7 +4,8 @@
 one replica has received it. A promoter pauses replicas, names one, and later the
 promotion takes effect. A proxy holds evidence that term 1 is in force, with which it
 hands out reads of the old primary. Any step may come late or never; a primary that
-died is one that takes no more steps. A replica that restarts forgets its pause.
+died is one that takes no more steps. A replica that restarts forgets its pause; right
+before the promotion is asked for, all replicas are paused and compared once more.
 """
 
 from collections.abc import Iterator
@@ -25,9 +26,18 @@
     PAUSE_ALL = auto()
     NAME_LONGEST = auto()
     HOLD = auto()
+    CONFIRM = auto()
     EVIDENCE_OF_UNPAUSED = auto()
 
 
+class Restart(Enum):
+    """Tell until when a paused replica may restart."""
+
+    NEVER = auto()
+    BEFORE_THE_CALL = auto()
+    ANY_TIME = auto()
+
+
 class Evidence(Enum):
     """Tell whether a proxy's evidence is from before all replicas were paused."""
 
@@ -50,6 +60,7 @@
     acknowledged: int = 0
     evidence: Evidence = Evidence.NONE
     named: int = NOBODY
+    is_asked: bool = False
     leader: int = NOBODY
     new_commit: bool = False
 
@@ -59,7 +70,7 @@
     """Bound the state space."""
 
     writes: int = 2
-    has_restart: bool = False
+    restart: Restart = Restart.NEVER
 
 
 Steps = Iterator[tuple[str, World]]
@@ -126,7 +137,7 @@
                 paused = with_item(world.paused, index, True)
                 heard = with_item(world.heard, index, world.lengths[replica])
                 yield "pause", world._replace(paused=paused, heard=heard)
-            if self._bounds.has_restart and world.paused[index]:
+            if self._may_restart(world) and world.paused[index]:
                 paused = with_item(world.paused, index, False)
                 yield "restart", world._replace(paused=paused)
 
@@ -140,9 +151,35 @@
                 if is_longest or not self._has(Rule.NAME_LONGEST):
                     yield "name", world._replace(named=replica)
         is_held = world.evidence is Evidence.EARLY and self._has(Rule.HOLD)
-        if world.named != NOBODY and world.leader == NOBODY and not is_held:
+        if world.named != NOBODY and not world.is_asked and not is_held:
+            yield from self._call(world)
+        if world.is_asked and world.leader == NOBODY and not is_held:
             yield "effect", world._replace(leader=world.named)
 
+    def _call(self, world: World) -> Steps:
+        """Ask for the promotion, or begin anew when a replica is not as it was."""
+        longest = max(world.lengths[replica] for replica in REPLICAS)
+        is_longest = world.lengths[world.named] == longest
+        is_checked = self._has(Rule.CONFIRM) and self._has(Rule.PAUSE_ALL)
+        if not is_checked or (all(world.paused) and self._is_best(is_longest)):
+            yield "ask for the promotion", world._replace(is_asked=True)
+        else:
+            yield "begin anew", world._replace(
+                named=NOBODY, heard=(-1, -1), paused=(False, False)
+            )
+
+    def _is_best(self, is_longest: bool) -> bool:
+        return is_longest or not self._has(Rule.NAME_LONGEST)
+
+    def _may_restart(self, world: World) -> bool:
+        match self._bounds.restart:
+            case Restart.NEVER:
+                return False
+            case Restart.BEFORE_THE_CALL:
+                return not world.is_asked
+            case Restart.ANY_TIME:
+                return True
+
 
 def with_length(world: World, database: int, length: int) -> World:
     """Return the world with one log's length replaced."""
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -60,6 +60,42 @@
         made.status_heard(made.members["r2"], status(2, is_primary=True), 2.0)
         self.assertIs(made.leader, made.members["r2"])
 
+    def test_replaced_primary_does_not_lead_when_its_successor_is_gone(self) -> None:
+        """It came back from a cut, and was read and written."""
+        made = group()
+        made.heard(made.members["p"], Position(1, 4), 1.0)
+        successor = replace(NEAR, is_primary=True)
+        made.update((LEADER, successor, FAR), 2.0)
+        made.heard(made.members["r1"], Position(2, 5), 2.0)
+        made.update((LEADER, FAR), 3.0)
+        self.assertIsNone(made.leader)
+        self.assertEqual(made.unconfirmed(), (made.members["p"],))
+        made.status_heard(made.members["p"], status(1, is_primary=True), 3.0)
+        self.assertIsNone(made.leader)
+
+    def test_primary_that_registers_late_is_asked_first(self) -> None:
+        for term, leads in ((1, False), (2, True)):
+            with self.subTest(term=term):
+                made = group()
+                made.heard(made.members["r1"], Position(2, 4), 1.0)
+                made.update((NEAR, FAR), 2.0)
+                made.update((NEAR, FAR, database("q", is_primary=True)), 3.0)
+                self.assertIsNone(made.leader)
+                made.status_heard(made.members["q"], status(term, is_primary=True), 3.0)
+                self.assertEqual(made.leader is made.members["q"], leads)
+
+    def test_leader_of_an_older_term_leads_no_more(self) -> None:
+        made = group()
+        made.status_heard(made.members["p"], status(1, is_primary=True), 1.0)
+        made.heard(made.members["r1"], Position(2, 1), 2.0)
+        self.assertIsNone(made.leader)
+
+    def test_leader_is_asked_once(self) -> None:
+        made = group()
+        self.assertEqual(made.unconfirmed(), (made.members["p"],))
+        made.status_heard(made.members["p"], status(1, is_primary=True), 1.0)
+        self.assertEqual(made.unconfirmed(), ())
+
     def test_database_that_started_anew_is_not_known(self) -> None:
         made = group()
         made.members["r1"].answered(Position(1, 9))
@@ -128,6 +164,14 @@
                 made.heard(made.members["r1"], Position(1, index), 2.0)
                 self.assertEqual(made.is_proved(1.0), expected)
 
+    def test_evidence_of_one_leader_does_not_prove_another(self) -> None:
+        """A replaced primary was read with its successor's evidence."""
+        made = self.proved()
+        made.acknowledged(made.members["p"], 2.0)
+        made.update((LEADER, replace(NEAR, is_primary=True), FAR), 2.1)
+        self.assertFalse(made.is_proved(2.0))
+        self.assertEqual(made.floor(1.0), Position(1, 4), "still covers commits")
+
     def test_tenure_tells_reigns_apart(self) -> None:
         made = self.proved()
         before = made.tenure
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 
+from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Departed, Directory
 from beryltiller.sessions.fleet import SILENCE_SECONDS
 from beryltiller.sessions.statements import Code
@@ -14,6 +15,7 @@
     FencesAnswered,
     LookAfter,
     Seen,
+    StepDownOne,
 )
 from tests.fake_group import FakeDatabase, Rig
 from tests.virtual_loop import run_virtual, virtual_now
@@ -153,3 +155,58 @@
         ):
             with self.subTest(code):
                 self.assertEqual(run_virtual(work(code)), is_failing)
+
+
+class FenceTest(unittest.TestCase):
+    """What the steward tells of the databases that it fences."""
+
+    def answered(self, fenced_term: int) -> FencesAnswered:
+        async def work() -> FencesAnswered:
+            rig = Rig()
+            rig.near.fenced_term = 2
+            rig.far.fenced_term = fenced_term
+            action = FenceAll("s", 2, ("near", "far"), ())
+            answered = await steward(rig).part().perform(action)
+            assert isinstance(answered, FencesAnswered)
+            return answered
+
+        return run_virtual(work())
+
+    def test_tells_whether_all_were_fenced_already(self) -> None:
+        self.assertTrue(self.answered(2).were_fenced)
+        self.assertFalse(self.answered(0).were_fenced)
+
+    def test_primary_that_steps_down_is_fenced(self) -> None:
+        """It could follow a primary that comes back, and acknowledge with it."""
+
+        async def work() -> FakeDatabase:
+            rig = Rig()
+            await steward(rig).part().perform(StepDownOne("s", 2, "leader"))
+            return rig.leader
+
+        leader = run_virtual(work())
+        self.assertEqual((leader.is_primary, leader.fenced_term), (False, 2))
+
+
+class ConfirmTest(unittest.TestCase):
+    """Who claims to lead is asked in which term."""
+
+    def test_replaced_primary_that_registers_late_does_not_lead(self) -> None:
+        for term, leads in ((1, False), (2, True)):
+            with self.subTest(term=term):
+
+                async def work(term: int = term) -> str | None:
+                    rig = Rig()
+                    group = rig.fleet.group("s")
+                    rig.leader.term = term
+                    group.heard(group.members["near"], Position(2, 1), virtual_now())
+                    entries = dict(rig.fleet.directory.databases)
+                    claimant = entries.pop("leader")
+                    rig.fleet.register(Directory(entries))
+                    rig.fleet.register(Directory({**entries, "leader": claimant}))
+                    await rig.fleet.confirm_leaders()
+                    leader = group.leader
+                    return leader.database.identifier if leader else None
+
+                expected = "leader" if leads else None
+                self.assertEqual(run_virtual(work()), expected)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -25,7 +25,7 @@
     PromotionAnswered,
     Seen,
     State,
-    StepFormerDown,
+    StepDownOne,
     UnfenceAll,
 )
 
@@ -70,9 +70,19 @@
     ) -> tuple[Action, ...]:
         return self.tell(FencesAnswered("s", statuses, **more))
 
-    def promote(self) -> tuple[Action, ...]:
+    def hold(self, view: GroupView = FAILING) -> tuple[Action, ...]:
         """Let the hold pass."""
-        return self.see(FAILING, PROMOTION_HOLD_SECONDS + 0.01)
+        return self.see(view, PROMOTION_HOLD_SECONDS + 0.01)
+
+    def promote(
+        self,
+        statuses: Mapping[str, DatabaseStatus | None],
+        gone: frozenset[str] = frozenset(),
+    ) -> tuple[Action, ...]:
+        """Let the hold pass, and confirm that the replicas are as before."""
+        (fence,) = self.hold()
+        assert isinstance(fence, FenceAll), fence
+        return self.tell(FencesAnswered("s", statuses, gone, were_fenced=True))
 
 
 class CauseTest(unittest.TestCase):
@@ -110,10 +120,10 @@
     def test_whole_succession(self) -> None:
         driver = Driver()
         fence = FenceAll("s", 2, ("a", "b"), ())
-        self.assertEqual(driver.claim(), (StepFormerDown("s", 2, "old"), fence))
+        self.assertEqual(driver.claim(), (StepDownOne("s", 2, "old"), fence))
         held = driver.fence({"a": status(5), "b": status(6)})
         self.assertEqual(held, (LookAfter(PROMOTION_HOLD_SECONDS),))
-        (promote,) = driver.promote()
+        (promote,) = driver.promote({"a": status(5), "b": status(6)})
         assert isinstance(promote, Promote)
         self.assertEqual((promote.successor, promote.token), ("b", 7))
         driver.tell(PromotionAnswered("s", True, False))
@@ -127,8 +137,9 @@
         (look,) = driver.fence({"a": status(5), "b": None})
         self.assertEqual(look, LookAfter(succession.RETRY_SECONDS))
         driver.see(FAILING, succession.RETRY_SECONDS)
-        driver.fence({"a": status(5), "b": status(6)})
-        driver.promote()
+        statuses = {"a": status(5), "b": status(6)}
+        driver.fence(statuses)
+        driver.promote(statuses)
         (look,) = driver.tell(PromotionAnswered("s", False, False))
         self.assertEqual(look, LookAfter(succession.RETRY_SECONDS))
 
@@ -167,16 +178,17 @@
                 driver = Driver()
                 driver.claim()
                 driver.fence(statuses)
-                again = driver.promote()
+                again = driver.hold()
                 self.assertEqual(
-                    [type(each) for each in again], [StepFormerDown, FenceAll]
+                    [type(each) for each in again], [StepDownOne, FenceAll]
                 )
 
     def test_database_that_is_gone_is_not_waited_for(self) -> None:
         driver = Driver()
         driver.claim()
-        driver.fence({"a": status(5), "b": None}, gone=frozenset({"b"}))
-        (promote,) = driver.promote()
+        gone = frozenset({"b"})
+        driver.fence({"a": status(5), "b": None}, gone=gone)
+        (promote,) = driver.promote({"a": status(5), "b": None}, gone=gone)
         self.assertIsInstance(promote, Promote)
 
     def test_group_that_has_another_primary_is_left_alone(self) -> None:
@@ -186,13 +198,14 @@
         statuses = {"a": status(5, is_primary=True), "b": status(6)}
         (unfence,) = driver.fence(statuses)
         self.assertIsInstance(unfence, UnfenceAll)
-        self.assertEqual(driver.promote(), ())
+        self.assertEqual(driver.hold(), ())
 
     def test_replicas_stay_fenced_while_a_promotion_may_take_effect(self) -> None:
         driver = Driver()
         driver.claim()
-        driver.fence({"a": status(5), "b": status(6)})
-        driver.promote()
+        statuses = {"a": status(5), "b": status(6)}
+        driver.fence(statuses)
+        driver.promote(statuses)
         driver.tell(PromotionAnswered("s", False, False))
         actions = driver.see(FAILING, succession.DUTY_SECONDS)
         self.assertEqual(actions, ())
@@ -201,12 +214,13 @@
     def test_refused_successor_is_passed_over(self) -> None:
         driver = Driver()
         driver.claim()
-        driver.fence({"a": status(6), "b": status(6)})
-        driver.promote()
+        statuses = {"a": status(6), "b": status(6)}
+        driver.fence(statuses)
+        driver.promote(statuses)
         again = driver.tell(PromotionAnswered("s", False, True))
-        self.assertEqual([type(each) for each in again], [StepFormerDown, FenceAll])
-        driver.fence({"a": status(6), "b": status(6)})
-        (promote,) = driver.promote()
+        self.assertEqual([type(each) for each in again], [StepDownOne, FenceAll])
+        driver.fence(statuses)
+        (promote,) = driver.promote(statuses)
         assert isinstance(promote, Promote)
         self.assertEqual(promote.successor, "b")
 
@@ -216,3 +230,62 @@
         driver.fence({"a": status(5), "b": status(6)})
         (unfence,) = driver.see(FAILING, succession.DUTY_SECONDS)
         self.assertIsInstance(unfence, UnfenceAll)
+
+
+class ConfirmationTest(unittest.TestCase):
+    """Right before the call, all replicas are as they were when they were compared."""
+
+    FENCED: Mapping[str, DatabaseStatus | None] = {"a": status(5), "b": status(6)}
+
+    def held(self) -> Driver:
+        driver = Driver()
+        driver.claim()
+        driver.fence(self.FENCED)
+        (fence,) = driver.hold()
+        self.assertIsInstance(fence, FenceAll)
+        return driver
+
+    def test_replica_that_lost_its_fence_is_held_anew(self) -> None:
+        """A replica that restarts forgets its fence, and may have received since."""
+        driver = self.held()
+        held = driver.tell(FencesAnswered("s", self.FENCED, were_fenced=False))
+        self.assertEqual(held, (LookAfter(PROMOTION_HOLD_SECONDS),))
+
+    def test_log_that_is_longer_now_is_named_after_another_hold(self) -> None:
+        driver = self.held()
+        longer = {"a": status(9), "b": status(6)}
+        held = driver.tell(FencesAnswered("s", longer, were_fenced=True))
+        self.assertEqual(held, (LookAfter(PROMOTION_HOLD_SECONDS),))
+        (promote,) = driver.promote(longer)
+        assert isinstance(promote, Promote)
+        self.assertEqual(promote.successor, "a")
+
+    def test_replica_that_registered_meanwhile_is_fenced_too(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.fence(self.FENCED)
+        (fence,) = driver.hold(replace(FAILING, replicas=("a", "b", "c")))
+        self.assertEqual(fence, FenceAll("s", 2, ("a", "b", "c"), ()))
+
+    def test_primary_that_came_back_meanwhile_is_left_alone(self) -> None:
+        """A primary came back under another name; its new commits were lost."""
+        driver = Driver()
+        driver.claim()
+        driver.fence(self.FENCED)
+        back = replace(HEALTHY, leader="new", replicas=("a", "b", "old"))
+        (unfence,) = driver.hold(back)
+        self.assertIsInstance(unfence, UnfenceAll)
+
+
+class ReplacedPrimaryTest(unittest.TestCase):
+    """A primary of an older term that does not know yet that it was replaced."""
+
+    def test_is_stepped_down_and_fenced(self) -> None:
+        """It was taken for the group's primary, and the group was left alone."""
+        driver = Driver()
+        driver.claim(replace(FAILING, term=3))
+        replaced = status(7, fenced_term=0, is_primary=True)
+        follower = replace(status(6), term=3, fenced_term=4)
+        actions = driver.fence({"a": replaced, "b": follower})
+        look = LookAfter(succession.RETRY_SECONDS)
+        self.assertEqual(actions, (StepDownOne("s", 4, "a"), look))
