Wait in a succession only for databases that may hold an acknowledged commit alone

A planned change waited a minute for a database that had crashed eight seconds before: with no primary left, since its own step-down, it was taken for hidden. A crashed replica that came back under a new name was waited for under its old one, though another database answered at its address.

Change: the trouble begins when the primary was last well, or with a planned change. Nobody is waited for once a log reaches the end of that of the stepped-down primary. A database in whose place another answers has ended; it is excused if the longest log reaches what was acknowledged here.

The new tests failed before.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -9,7 +9,7 @@
 from beryltiller.core.addresses import Address
 from beryltiller.platform import wire
 from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
 from beryltiller.sessions.statements import (
     Code,
     DatabaseStatus,
@@ -75,7 +75,9 @@
         code = self._decoder.refusal()
         reason = str(exc or "closed by the database")
         self._transport = None
-        if code is not None:
+        if code is Code.WRONG_DATABASE:
+            self._fail(ReplacedError(code, "another database answers there"))
+        elif code is not None:
             self._fail(NotSentError(code, "refused the session"))
         else:
             self._fail(BrokenError(reason))
@@ -141,8 +143,9 @@
 ) -> LineConnection:
     """Return an open connection to a database.
 
-    Raise `NotSentError`: with the database's own code when it refuses the session,
-    `WRONG_DATABASE` also when nobody answers at the address.
+    Raise `ReplacedError` when another database answers at the address. Raise
+    `NotSentError` with the database's own code when it refuses the session, and with
+    `WRONG_DATABASE` when nobody answers at the address.
     """
     loop = asyncio.get_running_loop()
     address = Address.parse(database.address)
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -17,6 +17,10 @@
     """Report a statement that was refused before it was sent to a database."""
 
 
+class ReplacedError(NotSentError):
+    """Report that another database answers at the address: the wanted one has ended."""
+
+
 class BrokenError(SessionError):
     """Report a connection that broke, or was given up, before the answer was whole."""
 
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -150,7 +150,7 @@
             case None:
                 member.served(now - asked_at)
                 if _is_commit_of_write(session, request):
-                    group.acknowledged(member, asked_at)
+                    group.acknowledged(member, asked_at, reply.position)
             case Code.LAGGING:
                 member.lagged(now)
             case Code.READ_ONLY if member is group.leader:
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -210,6 +210,7 @@
         self.members: dict[str, Member] = {}
         self._leader: str | None = None
         self._term = 0
+        self._last_acknowledged = Position(0, 0)
         self._newest_serial = 0
         self._leader_changes = 0
         self._proved_until = NEVER
@@ -243,6 +244,11 @@
         """Return up to when the leader's term is proved to be in force."""
         return self._proved_until
 
+    @property
+    def last_acknowledged(self) -> Position:
+        """Return the newest position of a commit that was acknowledged here."""
+        return self._last_acknowledged
+
     @property
     def replicas(self) -> tuple[Member, ...]:
         """Return the members that do not lead."""
@@ -297,9 +303,13 @@
         else:
             self._replicated(position)
 
-    def acknowledged(self, member: Member, asked_at: float) -> None:
+    def acknowledged(
+        self, member: Member, asked_at: float, position: Position | None = None
+    ) -> None:
         """Take in a commit of the leader that a replica has received."""
         member.acknowledged()
+        if position is not None and position > self._last_acknowledged:
+            self._last_acknowledged = position
         if member.database.identifier == self._leader:
             self._prove(asked_at)
 
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -14,7 +14,7 @@
 from beryltiller.process.actors import Part
 from beryltiller.sessions import succession, succession_state
 from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.errors import SessionError
+from beryltiller.sessions.errors import ReplacedError, SessionError
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.groups import Group, Member
 from beryltiller.sessions.statements import (
@@ -28,9 +28,7 @@
 
 PART_NAME = "succession"
 LOOK_SECONDS = 0.1
-COMMAND_TIMEOUT_SECONDS = 0.5
-# A primary whose entry is no longer used may have been silent for this long.
-ENTRY_SILENCE_SECONDS = 8.0
+COMMAND_TIMEOUT_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +83,8 @@
         self._policy = succession.SuccessionPolicy(source)
         self._clock = clock
         self._headless_since: dict[str, float] = {}
+        self._led_until: dict[str, float] = {}
+        self._replaced: set[str] = set()
         self._leaders: dict[str, str] = {}
         self._newest_token = 0
 
@@ -121,6 +121,8 @@
         service = group.service
         if leader is not None:
             self._headless_since.pop(service, None)
+            failing_since = leader.failing_since
+            self._led_until[service] = now if failing_since is None else failing_since
         else:
             self._headless_since.setdefault(service, now)
         self._log_leader(group, leader)
@@ -140,6 +142,8 @@
             leader.failing_since if leader else None,
             leader.stalled_since(now) if leader else None,
             self._headless_since.get(service),
+            self._led_until.get(service),
+            group.last_acknowledged,
         )
 
     def _log_leader(self, group: Group, leader: Member | None) -> None:
@@ -156,9 +160,12 @@
                 return await self._claim(action)
             case succession_state.StepDownOne(service, term, identifier):
                 # A replica that is not fenced could follow another primary.
-                if await self._command(service, identifier, StepDown(term)):
-                    await self._command(service, identifier, Fence(term))
-                return None
+                stepped = await self._command(service, identifier, StepDown(term))
+                if stepped is None or stepped.is_primary:
+                    return None
+                await self._command(service, identifier, Fence(term))
+                received = stepped.received
+                return succession_state.SteppedDown(service, identifier, received)
             case succession_state.FenceAll():
                 return await self._fence_all(action)
             case succession_state.LookAfter(seconds):
@@ -199,8 +206,10 @@
             for name, item in seen.items()
             if name not in action.departed
         )
-        statuses = await self._command_all(service, others, Fence(action.term))
-        hidden = self._hidden(service)
+        answering = [name for name, item in seen.items() if item is not None]
+        fenced = await self._command_all(service, answering, Fence(action.term))
+        statuses = {name: fenced.get(name) for name in others}
+        hidden = self._hidden(service, action.trouble_since)
         gone = frozenset(
             name
             for name in action.departed
@@ -215,23 +224,14 @@
                 ),
             )
         )
-        return succession_state.FencesAnswered(service, statuses, gone, were_fenced)
+        replaced = frozenset(self._replaced.intersection(statuses))
+        return succession_state.FencesAnswered(
+            service, statuses, gone, replaced, were_fenced
+        )
 
-    def _hidden(self, service: str) -> frozenset[str]:
+    def _hidden(self, service: str, trouble_since: float) -> frozenset[str]:
         """Return the departed that may be cut off together with the former primary."""
-        now = self._clock()
-        leader = self._fleet.group(service).leader
-        times = [now]
-        if leader is None:
-            headless_since = self._headless_since.get(service, now)
-            times.append(headless_since - ENTRY_SILENCE_SECONDS)
-        else:
-            times += [
-                since
-                for since in (leader.failing_since, leader.stalled_since(now))
-                if since is not None
-            ]
-        hidden = self._fleet.directory.hidden_of(service, min(times))
+        hidden = self._fleet.directory.hidden_of(service, trouble_since)
         return frozenset(each.database.identifier for each in hidden)
 
     async def _promote(
@@ -276,7 +276,10 @@
             )
         except (SessionError, TimeoutError) as error:
             logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
+            if isinstance(error, ReplacedError):
+                self._replaced.add(name)
             return None
+        self._replaced.discard(name)
         member = self._fleet.group(service).members.get(name)
         if member is not None and status.is_primary:
             self._fleet.group(service).status_heard(member, status, asked_at)
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import replace
 
 from beryltiller.core.position import Position
@@ -30,6 +30,7 @@
     Seen,
     State,
     StepDownOne,
+    SteppedDown,
     Succession,
     UnfenceAll,
 )
@@ -48,6 +49,8 @@
 # Proxies that notice together claim one after the other.
 CLAIM_SPREAD_SECONDS = 0.15
 RETRY_SECONDS = 0.2
+# A primary whose entry is no longer used may have been silent for this long.
+ENTRY_SILENCE_SECONDS = 8.0
 # After a succession that came to nothing, or that is done.
 PAUSE_SECONDS = 1.5
 TAKEOVER_SECONDS = 4.0
@@ -93,6 +96,8 @@
                 return self._claimed(state, event, service, now)
             case ClaimLost(service):
                 return _drop(state, service, now + PAUSE_SECONDS), ()
+            case SteppedDown(service):
+                return _stepped_down(state, event, service), ()
             case FencesAnswered(service):
                 return self._fenced(state, event, service, now)
             case PromotionAnswered(service):
@@ -126,7 +131,8 @@
             return _not_before(state, service, now + delay), ()
         if now < not_before:
             return state, ()
-        succession = Succession(service, cause, Phase.CLAIMING, view.leader, now)
+        since = _trouble_since(view, cause, now)
+        succession = Succession(service, cause, Phase.CLAIMING, view.leader, now, since)
         return _with(state, succession), (Claim(service, cause),)
 
     def _claimed(
@@ -164,7 +170,8 @@
         )
         replicas = tuple(name for name in view.replicas if name != former)
         departed = tuple(name for name in view.departed if name != former)
-        fence = FenceAll(succession.service, term, replicas, departed)
+        since = succession.trouble_since
+        fence = FenceAll(succession.service, term, replicas, departed, since)
         return _with(state, succession), (fence,)
 
     def _fenced(
@@ -182,7 +189,8 @@
         if any(item.term >= newest for item in primaries.values()):
             # The group has a primary that this proxy did not know of.
             return self._give_up(state, succession, now)
-        silent = event.statuses.keys() - heard.keys() - event.gone
+        silent = event.statuses.keys() - heard.keys()
+        silent -= self._not_needed(state, succession, event, heard)
         fences = max((item.fenced_term for item in heard.values()), default=0)
         behind = [s for s in heard.values() if s.fenced_term < succession.term]
         successor = self._choose(state, succession, heard)
@@ -201,6 +209,27 @@
         holding = replace(succession, phase=Phase.HOLDING, successor=successor)
         return _wait(state, holding, now, PROMOTION_HOLD_SECONDS)
 
+    def _not_needed(
+        self,
+        state: State,
+        succession: Succession,
+        event: FencesAnswered,
+        heard: Mapping[str, DatabaseStatus],
+    ) -> Set[str]:
+        """Return the silent databases that hold no acknowledged commit alone.
+
+        Nobody is waited for once a log reaches the end of that of the former primary,
+        which has stepped down. A database that has ended can acknowledge no more; what
+        it received is in other logs if they reach what is known as acknowledged.
+        """
+        longest = max((s.received for s in heard.values()), default=Position(0, 0))
+        last = succession.last_position
+        if last is not None and longest >= last:
+            return event.statuses.keys()
+        if longest >= state.groups[succession.service].acknowledged:
+            return event.gone | event.replaced
+        return event.gone
+
     def _choose(
         self,
         state: State,
@@ -284,6 +313,25 @@
         return state, (UnfenceAll(succession.service, replicas),)
 
 
+def _trouble_since(view: GroupView, cause: Cause, now: float) -> float:
+    """Return since when databases may be hidden together with the primary."""
+    match cause:
+        case Cause.LEAVING:
+            return now
+        case Cause.HEADLESS if view.led_until is None:
+            since = now if view.headless_since is None else view.headless_since
+            return since - ENTRY_SILENCE_SECONDS
+    times = (view.failing_since, view.stalled_since, view.led_until)
+    return min((since for since in times if since is not None), default=now)
+
+
+def _stepped_down(state: State, event: SteppedDown, service: str) -> State:
+    succession = state.successions.get(service)
+    if succession is None or succession.former != event.identifier:
+        return state
+    return _with(state, replace(succession, last_position=event.received))
+
+
 def _since(began: float | None, now: float, seconds: float) -> bool:
     return began is not None and now - began >= seconds
 
--- a/src/beryltiller/sessions/succession_state.py
+++ b/src/beryltiller/sessions/succession_state.py
@@ -4,8 +4,11 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from beryltiller.core.position import Position
 from beryltiller.sessions.statements import DatabaseStatus
 
+NO_POSITION = Position(0, 0)
+
 
 @unique
 class Cause(Enum):
@@ -23,7 +26,9 @@
 
     The times are when the present trouble began, or None. `replicas` are all known
     databases but the leader that may hold acknowledged commits; `departed` are
-    databases whose entries are gone, which may live all the same.
+    databases whose entries are gone, which may live all the same. A leader was well
+    at `led_until`, if this proxy has seen one; `acknowledged` is the newest position
+    that it acknowledged here.
     """
 
     service: str
@@ -36,6 +41,8 @@
     failing_since: float | None = None
     stalled_since: float | None = None
     headless_since: float | None = None
+    led_until: float | None = None
+    acknowledged: Position = NO_POSITION
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,16 +73,27 @@
 class FencesAnswered:
     """What each database answered when it was fenced; None: nothing or a refusal.
 
-    `gone` are those that can't be reached and whose entries are gone for good;
-    `were_fenced` tells that all the others were fenced already.
+    `gone` are those that can't be reached and whose entries are gone for good; in the
+    place of those `replaced` another database answers. `were_fenced` tells that all
+    the others were fenced already.
     """
 
     service: str
     statuses: Mapping[str, DatabaseStatus | None]
     gone: frozenset[str] = frozenset()
+    replaced: frozenset[str] = frozenset()
     were_fenced: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SteppedDown:
+    """A primary has become a replica; its log ends at `received`."""
+
+    service: str
+    identifier: str
+    received: Position
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAnswered:
     """Whether the platform took the promotion."""
@@ -85,7 +103,7 @@
     is_refused: bool
 
 
-Event = Seen | Claimed | ClaimLost | FencesAnswered | PromotionAnswered
+Event = Seen | Claimed | ClaimLost | SteppedDown | FencesAnswered | PromotionAnswered
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,12 +125,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FenceAll:
-    """Pause all replicas, below `term`."""
+    """Pause all replicas, below `term`; the trouble began at `trouble_since`."""
 
     service: str
     term: int
     replicas: tuple[str, ...]
     departed: tuple[str, ...] = ()
+    trouble_since: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +178,8 @@
 class Succession:
     """One service's succession under this proxy's claim.
 
-    `may_take_effect` tells that a promotion was asked for and not refused.
+    `may_take_effect` tells that a promotion was asked for and not refused;
+    `last_position` is the end of the former primary's log once it has stepped down.
     """
 
     service: str
@@ -167,6 +187,8 @@
     phase: Phase
     former: str | None
     since: float
+    trouble_since: float = 0.0
+    last_position: Position | None = None
     token: int = 0
     deadline: float = 0.0
     term: int = 0
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -13,7 +13,7 @@
     RouteKind,
     Service,
 )
-from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.placement import Placer
@@ -52,7 +52,7 @@
 
     `hang` names statement types that are never answered, `cut` those after which the
     connection breaks, `refuse` gives a code for a statement type, `refuse_start` one
-    for new connections.
+    for new connections; in the place of one that `is_replaced` another answers.
     """
 
     identifier: str
@@ -67,6 +67,7 @@
     refuse: dict[type, Code] = field(default_factory=dict)
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
+    is_replaced: bool = False
     connections: int = 0
 
     @property
@@ -214,6 +215,8 @@
         fake = self.databases[database.identifier]
         if fake.is_dark:
             raise NotSentError(Code.WRONG_DATABASE, "dark")
+        if fake.is_replaced:
+            raise ReplacedError(Code.WRONG_DATABASE, "another answers")
         if fake.refuse_start is not None:
             raise NotSentError(fake.refuse_start, "refused")
         return FakeConnection(fake)
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -6,7 +6,7 @@
 
 from beryltiller.platform.databases import LineConnection, connect
 from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
 from beryltiller.sessions.statements import (
     AskStatus,
     Code,
@@ -85,6 +85,11 @@
             await self.connect({"STARTUP": REFUSAL})
         self.assertIs(raised.exception.code, Code.CONNECTION_LIMIT)
 
+    async def test_another_database_at_the_address_is_told_apart(self) -> None:
+        refusal = b"ERROR WRONGNODE i-2\r\n"
+        with self.assertRaises(ReplacedError):
+            await self.connect({"STARTUP": refusal})
+
     async def test_replies_come_in_order(self) -> None:
         script: dict[str, bytes | None] = {
             "STARTUP": READY,
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -16,6 +16,7 @@
     LookAfter,
     Seen,
     StepDownOne,
+    SteppedDown,
 )
 from tests.fake_group import FakeDatabase, Rig
 from tests.virtual_loop import run_virtual, virtual_now
@@ -49,10 +50,8 @@
                     departed = replace(rig.far.entry(), identifier="d")
                     entries = rig.fleet.directory.databases
                     rig.fleet.register(Directory(entries, (Departed(departed, since),)))
-                    leader = rig.fleet.group("s").leader
-                    assert leader is not None
-                    leader.failed(virtual_now())
-                    action = FenceAll("s", 2, ("near", "far"), ("d",))
+                    names = ("near", "far")
+                    action = FenceAll("s", 2, names, ("d",), virtual_now())
                     answered = await steward(rig).part().perform(action)
                     assert isinstance(answered, FencesAnswered)
                     return answered
@@ -187,6 +186,29 @@
         leader = run_virtual(work())
         self.assertEqual((leader.is_primary, leader.fenced_term), (False, 2))
 
+    def test_tells_where_the_log_of_a_stepped_down_primary_ends(self) -> None:
+        async def work(is_dark: bool) -> object:
+            rig = Rig()
+            rig.leader.is_dark = is_dark
+            return await steward(rig).part().perform(StepDownOne("s", 2, "leader"))
+
+        stepped_down = SteppedDown("s", "leader", Position(1, 10))
+        self.assertEqual(run_virtual(work(False)), stepped_down)
+        self.assertIsNone(run_virtual(work(True)))
+
+    def test_tells_which_databases_another_has_replaced(self) -> None:
+        async def work() -> FencesAnswered:
+            rig = Rig()
+            rig.far.is_replaced = True
+            action = FenceAll("s", 2, ("near", "far"), ())
+            answered = await steward(rig).part().perform(action)
+            assert isinstance(answered, FencesAnswered)
+            return answered
+
+        answered = run_virtual(work())
+        self.assertEqual(answered.replaced, frozenset({"far"}))
+        self.assertIsNone(answered.statuses["far"])
+
 
 class ConfirmTest(unittest.TestCase):
     """Who claims to lead is asked in which term."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -26,6 +26,7 @@
     Seen,
     State,
     StepDownOne,
+    SteppedDown,
     UnfenceAll,
 )
 
@@ -66,9 +67,11 @@
         return self.tell(Claimed("s", 7, self.now))
 
     def fence(
-        self, statuses: Mapping[str, DatabaseStatus | None], **more: frozenset[str]
+        self,
+        statuses: Mapping[str, DatabaseStatus | None],
+        gone: frozenset[str] = frozenset(),
     ) -> tuple[Action, ...]:
-        return self.tell(FencesAnswered("s", statuses, **more))
+        return self.tell(FencesAnswered("s", statuses, gone))
 
     def hold(self, view: GroupView = FAILING) -> tuple[Action, ...]:
         """Let the hold pass."""
@@ -146,7 +149,9 @@
     def test_group_without_a_former_primary_steps_nobody_down(self) -> None:
         driver = Driver()
         headless = replace(HEALTHY, leader=None, headless_since=0.0)
-        self.assertEqual(driver.claim(headless), (FenceAll("s", 2, ("a", "b"), ()),))
+        (fence,) = driver.claim(headless)
+        assert isinstance(fence, FenceAll)
+        self.assertEqual((fence.replicas, fence.departed), (("a", "b"), ()))
 
     def test_nothing_without_the_store(self) -> None:
         driver = Driver()
@@ -289,3 +294,59 @@
         actions = driver.fence({"a": replaced, "b": follower})
         look = LookAfter(succession.RETRY_SECONDS)
         self.assertEqual(actions, (StepDownOne("s", 4, "a"), look))
+
+
+class NotNeededTest(unittest.TestCase):
+    """Silent databases that hold no acknowledged commit alone are not waited for."""
+
+    def is_waited_for(
+        self, driver: Driver, received: int, replaced: frozenset[str] = frozenset()
+    ) -> bool:
+        """Tell whether a silent database holds up a log that ends at `received`."""
+        statuses = {"a": status(received), "b": None}
+        driver.tell(FencesAnswered("s", statuses, replaced=replaced))
+        return not driver.state.successions["s"].successor
+
+    def test_log_that_reaches_the_stepped_down_primarys_end(self) -> None:
+        """A database that had crashed before held up a planned change for a minute."""
+        for received, expected in ((6, True), (7, False)):
+            with self.subTest(received=received):
+                driver = Driver()
+                driver.claim()
+                driver.tell(SteppedDown("s", "old", Position(1, 7)))
+                self.assertEqual(self.is_waited_for(driver, received), expected)
+
+    def test_another_primarys_end_does_not_count(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.tell(SteppedDown("s", "other", Position(1, 5)))
+        self.assertTrue(self.is_waited_for(driver, 6))
+
+    def test_database_that_another_has_replaced(self) -> None:
+        """It was waited for, though one that started anew answered in its place."""
+        cases: tuple[tuple[str, int, frozenset[str], bool], ...] = (
+            ("reaches", 7, frozenset("b"), False),
+            ("too short", 6, frozenset("b"), True),
+            ("not replaced", 7, frozenset(), True),
+        )
+        for name, received, replaced, expected in cases:
+            with self.subTest(name):
+                driver = Driver()
+                driver.claim(replace(FAILING, acknowledged=Position(1, 7)))
+                waited = self.is_waited_for(driver, received, replaced)
+                self.assertEqual(waited, expected)
+
+    def test_since_when_a_database_may_be_hidden(self) -> None:
+        headless = replace(HEALTHY, leader=None, headless_since=4.0)
+        silence = succession.ENTRY_SILENCE_SECONDS
+        cases = (
+            ("failing", replace(FAILING, led_until=0.0), 0.0),
+            ("stalled", replace(HEALTHY, stalled_since=9.0, led_until=10.0), 9.0),
+            ("no leader seen", headless, 4.0 - silence),
+            ("leader was well", replace(headless, led_until=3.5), 3.5),
+        )
+        for name, view, expected in cases:
+            with self.subTest(name):
+                fence = Driver().claim(view)[-1]
+                assert isinstance(fence, FenceAll)
+                self.assertEqual(fence.trouble_since, expected)
