--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -18,10 +18,11 @@
 IP = "127.0.0.1"
 READY = b"READY I 1.5\r\n"
 REFUSAL = b"ERROR CONNLIMIT full\r\n"
+OTHER_REFUSAL = b"ERROR WRONGNODE i-2\r\n"
 
 
 class LineServer:
-    """Answer each line by a script; None answers nothing, `REFUSAL` or b"" closes."""
+    """Answer each line by a script; None answers nothing, a refusal or b"" closes."""
 
     def __init__(self, script: dict[str, bytes | None]) -> None:
         self.script = script
@@ -38,7 +39,7 @@
             if answer == b"":
                 break
             writer.write(answer or b"")
-            if answer == REFUSAL:
+            if answer in (REFUSAL, OTHER_REFUSAL):
                 break
         writer.close()
         await writer.wait_closed()
@@ -86,9 +87,8 @@
         self.assertIs(raised.exception.code, Code.CONNECTION_LIMIT)
 
     async def test_another_database_at_the_address_is_told_apart(self) -> None:
-        refusal = b"ERROR WRONGNODE i-2\r\n"
         with self.assertRaises(ReplacedError):
-            await self.connect({"STARTUP": refusal})
+            await self.connect({"STARTUP": OTHER_REFUSAL})
 
     async def test_replies_come_in_order(self) -> None:
         script: dict[str, bytes | None] = {
