Ask a store that was away without waiting, until it answers

The store went silent for 4.5 s; the question that waited for changes was lost and given up after 5.5 s, and so was the next, which had been sent into the outage as well.

The test failed on the code before.

--- a/src/beryltiller/sessions/following.py
+++ b/src/beryltiller/sessions/following.py
@@ -62,9 +62,9 @@
             self._revision = scan.revision
             self._on_rows(self._rows)
             return
-        changes = await self._feed.changes(
-            self._table, self._revision, self._wait_seconds
-        )
+        # What waits while the store is away is lost: ask briefly until it answers.
+        wait_seconds = 0.0 if self._failures else self._wait_seconds
+        changes = await self._feed.changes(self._table, self._revision, wait_seconds)
         self._revision = changes.revision
         if not changes.rows and not changes.removed:
             return
--- a/tests/test_session_lending.py
+++ b/tests/test_session_lending.py
@@ -12,7 +12,7 @@
     Scan,
 )
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.following import Rows, TableFollower
+from beryltiller.sessions.following import FEED_WAIT_SECONDS, Rows, TableFollower
 from beryltiller.sessions.gates import Gate
 from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
 from beryltiller.sessions.statements import Code
@@ -141,6 +141,7 @@
         self.answers = answers
         self.wholes = 0
         self.times: list[float] = []
+        self.waits: list[float] = []
 
     async def whole(self, table: str) -> Scan:
         self.wholes += 1
@@ -148,6 +149,7 @@
 
     async def changes(self, table: str, after: int, wait_seconds: float) -> Changes:
         self.times.append(virtual_now())
+        self.waits.append(wait_seconds)
         if not self.answers:
             await asyncio.sleep(3600)
         answer = self.answers.pop(0)
@@ -192,3 +194,9 @@
         gaps = [b - a for a, b in zip(feed.times, feed.times[1:], strict=False)]
         self.assertGreater(min(gaps), 0.0)
         self.assertLessEqual(max(gaps), 1.0)
+
+    def test_store_that_was_away_is_asked_without_waiting(self) -> None:
+        """A second long question was lost in the outage, and a change came too late."""
+        feed, _ = self.follow(LostAnswerError("silent"), Changes(11, ()))
+        long = FEED_WAIT_SECONDS
+        self.assertEqual(feed.waits, [long, 0.0, long])
