Use an entry only if it has all of its fields

Cause: entries of other writers, with fields missing, name no database to use; three fields that nothing reads were not asked for, so that such an entry was used.

Change: an entry is decoded whole. The test failed for these three fields before.

--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -71,13 +71,20 @@
 
 
 class DatabaseModel(msgspec.Struct, frozen=True):
-    """A database's entry; `born` is the Unix millisecond of its start."""
+    """A database's entry, which names all of these; others write entries too.
+
+    `config_version` is the version of the database's software, and `born` the Unix
+    millisecond of its start.
+    """
 
     service: str
     address: str
     zone: str
+    config_version: str | int
     slots: int
     state: str
+    cold_remaining_ms: float
+    sequence: int
     database_role: str
     born: int = 0
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -122,6 +122,7 @@
     "config_version": "v1",
     "slots": 3,
     "state": "ready",
+    "cold_remaining_ms": 0,
     "database_role": "replica",
     "sequence": 4,
 }
@@ -147,6 +148,13 @@
         with self.assertRaisesRegex(records.RecordError, "config_version"):
             records.decode_configuration(row("config", bad))
 
+    def test_entry_without_one_of_its_fields_names_no_database(self) -> None:
+        """Another writer's entry was used as long as it had what was read of it."""
+        for field in ENTRY:
+            with self.subTest(field):
+                partial = {name: item for name, item in ENTRY.items() if name != field}
+                self.assertEqual(records.decode_databases([row("i", partial)]), [])
+
     def test_bad_entries_are_passed_over(self) -> None:
         bad: tuple[dict[str, object], ...] = (
             {"slots": "many"},
