--- a/src/beryltiller/sessions/lending.py
+++ b/src/beryltiller/sessions/lending.py
@@ -61,12 +61,14 @@
     """Bound one proxy's connections to one database.
 
     After the database has refused one because its cap is reached, no other is tried
-    for `full_pause_seconds`.
+    for `full_pause_seconds`, and the proxy keeps to one less than it has. It may open
+    another one every `growth_seconds` from then on, up to `max_connections`.
     """
 
     max_connections: int
     idle_seconds: float = 10.0
     full_pause_seconds: float = 0.15
+    growth_seconds: float = 1.0
 
 
 class Lent:
@@ -185,6 +187,8 @@
         self._waiting: list[asyncio.Future[Lent | None]] = []
         self._is_closed = False
         self._full_until = 0.0
+        self._limit = policy.max_connections
+        self._limited_at = 0.0
         self.gate = gate
 
     @property
@@ -209,7 +213,7 @@
             if found is not None:
                 return found
             is_full = loop.time() < self._full_until
-            if self.held < self._policy.max_connections and not is_full:
+            if self.held < self._limit_at(loop.time()) and not is_full:
                 opened = await self._try_open(deadline - loop.time())
                 if opened is not None:
                     return opened
@@ -272,12 +276,24 @@
         except NotSentError as error:
             if error.code is not Code.CONNECTION_LIMIT:
                 raise
-            now = asyncio.get_running_loop().time()
-            self._full_until = now + self._policy.full_pause_seconds
+            self._reached_cap(asyncio.get_running_loop().time())
             if not self._lent:
                 raise
             return None
 
+    def _limit_at(self, now: float) -> int:
+        """Return how many connections may be held: it grows back after a refusal."""
+        grown = int((now - self._limited_at) / self._policy.growth_seconds)
+        return min(self._policy.max_connections, self._limit + grown)
+
+    def _reached_cap(self, now: float) -> None:
+        """Leave room for proxies that have fewer, as the cap is shared by all."""
+        self._full_until = now + self._policy.full_pause_seconds
+        self._limit = max(1, self.held - 1)
+        self._limited_at = now
+        while self._idle and self.held > self._limit:
+            self._idle.pop(0).close()
+
     async def _open(self, wait_seconds: float) -> Lent:
         self._opening += 1
         try:
--- a/tests/test_session_lending.py
+++ b/tests/test_session_lending.py
@@ -77,6 +77,23 @@
 
         run_virtual(work())
 
+    def test_cap_that_is_reached_leaves_room_for_other_proxies(self) -> None:
+        """With many proxies each tried again and again for more than was there."""
+
+        async def work() -> None:
+            bank = Bank(share=6, cap=3)
+            lent = [await bank.lender.lend({}, 1.0) for _ in range(3)]
+            for _ in range(4):
+                with self.assertRaises(NotSentError):
+                    await bank.lender.lend({}, 0.2)
+            self.assertEqual(bank.attempts, 4, "only one beyond the cap was tried")
+            bank.cap = 10
+            await asyncio.sleep(2.5)
+            await bank.lender.lend({}, 0.1)
+            self.assertEqual(bank.lender.held, len(lent) + 1, "it grows back")
+
+        run_virtual(work())
+
     def test_full_database_is_not_tried_again_at_once(self) -> None:
         async def work() -> None:
             bank = Bank(cap=0)
