Let no claim of a known term outrank a database seen to become primary

Change: a database that says it leads is preferred only in a term newer than all known.

The test failed before.

--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -323,23 +323,25 @@
         """
         member.answered(None)
         member.term = max(member.term, status.term)
-        if status.term > self._term:
+        is_newer = status.term > self._term
+        if is_newer:
             self._enter_term(status.term)
         if status.is_primary:
-            self._primary_heard(member, status.term)
+            self._primary_heard(member, status.term, is_newer)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.term and not status.fenced_term:
             self._prove(asked_at)
 
-    def _primary_heard(self, member: Member, term: int) -> None:
-        """Take in that a database leads, perhaps in a newer term than the leader's.
+    def _primary_heard(self, member: Member, term: int, is_newer: bool) -> None:
+        """Take in that a database leads, perhaps in a newer term than any known.
 
-        One of an older term has been replaced and does not know it yet.
+        One of an older term has been replaced and does not know it yet. One of the
+        same term may have been, by a leader that was not asked yet.
         """
         leader = self.leader
-        is_new = leader is None or (member is not leader and term > leader.term)
+        is_new = leader is None or (member is not leader and is_newer)
         member.lead_term = term
         if term >= self._term:
             member.is_lead_denied = False
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -90,6 +90,17 @@
         made.heard(made.members["r1"], Position(2, 1), 2.0)
         self.assertIsNone(made.leader)
 
+    def test_former_leader_that_is_heard_late_does_not_lead_again(self) -> None:
+        """Its answer came after its successor's entry, and before that was asked."""
+        made = group()
+        made.heard(made.members["p"], Position(1, 4), 1.0)
+        made.update((LEADER, replace(NEAR, is_primary=True), FAR), 2.0)
+        made.status_heard(made.members["p"], status(1, is_primary=True), 2.0)
+        self.assertIs(made.leader, made.members["r1"])
+        made.status_heard(made.members["r1"], status(2, is_primary=True), 2.1)
+        made.status_heard(made.members["p"], status(1, is_primary=True), 2.2)
+        self.assertIs(made.leader, made.members["r1"])
+
     def test_leader_is_asked_once(self) -> None:
         made = group()
         self.assertEqual(made.unconfirmed(), (made.members["p"],))
