--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -9,8 +9,9 @@
 from beryltiller.sessions.catalog import Configuration, Route
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.fleet import Fleet
-from beryltiller.sessions.groups import Group, Member, Tenure
+from beryltiller.sessions.groups import Group, Tenure
 from beryltiller.sessions.lending import Lender, Lent
+from beryltiller.sessions.member import Member
 from beryltiller.sessions.placement import Need, Placement, Placer
 from beryltiller.sessions.session import Pin, Session, Transaction
 from beryltiller.sessions.statements import (
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -7,8 +7,9 @@
 from beryltiller.sessions.catalog import Configuration, Database, Directory
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.gates import Gate
-from beryltiller.sessions.groups import NEVER, Group, Member
+from beryltiller.sessions.groups import Group
 from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
+from beryltiller.sessions.member import NEVER, Member
 from beryltiller.sessions.statements import (
     AskStatus,
     Code,
--- a/src/beryltiller/sessions/isolation.py
+++ b/src/beryltiller/sessions/isolation.py
@@ -13,7 +13,7 @@
 
 from beryltiller.observability import logs
 from beryltiller.sessions.fleet import Fleet, Reach
-from beryltiller.sessions.groups import NEVER
+from beryltiller.sessions.member import NEVER
 
 WINDOW_SECONDS = 1.0
 MIN_OUTCOMES = 4
--- a/src/beryltiller/sessions/placement.py
+++ b/src/beryltiller/sessions/placement.py
@@ -9,7 +9,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Route, RouteKind
-from beryltiller.sessions.groups import Group, Member
+from beryltiller.sessions.groups import Group
+from beryltiller.sessions.member import Member
 
 # What a statement to another availability zone costs, expressed as time, so that a
 # nearby database is preferred until it is this much slower.
--- a/src/beryltiller/sessions/steward.py
+++ b/src/beryltiller/sessions/steward.py
@@ -16,7 +16,8 @@
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.errors import ReplacedError, SessionError
 from beryltiller.sessions.fleet import Fleet
-from beryltiller.sessions.groups import Group, Member
+from beryltiller.sessions.groups import Group
+from beryltiller.sessions.member import Member
 from beryltiller.sessions.statements import (
     AskStatus,
     DatabaseStatus,
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -7,10 +7,10 @@
 from beryltiller.sessions.catalog import Database, Departed, Route, RouteKind
 from beryltiller.sessions.groups import (
     KEPT_SAMPLES_SECONDS,
-    STALL_MEMORY_SECONDS,
     TERM_PROOF_SECONDS,
     Group,
 )
+from beryltiller.sessions.member import STALL_MEMORY_SECONDS
 from beryltiller.sessions.placement import DRAIN_SECONDS, Need, Placer, read_need
 from beryltiller.sessions.registry import LAPSE_GRACE_SECONDS, Registry
 from beryltiller.sessions.statements import DatabaseStatus
