Take what the log library kept before the test of log lines

Cause: test_observability.LogTest.test_each_event_is_written erred in a run of all tests (536 passed, 1 failed): a second line stood before its own. eliot keeps lines until the first destination is added and hands them all to it; test_isolation logs now, and runs earlier. Seen again with tests.test_isolation and tests.test_observability alone.

Change: the test takes what was kept before it begins; its checks are as they were. Both pass together.

--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -102,6 +102,12 @@
 class LogTest(unittest.TestCase):
     """Each event is one JSON line with its type and fields."""
 
+    def setUp(self) -> None:
+        """Take what eliot has kept of earlier tests, for want of a destination."""
+        kept = eliot.FileDestination(file=io.StringIO())
+        eliot.add_destinations(kept)
+        eliot.remove_destination(kept)
+
     def test_each_event_is_written(self) -> None:
         samples: dict[Any, Any] = {str: "text", int: 3, float: 0.5, bool: True}
         for kind in get_args(logs.Event):
