--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -175,6 +175,23 @@
         self.assertTrue(self.answered(2).were_fenced)
         self.assertFalse(self.answered(0).were_fenced)
 
+    def test_departed_database_need_not_have_been_fenced(self) -> None:
+        async def work() -> FencesAnswered:
+            rig = Rig()
+            rig.near.fenced_term = rig.far.fenced_term = 2
+            rig.databases["d"] = FakeDatabase("d", is_dark=True)
+            departed = Departed(replace(rig.far.entry(), identifier="d"), -30.0)
+            entries = rig.fleet.directory.databases
+            rig.fleet.register(Directory(entries, (departed,)))
+            action = FenceAll("s", 2, ("near", "far"), ("d",), virtual_now())
+            answered = await steward(rig).part().perform(action)
+            assert isinstance(answered, FencesAnswered)
+            return answered
+
+        answered = run_virtual(work())
+        self.assertTrue(answered.were_fenced)
+        self.assertEqual(answered.gone, frozenset({"d"}))
+
     def test_primary_that_steps_down_is_fenced(self) -> None:
         """It could follow a primary that comes back, and acknowledge with it."""
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -344,6 +344,7 @@
             ("stalled", replace(HEALTHY, stalled_since=9.0, led_until=10.0), 9.0),
             ("no leader seen", headless, 4.0 - silence),
             ("leader was well", replace(headless, led_until=3.5), 3.5),
+            ("leaving", replace(HEALTHY, is_leader_leaving=True, led_until=3.5), 10.5),
         )
         for name, view, expected in cases:
             with self.subTest(name):
