Let a replica prove only a leader that has said in which term it leads

Change: evidence of a replica counts only for the term in which the leader has said itself that it leads. A question for evidence asks the leader too when that is not known. The set-up of the evidence tests now has a leader that has said so; their checks are as before.

Test: test_session_groups.EvidenceTest.test_leader_that_was_not_asked_is_proved_by_no_replica failed before.

--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -276,7 +276,7 @@
                     continue
                 group.status_heard(member, status, asked_at)
                 leader = group.leader
-                if leader is not None and leader.term < status.term:
+                if leader is not None and leader.lead_term != status.term:
                     await self._ask_leader(group, leader, status.term)
                     group.status_heard(member, status, asked_at)
                 if group.is_proved(asked_at):
@@ -319,7 +319,7 @@
             member.failed(self._clock())
 
     async def _ask_leader(self, group: Group, leader: Member, term: int) -> None:
-        """Ask a leader that may have been replaced by one of a newer term."""
+        """Ask a leader that may have been replaced, or has not said when it leads."""
         asked_at = self._clock()
         try:
             status = await self.ask_status(leader)
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -163,8 +163,9 @@
     ) -> None:
         """Take in what a database says of its term and fence.
 
-        A replica that follows in the leader's term and is not fenced proves that no
-        later term had begun when it was asked.
+        A replica that is not fenced, and follows in the term in which the leader says
+        that it leads, proves that no later term had begun when it was asked. A leader
+        that has not said so may follow in that term itself.
         """
         member.answered(None)
         member.term = max(member.term, status.term)
@@ -176,7 +177,7 @@
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
-        if status.term == leader.term and not status.fenced_term:
+        if status.term == leader.lead_term and not status.fenced_term:
             self._prove(asked_at)
 
     def _primary_heard(self, member: Member, term: int, is_newer: bool) -> None:
@@ -249,7 +250,7 @@
         the leader was asked, and received by a replica that was not fenced then.
         """
         leader = self.leader
-        if leader is None or position.term != leader.term:
+        if leader is None or position.term != leader.lead_term:
             return
         for sample in reversed(self._samples):
             if sample.asked_at + TERM_PROOF_SECONDS <= self._proved_until:
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -141,6 +141,7 @@
 
     def proved(self) -> Group:
         made = group()
+        made.status_heard(made.members["p"], status(1, is_primary=True), 0.5)
         made.heard(made.members["p"], Position(1, 4), 1.0)
         return made
 
@@ -183,6 +184,14 @@
         self.assertFalse(made.is_proved(2.0))
         self.assertEqual(made.floor(1.0), Position(1, 4), "still covers commits")
 
+    def test_leader_that_was_not_asked_is_proved_by_no_replica(self) -> None:
+        """Replaced and stepped down, it followed in the replicas' term itself."""
+        made = group()
+        made.heard(made.members["p"], Position(2, 2), 1.0)
+        made.heard(made.members["r1"], Position(2, 4), 1.1)
+        made.status_heard(made.members["r2"], status(2), 1.2)
+        self.assertFalse(made.is_proved(1.0))
+
     def test_tenure_tells_reigns_apart(self) -> None:
         made = self.proved()
         before = made.tenure
