Keep the connection over which a busy database refuses a question

Cause: a database that answers a question with busy has kept the connection, and the proxy closed it and opened another for the next question, ten times a second while it did not know in which term the primary leads. An opening takes a slot for 12 ms, so 78 proxies kept a primary busy by asking whether it leads.

Change: a refusal by the database gives the connection back, for questions and for begins. Who claims to lead without saying in which term is asked every 0.4 s. In doubt a store that has answered is asked again after 0.4 s, not after 0.1 s by every proxy at once.

Tests, which failed before: test_session_fleet (three), test_isolation.WatchTest .test_store_that_answers_is_asked_now_and_then.

--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from beryltiller.sessions.catalog import Configuration, Database, Directory
-from beryltiller.sessions.errors import SessionError
+from beryltiller.sessions.errors import NotSentError, SessionError
 from beryltiller.sessions.gates import Gate
 from beryltiller.sessions.groups import Group
 from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
@@ -30,6 +30,8 @@
 SURVEY_WAIT_SECONDS = 0.04
 # While a group has no leader that works, its databases are asked this often.
 FIND_LEADER_SECONDS = 0.3
+# A database that claims to lead and does not say in which term is asked this often.
+CONFIRM_SECONDS = 0.4
 
 # A leader that leaves statements without any answer for this long is asked.
 SILENCE_SECONDS = 0.25
@@ -63,6 +65,7 @@
         self._questions: dict[str, asyncio.Task[None]] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
         self._leader_asked_at: dict[str, float] = {}
+        self._claimant_asked_at: dict[str, float] = {}
         self._follows_store = False
 
     @property
@@ -174,6 +177,10 @@
             lent = await lender.lend({}, timeout_seconds)
             try:
                 status = await lent.command(statement)
+            except NotSentError:
+                # A database that is too busy to answer has kept the connection.
+                lender.give_back(lent)
+                raise
             except BaseException:
                 lender.drop(lent)
                 raise
@@ -218,10 +225,18 @@
             self._confirm(group, member)
             for group in tuple(self._groups.values())
             for member in group.unconfirmed()
-            if not member.is_known(now)
+            if self._may_be_asked(member, now)
         ]
         await asyncio.gather(*asked)
 
+    def _may_be_asked(self, member: Member, now: float) -> bool:
+        """Tell whether a database that claims to lead was not asked just now."""
+        identifier = member.database.identifier
+        if now < self._claimant_asked_at.get(identifier, NEVER) + CONFIRM_SECONDS:
+            return False
+        self._claimant_asked_at[identifier] = now
+        return True
+
     async def _confirm(self, group: Group, member: Member) -> None:
         asked_at = self._clock()
         try:
@@ -357,6 +372,8 @@
         known = {_key(database) for database in self._directory.databases.values()}
         for key in self._lenders.keys() - known:
             self._lenders.pop(key).close()
+        for identifier in self._claimant_asked_at.keys() - self._directory.databases:
+            del self._claimant_asked_at[identifier]
 
 
 def _key(database: Database) -> Key:
--- a/src/beryltiller/sessions/isolation.py
+++ b/src/beryltiller/sessions/isolation.py
@@ -20,6 +20,8 @@
 REFUSED_SHARE = 0.4
 # Databases are not asked again sooner, as each question takes one of their slots.
 ASK_AGAIN_SECONDS = 1.0
+# A store that answered is not asked again sooner: all proxies are in doubt together.
+STORE_AGAIN_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,7 @@
         self._clock = clock
         self._reach = Reach(0, 0)
         self._asked_at = NEVER
+        self._store_answered_at = NEVER
         self._isolated_since: float | None = None
 
     def isolated_seconds(self) -> float:
@@ -105,13 +108,23 @@
         is_in_doubt = self._fleet.has_doubtful_leader()
         if not (monitor.is_isolated or is_in_doubt or monitor.is_suspected(self._now)):
             return
-        is_reachable = await self._is_store_reachable()
+        is_reachable = await self._has_store_answered()
         if not is_reachable and self._now >= self._asked_at + ASK_AGAIN_SECONDS:
             self._asked_at = self._now
             self._reach = await self._fleet.reach()
         monitor.looked(is_reachable, self._reach, self._now)
         self._log()
 
+    async def _has_store_answered(self) -> bool:
+        """Tell whether the store answers, or did so just now."""
+        asked_at = self._now
+        if asked_at < self._store_answered_at + STORE_AGAIN_SECONDS:
+            return True
+        is_reachable = await self._is_store_reachable()
+        if is_reachable:
+            self._store_answered_at = asked_at
+        return is_reachable
+
     @property
     def _now(self) -> float:
         return self._clock()
--- a/src/beryltiller/sessions/transacting.py
+++ b/src/beryltiller/sessions/transacting.py
@@ -186,7 +186,7 @@
             raise BrokenError(error.reason) from error
 
     def _refused(self, group: Group, pin: Pin, reply: Reply) -> None:
-        pin.lender.drop(pin.lent)
+        return_pin(pin, reply)
         if reply.code is Code.LAGGING:
             pin.placement.member.lagged(self._executor.now())
 
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -69,6 +69,7 @@
     refuse_start: Code | None = None
     is_replaced: bool = False
     connections: int = 0
+    attempts: int = 0
 
     @property
     def position(self) -> Position:
@@ -111,6 +112,9 @@
         database = self.database
         if database.is_dark:
             await asyncio.Event().wait()
+        code = database.refuse.get(type(statement))
+        if code is not None:
+            raise NotSentError(code, "refused")
         match statement:
             case Fence(term):
                 database.fenced_term = term
@@ -213,6 +217,7 @@
     async def _connect(self, database: Database) -> FakeConnection:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         fake = self.databases[database.identifier]
+        fake.attempts += 1
         if fake.is_dark:
             raise NotSentError(Code.WRONG_DATABASE, "dark")
         if fake.is_replaced:
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -6,6 +6,7 @@
 from beryltiller.sessions.fleet import SILENCE_SECONDS, Reach
 from beryltiller.sessions.isolation import (
     MIN_OUTCOMES,
+    STORE_AGAIN_SECONDS,
     WINDOW_SECONDS,
     IsolationMonitor,
     IsolationWatch,
@@ -97,3 +98,25 @@
     def test_not_with_a_majority_or_the_store(self) -> None:
         self.assertIsNone(self.isolated_after(("leader",), store=False))
         self.assertIsNone(self.isolated_after(("leader", "far"), store=True))
+
+    def test_store_that_answers_is_asked_now_and_then(self) -> None:
+        """All proxies doubt a lost primary at once, and asked ten times a second."""
+        asked: list[float] = []
+
+        async def is_store_reachable() -> bool:
+            asked.append(virtual_now())
+            return True
+
+        async def work() -> None:
+            rig = Rig()
+            watch = IsolationWatch(
+                IsolationMonitor(), rig.fleet, is_store_reachable, virtual_now
+            )
+            rig.fleet.group("s").members["leader"].failed(virtual_now())
+            for _ in range(100):
+                await watch.look()
+                await asyncio.sleep(0.1)
+            rig.fleet.close()
+
+        run_virtual(work())
+        self.assertLessEqual(len(asked), 10.0 / STORE_AGAIN_SECONDS + 1)
--- /dev/null
+++ b/tests/test_session_fleet.py
@@ -0,0 +1,65 @@
+"""Tests of the databases that a proxy serves from, and of its questions to them."""
+
+import asyncio
+import unittest
+
+from beryltiller.sessions.errors import NotSentError
+from beryltiller.sessions.fleet import CONFIRM_SECONDS
+from beryltiller.sessions.statements import (
+    AskStatus,
+    Begin,
+    Code,
+    SessionState,
+    Write,
+)
+from tests.fake_group import Rig
+from tests.virtual_loop import run_virtual
+
+
+class BusyDatabaseTest(unittest.TestCase):
+    """A database that is too busy to answer is not burdened with connections."""
+
+    def test_refused_question_keeps_its_connection(self) -> None:
+        async def work() -> None:
+            rig = Rig()
+            rig.leader.refuse[AskStatus] = Code.BUSY
+            member = rig.fleet.group("s").members["leader"]
+            for _ in range(10):
+                with self.assertRaises(NotSentError):
+                    await rig.fleet.ask_status(member)
+            self.assertEqual(rig.leader.connections, 1)
+            self.assertEqual(rig.fleet.lender(rig.leader.entry()).lent, 0)
+            self.assertIsNone(member.failing_since)
+
+        run_virtual(work())
+
+    def test_claim_that_is_not_confirmed_is_asked_about_now_and_then(self) -> None:
+        """Many proxies that asked at every look kept a busy primary busy."""
+
+        async def work() -> None:
+            rig = Rig()
+            rig.leader.refuse_start = Code.BUSY
+            for _ in range(100):
+                await rig.fleet.confirm_leaders()
+                await asyncio.sleep(0.1)
+            self.assertLessEqual(rig.leader.attempts, 10 / CONFIRM_SECONDS + 1)
+            rig.leader.refuse_start = None
+            await asyncio.sleep(CONFIRM_SECONDS)
+            await rig.fleet.confirm_leaders()
+            self.assertEqual(rig.fleet.group("s").unconfirmed(), ())
+
+        run_virtual(work())
+
+    def test_refused_begin_keeps_its_connection(self) -> None:
+        async def work() -> None:
+            rig = Rig()
+            rig.leader.refuse[Begin] = Code.BUSY
+            session = rig.session()
+            for _ in range(5):
+                await rig.run(session, Begin(), "b")
+                await rig.run(session, Write("item", "data"), "w")
+                session.state = SessionState.IDLE
+                await rig.service.end_session(session)
+            self.assertEqual(rig.leader.connections, 1)
+
+        run_virtual(work())
