--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from beryltiller.observability import logs
 from beryltiller.platform import wire
 from beryltiller.platform.databases import watch_for_silence
 from beryltiller.sessions.serving import SessionService
@@ -82,6 +83,11 @@
             while self._messages:
                 message, arrived = self._messages.popleft()
                 await self._serve_one(message, arrived)
+        except Exception as error:
+            # The caller is not left waiting: a closed connection promises nothing.
+            logs.log(logs.WorkFailed("caller's connection", repr(error)))
+            self._messages.clear()
+            self.close()
         finally:
             self._work = None
         if self._transport is None:
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -106,6 +106,8 @@
 def decode_database(row: Row) -> Database:
     """Return a database's entry, or raise `RecordError`."""
     model = _decoded(row, DatabaseModel)
+    if not row.key.isprintable() or " " in row.key:
+        raise RecordError(f"key: {row.key[:40]!r} is not a word")
     if model.database_role not in _ROLES:
         raise RecordError(f"database_role: unknown {model.database_role[:40]!r}")
     if model.state not in _STATES:
--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -78,17 +78,22 @@
         self.address = address
 
     async def whole(self, table: str) -> Scan:
-        """Return every row of the table as of one moment."""
+        """Return every row of the table as of the scan's revision, or later.
+
+        What changes between two pages is told again by the feed from that revision on.
+        """
         rows: list[Row] = []
         start = ""
+        revision: int | None = None
         while True:
             query = {"table_name": table, "part": "", "result_limit": str(PAGE_ROWS)}
             if start:
                 query["start_key"] = start
             model = await self._get("rows-get", query, RowsModel)
             rows.extend(map(_row, model.rows))
+            revision = model.row_version if revision is None else revision
             if not model.has_more or not model.rows:
-                return Scan(model.row_version, tuple(rows))
+                return Scan(revision, tuple(rows))
             start = model.rows[-1].key + "\0"
 
     async def read(self, table: str, key: str) -> DatedRow:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -4,8 +4,10 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 from beryltiller.platform.ingress import CallerConnection, Ingress
+from beryltiller.sessions.statements import Reply
 from tests.fake_group import Rig
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -128,6 +130,29 @@
         on_ingress(work)
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    """An error of our own ends one connection, and nothing else."""
+
+    def test_caller_is_not_left_waiting(self) -> None:
+        async def work(rig: Rig, ingress: Ingress, caller: Caller) -> None:
+            other = Caller(ingress, rig)
+            await caller.say("STARTUP db u1")
+            await other.say("STARTUP db u2")
+            whole = rig.service.answer
+
+            async def fail(*_: object) -> Reply:
+                raise KeyError("unexpected")
+
+            with mock.patch.object(rig.service, "answer", fail):
+                await caller.say("QUERY 1 READ i")
+            self.assertTrue(caller.transport.is_closed)
+            self.assertEqual(rig.service.answer, whole)
+            answer = await other.say("QUERY 1 READ i")
+            self.assertEqual(answer[0], "DATAROW row")
+
+        on_ingress(work)
+
+
 class LeavingTest(unittest.TestCase):
     """Sessions are closed only with nothing outstanding."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,8 +2,11 @@
 
 import time
 import unittest
+from typing import Any
+from unittest import mock
 
 import aiohttp
+from aiohttp import web
 
 from beryltiller.core.ports import (
     HistoryLostError,
@@ -42,6 +45,23 @@
         self.assertEqual(len({row.key for row in scan.rows}), 1200)
         self.assertEqual(scan.revision, self.fake.version)
 
+    async def test_row_that_goes_between_two_pages_is_told_by_the_feed(self) -> None:
+        """A restarted proxy went on using a database that had left."""
+        for number in range(600):
+            self.fake.put("t", f"k{number:04}", b"v")
+        answer = self.fake.answer
+
+        def drop_then_answer(**fields: Any) -> web.Response:
+            response = answer(**fields)
+            if fields.get("has_more"):
+                self.fake.drop("t", "k0000")
+            return response
+
+        with mock.patch.object(self.fake, "answer", drop_then_answer):
+            scan = await self.store.whole("t")
+        changes = await self.store.changes("t", scan.revision, 0.0)
+        self.assertEqual(changes.removed, ("k0000",))
+
     async def test_changes_and_removals(self) -> None:
         self.fake.put("t", "a", b"1")
         scan = await self.store.whole("t")
