Let two proxies of each availability zone follow the store for the others

Cause: every proxy followed every table with questions of its own, which end at each change and every 4 s.

Housekeeping runs through process.upkeep.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -155,6 +155,21 @@
     failures: int
 
 
+@dataclass(frozen=True, slots=True)
+class PostTaken:
+    """This proxy follows the store for others from now on, in `former`'s place."""
+
+    post: str
+    former: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayMessageRefused:
+    """A message of another proxy cannot be read; it is dropped."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class EntryRefused:
     """A row of the store cannot be used; the others are."""
@@ -255,6 +270,8 @@
     | StoreUnreachable
     | FeedLost
     | FeedRegained
+    | PostTaken
+    | RelayMessageRefused
     | EntryRefused
     | LeaderChanged
     | ClaimRefused
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -13,20 +13,24 @@
 import aiohttp
 from aiohttp import web
 
+from beryltiller.adapters.broadcast import Broadcast
 from beryltiller.observability import logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
 from beryltiller.platform.settings import PlatformSettings
 from beryltiller.platform.store import Store
+from beryltiller.process import upkeep
 from beryltiller.process.actors import Part
 from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.feeding import ANNOUNCE_SECONDS, Feeding
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.following import Rows, TableFollower
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
 from beryltiller.sessions.lending import DatabaseConnection
 from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.registry import Registry
+from beryltiller.sessions.relay import Feeder, post_keys
 from beryltiller.sessions.serving import SessionService
 from beryltiller.sessions.steward import Steward
 
@@ -119,11 +123,12 @@
         )
         stack.callback(self._cancel_tasks)
         stack.callback(self._fleet.close)
+        self._feeding = self._open_relay(stack)
         self._follow(records.OPERATOR_TABLE, self._configured)
         self._databases_feed = self._follow(records.DATABASES_TABLE, self._registered)
-        self._spawn(self._keep_house())
-        self._spawn(self._watch_leaders())
-        self._spawn(self._watch_isolation())
+        self._spawn(upkeep.every(HOUSEKEEPING_SECONDS, self._keep_house))
+        self._spawn(upkeep.every(WATCH_SECONDS, self._watch_leaders))
+        self._spawn(upkeep.every(WATCH_SECONDS, self._isolation.look))
         await self._serve_readiness(stack)
         caller = settings.caller_address
         await self._ingress.listen(caller.ip, caller.port)
@@ -151,10 +156,28 @@
         return await databases.connect(database, self._settings.source_ip)
 
     def _follow(self, table: str, on_rows: Callable[[Rows], None]) -> TableFollower:
-        follower = TableFollower(self._store, table, on_rows, self._source)
-        self._spawn(follower.run())
+        feeding = self._feeding
+        follower = TableFollower(self._store, table, on_rows, self._source, feeding)
+        if feeding is not None:
+            feeding.add(follower)
+        self._spawn(upkeep.lasting(follower.run))
         return follower
 
+    def _open_relay(self, stack: AsyncExitStack) -> Feeding | None:
+        """Feed other proxies of the zone, or be fed by them."""
+        address = self._settings.relay_address
+        if address is None:
+            return None
+        own = Feeder(self._settings.host_name, str(address))
+        keys = post_keys(self._settings.availability_zone)
+        feeding = Feeding(own, keys, self._store, self._source, boot_clock)
+        broadcast = Broadcast(str(address), feeding.received)
+        broadcast.open(stack)
+        feeding.connect(broadcast)
+        self._spawn(upkeep.every(ANNOUNCE_SECONDS, feeding.announce))
+        self._spawn(upkeep.lasting(feeding.look_after_posts))
+        return feeding
+
     def _is_store_reachable(self) -> bool:
         return self._databases_feed.is_reachable
 
@@ -179,26 +202,17 @@
         self._fleet.register(self._registry.directory(boot_clock()))
 
     async def _keep_house(self) -> None:
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_SECONDS)
-            self._fleet.close_idle()
-            self._fleet.store_seen(self._databases_feed.is_reachable)
-            if self._isolation.isolated_seconds() > BALANCER_SECONDS:
-                self._ingress.close_idle(is_lasting=False)
-            lapse = self._registry.next_lapse()
-            if lapse is not None and lapse <= boot_clock():
-                self._update_directory()
+        self._fleet.close_idle()
+        self._fleet.store_seen(self._databases_feed.is_reachable)
+        if self._isolation.isolated_seconds() > BALANCER_SECONDS:
+            self._ingress.close_idle(is_lasting=False)
+        lapse = self._registry.next_lapse()
+        if lapse is not None and lapse <= boot_clock():
+            self._update_directory()
 
     async def _watch_leaders(self) -> None:
-        while True:
-            await asyncio.sleep(WATCH_SECONDS)
-            await self._steward.probe_doubtful()
-            await self._fleet.confirm_leaders()
-
-    async def _watch_isolation(self) -> None:
-        while True:
-            await asyncio.sleep(WATCH_SECONDS)
-            await self._isolation.look()
+        await self._steward.probe_doubtful()
+        await self._fleet.confirm_leaders()
 
     async def _serve_readiness(self, stack: AsyncExitStack) -> None:
         app = web.Application()
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -50,11 +50,15 @@
     platform: PlatformModel
     cloud_api: CloudModel
     bounds: BoundsModel = BoundsModel()
+    internal_port_range: tuple[int, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """What one proxy on the platform is told at its start."""
+    """What one proxy on the platform is told at its start.
+
+    Other proxies hear it at `relay_address`, if it has one.
+    """
 
     host_name: str
     source_ip: str
@@ -65,6 +69,7 @@
     duty_address: Address
     grace_seconds: float
     drain_seconds: float
+    relay_address: Address | None = None
 
 
 def read_settings_file(path: str) -> PlatformSettings:
@@ -89,9 +94,18 @@
         duty_address=_address("cloud_api.address", model.cloud_api.address),
         grace_seconds=model.bounds.grace_period_s,
         drain_seconds=model.bounds.drain_timeout_ms / 1000,
+        relay_address=_relay_address(model),
     )
 
 
+def _relay_address(model: FileModel) -> Address | None:
+    """Return where other proxies hear this one, if a port is free for that."""
+    if model.internal_port_range is None:
+        return None
+    port, _ = model.internal_port_range
+    return _address("internal_port_range", f"{model.ip_address}:{port}")
+
+
 def _address(field: str, text: str) -> Address:
     try:
         return Address.parse(text)
