Let nobody in shortly before a planned stop ends

Cause, found by reading for the stories of other operators: where fewer than half of a zone's proxies are in rotation balancers send callers to those that stop, too. A stopping proxy listened until its end, so a caller that was let in last was cut off in its first statement.

The steps of a stop are a pure decision now, sessions.leaving, in place of a loop in platform.node that no test reached.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -181,6 +181,12 @@
         """Return how many callers are connected."""
         return len(self._connections)
 
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on, or 0."""
+        sockets = self._server.sockets if self._server is not None else ()
+        return int(sockets[0].getsockname()[1]) if sockets else 0
+
     async def listen(self, ip: str, port: int) -> None:
         """Accept callers."""
         loop = asyncio.get_running_loop()
@@ -203,6 +209,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def stop_listening(self) -> None:
+        """Accept no more callers; those that try are refused a connection at once."""
+        if self._server is not None:
+            self._server.close()
+
     def expire_transactions(self) -> None:
         """End the open transactions that have nothing outstanding."""
         for connection in tuple(self._connections):
@@ -210,7 +221,6 @@
 
     def close(self) -> None:
         """Accept no more callers, and close those that are left."""
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for connection in tuple(self._connections):
             connection.close()
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -27,6 +27,7 @@
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.following import Rows, TableFollower
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
+from beryltiller.sessions.leaving import BALANCER_SECONDS, leaving
 from beryltiller.sessions.lending import DatabaseConnection
 from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.registry import Registry
@@ -37,13 +38,9 @@
 READINESS_PATH = "/beryltiller/readiness"
 HOUSEKEEPING_SECONDS = 0.3
 WATCH_SECONDS = 0.1
-# Balancers need two missed probes, a second apart, to send no more callers.
-BALANCER_SECONDS = 2.3
 DRAIN_STEP_SECONDS = 0.05
 # Statements are on their way to a draining database for less than this.
 DRAIN_MARGIN_SECONDS = 1.0
-# What is left of the grace period for closing and the process's own end.
-STOP_MARGIN_SECONDS = 0.7
 
 
 def boot_clock() -> float:
@@ -230,17 +227,17 @@
         """Keep serving until no new callers come; then let them leave one by one."""
         began = boot_clock()
         grace = self._settings.grace_seconds
-        await asyncio.sleep(BALANCER_SECONDS)
-        has_expired = False
+        has_ended_transactions = False
         while True:
-            self._ingress.close_idle()
-            passed = boot_clock() - began
-            if passed > grace - STOP_MARGIN_SECONDS:
+            step = leaving(boot_clock() - began, grace, self._ingress.open_connections)
+            if step.is_over:
                 break
-            if not self._ingress.open_connections and passed > grace / 2:
-                break
-            if passed > grace / 2 and not has_expired:
-                has_expired = True
+            if not step.admits:
+                self._ingress.stop_listening()
+            if step.closes_idle:
+                self._ingress.close_idle()
+            if step.ends_transactions and not has_ended_transactions:
+                has_ended_transactions = True
                 self._ingress.expire_transactions()
             await asyncio.sleep(DRAIN_STEP_SECONDS)
         self._on_drained()
