Account for sessions' connections with the ledger that statements use

Cause: sessions.lending kept idle, lent and opening connections in structures of its own, beside admission.ledgers, which does the same by serial number without I/O.

Change: the lender holds a ConnectionLedger; its limit under a shared cap is a decision of its own, sessions.limits, held to no I/O by the import test. A connection that was dropped cannot come back a second time. The ledger learns to open one connection for one user and to lend a preferred one.

Tests: test_ledgers.SingleOpeningTest, test_session_lending .test_connection_that_was_dropped_comes_back_only_once; behaviour is otherwise as before.

--- a/src/beryltiller/admission/ledgers.py
+++ b/src/beryltiller/admission/ledgers.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from beryltiller.core.budgets import BackoffPolicy, backoff_seconds
@@ -109,11 +110,28 @@
         delay = backoff_seconds(self._policy.backoff, self._failures, rng)
         self._next_open = now + delay
 
-    def lend(self) -> int | None:
-        """Return the connection idle for the shortest time, or None."""
+    def open_one(self) -> int | None:
+        """Return the serial number of one connection to open now, or None."""
+        return self._next_serial() if self.held < self._share else None
+
+    def not_opened(self, serial: int) -> None:
+        """Take in that an attempt ended, which says nothing of the next one."""
+        self._opening.remove(serial)
+
+    def lend_opened(self, serial: int) -> None:
+        """Take in a connection that was opened for one user, who has it now."""
+        self._opening.remove(serial)
+        self._in_use.add(serial)
+
+    def lend(self, preferred: Container[int] = ()) -> int | None:
+        """Return the connection idle for the shortest time, or None.
+
+        One of the `preferred` goes before all others.
+        """
         if not self._idle:
             return None
-        serial, _ = self._idle.pop()
+        found = (at for at, item in enumerate(self._idle) if item[0] in preferred)
+        serial, _ = self._idle.pop(max(found, default=-1))
         self._in_use.add(serial)
         return serial
 
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -8,9 +8,9 @@
 from beryltiller.sessions.errors import NotSentError, SessionError
 from beryltiller.sessions.gates import Gate
 from beryltiller.sessions.groups import Group
-from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
+from beryltiller.sessions.lending import DatabaseConnection, Lender
+from beryltiller.sessions.limits import LendingPolicy, Supply
 from beryltiller.sessions.member import NEVER, Member
-from beryltiller.sessions.placement import Supply
 from beryltiller.sessions.statements import (
     AskStatus,
     Code,
--- a/src/beryltiller/sessions/lending.py
+++ b/src/beryltiller/sessions/lending.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
+from beryltiller.admission.ledgers import ConnectionLedger, PoolPolicy
 from beryltiller.sessions.errors import BrokenError, NotSentError
 from beryltiller.sessions.gates import Gate
-from beryltiller.sessions.placement import Supply
+from beryltiller.sessions.limits import ConnectionLimit, LendingPolicy, Supply
 from beryltiller.sessions.statements import (
     Code,
     DatabaseStatus,
@@ -54,39 +54,21 @@
         ...
 
 
-# A refusal because of the cap tells that connections are scarce for this long.
-SCARCE_MEMORY_SECONDS = 5.0
-
 Connect = Callable[[], Awaitable[DatabaseConnection]]
 
 
-@dataclass(frozen=True, slots=True)
-class LendingPolicy:
-    """Bound one proxy's connections to one database.
-
-    After the database has refused one because its cap is reached, no other is tried
-    for `full_pause_seconds`, and the proxy keeps to one less than it has. It may open
-    another one every `growth_seconds` from then on, up to `max_connections`.
-    """
-
-    max_connections: int
-    idle_seconds: float = 10.0
-    full_pause_seconds: float = 0.15
-    growth_seconds: float = 1.0
-
-
 class Lent:
     """A connection lent to one session, with the state that it carries.
 
     `values` are those that the database holds, or None when that is unknown.
     """
 
-    def __init__(self, connection: DatabaseConnection) -> None:
-        """Wrap a new connection."""
+    def __init__(self, connection: DatabaseConnection, serial: int = 0) -> None:
+        """Wrap a new connection; `serial` is its number in the lender's ledger."""
         self._connection = connection
         self._values: dict[str, str] | None = {}
         self._prepared: set[str] = set()
-        self.idle_since = 0.0
+        self.serial = serial
 
     @property
     def is_open(self) -> bool:
@@ -179,31 +161,37 @@
 
 
 class Lender:
-    """Own one proxy's connections to one database; on one event loop."""
+    """Own one proxy's connections to one database; on one event loop.
+
+    The ledger accounts for them, and the limit says how many there may be.
+    """
 
     def __init__(self, connect: Connect, gate: Gate, policy: LendingPolicy) -> None:
         """Open nothing yet."""
         self._connect = connect
-        self._policy = policy
-        self._idle: list[Lent] = []
-        self._lent: set[Lent] = set()
-        self._opening = 0
+        self._limit = ConnectionLimit(policy)
+        pool = PoolPolicy(minimum=1, spare=0, idle_seconds=policy.idle_seconds)
+        self._ledger = ConnectionLedger(pool, policy.max_connections)
+        self._connections: dict[int, Lent] = {}
         self._waiting: list[asyncio.Future[Lent | None]] = []
         self._is_closed = False
-        self._full_until = 0.0
-        self._limit = policy.max_connections
-        self._limited_at = float("-inf")
         self.gate = gate
 
     @property
     def held(self) -> int:
         """Return how many connections are open or opening."""
-        return len(self._idle) + len(self._lent) + self._opening
+        return self._ledger.held
 
     @property
     def lent(self) -> int:
         """Return how many connections are lent."""
-        return len(self._lent)
+        return self._ledger.in_use
+
+    def supply(self, now: float) -> Supply:
+        """Tell how soon a connection can be lent."""
+        if self._ledger.idle:
+            return Supply.IDLE
+        return Supply.SCARCE if self._limit.is_scarce(now) else Supply.OPENING
 
     async def lend(self, values: Mapping[str, str], wait_seconds: float) -> Lent:
         """Lend a connection, best one in the session's state; open one if need be.
@@ -216,40 +204,35 @@
             found = self._take_idle(values)
             if found is not None:
                 return found
-            is_full = loop.time() < self._full_until
-            if self.held < self._limit_at(loop.time()) and not is_full:
-                opened = await self._try_open(deadline - loop.time())
+            is_full = self._limit.is_full(loop.time())
+            serial = None if is_full else self._may_open(loop.time())
+            if serial is not None:
+                opened = await self._try_open(serial, deadline - loop.time())
                 if opened is not None:
                     return opened
-            if is_full and not self._lent:
+            if is_full and not self.lent:
                 reason = "the database's connections are all taken"
                 raise NotSentError(Code.CONNECTION_LIMIT, reason)
             given = await self._wait(max(0.0, deadline - loop.time()))
             if given is not None:
                 return given
 
-    def supply(self, now: float) -> Supply:
-        """Tell how soon a connection can be lent."""
-        if any(lent.is_open for lent in self._idle):
-            return Supply.IDLE
-        if now < self._limited_at + SCARCE_MEMORY_SECONDS:
-            return Supply.SCARCE
-        return Supply.OPENING
-
     def give_back(self, lent: Lent) -> None:
         """Take a connection back; one that broke is forgotten."""
-        self._lent.discard(lent)
+        if lent.serial not in self._connections:
+            # It broke under a statement and was dropped then.
+            return
         if self._is_closed:
             lent.close()
         if not lent.is_open:
+            self._forget(lent)
             self._wake(None)
             return
-        if self._waiting:
-            self._lent.add(lent)
-            self._wake(lent)
+        if self._wake(lent):
             return
-        lent.idle_since = asyncio.get_running_loop().time()
-        self._idle.append(lent)
+        now = asyncio.get_running_loop().time()
+        if not self._ledger.give_back(lent.serial, now, is_clean=True):
+            self._close((lent.serial,))
 
     def drop(self, lent: Lent) -> None:
         """Close a connection whose state is not known."""
@@ -258,69 +241,64 @@
 
     def close_idle(self, now: float) -> None:
         """Close connections that have been idle for long, but for one."""
-        since = now - self._policy.idle_seconds
-        while len(self._idle) > 1 and self._idle[0].idle_since < since:
-            self._idle.pop(0).close()
+        self._close(self._ledger.evict(now))
 
     def close(self) -> None:
         """Close what is idle now, and what is lent when it comes back."""
         self._is_closed = True
-        while self._idle:
-            self._idle.pop().close()
+        self._close(self._ledger.resize(0))
 
     def _take_idle(self, values: Mapping[str, str]) -> Lent | None:
-        self._idle = [lent for lent in self._idle if lent.is_open]
-        if not self._idle:
+        if not self._ledger.idle:
             return None
-        chosen = self._idle[-1]
-        for lent in reversed(self._idle):
-            if lent.values == values:
-                chosen = lent
-                break
-        self._idle.remove(chosen)
-        self._lent.add(chosen)
-        return chosen
-
-    async def _try_open(self, wait_seconds: float) -> Lent | None:
+        alike = {
+            serial
+            for serial, lent in self._connections.items()
+            if lent.values == values
+        }
+        while (serial := self._ledger.lend(alike)) is not None:
+            lent = self._connections[serial]
+            if lent.is_open:
+                return lent
+            self._forget(lent)
+        return None
+
+    def _may_open(self, now: float) -> int | None:
+        """Return the serial number of a connection that may be opened, or None."""
+        self._close(self._ledger.resize(self._limit.at(now)))
+        return self._ledger.open_one()
+
+    async def _try_open(self, serial: int, wait_seconds: float) -> Lent | None:
         """Open a connection, or return None when one of those lent must be awaited."""
         try:
-            return await self._open(wait_seconds)
+            return await self._open(serial, wait_seconds)
         except NotSentError as error:
             if error.code is not Code.CONNECTION_LIMIT:
                 raise
             self._reached_cap(asyncio.get_running_loop().time())
-            if not self._lent:
+            if not self.lent:
                 raise
             return None
 
-    def _limit_at(self, now: float) -> int:
-        """Return how many connections may be held: it grows back after a refusal."""
-        passed = now - self._limited_at
-        if passed > self._policy.max_connections * self._policy.growth_seconds:
-            return self._policy.max_connections
-        grown = int(passed / self._policy.growth_seconds)
-        return min(self._policy.max_connections, self._limit + grown)
-
     def _reached_cap(self, now: float) -> None:
         """Leave room for proxies that have fewer, as the cap is shared by all."""
-        self._full_until = now + self._policy.full_pause_seconds
-        self._limit = max(1, self.held - 1)
-        self._limited_at = now
-        while self._idle and self.held > self._limit:
-            self._idle.pop(0).close()
-
-    async def _open(self, wait_seconds: float) -> Lent:
-        self._opening += 1
+        self._limit.refused(self.held, now)
+        self._close(self._ledger.resize(self._limit.at(now)))
+
+    async def _open(self, serial: int, wait_seconds: float) -> Lent:
         try:
             async with asyncio.timeout(wait_seconds):
                 connection = await self._connect()
         except TimeoutError as error:
+            self._ledger.not_opened(serial)
             raise NotSentError(Code.BUSY, "no connection in time") from error
+        except BaseException:
+            self._ledger.not_opened(serial)
+            raise
         finally:
-            self._opening -= 1
             self._wake(None)
-        lent = Lent(connection)
-        self._lent.add(lent)
+        lent = self._connections[serial] = Lent(connection, serial)
+        self._ledger.lend_opened(serial)
         return lent
 
     async def _wait(self, wait_seconds: float) -> Lent | None:
@@ -345,12 +323,24 @@
         if lent is not None:
             self.give_back(lent)
 
-    def _wake(self, lent: Lent | None) -> None:
+    def _wake(self, lent: Lent | None) -> bool:
+        """Give a connection to whoever waits first, or let it look again."""
         while self._waiting:
             waiter = self._waiting.pop(0)
             if not waiter.done():
                 waiter.set_result(lent)
-                return
-        if lent is not None:
-            self._lent.discard(lent)
-            self._idle.append(lent)
+                return True
+        return False
+
+    def _forget(self, lent: Lent) -> None:
+        """Strike a connection that is closed from the ledger."""
+        now = asyncio.get_running_loop().time()
+        self._ledger.give_back(lent.serial, now, is_clean=False)
+        self._ledger.closed(lent.serial)
+        del self._connections[lent.serial]
+
+    def _close(self, serials: Iterable[int]) -> None:
+        """Close connections that the ledger has given up."""
+        for serial in serials:
+            self._connections.pop(serial).close()
+            self._ledger.closed(serial)
--- a/src/beryltiller/sessions/placement.py
+++ b/src/beryltiller/sessions/placement.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Callable, Set
 from dataclasses import dataclass
-from enum import Enum, unique
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Route, RouteKind
 from beryltiller.sessions.groups import Group
+from beryltiller.sessions.limits import Supply
 from beryltiller.sessions.member import Member
 
 # What a statement to another availability zone costs, expressed as time, so that a
@@ -36,15 +36,6 @@
     own: Position | None = None
 
 
-@unique
-class Supply(Enum):
-    """Tell how soon a connection to a database can be had."""
-
-    IDLE = "idle"
-    OPENING = "to be opened"
-    SCARCE = "none idle, and the database has refused others of late"
-
-
 SupplyOf = Callable[[Member], Supply]
 
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -23,8 +23,13 @@
 _SESSION_DECISIONS = (
     "catalog",
     "groups",
+    "leaving",
+    "limits",
+    "member",
     "placement",
     "registry",
+    "relay",
+    "relay_messages",
     "statements",
     "succession",
     "succession_state",
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -58,6 +58,28 @@
         self.assertEqual(doctest.testmod(ledgers).failed, 0)
 
 
+class SingleOpeningTest(unittest.TestCase):
+    """One connection at a time, opened for one user."""
+
+    def test_within_the_share_and_without_backoff(self) -> None:
+        ledger = ConnectionLedger(PoolPolicy(spare=0), share=2)
+        first, second = ledger.open_one(), ledger.open_one()
+        assert first is not None and second is not None
+        self.assertIsNone(ledger.open_one())
+        ledger.not_opened(first)
+        self.assertIsNotNone(ledger.open_one())
+        ledger.lend_opened(second)
+        self.assertEqual((ledger.in_use, ledger.idle), (1, 0))
+
+    def test_preferred_goes_before_the_latest(self) -> None:
+        ledger = ConnectionLedger(PoolPolicy(spare=0), share=3)
+        serials = ledger.open(0.0, demand=3)
+        for serial in serials:
+            ledger.opened(serial, 0.1)
+        self.assertEqual(ledger.lend({serials[0]}), serials[0])
+        self.assertEqual(ledger.lend(), serials[2])
+
+
 class AdmissionMachine(RuleBasedStateMachine):
     """Drive a queue and a ledger as a dispatcher does, against a plain model."""
 
--- a/tests/test_session_lending.py
+++ b/tests/test_session_lending.py
@@ -14,7 +14,8 @@
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.following import FEED_WAIT_SECONDS, Rows, TableFollower
 from beryltiller.sessions.gates import Gate
-from beryltiller.sessions.lending import DatabaseConnection, Lender, LendingPolicy
+from beryltiller.sessions.lending import DatabaseConnection, Lender
+from beryltiller.sessions.limits import LendingPolicy
 from beryltiller.sessions.statements import Code
 from tests.fake_group import FakeConnection, FakeDatabase
 from tests.virtual_loop import run_virtual, virtual_now
@@ -108,6 +109,16 @@
 
         run_virtual(work())
 
+    def test_connection_that_was_dropped_comes_back_only_once(self) -> None:
+        async def work() -> None:
+            bank = Bank(share=2)
+            lent = await bank.lender.lend({}, 0.1)
+            bank.lender.drop(lent)
+            bank.lender.give_back(lent)
+            self.assertEqual((bank.lender.held, bank.lender.lent), (0, 0))
+
+        run_virtual(work())
+
     def test_broken_connection_is_forgotten(self) -> None:
         async def work() -> None:
             bank = Bank(share=1)
