--- a/src/beryltiller/platform/daemon.py
+++ b/src/beryltiller/platform/daemon.py
@@ -15,11 +15,15 @@
     SETTINGS_VARIABLE,
     PlatformSettings,
     SettingsFileError,
+    SettingsWatch,
     read_settings_file,
 )
+from beryltiller.process import upkeep
 from beryltiller.process.actors import EventLoop, Mailboxes, Supervisor
 
 START_TIMEOUT_SECONDS = 10.0
+# The settings file may change without a signal.
+SETTINGS_SECONDS = 1.0
 
 EXIT_OK = 0
 EXIT_INVALID = 2
@@ -33,6 +37,7 @@
         self._path = path
         self._settings = settings
         self._ended = threading.Event()
+        self._watch = SettingsWatch(path)
         self._node = PlatformNode(settings, self._ended.set)
 
     def run(self) -> int:
@@ -49,6 +54,8 @@
             )
             stack.callback(supervisor.stop)
             self._listen_to_signals(loop)
+            watching = loop.submit(upkeep.every(SETTINGS_SECONDS, self._look))
+            stack.callback(watching.cancel)
             self._announce()
             self._ended.wait()
         return EXIT_OK
@@ -64,6 +71,10 @@
         signal.signal(signal.SIGINT, drain)
         signal.signal(signal.SIGHUP, reload)
 
+    async def _look(self) -> None:
+        if self._watch.look():
+            self._reload()
+
     def _reload(self) -> None:
         try:
             self._node.reconfigure(read_settings_file(self._path))
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file, as far as the proxy needs it."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -98,6 +99,28 @@
     )
 
 
+class SettingsWatch:
+    """Tell when the settings file has changed, as it may without a signal."""
+
+    def __init__(self, path: str) -> None:
+        """Take the file as it is now for known."""
+        self._path = path
+        self._seen = self._state()
+
+    def look(self) -> bool:
+        """Tell whether the file has changed since the last look."""
+        seen, self._seen = self._seen, self._state()
+        return self._seen != seen
+
+    def _state(self) -> tuple[int, int, int] | None:
+        """Return what a change of the file changes, or None without a file."""
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+
 def _relay_address(model: FileModel) -> Address | None:
     """Return where other proxies hear this one, if a port is free for that."""
     if model.internal_port_range is None:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -9,7 +9,11 @@
 from typing import Any
 
 from beryltiller.platform.daemon import EXIT_INVALID, EXIT_OK, main
-from beryltiller.platform.settings import SettingsFileError, read_settings_file
+from beryltiller.platform.settings import (
+    SettingsFileError,
+    SettingsWatch,
+    read_settings_file,
+)
 
 SETTINGS: dict[str, Any] = {
     "node_name": "front-a-1",
@@ -70,3 +74,22 @@
                 ):
                     self.assertEqual(main(["--settings", path, "--check"]), code)
                 self.assertIn(path, output.getvalue())
+
+
+class WatchTest(unittest.TestCase):
+    """A file that changes without a signal is found out."""
+
+    def test_each_change_is_told_once(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "local.json")
+            path.write_text("{}")
+            watch = SettingsWatch(str(path))
+            self.assertFalse(watch.look())
+            path.write_text('{"a": 1}')
+            self.assertEqual((watch.look(), watch.look()), (True, False))
+            other = Path(folder, "new.json")
+            other.write_text('{"a": 2}')
+            other.rename(path)
+            self.assertTrue(watch.look())
+            path.unlink()
+            self.assertEqual((watch.look(), watch.look()), (True, False))
