Ask a quiet store again at once

Cause, found by reading: an answer of the feed without news, in a store that nobody had written to, was taken for one that lags behind a feeder, and the next question came half a second later. Change: that pause is for proxies that are fed. Test: test_session_lending .FollowerTest.test_quiet_store_is_asked_again_at_once, which failed before.

--- a/src/beryltiller/sessions/following.py
+++ b/src/beryltiller/sessions/following.py
@@ -147,9 +147,11 @@
             )
             return
         changes = await self._feed.changes(self._table, since, self._question_seconds())
-        if self._revision is None or changes.revision <= self._revision:
-            # A feeder told of more meanwhile, or the store has not come as far yet.
+        if changes.revision <= since and self._relay.is_fed(self._table):
+            # A feeder knows of a change that the store's answer does not have yet.
             await asyncio.sleep(FED_LOOK_SECONDS)
+        if self._revision is None or changes.revision < self._revision:
+            # A feeder told of more meanwhile.
             return
         if not changes.rows and not changes.removed:
             self._revision = changes.revision
--- a/tests/test_session_lending.py
+++ b/tests/test_session_lending.py
@@ -223,6 +223,11 @@
         self.assertGreater(min(gaps), 0.0)
         self.assertLessEqual(max(gaps), 1.0)
 
+    def test_quiet_store_is_asked_again_at_once(self) -> None:
+        """A change just after an answer without news came half a second late."""
+        feed, _ = self.follow(Changes(10, ()), Changes(10, ()))
+        self.assertEqual(feed.times, [0.0, 0.0, 0.0])
+
     def test_store_that_was_away_is_asked_without_waiting(self) -> None:
         """A second long question was lost in the outage, and a change came too late."""
         feed, _ = self.follow(LostAnswerError("silent"), Changes(11, ()))
