Hear further messages after one that could not be handled

Cause, found by reading: an unexpected error in taking in one message ended the task that hears all of them, and the proxy was fed no more. Change: it costs that message and a log line. Test: test_relay.BroadcastTest, whose handler now fails at the first message; it did not pass before.

--- a/src/beryltiller/adapters/broadcast.py
+++ b/src/beryltiller/adapters/broadcast.py
@@ -12,6 +12,8 @@
 import zmq
 import zmq.asyncio
 
+from beryltiller.observability import logs
+
 # Messages that wait for a slow subscriber; later ones are dropped for it.
 HIGH_WATER_MARK_MESSAGES = 64
 MAX_MESSAGE_BYTES = 1_048_576
@@ -74,7 +76,12 @@
 
     async def _read(self) -> None:
         while True:
-            self._on_message(await self._subscriber.recv())
+            data = await self._subscriber.recv()
+            try:
+                self._on_message(data)
+            except Exception as error:
+                # One message costs no later one.
+                logs.log(logs.WorkFailed("broadcast", repr(error)))
 
 
 def _limit(socket: zmq.Socket[Any]) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -340,7 +340,7 @@
 
 
 class BroadcastTest(unittest.TestCase):
-    """Messages arrive over sockets, until one is no longer subscribed to."""
+    """Messages arrive over sockets, also after one that could not be handled."""
 
     def test_subscribers_hear(self) -> None:
         async def work() -> None:
@@ -350,6 +350,8 @@
 
             def on_message(data: bytes) -> None:
                 heard.append(data)
+                if len(heard) == 1:
+                    raise KeyError("unexpected")
                 arrived.set()
 
             other = Broadcast("127.0.0.1:0", on_message)
