--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import unittest
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 
 from beryltiller.adapters.broadcast import Broadcast
@@ -18,7 +18,7 @@
 from beryltiller.process import upkeep
 from beryltiller.sessions import relay_messages
 from beryltiller.sessions.feeding import ANNOUNCE_SECONDS, POSTS_TABLE, Feeding
-from beryltiller.sessions.following import Rows, TableFollower
+from beryltiller.sessions.following import FEED_WAIT_SECONDS, Rows, TableFollower
 from beryltiller.sessions.relay import (
     DEPARTED_SECONDS,
     FRESH_SECONDS,
@@ -238,6 +238,131 @@
         self.heard_from = set(addresses)
 
 
+class ScriptedRelay:
+    """A relay that says what it is told to, and keeps what is published."""
+
+    def __init__(self) -> None:
+        self.fed = False
+        self.current = True
+        self.published: list[TableChange | None] = []
+
+    def is_fed(self, table: str) -> bool:
+        return self.fed
+
+    def is_current(self, table: str, revision: int) -> bool:
+        return self.current
+
+    def publish(self, change: TableChange | None) -> None:
+        self.published.append(change)
+
+
+class ScriptedFeed:
+    """A feed whose answers come when they are given."""
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+        self.afters: list[int] = []
+        self.answers: asyncio.Queue[Changes | Exception] = asyncio.Queue()
+
+    async def whole(self, table: str) -> Scan:
+        return Scan(10, (Row("a", 5, b"old"),))
+
+    async def changes(self, table: str, after: int, wait_seconds: float) -> Changes:
+        self.waits.append(wait_seconds)
+        self.afters.append(after)
+        answer = await self.answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class FollowerTest(unittest.TestCase):
+    """What a feeder tells and what the store answers make one history."""
+
+    def play(
+        self,
+        steps: Callable[[TableFollower, ScriptedFeed, ScriptedRelay], Awaitable[None]],
+    ) -> dict[str, bytes]:
+        """Return the rows that the follower has after the steps."""
+        rows: dict[str, bytes] = {}
+
+        def on_rows(found: Rows) -> None:
+            rows.clear()
+            rows.update({key: row.value for key, row in found.items()})
+
+        async def work() -> None:
+            feed, relay = ScriptedFeed(), ScriptedRelay()
+            follower = TableFollower(feed, TABLE, on_rows, random.Random(1), relay)
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            await steps(follower, feed, relay)
+            await asyncio.sleep(1.0)
+            task.cancel()
+
+        run_virtual(work())
+        return rows
+
+    def test_change_on_top_of_one_that_was_missed_is_not_taken(self) -> None:
+        async def steps(
+            follower: TableFollower, feed: ScriptedFeed, relay: ScriptedRelay
+        ) -> None:
+            follower.take(TableChange(TABLE, 11, 13, (Row("c", 13, b"new"),)))
+            feed.answers.put_nowait(Changes(11, ()))
+            await asyncio.sleep(0.1)
+            self.assertEqual(feed.afters, [10, 11])
+            missed = (Row("b", 12, b"new"), Row("c", 13, b"new"))
+            feed.answers.put_nowait(Changes(13, missed))
+
+        self.assertEqual(self.play(steps), {"a": b"old", "b": b"new", "c": b"new"})
+
+    def test_older_word_changes_nothing(self) -> None:
+        async def steps(
+            follower: TableFollower, feed: ScriptedFeed, relay: ScriptedRelay
+        ) -> None:
+            follower.take(TableChange(TABLE, 10, 13, (Row("a", 13, b"new"),)))
+            follower.take(TableChange(TABLE, 10, 12, (Row("a", 12, b"older"),)))
+            whole = (Row("a", 9, b"oldest"),)
+            follower.take(TableChange(TABLE, 0, 9, whole, (), True))
+
+        self.assertEqual(self.play(steps), {"a": b"new"})
+
+    def test_late_answer_of_the_store_changes_nothing(self) -> None:
+        async def steps(
+            follower: TableFollower, feed: ScriptedFeed, relay: ScriptedRelay
+        ) -> None:
+            follower.take(TableChange(TABLE, 10, 13, (Row("a", 13, b"new"),)))
+            feed.answers.put_nowait(Changes(12, (Row("a", 12, b"older"),)))
+
+        self.assertEqual(self.play(steps), {"a": b"new"})
+
+    def test_missed_change_is_asked_for_without_waiting(self) -> None:
+        async def steps(
+            follower: TableFollower, feed: ScriptedFeed, relay: ScriptedRelay
+        ) -> None:
+            relay.fed, relay.current = True, False
+            feed.answers.put_nowait(Changes(11, ()))
+            await asyncio.sleep(0.1)
+            self.assertEqual(feed.waits, [FEED_WAIT_SECONDS, 0.0])
+
+        self.play(steps)
+
+    def test_store_that_is_lost_or_back_is_told_at_once(self) -> None:
+        async def steps(
+            follower: TableFollower, feed: ScriptedFeed, relay: ScriptedRelay
+        ) -> None:
+            relay.published.clear()
+            feed.answers.put_nowait(LostAnswerError("away"))
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.0)
+            self.assertEqual(relay.published, [None])
+            self.assertFalse(follower.state.is_reachable)
+            feed.answers.put_nowait(Changes(11, ()))
+            await asyncio.sleep(1.0)
+            self.assertEqual(relay.published, [None, None])
+
+        self.play(steps)
+
+
 class FeedingTest(unittest.TestCase):
     """Few proxies ask the store, and all know of each change in time."""
 
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -1,11 +1,13 @@
 """Tests of serving sessions over a fake group on a virtual clock."""
 
+import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from beryltiller.sessions.catalog import Departed, Directory, RouteKind
 from beryltiller.sessions.errors import NotSentError
+from beryltiller.sessions.limits import LendingPolicy
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -454,6 +456,7 @@
                     await rig.fleet.lender(each.entry()).lend({}, 0.1)
             attempts = rig.near.attempts + rig.leader.attempts
             for _ in range(5):
+                await asyncio.sleep(LendingPolicy(1).full_pause_seconds)
                 self.assertTrue((await rig.run(session, Read("i"))).is_success)
             self.assertEqual(rig.near.attempts + rig.leader.attempts, attempts)
             self.assertEqual(rig.far.texts(), ["Read"] * 5)
