Serve without the relay where its port is taken

Cause, found by reading: a port that cannot be bound would have ended the start, again and again, although the relay only saves calls to the store. Change: the adapter tells it as an error of its own; the proxy logs it and asks the store itself. Tests: test_platform_node, the first of a whole proxy on the platform, whose second case failed before; test_relay .BroadcastTest.test_address_in_use_is_told.

--- a/src/beryltiller/adapters/broadcast.py
+++ b/src/beryltiller/adapters/broadcast.py
@@ -23,6 +23,10 @@
 MAX_RECONNECT_MS = 1000
 
 
+class BroadcastError(Exception):
+    """Report an address at which messages cannot be published."""
+
+
 class Broadcast:
     """Publish to whoever subscribes at `address`, and hear others."""
 
@@ -40,13 +44,19 @@
         return self._address
 
     def open(self, stack: AsyncExitStack) -> None:
-        """Bind the publishing socket; the stack closes all that is opened here."""
+        """Bind the publishing socket; the stack closes all that is opened here.
+
+        Raise `BroadcastError` when the address cannot be used.
+        """
         context = zmq.Context()
         stack.callback(context.term)
         self._publisher = context.socket(zmq.PUB)
         stack.callback(self._publisher.close)
         _limit(self._publisher)
-        self._publisher.bind(f"tcp://{self._address}")
+        try:
+            self._publisher.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            raise BroadcastError(f"{self._address}: {error}") from error
         endpoint = self._publisher.getsockopt_string(zmq.LAST_ENDPOINT)
         self._address = endpoint.removeprefix("tcp://")
         self._subscriber = zmq.asyncio.Context(context).socket(zmq.SUB)
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -13,7 +13,7 @@
 import aiohttp
 from aiohttp import web
 
-from beryltiller.adapters.broadcast import Broadcast
+from beryltiller.adapters.broadcast import Broadcast, BroadcastError
 from beryltiller.observability import logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.duty import Duty
@@ -169,7 +169,12 @@
         keys = post_keys(self._settings.availability_zone)
         feeding = Feeding(own, keys, self._store, self._source, boot_clock)
         broadcast = Broadcast(str(address), feeding.received)
-        broadcast.open(stack)
+        try:
+            broadcast.open(stack)
+        except BroadcastError as error:
+            # The proxy serves all the same, and asks the store itself.
+            logs.log(logs.WorkFailed("relay", str(error)))
+            return None
         feeding.connect(broadcast)
         self._spawn(upkeep.every(ANNOUNCE_SECONDS, feeding.announce))
         self._spawn(upkeep.lasting(feeding.look_after_posts))
--- /dev/null
+++ b/tests/test_platform_node.py
@@ -0,0 +1,100 @@
+"""Tests of a proxy on the platform, over loopback with a stand-in of the store."""
+
+import socket
+import unittest
+from contextlib import AsyncExitStack
+
+import msgspec
+
+from beryltiller.core.addresses import Address
+from beryltiller.platform import records
+from beryltiller.platform.node import PlatformNode
+from beryltiller.platform.settings import PlatformSettings
+from tests.fake_store import IP, FakeStore
+from tests.servers import until
+
+CONFIGURATION = {
+    "config_version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "database_name": "db",
+            "service": "s",
+            "route_kind": "primary",
+            "timeout_ms": 500,
+        }
+    ],
+    "services": [{"name": "s", "max_connections": 20, "sync_replicas": 1}],
+}
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:9",
+    "zone": "a",
+    "config_version": "1",
+    "slots": 2,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "database_role": "primary",
+}
+
+
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+    """A proxy is ready once it knows what to serve, with or without neighbours."""
+
+    async def asyncSetUp(self) -> None:
+        self.fake = FakeStore()
+        runner, self.store_address = await self.fake.start()
+        self.addAsyncCleanup(runner.cleanup)
+        self.stack = await self.enterAsyncContext(AsyncExitStack())
+        self.fake.put(
+            records.OPERATOR_TABLE,
+            records.CONFIGURATION_KEY,
+            msgspec.json.encode(CONFIGURATION),
+        )
+        entry = msgspec.json.encode(ENTRY)
+        self.fake.put(records.DATABASES_TABLE, "i-1", entry)
+
+    def node(self, relay_address: Address | None) -> PlatformNode:
+        """Return a proxy that listens on free ports of loopback."""
+        anywhere = Address(IP, 0)
+        store = Address.parse(self.store_address)
+        settings = PlatformSettings(
+            "front-1",
+            IP,
+            "a",
+            anywhere,
+            anywhere,
+            store,
+            store,
+            6.0,
+            7.0,
+            relay_address,
+        )
+        return PlatformNode(settings, lambda: None)
+
+    async def ready(self, node: PlatformNode) -> None:
+        """Wait until callers may be sent to the proxy."""
+
+        async def is_ready() -> bool:
+            return node.is_ready
+
+        await until(is_ready)
+
+    async def test_ready_with_a_relay(self) -> None:
+        node = self.node(Address(IP, 0))
+        self.assertFalse(node.is_ready)
+        await node.open(self.stack)
+        await self.ready(node)
+
+        async def has_post() -> bool:
+            return ("feeders", "a/1") in self.fake.rows
+
+        await until(has_post)
+
+    async def test_ready_when_the_relays_port_is_taken(self) -> None:
+        taken = self.enterContext(socket.create_server((IP, 0)))
+        node = self.node(Address(IP, taken.getsockname()[1]))
+        await node.open(self.stack)
+        await self.ready(node)
+        self.assertNotIn(("feeders", "a/1"), self.fake.rows)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 
-from beryltiller.adapters.broadcast import Broadcast
+from beryltiller.adapters.broadcast import Broadcast, BroadcastError
 from beryltiller.core.ports import (
     Changes,
     LostAnswerError,
@@ -492,3 +492,14 @@
             self.assertEqual(set(heard), {b"hello"})
 
         asyncio.run(work())
+
+    def test_address_in_use_is_told(self) -> None:
+        async def work() -> None:
+            async with AsyncExitStack() as stack:
+                one = Broadcast("127.0.0.1:0", lambda data: None)
+                one.open(stack)
+                with self.assertRaises(BroadcastError) as caught:
+                    Broadcast(one.address, lambda data: None).open(stack)
+                self.assertIn(one.address, str(caught.exception))
+
+        asyncio.run(work())
