Keep the new tries before a refusal in one place

Cause: the loop around reads, writes and the first statement of a transaction stood three times. Change: Executor.try_again makes the attempts; each place says only what one is.

--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from beryltiller.sessions.catalog import Configuration, Route
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
@@ -34,6 +34,7 @@
 SURVEY_MIN_AGE_SECONDS = 0.1
 
 Clock = Callable[[], float]
+Attempt = Callable[[NotSentError], Awaitable[Reply | NotSentError]]
 
 
 class Executor:
@@ -95,24 +96,25 @@
         now = self._clock()
         return self._placer.place_read(group, need, now, tried, self._fleet.supply)
 
-    async def pause(self, route: Route, arrived: float, error: NotSentError) -> bool:
-        """Wait a little before all databases are tried again, or return False.
+    async def try_again(
+        self, route: Route, arrived: float, reason: NotSentError, attempt: Attempt
+    ) -> Reply:
+        """Make attempts for a little while; raise why none was served.
 
         What no database had room for, or had not received yet, may be served a moment
-        later, while its caller would spend one of few attempts on another proxy.
+        later, while its caller would spend one of few attempts on another proxy. An
+        attempt is given the last reason, and returns it when it found nothing to try.
         """
-        if error.code not in _SERVED_SOON:
-            return False
-        since = self._clock() - arrived
-        if since + RETRY_PAUSE_SECONDS > self._retry_seconds(route):
-            return False
-        await asyncio.sleep(RETRY_PAUSE_SECONDS)
-        return True
-
-    def _retry_seconds(self, route: Route) -> float:
-        """Return until when after its arrival a statement is tried again."""
-        objective = route.objective_seconds * QUEUE_SHARE_OF_OBJECTIVE
-        return min(objective, route.timeout_seconds)
+        while True:
+            outcome = await attempt(reason)
+            if isinstance(outcome, Reply):
+                return outcome
+            is_hopeless = outcome is reason or outcome.code not in _SERVED_SOON
+            reason = outcome
+            since = self._clock() - arrived
+            if is_hopeless or since + RETRY_PAUSE_SECONDS > _retry_seconds(route):
+                raise reason
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     async def lend(
         self, member: Member, lender: Lender, session: Session, wait: float
@@ -211,6 +213,12 @@
         return_pin(pin, reply)
 
 
+def _retry_seconds(route: Route) -> float:
+    """Return until when after its arrival a statement is tried again."""
+    objective = route.objective_seconds * QUEUE_SHARE_OF_OBJECTIVE
+    return min(objective, route.timeout_seconds)
+
+
 def return_pin(pin: Pin, reply: Reply) -> None:
     """Return a connection after its last reply; one not idle is closed."""
     if reply.state is SessionState.IDLE:
--- a/src/beryltiller/sessions/single.py
+++ b/src/beryltiller/sessions/single.py
@@ -52,17 +52,14 @@
         need = read_need(route, arrived, session.committed.get(route.service))
         deadline = arrived + route.timeout_seconds
         last = NotSentError(Code.BUSY, f"no database of {route.service} can serve")
-        while True:
-            outcome = await self._read_once(
-                session, route, request, need, deadline, last
-            )
-            if isinstance(outcome, Reply):
-                return outcome
-            was_tried, last = outcome is not last, outcome
-            if not was_tried:
-                raise last
-            if not await self._executor.pause(route, arrived, last):
-                raise last
+        return await self._executor.try_again(
+            route,
+            arrived,
+            last,
+            lambda reason: self._read_once(
+                session, route, request, need, deadline, reason
+            ),
+        )
 
     async def _read_once(
         self,
@@ -103,17 +100,14 @@
         group = self._executor.group(route.service)
         deadline = arrived + route.timeout_seconds
         last = NotSentError(Code.BUSY, f"no primary of {route.service} is known")
-        while True:
-            outcome = await self._write_once(
-                session, route, group, request, arrived, deadline, last
-            )
-            if isinstance(outcome, Reply):
-                return outcome
-            was_tried, last = outcome is not last, outcome
-            if not was_tried:
-                raise last
-            if not await self._executor.pause(route, arrived, last):
-                raise last
+        return await self._executor.try_again(
+            route,
+            arrived,
+            last,
+            lambda reason: self._write_once(
+                session, route, group, request, arrived, deadline, reason
+            ),
+        )
 
     async def _write_once(
         self,
--- a/src/beryltiller/sessions/transacting.py
+++ b/src/beryltiller/sessions/transacting.py
@@ -108,19 +108,15 @@
 
         While none has room for it, all are tried again for a little while.
         """
-        arrived = self._executor.now()
         last = NotSentError(Code.BUSY, "no database can serve the transaction")
-        while True:
-            outcome = await self._begin_once(
-                session, transaction, request, deadline, last
-            )
-            if isinstance(outcome, Reply):
-                return outcome
-            was_tried, last = outcome is not last, outcome
-            if not was_tried:
-                raise last
-            if not await self._executor.pause(transaction.route, arrived, last):
-                raise last
+        return await self._executor.try_again(
+            transaction.route,
+            self._executor.now(),
+            last,
+            lambda reason: self._begin_once(
+                session, transaction, request, deadline, reason
+            ),
+        )
 
     async def _begin_once(
         self,
