Let a primary that is only overloaded keep its lead

A lost answer alone began such a failure, although the primary answered other statements, and a database's refusal for load did not end it. A lost write counted as a stall although later writes had been acknowledged. A failed probe was not remembered (`_failed_at` was never set), so it was repeated before the claim.

Change: status queries and commands take an idle connection or open one beyond the pool's limit. A refusal for load by the database ends a failure; a refusal by this proxy shows nothing (`NoCapacityError`). A lost answer counts against the leader only if it has answered nothing since the statement was sent. A primary is replaced only after a probe has failed, which then is not repeated.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -9,7 +9,12 @@
 from beryltiller.core.addresses import Address
 from beryltiller.platform import wire
 from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
+from beryltiller.sessions.errors import (
+    BrokenError,
+    NoCapacityError,
+    NotSentError,
+    ReplacedError,
+)
 from beryltiller.sessions.statements import (
     Code,
     DatabaseStatus,
@@ -123,7 +128,7 @@
 
     def _send(self, data: bytes, replies: int) -> asyncio.Future[list[Reply]]:
         if self._transport is None or self._transport.is_closing():
-            raise NotSentError(Code.BUSY, "the connection is closed")
+            raise NoCapacityError(Code.BUSY, "the connection is closed")
         batch = _Batch(replies)
         self._pending.append(batch)
         self._transport.write(data)
--- a/src/beryltiller/sessions/connection_pool.py
+++ b/src/beryltiller/sessions/connection_pool.py
@@ -16,7 +16,7 @@
     ConnectionPoolPolicy,
     ConnectionSupply,
 )
-from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.errors import BrokenError, NoCapacityError, NotSentError
 from beryltiller.sessions.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.statements import (
     Code,
@@ -242,18 +242,34 @@
                     return opened
             if is_paused and not self.in_use:
                 reason = "all connections of the database are in use"
-                raise NotSentError(Code.CONNECTION_LIMIT, reason)
+                raise NoCapacityError(Code.CONNECTION_LIMIT, reason)
             handed_over = await self._wait(max(0.0, deadline - loop.time()))
             if handed_over is not None:
                 return handed_over
 
+    async def acquire_for_command(self) -> PooledConnection:
+        """Acquire an idle connection, or open one at once, also beyond the limit.
+
+        Status queries and commands must not wait for callers' statements. A connection
+        beyond the limit is closed when it is released. Raise `NotSentError` if the
+        database cannot be reached or refuses the connection.
+        """
+        found = self._take_idle({})
+        if found is not None:
+            return found
+        serial = self._ledger.begin_opening_one()
+        if serial is None:
+            return PooledConnection(await self._connect())
+        return await self._open(serial, None)
+
     def release(self, pooled: PooledConnection) -> None:
         """Return a connection to the pool, or remove it if it has broken.
 
         Releasing a connection that was removed before has no effect.
         """
         if pooled.serial not in self._connections:
-            # It broke while running a statement and was discarded then.
+            # It was opened beyond the limit, or it broke and was discarded.
+            pooled.close()
             return
         if self._is_closed:
             pooled.close()
@@ -324,13 +340,13 @@
         self._limit.record_refusal(self.size, now)
         self._close_connections(self._ledger.resize(self._limit.max_open(now)))
 
-    async def _open(self, serial: int, wait_seconds: float) -> PooledConnection:
+    async def _open(self, serial: int, wait_seconds: float | None) -> PooledConnection:
         try:
             async with asyncio.timeout(wait_seconds):
                 connection = await self._connect()
         except TimeoutError as error:
             self._ledger.cancel_opening(serial)
-            raise NotSentError(
+            raise NoCapacityError(
                 Code.BUSY, "no connection became available in time"
             ) from error
         except BaseException:
@@ -353,7 +369,7 @@
             raise
         if not handed_over.done():
             self._stop_waiting(handed_over)
-            raise NotSentError(Code.BUSY, "no connection became available in time")
+            raise NoCapacityError(Code.BUSY, "no connection became available in time")
         return handed_over.result()
 
     def _stop_waiting(
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -17,6 +17,13 @@
     """A statement that was refused before it was sent to a database."""
 
 
+class NoCapacityError(NotSentError):
+    """A refusal by this proxy itself, for lack of a connection or of a queue place.
+
+    Unlike a refusal by the database, it does not show that the database is running.
+    """
+
+
 class ReplacedError(NotSentError):
     """A refusal because another database answers at the address of an ended one."""
 
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -8,7 +8,12 @@
 
 from beryltiller.sessions.catalog import Configuration, Route
 from beryltiller.sessions.connection_pool import ConnectionPool, PooledConnection
-from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
+from beryltiller.sessions.errors import (
+    BrokenError,
+    NoCapacityError,
+    NotSentError,
+    SessionError,
+)
 from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.groups import Group, LeaderTerm
 from beryltiller.sessions.member import Member
@@ -138,13 +143,18 @@
     ) -> PooledConnection:
         """Acquire a connection for the session, waiting for at most `wait` seconds.
 
-        Failures other than full pools and caps count against the database.
+        Failures other than full pools and caps count against the database. A database
+        that refuses for its cap is running.
         """
         try:
             return await pool.acquire(session.values, wait)
+        except NoCapacityError:
+            raise
         except NotSentError as error:
             if error.code not in (Code.CONNECTION_LIMIT, Code.BUSY):
                 member.record_failure(self._clock())
+            else:
+                member.record_answer(None)
             raise
 
     async def run(
@@ -172,7 +182,7 @@
             is_answered = True
         except TimeoutError as error:
             acquired.pool.discard(acquired.connection)
-            self._fleet.record_failure(member)
+            self._record_lost_answer(acquired.placement, asked_at)
             if _is_commit_of_write(session, request):
                 member.record_unacknowledged_write(asked_at, self._clock())
             raise BrokenError(
@@ -180,7 +190,7 @@
             ) from error
         except BrokenError:
             acquired.pool.discard(acquired.connection)
-            self._fleet.record_failure(member)
+            self._record_lost_answer(acquired.placement, asked_at)
             raise
         except BaseException:
             acquired.pool.discard(acquired.connection)
@@ -190,6 +200,17 @@
         self._record_reply(session, group, member, request, reply, asked_at)
         return reply
 
+    def _record_lost_answer(self, placement: Placement, asked_at: float) -> None:
+        """Record that a statement sent at `asked_at` ended without an answer.
+
+        A replica is avoided for a moment, as another database can serve its reads. The
+        leader is not, if it answers other statements.
+        """
+        if placement.needs_proof:
+            placement.member.record_lost_answer(asked_at, self._clock())
+        else:
+            placement.member.record_failure(self._clock())
+
     def _record_reply(
         self,
         session: Session,
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -10,7 +10,7 @@
     ConnectionSupply,
 )
 from beryltiller.sessions.connection_pool import ConnectionPool, DatabaseConnection
-from beryltiller.sessions.errors import NotSentError, SessionError
+from beryltiller.sessions.errors import NoCapacityError, NotSentError, SessionError
 from beryltiller.sessions.groups import Group
 from beryltiller.sessions.member import NEVER, Member
 from beryltiller.sessions.priority_semaphore import PrioritySemaphore
@@ -138,10 +138,6 @@
         now = asyncio.get_running_loop().time()
         return self.connection_pool(member.database).supply(now)
 
-    def record_failure(self, member: Member) -> None:
-        """Record that a database broke a connection or did not reply in time."""
-        member.record_failure(self._clock())
-
     async def prove_term(
         self, group: Group, moment: float, wait_seconds: float
     ) -> bool:
@@ -200,10 +196,14 @@
     async def command(
         self, database: Database, statement: ProxyCommand, timeout_seconds: float
     ) -> DatabaseStatus:
-        """Run a status query or a command at a database, over a pooled connection."""
+        """Run a status query or a command at a database, over a pooled connection.
+
+        It does not wait for a connection that callers' statements use: a database at
+        its limits could otherwise not be told from one that has failed.
+        """
         pool = self.connection_pool(database)
         async with asyncio.timeout(timeout_seconds):
-            connection = await pool.acquire({}, timeout_seconds)
+            connection = await pool.acquire_for_command()
             try:
                 status = await connection.command(statement)
             except NotSentError:
@@ -370,9 +370,14 @@
             return None
 
     def _record_query_failure(self, member: Member, error: Exception) -> None:
-        """Record a failed status query, unless the database refused it for load."""
-        if not _is_refused_for_load(error):
-            member.record_failure(self._clock())
+        """Record a failed status query; one refused for load shows a running database.
+
+        A query that this proxy did not send for lack of capacity shows nothing.
+        """
+        if _is_refused_for_load(error):
+            member.record_probe_answer(self._clock())
+        elif not isinstance(error, NoCapacityError):
+            member.record_probe_failure(self._clock())
 
     async def _query_leader(self, group: Group, leader: Member, term: int) -> None:
         """Query a leader that may be replaced, or has not stated its term.
@@ -429,8 +434,9 @@
 
 def _is_refused_for_load(error: Exception) -> bool:
     """Return True if a working database refused for lack of a slot or connection."""
-    codes = (Code.BUSY, Code.CONNECTION_LIMIT)
-    return isinstance(error, SessionError) and error.code in codes
+    if isinstance(error, NoCapacityError) or not isinstance(error, SessionError):
+        return False
+    return error.code in (Code.BUSY, Code.CONNECTION_LIMIT)
 
 
 def _is_unresponsive(leader: Member, now: float) -> bool:
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -178,7 +178,7 @@
 
         If the member is the leader, this proves its term at `asked_at`.
         """
-        member.record_acknowledged_write()
+        member.record_acknowledged_write(asked_at)
         if position is not None and position > self._last_acknowledged:
             self._last_acknowledged = position
         if member.database.identifier == self._leader:
--- a/src/beryltiller/sessions/member.py
+++ b/src/beryltiller/sessions/member.py
@@ -57,8 +57,10 @@
         self._failures = 0
         self._retry_at = NEVER
         self._failing_since: float | None = None
-        self._failed_at = NEVER
+        self._answered_at = NEVER
+        self._probe_failed_at = NEVER
         self._probe_answered_at = NEVER
+        self._acknowledged_sent_at = NEVER
         self._lagging_until = NEVER
 
     @property
@@ -77,14 +79,20 @@
         return self._stalled_since
 
     def record_unacknowledged_write(self, asked_at: float, now: float) -> None:
-        """Record that a write sent at `asked_at` was not answered in time."""
+        """Record that a write sent at `asked_at` was not answered in time.
+
+        It shows nothing if a write that was sent later has been acknowledged.
+        """
+        if asked_at <= self._acknowledged_sent_at:
+            return
         if self.stalled_since(now) is None:
             self._stalled_since = asked_at
         self._unacknowledged_at = now
 
-    def record_acknowledged_write(self) -> None:
-        """Record that a write was acknowledged, which ends a stall."""
+    def record_acknowledged_write(self, asked_at: float) -> None:
+        """Record that a write sent at `asked_at` was acknowledged; it ends a stall."""
         self._stalled_since = None
+        self._acknowledged_sent_at = max(self._acknowledged_sent_at, asked_at)
 
     @property
     def unanswered_since(self) -> float | None:
@@ -107,9 +115,14 @@
 
     def was_probed_recently(self, now: float) -> bool:
         """Return True if a recent probe shows whether the database is running."""
-        return (
-            now < max(self._failed_at, self._probe_answered_at) + PROBE_VALIDITY_SECONDS
-        )
+        probed_at = max(self._probe_failed_at, self._probe_answered_at)
+        return now < probed_at + PROBE_VALIDITY_SECONDS
+
+    def failed_probe_recently(self, now: float) -> bool:
+        """Return True if a recent probe was not answered, and none later was."""
+        if self._probe_failed_at < max(self._probe_answered_at, self._answered_at):
+            return False
+        return now < self._probe_failed_at + PROBE_VALIDITY_SECONDS
 
     def is_lagging(self, now: float) -> bool:
         """Return True if the database recently refused a read as too far behind."""
@@ -128,6 +141,15 @@
         self._failures += 1
         self._retry_at = now + delay
 
+    def record_lost_answer(self, asked_at: float, now: float) -> None:
+        """Record that a statement sent at `asked_at` ended without an answer.
+
+        The database counts as failing only if it has answered nothing since then: the
+        loss of a single answer says nothing about the database.
+        """
+        if self._answered_at < asked_at:
+            self.record_failure(now)
+
     def record_answer(self, position: Position | None) -> None:
         """Record an answer of any kind, which ends a run of failures."""
         self._failures = 0
@@ -152,11 +174,18 @@
             self._unanswered_since = None
         elif is_answered:
             self._unanswered_since = now
+        if is_answered:
+            self._answered_at = now
+
+    def record_probe_failure(self, now: float) -> None:
+        """Record that a probe could not be sent, or was not answered in time."""
+        self.record_failure(now)
+        self._probe_failed_at = now
 
     def record_probe_answer(self, now: float) -> None:
         """Record the answer to a probe; statements may still be in execution."""
         self.record_answer(None)
-        self._probe_answered_at = now
+        self._probe_answered_at = self._answered_at = now
         if self._in_flight:
             self._unanswered_since = now
 
--- a/src/beryltiller/sessions/priority_semaphore.py
+++ b/src/beryltiller/sessions/priority_semaphore.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 
-from beryltiller.sessions.errors import NotSentError
+from beryltiller.sessions.errors import NoCapacityError
 from beryltiller.sessions.statements import Code
 
 Waiter = tuple[int, float, int, asyncio.Future[None]]
@@ -49,7 +49,7 @@
         return True
 
     async def acquire(self, priority: int, wait_seconds: float) -> None:
-        """Acquire, or raise `NotSentError` after waiting for `wait_seconds`.
+        """Acquire, or raise `NoCapacityError` after waiting for `wait_seconds`.
 
         A lower `priority` number is admitted first.
         """
@@ -83,5 +83,5 @@
 def _time_out(admitted: asyncio.Future[None]) -> None:
     if not admitted.done():
         admitted.set_exception(
-            NotSentError(Code.BUSY, "the statement waited too long in the queue")
+            NoCapacityError(Code.BUSY, "the statement waited too long in the queue")
         )
--- a/src/beryltiller/sessions/succession_runner.py
+++ b/src/beryltiller/sessions/succession_runner.py
@@ -194,9 +194,8 @@
         self, action: succession_state.ClaimDuty
     ) -> succession_state.Event:
         if action.cause is succession_state.Cause.FAILING:
-            await self._probe_leader(action.service)
             leader = self._fleet.group(action.service).leader
-            if leader is not None and leader.failing_since is None:
+            if leader is not None and not await self._is_failure_confirmed(leader):
                 return succession_state.ClaimFailed(action.service)
         try:
             claim = await self._duty.claim(action.service, succession.DUTY_SECONDS)
@@ -331,10 +330,15 @@
         to_probe = [leader for leader in leaders if leader.is_available(now)]
         await asyncio.gather(*map(self._fleet.probe, to_probe))
 
-    async def _probe_leader(self, service: str) -> None:
-        leader = self._fleet.group(service).leader
-        if leader is not None and not leader.was_probed_recently(self._clock()):
+    async def _is_failure_confirmed(self, leader: Member) -> bool:
+        """Return True if a recent probe of the leader failed, after probing if needed.
+
+        Statements that fail do not suffice: a primary that is only overloaded must keep
+        its lead, as a change of primary would interrupt its group and move the load.
+        """
+        if not leader.was_probed_recently(self._clock()):
             await self._fleet.probe(leader)
+        return leader.failed_probe_recently(self._clock())
 
 
 def _status_text(status: DatabaseStatus | None) -> str:
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -56,7 +56,7 @@
     database accepts no connections and answers nothing. If `is_replaced`, another
     database answers at its address. `ran` lists the requests that ran, each with the
     number of its connection; `attempts` counts all connection attempts, `connections`
-    those that succeeded.
+    those that succeeded and `closed` those of them that were closed.
     """
 
     identifier: str
@@ -73,6 +73,7 @@
     refuse_start: Code | None = None
     is_replaced: bool = False
     connections: int = 0
+    closed: int = 0
     attempts: int = 0
 
     @property
@@ -137,6 +138,7 @@
         )
 
     def close(self) -> None:
+        self.database.closed += self._is_open
         self._is_open = False
 
     async def _run(self, request: Request) -> Reply:
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -151,6 +151,31 @@
         leader.record_unacknowledged_write(late - 1.0, late)
         self.assertEqual(leader.stalled_since(late), late - 1.0)
 
+    def test_write_before_an_acknowledged_one_is_ignored(self) -> None:
+        """Guards against replacing a healthy primary that lost a single answer."""
+        group = make_group()
+        leader = group.members["p"]
+        group.record_commit(leader, 1.5)
+        leader.record_unacknowledged_write(1.0, 2.0)
+        self.assertIsNone(leader.stalled_since(2.0))
+        leader.record_unacknowledged_write(1.6, 2.1)
+        self.assertEqual(leader.stalled_since(2.1), 1.6)
+
+
+class FailureTest(unittest.TestCase):
+    """Detection of a database that has failed."""
+
+    def test_lost_answer_counts_unless_others_were_answered_since(self) -> None:
+        for is_answered, failing_since in ((False, 1.0), (True, None)):
+            with self.subTest(is_answered=is_answered):
+                leader = make_group().members["p"]
+                leader.record_sent(1.0)
+                leader.record_sent(1.0)
+                leader.record_end(1.1, is_answered)
+                leader.record_lost_answer(1.0, 1.8)
+                self.assertEqual(leader.failing_since, failing_since)
+                self.assertEqual(leader.is_available(1.8), is_answered)
+
 
 class EvidenceTest(unittest.TestCase):
     """Observations that prove the leader's term, and for how long."""
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -1,16 +1,23 @@
 """Tests of how actions of the succession policy are performed on databases."""
 
 import asyncio
+import contextlib
 import random
 import unittest
+from collections.abc import Callable
 from dataclasses import replace
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.catalog import Departed, Directory
+from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.fleet import SILENCE_SECONDS
-from beryltiller.sessions.statements import Code
+from beryltiller.sessions.statements import AskStatus, Code
+from beryltiller.sessions.succession import FAILING_SECONDS
 from beryltiller.sessions.succession_runner import DutyClaim, SuccessionRunner
 from beryltiller.sessions.succession_state import (
+    Cause,
+    ClaimDuty,
+    ClaimFailed,
     FenceReplicas,
     FenceResults,
     GroupsObserved,
@@ -161,6 +168,76 @@
             with self.subTest(code):
                 self.assertEqual(run_virtual(work(code)), is_failing)
 
+    def test_refusal_for_load_ends_a_failure(self) -> None:
+        async def work(refuse: Callable[[FakeDatabase], None]) -> float | None:
+            fixture = GroupFixture()
+            refuse(fixture.leader)
+            leader = fixture.fleet.group("s").leader
+            assert leader is not None
+            leader.record_failure(virtual_now())
+            await fixture.fleet.probe(leader)
+            return leader.failing_since
+
+        def refuse_connections(database: FakeDatabase) -> None:
+            database.refuse_start = Code.CONNECTION_LIMIT
+
+        def refuse_queries(database: FakeDatabase) -> None:
+            database.refuse[AskStatus] = Code.BUSY
+
+        for refuse in (refuse_connections, refuse_queries):
+            with self.subTest(refuse.__name__):
+                self.assertIsNone(run_virtual(work(refuse)))
+
+    def test_primary_whose_connections_are_all_in_use_keeps_its_lead(self) -> None:
+        """Guards against replacing a primary that is only overloaded.
+
+        The proxy had no connection left to probe it with, and took that for a failure.
+        """
+
+        async def work() -> object:
+            fixture = GroupFixture()
+            leader = fixture.fleet.group("s").leader
+            assert leader is not None
+            pool = fixture.fleet.connection_pool(leader.database)
+            with contextlib.suppress(NotSentError):
+                while True:
+                    await pool.acquire({}, 0.1)
+            leader.record_failure(virtual_now())
+            await asyncio.sleep(FAILING_SECONDS)
+            claim = ClaimDuty("s", Cause.FAILING)
+            return await make_runner(fixture).part().perform(claim)
+
+        self.assertIsInstance(run_virtual(work()), ClaimFailed)
+
+    def test_command_beyond_the_limit_closes_its_connection(self) -> None:
+        async def work() -> tuple[int, int]:
+            fixture = GroupFixture()
+            member = fixture.fleet.group("s").members["leader"]
+            pool = fixture.fleet.connection_pool(member.database)
+            with contextlib.suppress(NotSentError):
+                while True:
+                    await pool.acquire({}, 0.1)
+            before = pool.size
+            await fixture.fleet.ask_status(member)
+            return pool.size - before, fixture.leader.closed
+
+        self.assertEqual(run_virtual(work()), (0, 1))
+
+    def test_failed_probe_is_not_repeated_before_the_claim(self) -> None:
+        async def work() -> int:
+            fixture = GroupFixture()
+            fixture.leader.is_unreachable = True
+            leader = fixture.fleet.group("s").leader
+            assert leader is not None
+            await fixture.fleet.probe(leader)
+            before = fixture.leader.attempts
+            with self.assertRaises(AssertionError):
+                claim = ClaimDuty("s", Cause.FAILING)
+                await make_runner(fixture).part().perform(claim)
+            return fixture.leader.attempts - before
+
+        self.assertEqual(run_virtual(work()), 0)
+
 
 class FenceTest(unittest.TestCase):
     """The results reported for fenced databases."""
