Send statements of open transactions again while their database is busy

Cause: a database refuses a statement without running it when its queue is full, and leaves the transaction open (state `open` in all 100 to 200 such replies a second). The proxy passed the refusal on, and the caller repeated the whole transaction, so the work of its earlier statements was lost when the database had least to spare.

Change: such a statement is sent again on its connection, until its timeout, or for a transaction's first statement until half the latency objective. Statements of open transactions are admitted before all others in this proxy.

--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -35,6 +35,9 @@
 QUEUE_SHARE_OF_OBJECTIVE = 0.5
 # Time between two attempts of a statement that is retried.
 RETRY_PAUSE_SECONDS = 0.03
+# Time between two attempts of a statement of an open transaction. It is shorter, so
+# that open transactions obtain a place in the database's queue before new statements.
+TRANSACTION_RETRY_PAUSE_SECONDS = 0.01
 _RETRIED_CODES = frozenset({Code.BUSY, Code.CONNECTION_LIMIT, Code.LAGGING})
 # No survey, which queries the log positions that the databases have received, is made
 # for a read that must see commits acknowledged less than this long ago.
@@ -200,6 +203,29 @@
         self._record_reply(session, group, member, request, reply, asked_at)
         return reply
 
+    async def run_in_transaction(
+        self,
+        session: Session,
+        group: Group,
+        acquired: AcquiredConnection,
+        request: Request,
+        deadline: float,
+        retry_until: float,
+    ) -> Reply:
+        """Run a statement of a transaction that is open on the connection.
+
+        A database without capacity refuses a statement without running it, and leaves
+        its transaction open. The statement is then sent again until `retry_until`, as
+        failing the transaction would waste the work that it has done.
+        """
+        while True:
+            reply = await self.run(session, group, acquired, request, deadline)
+            can_retry = reply.code is Code.BUSY and reply.state is SessionState.OPEN
+            retry_at = self._clock() + TRANSACTION_RETRY_PAUSE_SECONDS
+            if not can_retry or retry_at >= retry_until:
+                return reply
+            await asyncio.sleep(TRANSACTION_RETRY_PAUSE_SECONDS)
+
     def _record_lost_answer(self, placement: Placement, asked_at: float) -> None:
         """Record that a statement sent at `asked_at` ended without an answer.
 
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -26,6 +26,9 @@
 # How many databases a transaction tries in one round; `StatementExecutor.retry` may
 # start further rounds.
 MAX_PLACEMENTS = 4
+# Statements of open transactions are sent before all others: the work that their
+# transactions have done so far is lost if they are not run in time.
+OPEN_TRANSACTION_PRIORITY = -1
 
 
 class SessionTransactionRunner:
@@ -105,14 +108,13 @@
         assert acquired is not None
         group = self._executor.group(transaction.route.service)
         wait = deadline - self._executor.now()
-        await acquired.pool.semaphore.acquire(transaction.route.priority, wait)
+        await acquired.pool.semaphore.acquire(OPEN_TRANSACTION_PRIORITY, wait)
         try:
-            reply = await self._executor.run(
-                session, group, acquired, request, deadline
+            return await self._executor.run_in_transaction(
+                session, group, acquired, request, deadline, deadline
             )
         finally:
             acquired.pool.semaphore.release()
-        return reply
 
     async def _run_first_statement(
         self,
@@ -185,6 +187,7 @@
         route = transaction.route
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
+        retry_until = self._executor.now() + wait
         changes = group.leader_change_count
         await pool.semaphore.acquire(route.priority, wait)
         try:
@@ -203,15 +206,15 @@
             except BrokenError:
                 return None
             if not begun.is_success:
-                self._record_refusal(group, acquired, begun)
+                self._record_refusal(acquired, begun)
                 return None
-            reply = await self._executor.run(
-                session, group, acquired, request, deadline
+            reply = await self._executor.run_in_transaction(
+                session, group, acquired, request, deadline, retry_until
             )
         finally:
             pool.semaphore.release()
         if reply.code is not None and may_run_elsewhere(reply.code):
-            self._record_refusal(group, acquired, reply)
+            self._record_refusal(acquired, reply)
             return None
         transaction.acquired = acquired
         if placement.needs_proof:
@@ -239,9 +242,7 @@
             await self._executor.roll_back(transaction)
             raise BrokenError(error.reason) from error
 
-    def _record_refusal(
-        self, group: Group, acquired: AcquiredConnection, reply: Reply
-    ) -> None:
+    def _record_refusal(self, acquired: AcquiredConnection, reply: Reply) -> None:
         # The connection is closed so that a database without capacity can accept one
         # from another proxy.
         acquired.pool.discard(acquired.connection)
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -462,6 +462,41 @@
 
         run_with_fixture(work)
 
+    def test_open_transaction_waits_for_a_busy_database(self) -> None:
+        """Guards against losing a transaction's work to a momentary overload."""
+        for refused in (Write, Commit):
+            with self.subTest(refused.__name__):
+                self.run_refused_for_a_moment(refused)
+
+    def run_refused_for_a_moment(self, refused: type) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"), "w1")
+            fixture.leader.refuse[refused] = Code.BUSY
+            call_after(0.5, lambda: fixture.leader.refuse.clear())
+            reply = await fixture.run(session, Write("i", "e"), "w2")
+            self.assertTrue(reply.is_success, reply)
+            reply = await fixture.run(session, Commit(), "c")
+            self.assertTrue(reply.is_success, reply)
+            connections = {number for number, _ in fixture.leader.ran}
+            self.assertEqual(len(connections), 1)
+
+        run_with_fixture(work)
+
+    def test_open_transaction_is_refused_at_its_timeout(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"), "w1")
+            fixture.leader.refuse[Write] = Code.BUSY
+            began = virtual_now()
+            reply = await fixture.run(session, Write("i", "e"), "w2")
+            self.assertIs(reply.code, Code.BUSY)
+            self.assertLessEqual(virtual_now() - began, 1.0)
+
+        run_with_fixture(work)
+
     def test_retries_end_within_half_the_latency_objective(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             for each in fixture.databases.values():
