Replace an overloaded primary whose replicas all lag too far to serve reads

Change: `lag_relief` recognises that state from the positions that databases answer with, and the succession policy replaces the primary by plan once it has lasted for a second, and not before the primary has led for 10 s.

--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -255,6 +255,8 @@
                     group.record_commit(member, asked_at, reply.position)
             case Code.LAGGING:
                 member.record_lag_refusal(now)
+            case Code.BUSY:
+                member.record_load_refusal(now)
             case Code.READ_ONLY if member is group.leader:
                 group.record_lead_denied(member)
 
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -164,6 +164,7 @@
         member.record_answer(position)
         if position is None:
             return
+        member.record_position_asked(asked_at)
         if position.term > self._term:
             self._enter_term(position.term)
         if member.database.identifier == self._leader:
@@ -263,6 +264,21 @@
                 return sample.position
         return None
 
+    def lag_seconds(self, replica: Member, now: float) -> float:
+        """Return by how much a replica lagged at least when last asked.
+
+        Return 0 if that is not known, or longer ago than samples are kept.
+        """
+        asked_at = replica.position_asked_at
+        if replica.applied is None or asked_at < now - SAMPLE_RETENTION_SECONDS:
+            return 0.0
+        missing = (
+            sample.asked_at
+            for sample in self._samples
+            if sample.position > replica.applied
+        )
+        return max(0.0, asked_at - next(missing, asked_at))
+
     def clear_evidence(self) -> None:
         """Discard all proofs and samples, as needed after the process was suspended."""
         self._proved_until = NEVER
--- a/src/beryltiller/sessions/member.py
+++ b/src/beryltiller/sessions/member.py
@@ -22,6 +22,9 @@
 MAX_RETRY_SECONDS = 1.0
 # How long a database counts as lagging after it refused a read for that reason.
 LAG_REFUSAL_VALIDITY_SECONDS = 0.15
+# A database counts as overloaded for this long after it refused a statement for lack of
+# capacity. A proxy that sends it few statements hears of an overload only now and then.
+OVERLOAD_MEMORY_SECONDS = 1.0
 # The weight of the newest statement in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # The latency assumed before the first statement.
@@ -62,6 +65,8 @@
         self._probe_answered_at = NEVER
         self._acknowledged_sent_at = NEVER
         self._lagging_until = NEVER
+        self._refused_for_load_at = NEVER
+        self._position_asked_at = NEVER
 
     @property
     def in_flight(self) -> int:
@@ -128,6 +133,23 @@
         """Return True if the database recently refused a read as too far behind."""
         return now < self._lagging_until
 
+    def is_overloaded(self, now: float) -> bool:
+        """Return True if the database recently refused a statement for its load."""
+        return now < self._refused_for_load_at + OVERLOAD_MEMORY_SECONDS
+
+    @property
+    def position_asked_at(self) -> float:
+        """Return when the database was last asked for the position it answered with."""
+        return self._position_asked_at
+
+    def record_load_refusal(self, now: float) -> None:
+        """Record that the database refused a statement for lack of capacity."""
+        self._refused_for_load_at = now
+
+    def record_position_asked(self, asked_at: float) -> None:
+        """Record that a position was answered to a statement sent at `asked_at`."""
+        self._position_asked_at = max(self._position_asked_at, asked_at)
+
     def record_failure(self, now: float) -> None:
         """Record that the database could not be reached or that a connection broke.
 
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -47,6 +47,9 @@
 FAILING_SECONDS = 0.3
 # A primary that answers but acknowledges no write is replaced after this time.
 STALLED_SECONDS = 0.5
+# A primary whose replicas all lag too far to serve reads is replaced by one of them
+# after it has been overloaded for this long.
+OVERLOADED_ALONE_SECONDS = 1.0
 # A replica is promoted in a service without a primary after this time. Registry entries
 # that lapsed by mistake have returned by then, also for a process that just started.
 PRIMARYLESS_SECONDS = 4.0
@@ -84,6 +87,8 @@
         replica not in view.draining for replica in view.replicas
     ):
         return Cause.LEAVING
+    if _has_lasted(view.overloaded_alone_since, now, OVERLOADED_ALONE_SECONDS):
+        return Cause.REPLICAS_LAG
     return None
 
 
@@ -354,7 +359,7 @@
 def _possible_partition_start(view: GroupView, cause: Cause, now: float) -> float:
     """Return the earliest time at which a partition may have cut off the primary."""
     match cause:
-        case Cause.LEAVING:
+        case Cause.LEAVING | Cause.REPLICAS_LAG:
             return now
         case Cause.NO_PRIMARY if view.leader_healthy_until is None:
             since = now if view.primaryless_since is None else view.primaryless_since
--- a/src/beryltiller/sessions/succession_runner.py
+++ b/src/beryltiller/sessions/succession_runner.py
@@ -13,7 +13,7 @@
 from beryltiller.core.ports import PortError, RefusedError
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
-from beryltiller.sessions import succession, succession_state
+from beryltiller.sessions import lag_relief, succession, succession_state
 from beryltiller.sessions.catalog import Database
 from beryltiller.sessions.errors import ReplacedError, SessionError
 from beryltiller.sessions.fleet import Fleet
@@ -92,6 +92,8 @@
         self._clock = clock
         self._primaryless_since: dict[str, float] = {}
         self._leader_healthy_until: dict[str, float] = {}
+        self._overloaded_alone_since: dict[str, float] = {}
+        self._leader_since: dict[str, float] = {}
         self._replaced: set[str] = set()
         self._logged_leaders: dict[str, str] = {}
         self._newest_token = 0
@@ -135,7 +137,8 @@
             )
         else:
             self._primaryless_since.setdefault(service, now)
-        self._log_leader_change(group, leader)
+        self._record_leader_change(group, leader, now)
+        self._record_relief_needed(group, now)
         departed = self._fleet.directory.departed_of(service)
         return succession_state.GroupView(
             service,
@@ -152,14 +155,29 @@
             leader.failing_since if leader else None,
             leader.stalled_since(now) if leader else None,
             self._primaryless_since.get(service),
+            self._overloaded_alone_since.get(service),
             self._leader_healthy_until.get(service),
             group.last_acknowledged,
         )
 
-    def _log_leader_change(self, group: Group, leader: Member | None) -> None:
+    def _record_relief_needed(self, group: Group, now: float) -> None:
+        """Record since when the leader is overloaded and no replica can help it."""
+        configuration = self._fleet.configuration
+        routes = configuration.routes.values() if configuration else ()
+        staleness = lag_relief.max_staleness_seconds(routes, group.service)
+        leader_since = self._leader_since.get(group.service, now)
+        if lag_relief.needs_relief(group, staleness, leader_since, now):
+            self._overloaded_alone_since.setdefault(group.service, now)
+        else:
+            self._overloaded_alone_since.pop(group.service, None)
+
+    def _record_leader_change(
+        self, group: Group, leader: Member | None, now: float
+    ) -> None:
         name = leader.database.identifier if leader else ""
         if self._logged_leaders.get(group.service, "") != name:
             self._logged_leaders[group.service] = name
+            self._leader_since[group.service] = now
             logs.log(logs.LeaderChanged(group.service, name, group.term))
 
     async def _perform(self, action: Action) -> succession_state.Event | None:
--- a/src/beryltiller/sessions/succession_state.py
+++ b/src/beryltiller/sessions/succession_state.py
@@ -16,12 +16,16 @@
 
 @unique
 class Cause(Enum):
-    """The reason why a primary is replaced; a LEAVING one is draining."""
+    """The reason why a primary is replaced; a LEAVING one is draining.
+
+    With REPLICAS_LAG it works, but all its replicas lag too far to serve reads.
+    """
 
     FAILING = "failing"
     STALLED = "acknowledges no write"
     LEAVING = "leaving"
     NO_PRIMARY = "no primary"
+    REPLICAS_LAG = "replicas lag"
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,8 +36,9 @@
     `replicas` are all known databases that may hold acknowledged commits, except the
     leader. `departed` are databases whose registry entries are gone but that may
     still be running. `leader_healthy_until` is when this proxy last saw a healthy
-    leader, or None if it never did. `last_acknowledged` is the newest position of a
-    commit that a leader acknowledged through this proxy.
+    leader, or None if it never did. `overloaded_alone_since` is since when the leader
+    has been overloaded while no replica could serve reads. `last_acknowledged` is the
+    newest position of a commit that a leader acknowledged through this proxy.
     """
 
     service: str
@@ -46,6 +51,7 @@
     failing_since: float | None = None
     stalled_since: float | None = None
     primaryless_since: float | None = None
+    overloaded_alone_since: float | None = None
     leader_healthy_until: float | None = None
     last_acknowledged: Position = NO_POSITION
 
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -10,6 +10,11 @@
     TERM_PROOF_SECONDS,
     Group,
 )
+from beryltiller.sessions.lag_relief import (
+    MIN_LEAD_SECONDS,
+    max_staleness_seconds,
+    needs_relief,
+)
 from beryltiller.sessions.member import STALL_MEMORY_SECONDS
 from beryltiller.sessions.placement import (
     DRAIN_SECONDS,
@@ -245,6 +250,62 @@
         self.assertNotEqual(group.leader_term, before)
 
 
+class LagTest(unittest.TestCase):
+    """How far replicas lag, and when a change of primary helps against it."""
+
+    def setUp(self) -> None:
+        self.group = make_group()
+        self.group.record_status(
+            self.group.members["p"], status(1, is_primary=True), 0.0
+        )
+        for moment in (20.0, 21.0, 22.0, 23.0):
+            position = Position(1, int(moment))
+            self.group.record_position(self.group.members["p"], position, moment)
+        self.group.members["p"].record_load_refusal(23.0)
+
+    def record_replicas(self, near: int, far: int) -> None:
+        for name, index in (("r1", near), ("r2", far)):
+            member = self.group.members[name]
+            self.group.record_position(member, Position(1, index), 23.0)
+
+    def test_lag_is_measured_from_the_leaders_positions(self) -> None:
+        near = self.group.members["r1"]
+        self.assertEqual(self.group.lag_seconds(near, 23.0), 0.0)
+        for index, lag in ((23, 0.0), (21, 1.0), (3, 3.0)):
+            with self.subTest(index=index):
+                near.applied = None
+                self.group.record_position(near, Position(1, index), 23.0)
+                self.assertEqual(self.group.lag_seconds(near, 23.0), lag)
+        self.assertEqual(
+            self.group.lag_seconds(near, 23.1 + SAMPLE_RETENTION_SECONDS), 0.0
+        )
+
+    def test_relief_is_needed_if_no_replica_can_help_an_overloaded_leader(self) -> None:
+        for near, far, staleness, leader_since, is_needed in (
+            (3, 3, 2.5, 0.0, True),
+            (3, 23, 2.5, 0.0, False),
+            (3, 3, 3.5, 0.0, False),
+            (3, 3, None, 0.0, False),
+            (3, 3, 2.5, 23.1 - MIN_LEAD_SECONDS, False),
+        ):
+            with self.subTest(near=near, far=far, staleness=staleness):
+                self.setUp()
+                self.record_replicas(near, far)
+                self.assertEqual(
+                    needs_relief(self.group, staleness, leader_since, 23.0), is_needed
+                )
+                self.assertFalse(
+                    needs_relief(self.group, staleness, leader_since, 26.0),
+                    "the leader has capacity again",
+                )
+
+    def test_greatest_staleness_of_the_services_routes(self) -> None:
+        primary = Route("d", "s", RouteKind.PRIMARY, 1.0, 0.1, 1, 9.0)
+        aged = Route("e", "s", RouteKind.BOUNDED_STALENESS, 1.0, 0.1, 1, 1.5)
+        self.assertEqual(max_staleness_seconds((primary, aged), "s"), 1.5)
+        self.assertIsNone(max_staleness_seconds((primary, aged), "t"))
+
+
 class CoveringPositionTest(unittest.TestCase):
     """The positions that cover all commits acknowledged before a moment."""
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -99,6 +99,7 @@
             ("failing just now", replace(HEALTHY, failing_since=9.8), None),
             ("stalled", replace(HEALTHY, stalled_since=9.0), Cause.STALLED),
             ("leaving", draining, Cause.LEAVING),
+            ("lag", replace(HEALTHY, overloaded_alone_since=9.0), Cause.REPLICAS_LAG),
             ("all are leaving", replace(draining, draining=frozenset("ab")), None),
             (
                 "no primary",
