Take an unknown log end as no evidence, and remove what has no use

Cause, by reading: a database's status may state its log's end as `-`, which became position 0.0. A survey then counted that database as one whose log it knows, so a read with a maximum age could be served from logs that lack a commit which the silent primary and that database hold. The lag in the status was decoded and never used (a `-` became 0). `Group.clear_evidence` had no caller; it is not needed, as the clock that dates all evidence runs while the host is suspended.

Change: a survey leaves out a database whose log end is not known. The unused field and method go; a test shows that evidence of before a suspension proves nothing after it, another that a value which is not base64 (passed on as empty) names no database and no configuration.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -9,6 +9,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.statements import (
+    NO_POSITION,
     AskStatus,
     Begin,
     CallerStatement,
@@ -249,19 +250,18 @@
     """Decode a database's status from its row, or raise `WireError`.
 
     The row's fields are role, term, position received, term that it is fenced at, lag
-    in ms, busy slots and connections.
+    in ms, busy slots and connections. The last three are not used.
     """
     fields = rows[0].split(" ") if rows else []
     match fields:
-        case [role, term, received, fenced_term, lag_ms, _, _, *_]:
-            position = decode_position(received) or Position(0, 0)
+        case [role, term, received, fenced_term, _, _, _, *_]:
+            position = decode_position(received) or NO_POSITION
             try:
                 return DatabaseStatus(
                     role == "primary",
                     int(term),
                     position,
                     int(fenced_term) if fenced_term != NO_VALUE else 0,
-                    int(float(lag_ms)) if lag_ms != NO_VALUE else 0,
                 )
             except ValueError as error:
                 raise WireError(f"malformed status row: {rows[0][:80]!r}") from error
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/fleet.py
@@ -15,6 +15,7 @@
 from beryltiller.sessions.member import NEVER, Member
 from beryltiller.sessions.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.statements import (
+    NO_POSITION,
     AskStatus,
     Code,
     DatabaseStatus,
@@ -347,7 +348,8 @@
             statuses = await asyncio.gather(*map(self._status_or_none, members))
             positions = []
             for member, status in zip(members, statuses, strict=True):
-                if status is not None:
+                if status is not None and status.received != NO_POSITION:
+                    # A log whose end is not known shows no commit that it may hold.
                     positions.append(status.received)
                     group.record_status(member, status, asked_at)
             if group.leader is None:
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/groups.py
@@ -279,13 +279,6 @@
         )
         return max(0.0, asked_at - next(missing, asked_at))
 
-    def clear_evidence(self) -> None:
-        """Discard all proofs and samples, as needed after the process was suspended."""
-        self._proved_until = NEVER
-        self._leader_proved_until = NEVER
-        self._samples.clear()
-        self._surveys.clear()
-
     def _record_replica_position(self, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
 
--- a/src/beryltiller/sessions/statements.py
+++ b/src/beryltiller/sessions/statements.py
@@ -106,6 +106,8 @@
     term: int
 
 
+NO_POSITION = Position(0, 0)
+
 CallerStatement = (
     Begin | Commit | Rollback | Read | Write | SetValue | Prepare | Execute | Deallocate
 )
@@ -218,14 +220,14 @@
 class DatabaseStatus:
     """A database's report of its state.
 
-    `received` is the end of its log. `fenced_term` is 0 if it is not fenced.
+    `received` is the end of its log, or `NO_POSITION` if the log is empty or its end is
+    not known. `fenced_term` is 0 if it is not fenced.
     """
 
     is_primary: bool
     term: int
     received: Position
     fenced_term: int
-    lag_ms: int
 
 
 # The signature of a success that the proxy replies without asking a database.
--- a/src/beryltiller/sessions/succession_state.py
+++ b/src/beryltiller/sessions/succession_state.py
@@ -9,9 +9,7 @@
 from enum import Enum, unique
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.statements import DatabaseStatus
-
-NO_POSITION = Position(0, 0)
+from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
 
 @unique
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -134,7 +134,6 @@
             database.term,
             database.position,
             database.fenced_term,
-            0,
         )
 
     def close(self) -> None:
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -126,6 +126,6 @@
         _, connection = await self.connect({"STARTUP": READY, "STATUS": row + READY})
         status = await connection.command(AskStatus())
         self.assertEqual(
-            (status.is_primary, status.term, status.fenced_term, status.lag_ms),
-            (False, 3, 4, 12),
+            (status.is_primary, status.term, status.fenced_term),
+            (False, 3, 4),
         )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -33,6 +33,16 @@
     return Row(key, 1, msgspec.json.encode(kept))
 
 
+class UndecodableValueTest(unittest.TestCase):
+    """The store's client passes on a value that is not base64 as an empty one."""
+
+    def test_empty_value_is_refused_and_names_nothing(self) -> None:
+        empty = Row("i-1", 1, b"")
+        with self.assertRaises(RecordError):
+            decode_configuration(empty)
+        self.assertEqual(list(decode_databases((empty,))), [])
+
+
 class DatabaseEntryTest(unittest.TestCase):
     """An entry that cannot be used is refused, and the other entries are still used."""
 
@@ -47,6 +57,7 @@
             "zone": entry(zone=None),
             "born": entry(born="long ago"),
             "row i-1": Row("i-1", 1, b"\xff{"),
+            "row i-1: ": Row("i-1", 1, b""),
         }
         for name, row in cases.items():
             with self.subTest(name), self.assertRaises(RecordError) as caught:
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -45,7 +45,7 @@
 
 def status(term: int, fenced_term: int = 0, is_primary: bool = False) -> DatabaseStatus:
     """Return a status whose log ends at entry 5 of the term."""
-    return DatabaseStatus(is_primary, term, Position(term, 5), fenced_term, 0)
+    return DatabaseStatus(is_primary, term, Position(term, 5), fenced_term)
 
 
 class LeaderTest(unittest.TestCase):
@@ -335,13 +335,19 @@
         group.record_survey((Position(1, 9),), 1.1 + SAMPLE_RETENTION_SECONDS)
         self.assertEqual(group.covering_position(1.0), Position(1, 9))
 
-    def test_evidence_is_cleared_after_a_suspension(self) -> None:
+    def test_evidence_from_before_a_suspension_proves_nothing_after_it(self) -> None:
+        """The clock runs while the host is suspended, so nothing has to be cleared."""
         group = make_group()
         group.record_position(group.members["p"], Position(1, 4), 1.0)
         group.record_commit(group.members["p"], 1.0)
-        group.clear_evidence()
-        self.assertIsNone(group.covering_position(0.0))
-        self.assertFalse(group.is_term_proved(0.0))
+        self.assertTrue(group.is_term_proved(1.0))
+        woken_at = 31.0
+        self.assertIsNone(group.covering_position(woken_at))
+        self.assertFalse(group.is_term_proved(woken_at))
+        group.record_position(group.members["p"], Position(1, 4), 1.0)
+        group.record_commit(group.members["p"], 1.0)
+        self.assertIsNone(group.covering_position(woken_at), "asked before it")
+        self.assertFalse(group.is_term_proved(woken_at))
 
 
 class PlacementTest(unittest.TestCase):
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -412,6 +412,17 @@
 
         run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
 
+    def test_unknown_end_of_a_log_is_no_evidence(self) -> None:
+        """Guards against a stale read: that log may hold what the others lack."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.is_unreachable = True
+            fixture.far.term = fixture.far.index = 0
+            reply = await fixture.run(fixture.session(), Read("i"))
+            self.assertFalse(reply.is_success)
+
+        run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
+
     def test_primary_route_is_refused_at_once(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.leader.is_unreachable = True
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -38,7 +38,7 @@
     index: int, fenced_term: int = 2, is_primary: bool = False
 ) -> DatabaseStatus:
     """Return a status in term 1."""
-    return DatabaseStatus(is_primary, 1, Position(1, index), fenced_term, 0)
+    return DatabaseStatus(is_primary, 1, Position(1, index), fenced_term)
 
 
 class Driver:
