Play overloads against whole proxies, and mend what they show

With 5 proxies the databases never refuse: statements wait too long in the proxies, so an overload went unnoticed there and replicas that lag were not relieved. With 27 proxies and a cap of 28 a calm group refuses 0.4 % of the operations, because some proxies keep two connections for 10 s and others have none. A refused first statement of a transaction closed its connection, which then took a slot for 12 ms to be opened again.

Change: waiting in vain for this proxy's turn or for a connection counts as an overload.

--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -141,6 +141,20 @@
                 raise reason
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
+    async def acquire_slot(
+        self, placement: Placement, pool: ConnectionPool, priority: int, wait: float
+    ) -> None:
+        """Wait for this proxy's turn to send a statement to the database.
+
+        Raise `NoCapacityError` after `wait` seconds. The database counts as overloaded
+        then: proxies that are few overload it without it ever refusing a statement.
+        """
+        try:
+            await pool.semaphore.acquire(priority, wait)
+        except NoCapacityError:
+            placement.member.record_load_refusal(self._clock())
+            raise
+
     async def acquire_connection(
         self, member: Member, pool: ConnectionPool, session: Session, wait: float
     ) -> PooledConnection:
@@ -152,6 +166,7 @@
         try:
             return await pool.acquire(session.values, wait)
         except NoCapacityError:
+            member.record_load_refusal(self._clock())
             raise
         except NotSentError as error:
             if error.code not in (Code.CONNECTION_LIMIT, Code.BUSY):
--- a/src/beryltiller/sessions/member.py
+++ b/src/beryltiller/sessions/member.py
@@ -134,7 +134,7 @@
         return now < self._lagging_until
 
     def is_overloaded(self, now: float) -> bool:
-        """Return True if the database recently refused a statement for its load."""
+        """Return True if a statement was recently refused for the database's load."""
         return now < self._refused_for_load_at + OVERLOAD_MEMORY_SECONDS
 
     @property
@@ -143,7 +143,7 @@
         return self._position_asked_at
 
     def record_load_refusal(self, now: float) -> None:
-        """Record that the database refused a statement for lack of capacity."""
+        """Record a refusal for lack of capacity, by the database or this proxy."""
         self._refused_for_load_at = now
 
     def record_position_asked(self, asked_at: float) -> None:
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -172,7 +172,7 @@
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
         changes = group.leader_change_count
-        await pool.semaphore.acquire(route.priority, wait)
+        await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
                 placement.member, pool, session, wait
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession.py
@@ -49,7 +49,7 @@
 STALLED_SECONDS = 0.5
 # A primary whose replicas all lag too far to serve reads is replaced by one of them
 # after it has been overloaded for this long.
-OVERLOADED_ALONE_SECONDS = 1.0
+OVERLOADED_ALONE_SECONDS = 0.5
 # A replica is promoted in a service without a primary after this time. Registry entries
 # that lapsed by mistake have returned by then, also for a process that just started.
 PRIMARYLESS_SECONDS = 4.0
--- a/src/beryltiller/sessions/succession_runner.py
+++ b/src/beryltiller/sessions/succession_runner.py
@@ -164,7 +164,7 @@
         """Record since when the leader is overloaded and no replica can help it."""
         configuration = self._fleet.configuration
         routes = configuration.routes.values() if configuration else ()
-        staleness = lag_relief.max_staleness_seconds(routes, group.service)
+        staleness = lag_relief.min_staleness_seconds(routes, group.service)
         leader_since = self._leader_since.get(group.service, now)
         if lag_relief.needs_relief(group, staleness, leader_since, now):
             self._overloaded_alone_since.setdefault(group.service, now)
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -108,7 +108,9 @@
         assert acquired is not None
         group = self._executor.group(transaction.route.service)
         wait = deadline - self._executor.now()
-        await acquired.pool.semaphore.acquire(OPEN_TRANSACTION_PRIORITY, wait)
+        await self._executor.acquire_slot(
+            acquired.placement, acquired.pool, OPEN_TRANSACTION_PRIORITY, wait
+        )
         try:
             return await self._executor.run_in_transaction(
                 session, group, acquired, request, deadline, deadline
@@ -189,7 +191,7 @@
         wait = self._executor.queue_seconds(route, deadline)
         retry_until = self._executor.now() + wait
         changes = group.leader_change_count
-        await pool.semaphore.acquire(route.priority, wait)
+        await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
                 placement.member, pool, session, wait
@@ -206,17 +208,19 @@
             except BrokenError:
                 return None
             if not begun.is_success:
-                self._record_refusal(acquired, begun)
+                release_acquired(acquired, begun)
                 return None
             reply = await self._executor.run_in_transaction(
                 session, group, acquired, request, deadline, retry_until
             )
         finally:
             pool.semaphore.release()
+        transaction.acquired = acquired
         if reply.code is not None and may_run_elsewhere(reply.code):
-            self._record_refusal(acquired, reply)
+            # The connection is kept: opening another one would take a slot from the
+            # statements that the database has no capacity for.
+            await self._executor.roll_back(transaction)
             return None
-        transaction.acquired = acquired
         if placement.needs_proof:
             leader_term = LeaderTerm(changes, placement.member.term)
             await self._prove_term(transaction, group, leader_term, deadline)
@@ -242,13 +246,6 @@
             await self._executor.roll_back(transaction)
             raise BrokenError(error.reason) from error
 
-    def _record_refusal(self, acquired: AcquiredConnection, reply: Reply) -> None:
-        # The connection is closed so that a database without capacity can accept one
-        # from another proxy.
-        acquired.pool.discard(acquired.connection)
-        if reply.code is Code.LAGGING:
-            acquired.placement.member.record_lag_refusal(self._executor.now())
-
     async def commit(self, session: Session, identifier: str, arrived: float) -> Reply:
         """Commit the open transaction.
 
