Part the sessions package by subject

Cause: 26 modules in one flat folder; a newcomer could not tell the connections of a proxy from the replacement of primaries.

Change: `connections` (pool, pooled connection, limits, semaphore), `databases` (registry, groups, placement, fleet), `succession` (policy, state, runner, lag relief) and `tables` (follower, relay). What a caller's session does stays at the top.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -8,7 +8,7 @@
 
 from beryltiller.core.addresses import Address
 from beryltiller.platform import wire
-from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import (
     BrokenError,
     NoCapacityError,
--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -16,7 +16,7 @@
 from beryltiller.adapters import transport
 from beryltiller.core.ports import PortError, RefusedError, Row, Write
 from beryltiller.platform.store import StoreClient, raise_for_status
-from beryltiller.sessions.succession_runner import DutyClaim
+from beryltiller.sessions.succession.runner import DutyClaim
 
 DUTY_TABLE = "succession"
 DUTY_KEY = "duty"
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -22,18 +22,18 @@
 from beryltiller.platform.store import StoreClient
 from beryltiller.process import periodic
 from beryltiller.process.actors import Part
-from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.connection_pool import DatabaseConnection
-from beryltiller.sessions.fleet import Fleet
+from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
+from beryltiller.sessions.databases.registry import Registry
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
-from beryltiller.sessions.placement import Placer
-from beryltiller.sessions.registry import Registry
-from beryltiller.sessions.relay import Feeder, feeder_lease_keys
-from beryltiller.sessions.relay_runner import ANNOUNCE_SECONDS, RelayRunner
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS, shutdown_step
-from beryltiller.sessions.succession_runner import SuccessionRunner
-from beryltiller.sessions.table_follower import Rows, TableFollower
+from beryltiller.sessions.succession.runner import SuccessionRunner
+from beryltiller.sessions.tables.relay import Feeder, feeder_lease_keys
+from beryltiller.sessions.tables.relay_runner import ANNOUNCE_SECONDS, RelayRunner
+from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 
 READINESS_PATH = "/beryltiller/readiness"
 MAINTENANCE_INTERVAL_SECONDS = 0.3
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -8,7 +8,7 @@
 from beryltiller.core.addresses import Address
 from beryltiller.core.ports import Row
 from beryltiller.observability import logs
-from beryltiller.sessions.catalog import (
+from beryltiller.sessions.databases.catalog import (
     Configuration,
     Database,
     Route,
--- /dev/null
+++ b/src/beryltiller/sessions/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to databases, and their limits per proxy."""
--- a/src/beryltiller/sessions/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -4,20 +4,20 @@
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
-from beryltiller.sessions.catalog import Configuration, Database, Directory
-from beryltiller.sessions.connection_limits import (
+from beryltiller.sessions.connections.connection_limits import (
     ConnectionPoolPolicy,
     ConnectionSupply,
 )
-from beryltiller.sessions.connection_pool import (
-    ConnectionPool,
+from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.pooled_connection import (
     DatabaseConnection,
     PooledConnection,
 )
+from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
+from beryltiller.sessions.databases.catalog import Configuration, Database, Directory
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import NEVER, Member
 from beryltiller.sessions.errors import NoCapacityError, NotSentError, SessionError
-from beryltiller.sessions.groups import Group
-from beryltiller.sessions.member import NEVER, Member
-from beryltiller.sessions.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.statements import (
     NO_POSITION,
     AskStatus,
--- a/src/beryltiller/sessions/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -16,8 +16,8 @@
 from dataclasses import dataclass
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Database
-from beryltiller.sessions.member import NEVER, Member
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.member import NEVER, Member
 from beryltiller.sessions.statements import DatabaseStatus
 
 # A promoting proxy waits this long between fencing the replicas and promoting one.
--- a/src/beryltiller/sessions/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -5,7 +5,7 @@
 """
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.databases.catalog import Database
 
 NEVER = float("-inf")
 
--- a/src/beryltiller/sessions/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Route, RouteKind
-from beryltiller.sessions.connection_limits import ConnectionSupply
-from beryltiller.sessions.groups import Group
-from beryltiller.sessions.member import Member
+from beryltiller.sessions.connections.connection_limits import ConnectionSupply
+from beryltiller.sessions.databases.catalog import Route, RouteKind
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
 # proxy's zone is preferred until it is this much slower.
--- a/src/beryltiller/sessions/registry.py
+++ b/src/beryltiller/sessions/databases/registry.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from beryltiller.sessions.catalog import Database, Departed, Directory
+from beryltiller.sessions.databases.catalog import Database, Departed, Directory
 
 # Entries that lapsed by mistake reappear within two seconds of the store's return.
 LAPSE_GRACE_SECONDS = 2.5
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -6,18 +6,19 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from beryltiller.sessions.catalog import Configuration, Route
-from beryltiller.sessions.connection_pool import ConnectionPool, PooledConnection
+from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.pooled_connection import PooledConnection
+from beryltiller.sessions.databases.catalog import Configuration, Route
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.placement import Placement, Placer, ReadRequirement
 from beryltiller.sessions.errors import (
     BrokenError,
     NoCapacityError,
     NotSentError,
     SessionError,
 )
-from beryltiller.sessions.fleet import Fleet
-from beryltiller.sessions.groups import Group, LeaderTerm
-from beryltiller.sessions.member import Member
-from beryltiller.sessions.placement import Placement, Placer, ReadRequirement
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
 from beryltiller.sessions.statements import (
     Code,
--- a/src/beryltiller/sessions/isolation.py
+++ b/src/beryltiller/sessions/isolation.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 
 from beryltiller.observability import logs
-from beryltiller.sessions.fleet import Fleet, ServiceReachability
-from beryltiller.sessions.member import NEVER
+from beryltiller.sessions.databases.fleet import Fleet, ServiceReachability
+from beryltiller.sessions.databases.member import NEVER
 
 # The databases and the store are checked if `REFUSED_SHARE` of at least `MIN_OUTCOMES`
 # statements in the last `WINDOW_SECONDS` were refused.
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Route
-from beryltiller.sessions.connection_pool import ConnectionPool, PooledConnection
-from beryltiller.sessions.placement import Placement, ReadRequirement
+from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.pooled_connection import PooledConnection
+from beryltiller.sessions.databases.catalog import Route
+from beryltiller.sessions.databases.placement import Placement, ReadRequirement
 from beryltiller.sessions.statements import (
     PROXY_SIGNATURE,
     Code,
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/session_service.py
@@ -1,9 +1,9 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.execution import Clock, StatementExecutor
-from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.single_statements import SingleStatementRunner
 from beryltiller.sessions.statements import (
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -7,15 +7,19 @@
 
 from dataclasses import replace
 
-from beryltiller.sessions.catalog import Route
+from beryltiller.sessions.databases.catalog import Route
+from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.placement import (
+    Placement,
+    ReadRequirement,
+    read_requirement,
+)
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
     StatementExecutor,
     may_run_elsewhere,
     release_acquired,
 )
-from beryltiller.sessions.groups import Group, LeaderTerm
-from beryltiller.sessions.placement import Placement, ReadRequirement, read_requirement
 from beryltiller.sessions.session import AcquiredConnection, Session
 from beryltiller.sessions.statements import (
     Code,
--- a/src/beryltiller/sessions/lag_relief.py
+++ b/src/beryltiller/sessions/succession/lag_relief.py
@@ -10,8 +10,8 @@
 
 from collections.abc import Iterable
 
-from beryltiller.sessions.catalog import Route, RouteKind
-from beryltiller.sessions.groups import Group
+from beryltiller.sessions.databases.catalog import Route, RouteKind
+from beryltiller.sessions.databases.groups import Group
 
 # A primary is not replaced for its replicas' lag before it has led for this long, so
 # that replicas which stay behind do not cause one change of primary after the other.
--- a/src/beryltiller/sessions/succession.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -15,9 +15,9 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession_state import (
+from beryltiller.sessions.succession.state import (
     Action,
     Cause,
     ClaimAccepted,
--- a/src/beryltiller/sessions/succession_runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -13,12 +13,11 @@
 from beryltiller.core.ports import PortError, RefusedError
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
-from beryltiller.sessions import lag_relief, succession, succession_state
-from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import ReplacedError, SessionError
-from beryltiller.sessions.fleet import Fleet
-from beryltiller.sessions.groups import Group
-from beryltiller.sessions.member import Member
 from beryltiller.sessions.statements import (
     AskStatus,
     DatabaseStatus,
@@ -27,6 +26,8 @@
     StepDown,
     Unfence,
 )
+from beryltiller.sessions.succession import lag_relief, policy
+from beryltiller.sessions.succession import state as succession_state
 
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
@@ -88,7 +89,7 @@
         self._fleet = fleet
         self._duty = duty
         self._is_store_reachable = is_store_reachable
-        self._policy = succession.SuccessionPolicy(rng)
+        self._policy = policy.SuccessionPolicy(rng)
         self._clock = clock
         self._primaryless_since: dict[str, float] = {}
         self._leader_healthy_until: dict[str, float] = {}
@@ -216,7 +217,7 @@
             if leader is not None and not await self._is_failure_confirmed(leader):
                 return succession_state.ClaimFailed(action.service)
         try:
-            claim = await self._duty.claim(action.service, succession.DUTY_SECONDS)
+            claim = await self._duty.claim(action.service, policy.DUTY_SECONDS)
         except PortError as error:
             logs.log(logs.ClaimRefused(action.service, str(error)))
             return succession_state.ClaimFailed(action.service)
--- /dev/null
+++ b/src/beryltiller/sessions/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's tables: following changes, and relaying them to other proxies."""
--- a/src/beryltiller/sessions/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from beryltiller.core.ports import Row
-from beryltiller.sessions.relay import Announcement, Feeder, FeederLease, TableChange
+from beryltiller.sessions.tables.relay import (
+    Announcement,
+    Feeder,
+    FeederLease,
+    TableChange,
+)
 
 MAX_MESSAGE_BYTES = 1_048_576
 # The rows of a larger change are not sent; receivers poll the store for them.
--- a/src/beryltiller/sessions/relay_runner.py
+++ b/src/beryltiller/sessions/tables/relay_runner.py
@@ -7,10 +7,10 @@
 
 from beryltiller.core.ports import PortError, TableRows, Write
 from beryltiller.observability import logs
-from beryltiller.sessions import relay_messages
-from beryltiller.sessions.relay import Announcement, Feeder, Relay, TableChange
-from beryltiller.sessions.relay_messages import Packet, RelayMessageError
-from beryltiller.sessions.table_follower import TableFollower
+from beryltiller.sessions.tables import relay_messages
+from beryltiller.sessions.tables.relay import Announcement, Feeder, Relay, TableChange
+from beryltiller.sessions.tables.relay_messages import Packet, RelayMessageError
+from beryltiller.sessions.tables.table_follower import TableFollower
 
 FEEDER_LEASES_TABLE = "feeders"
 # How often `announce` is called.
--- a/src/beryltiller/sessions/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -14,7 +14,7 @@
 from beryltiller.core.budgets import BackoffPolicy, backoff_seconds
 from beryltiller.core.ports import HistoryLostError, PortError, Row, TableFeed
 from beryltiller.observability import logs
-from beryltiller.sessions.relay import TableChange, TableState
+from beryltiller.sessions.tables.relay import TableChange, TableState
 
 # How long a request to the feed waits for a change.
 FEED_WAIT_SECONDS = 4.0
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -4,14 +4,14 @@
 statement that may have run inside a transaction is not run again elsewhere.
 """
 
+from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.placement import Placement, read_requirement
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
     StatementExecutor,
     may_run_elsewhere,
     release_acquired,
 )
-from beryltiller.sessions.groups import Group, LeaderTerm
-from beryltiller.sessions.placement import Placement, read_requirement
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
 from beryltiller.sessions.statements import (
     Begin,
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import (
+from beryltiller.sessions.databases.catalog import (
     Configuration,
     Database,
     Directory,
@@ -13,10 +13,10 @@
     RouteKind,
     Service,
 )
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
-from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -12,7 +12,7 @@
 
 from beryltiller.core.ports import RefusedError
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import (
+from beryltiller.sessions.databases.catalog import (
     Configuration,
     Database,
     Directory,
@@ -20,10 +20,10 @@
     RouteKind,
     Service,
 )
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import BrokenError, NotSentError
-from beryltiller.sessions.fleet import Fleet
 from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.placement import Placer
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
     Begin,
@@ -42,7 +42,7 @@
     Unfence,
     Write,
 )
-from beryltiller.sessions.succession_runner import (
+from beryltiller.sessions.succession.runner import (
     DutyClaim,
     ObserveGroups,
     SuccessionRunner,
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -21,18 +21,19 @@
 )
 # Modules of `sessions` that decide; the others run on the event loop.
 _SESSION_DECISIONS = (
-    "catalog",
-    "groups",
+    "databases.catalog",
+    "databases.groups",
     "shutdown",
-    "connection_limits",
-    "member",
-    "placement",
-    "registry",
-    "relay",
-    "relay_messages",
+    "connections.connection_limits",
+    "databases.member",
+    "databases.placement",
+    "databases.registry",
+    "tables.relay",
+    "tables.relay_messages",
     "statements",
-    "succession",
-    "succession_state",
+    "succession.lag_relief",
+    "succession.policy",
+    "succession.state",
 )
 _IO = frozenset(
     {
@@ -99,7 +100,11 @@
 
     def test_decisions_import_no_io(self) -> None:
         paths = [path for name in _DECISIONS for path in (_ROOT / name).glob("*.py")]
-        paths += [_ROOT / "sessions" / f"{name}.py" for name in _SESSION_DECISIONS]
+        paths += [
+            module
+            for name in _SESSION_DECISIONS
+            if (module := module_path(f"{_PACKAGE}.sessions.{name}"))
+        ]
         for path in paths:
             with self.subTest(path.stem):
                 names = {name.partition(".")[0] for name in imported_names(path)}
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from beryltiller.sessions.fleet import SILENCE_SECONDS, ServiceReachability
+from beryltiller.sessions.databases.fleet import SILENCE_SECONDS, ServiceReachability
 from beryltiller.sessions.isolation import (
     MIN_OUTCOMES,
     STORE_CHECK_INTERVAL_SECONDS,
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -5,7 +5,7 @@
 from contextlib import AsyncExitStack
 
 from beryltiller.platform.databases import LineConnection, connect
-from beryltiller.sessions.catalog import Database
+from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
 from beryltiller.sessions.statements import (
     AskStatus,
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -6,7 +6,7 @@
 from beryltiller.core.ports import Row
 from beryltiller.core.position import Position
 from beryltiller.platform import records, wire
-from beryltiller.sessions.catalog import RouteKind
+from beryltiller.sessions.databases.catalog import RouteKind
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,8 +16,8 @@
     Write,
 )
 from beryltiller.process import periodic
-from beryltiller.sessions import relay_messages
-from beryltiller.sessions.relay import (
+from beryltiller.sessions.tables import relay_messages
+from beryltiller.sessions.tables.relay import (
     FEEDER_TIMEOUT_SECONDS,
     MAX_ANNOUNCEMENT_AGE_SECONDS,
     Announcement,
@@ -28,12 +28,16 @@
     TableState,
     feeder_lease_keys,
 )
-from beryltiller.sessions.relay_runner import (
+from beryltiller.sessions.tables.relay_runner import (
     ANNOUNCE_SECONDS,
     FEEDER_LEASES_TABLE,
     RelayRunner,
 )
-from beryltiller.sessions.table_follower import FEED_WAIT_SECONDS, Rows, TableFollower
+from beryltiller.sessions.tables.table_follower import (
+    FEED_WAIT_SECONDS,
+    Rows,
+    TableFollower,
+)
 from tests.virtual_loop import run_virtual, virtual_now
 
 ZONE = "north"
--- a/tests/test_session_connections.py
+++ b/tests/test_session_connections.py
@@ -11,12 +11,17 @@
     Row,
     TableRows,
 )
-from beryltiller.sessions.connection_limits import ConnectionPoolPolicy
-from beryltiller.sessions.connection_pool import ConnectionPool, DatabaseConnection
+from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
+from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
+from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.statements import Code
-from beryltiller.sessions.table_follower import FEED_WAIT_SECONDS, Rows, TableFollower
+from beryltiller.sessions.tables.table_follower import (
+    FEED_WAIT_SECONDS,
+    Rows,
+    TableFollower,
+)
 from tests.fake_group import FakeConnection, FakeDatabase
 from tests.virtual_loop import run_virtual, virtual_now
 
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from beryltiller.sessions.databases.fleet import CONFIRM_INTERVAL_SECONDS
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.fleet import CONFIRM_INTERVAL_SECONDS
 from beryltiller.sessions.statements import AskStatus, Begin, Code, Write
 from tests.fake_group import GroupFixture
 from tests.virtual_loop import run_virtual
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -4,26 +4,26 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Database, Departed, Route, RouteKind
-from beryltiller.sessions.groups import (
+from beryltiller.sessions.databases.catalog import Database, Departed, Route, RouteKind
+from beryltiller.sessions.databases.groups import (
     SAMPLE_RETENTION_SECONDS,
     TERM_PROOF_SECONDS,
     Group,
 )
-from beryltiller.sessions.lag_relief import (
-    MIN_LEAD_SECONDS,
-    min_staleness_seconds,
-    needs_relief,
-)
-from beryltiller.sessions.member import STALL_MEMORY_SECONDS
-from beryltiller.sessions.placement import (
+from beryltiller.sessions.databases.member import STALL_MEMORY_SECONDS
+from beryltiller.sessions.databases.placement import (
     DRAIN_SECONDS,
     Placer,
     ReadRequirement,
     read_requirement,
 )
-from beryltiller.sessions.registry import LAPSE_GRACE_SECONDS, Registry
+from beryltiller.sessions.databases.registry import LAPSE_GRACE_SECONDS, Registry
 from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.succession.lag_relief import (
+    MIN_LEAD_SECONDS,
+    min_staleness_seconds,
+    needs_relief,
+)
 
 
 def database(name: str, zone: str = "a", is_primary: bool = False) -> Database:
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from beryltiller.sessions.catalog import Departed, Directory, RouteKind
-from beryltiller.sessions.connection_limits import ConnectionPoolPolicy
+from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
+from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import (
     Begin,
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -6,11 +6,11 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions import succession
-from beryltiller.sessions.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession import SuccessionPolicy, replacement_cause
-from beryltiller.sessions.succession_state import (
+from beryltiller.sessions.succession import policy
+from beryltiller.sessions.succession.policy import SuccessionPolicy, replacement_cause
+from beryltiller.sessions.succession.state import (
     Action,
     Cause,
     ClaimAccepted,
@@ -141,13 +141,13 @@
         driver = Driver()
         driver.claim()
         (wait,) = driver.report_fences({"a": status(5), "b": None})
-        self.assertEqual(wait, ObserveAfter(succession.RETRY_SECONDS))
-        driver.observe(FAILING, succession.RETRY_SECONDS)
+        self.assertEqual(wait, ObserveAfter(policy.RETRY_SECONDS))
+        driver.observe(FAILING, policy.RETRY_SECONDS)
         statuses = {"a": status(5), "b": status(6)}
         driver.report_fences(statuses)
         driver.confirm(statuses)
         (wait,) = driver.handle(PromotionResult("s", False, False))
-        self.assertEqual(wait, ObserveAfter(succession.RETRY_SECONDS))
+        self.assertEqual(wait, ObserveAfter(policy.RETRY_SECONDS))
 
     def test_no_database_is_stepped_down_without_a_former_primary(self) -> None:
         driver = Driver()
@@ -169,7 +169,7 @@
         driver.observe(FAILING, 0.5)
         driver.handle(ClaimFailed("s"))
         self.assertEqual(driver.observe(FAILING, 0.5), ())
-        claims = driver.observe(FAILING, succession.COOLDOWN_SECONDS)
+        claims = driver.observe(FAILING, policy.COOLDOWN_SECONDS)
         self.assertEqual(claims, (ClaimDuty("s", Cause.FAILING),))
 
     def test_no_promotion_before_the_hold_is_over(self) -> None:
@@ -220,7 +220,7 @@
         driver.report_fences(statuses)
         driver.confirm(statuses)
         driver.handle(PromotionResult("s", False, False))
-        actions = driver.observe(FAILING, succession.DUTY_SECONDS)
+        actions = driver.observe(FAILING, policy.DUTY_SECONDS)
         self.assertEqual(actions, ())
         self.assertEqual(driver.state.successions, {})
 
@@ -243,7 +243,7 @@
         driver = Driver()
         driver.claim()
         driver.report_fences({"a": status(5), "b": status(6)})
-        (unfence,) = driver.observe(FAILING, succession.DUTY_SECONDS)
+        (unfence,) = driver.observe(FAILING, policy.DUTY_SECONDS)
         self.assertIsInstance(unfence, UnfenceReplicas)
 
 
@@ -308,7 +308,7 @@
         replaced = status(7, fenced_term=0, is_primary=True)
         follower = replace(status(6), term=3, fenced_term=4)
         actions = driver.report_fences({"a": replaced, "b": follower})
-        wait = ObserveAfter(succession.RETRY_SECONDS)
+        wait = ObserveAfter(policy.RETRY_SECONDS)
         self.assertEqual(actions, (StepDownPrimary("s", 4, "a"), wait))
 
 
@@ -363,7 +363,7 @@
 
     def test_start_of_a_possible_partition(self) -> None:
         primaryless = replace(HEALTHY, leader=None, primaryless_since=4.0)
-        silence = succession.MAX_ENTRY_SILENCE_SECONDS
+        silence = policy.MAX_ENTRY_SILENCE_SECONDS
         cases = (
             ("failing", replace(FAILING, leader_healthy_until=0.0), 0.0),
             (
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -8,13 +8,13 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.catalog import Departed, Directory
+from beryltiller.sessions.databases.catalog import Departed, Directory
+from beryltiller.sessions.databases.fleet import SILENCE_SECONDS
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.fleet import SILENCE_SECONDS
 from beryltiller.sessions.statements import AskStatus, Code
-from beryltiller.sessions.succession import FAILING_SECONDS
-from beryltiller.sessions.succession_runner import DutyClaim, SuccessionRunner
-from beryltiller.sessions.succession_state import (
+from beryltiller.sessions.succession.policy import FAILING_SECONDS
+from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
+from beryltiller.sessions.succession.state import (
     Cause,
     ClaimDuty,
     ClaimFailed,
