Test databases with hardly any capacity

Cause: limits of 0 and 1 were never played against whole proxies.

Change: no slots, no connections, a single connection, no queue, with 5 proxies: every operation ends within the timeouts of its attempts, and none is served only where nothing can be.

--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -203,7 +203,7 @@
 
 @dataclass(frozen=True)
 class Operation:
-    """What a caller wanted at `asked_at`, and whether it was served."""
+    """An operation that a caller asked for at `asked_at`, and how it ended."""
 
     asked_at: float
     is_served: bool
@@ -234,6 +234,7 @@
         self.rng = random.Random(seed)
         self.databases = {name: LoadedDatabase(name, name == "a") for name in "abc"}
         self.operations: list[Operation] = []
+        self.asked = 0
         self.promotions = 0
         self.duty_holder: SharedDuty | None = None
         self.duty_until = 0.0
@@ -387,6 +388,7 @@
 
     async def _call(self, statements: tuple[CallerStatement, ...]) -> None:
         asked_at = virtual_now()
+        self.asked += 1
         services = self.rng.sample(
             self._services, min(CALLER_ATTEMPTS, len(self._services))
         )
@@ -394,9 +396,13 @@
             if await self._attempt(service, statements):
                 break
         else:
-            self.operations.append(Operation(asked_at, False, 0.0))
+            self._record(asked_at, is_served=False)
             return
-        self.operations.append(Operation(asked_at, True, virtual_now() - asked_at))
+        self._record(asked_at, is_served=True)
+
+    def _record(self, asked_at: float, is_served: bool) -> None:
+        seconds = virtual_now() - asked_at
+        self.operations.append(Operation(asked_at, is_served, seconds))
 
     async def _attempt(
         self, service: SessionService, statements: tuple[CallerStatement, ...]
--- a/tests/test_loaded_group.py
+++ b/tests/test_loaded_group.py
@@ -6,7 +6,12 @@
 import asyncio
 import unittest
 
-from tests.loaded_group import MAX_STALENESS_SECONDS, LoadedGroup
+from tests.loaded_group import (
+    CALLER_ATTEMPTS,
+    MAX_STALENESS_SECONDS,
+    TIMEOUT_SECONDS,
+    LoadedGroup,
+)
 from tests.virtual_loop import run_virtual
 
 # Operations a second, of which a group without faults serves all.
@@ -71,3 +76,36 @@
             with self.subTest(proxies=proxies):
                 before, after, promotions = run_virtual(work(proxies))
                 self.assertEqual((before, after, promotions), (1.0, 1.0, 1))
+
+
+class LimitTest(unittest.TestCase):
+    """Databases with hardly any capacity: each caller gets a clear answer in time."""
+
+    def test_each_operation_ends_in_time(self) -> None:
+        """Guards against statements that wait for capacity which never comes."""
+
+        async def work(slots: int, queue: int, cap: int) -> tuple[int, int, float]:
+            group = LoadedGroup(proxies=5)
+            for database in group.databases.values():
+                database.slots, database.queue, database.cap = slots, queue, cap
+            group.start()
+            group.load(50.0, 3.0)
+            await asyncio.sleep(3.0 + CALLER_ATTEMPTS * 4 * TIMEOUT_SECONDS)
+            served = sum(each.is_served for each in group.operations)
+            slowest = max(each.seconds for each in group.operations)
+            asked, in_progress = group.asked, group.asked - len(group.operations)
+            self.assertGreater(asked, 100)
+            await group.close()
+            return in_progress, served, slowest
+
+        for name, slots, queue, cap, is_served in (
+            ("no slots", 0, 0, 28, False),
+            ("no connections", 2, 16, 0, False),
+            ("one connection", 2, 16, 1, True),
+            ("no queue", 1, 0, 28, True),
+        ):
+            with self.subTest(name):
+                in_progress, served, slowest = run_virtual(work(slots, queue, cap))
+                self.assertEqual(in_progress, 0)
+                self.assertEqual(served > 0, is_served)
+                self.assertLess(slowest, CALLER_ATTEMPTS * 4 * TIMEOUT_SECONDS)
