Do not let a database's status end its draining

A database does not know itself that its host is taken away; its status, which arrived between the reads, says that it is not leaving, and `GroupState.with_status` took that for the end of the draining.

Change: a status can begin the draining of a database, and only `with_draining`, which carries the decision from all reports, ends it.

--- a/src/beryltiller/consistency/group_state.py
+++ b/src/beryltiller/consistency/group_state.py
@@ -57,7 +57,11 @@
     def with_status(
         self, status: EndpointStatus, asked_at: float, now: float
     ) -> "GroupState":
-        """Return the state after a database reported its status."""
+        """Return the state after a database reported its status.
+
+        A database that reports to be leaving is draining. One that does not may still
+        be draining: others may know better, and `with_draining` alone ends it.
+        """
         state = self
         if self.is_primary_in_force(status):
             state = self._with_history(status, asked_at)
@@ -69,7 +73,7 @@
                 lag_seconds=state._lag_after(old, status.last, now),
                 lag_measured_at=now,
                 load=status.load,
-                is_draining=status.is_leaving,
+                is_draining=old.is_draining or status.is_leaving,
                 is_reachable=True,
             ),
         )
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -143,6 +143,25 @@
         assert isinstance(plan, WaitThen)
         self.assertNotEqual(plan.then, primary)
 
+    def test_a_status_does_not_end_a_databases_draining(self) -> None:
+        """Guards against reads at a database that the host list says is leaving.
+
+        It does not know that itself, so its own status says otherwise.
+        """
+        position = Position(1, 7)
+        for name in ("q", "r"):
+            self.planner.record_status(
+                "g", status(name, position, role=Role.REPLICA), NOW, NOW
+            )
+        self.planner.record_draining("g", {"r"})
+        replica = status("r", position, role=Role.REPLICA)
+        self.planner.record_status("g", replica, NOW, NOW)
+        for _ in range(20):
+            self.assertEqual(self.begin(OWN), RunAt("q", Position(1, 5)))
+        self.planner.record_draining("g", set())
+        plans = {str(self.begin(OWN)) for _ in range(20)}
+        self.assertEqual(len(plans), 2, "it is used again")
+
     def test_only_the_primary_in_force_dates_positions(self) -> None:
         position = Position(1, 7)
         answer = EndpointAnswer(b"", position)
