Do not risk a write's known outcome shortly before its deadline

A write that every attempt was refused for is sent again with delays that double, so up to a few milliseconds before its deadline. That last attempt is in flight when the deadline ends it, and the caller is told that the outcome is unknown of a write that is known not to have run.

Change: such a write is not sent again with less than 0.1 s left; it is refused as not run. A write that may have run already, and a read, are still tried to the end.

The new unit test fails on the former code.

--- a/src/beryltiller/consistency/attempts.py
+++ b/src/beryltiller/consistency/attempts.py
@@ -20,13 +20,16 @@
     """The maximum number of attempts, and the delays between them, which double.
 
     A write that waits for a primary checks for a later term after each
-    `term_step_seconds`.
+    `term_step_seconds`. A write whose attempts were all refused is not sent again
+    with less than `min_attempt_seconds` left: an attempt that the deadline ends may
+    have run, so that the outcome would no longer be known.
     """
 
     max_attempts: int = 8
     first_delay_seconds: float = 0.01
     max_delay_seconds: float = 0.5
     term_step_seconds: float = 0.25
+    min_attempt_seconds: float = 0.1
 
 
 @unique
@@ -199,8 +202,10 @@
             is_allowed = has_budget and work.may_repeat
             target = RetryTarget.PRIMARY_IN_FORCE
     delay = _delay(after, policy, rng)
-    has_time = now + delay < work.deadline and after.count < policy.max_attempts
-    if is_allowed and has_time:
+    is_known = work.kind.is_write and not after.may_have_run
+    needed = policy.min_attempt_seconds if is_known else 0.0
+    has_time = now + delay + needed < work.deadline
+    if is_allowed and has_time and after.count < policy.max_attempts:
         return after, Retry(target, delay)
     return after, _finish(after, refusal)
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -116,6 +116,25 @@
             with self.subTest(name):
                 self.assertEqual(actual, wanted)
 
+    def test_known_outcome_is_not_risked_shortly_before_the_deadline(self) -> None:
+        """Guards against an unknown outcome of a write that never ran.
+
+        Its last attempt was cut by the deadline.
+        """
+        now = DEADLINE - RetryPolicy().min_attempt_seconds
+        may_have_run = Attempts(1, may_have_run=True)
+        primary = RetryTarget.PRIMARY_IN_FORCE
+        for work, attempts, wanted in (
+            (KEYED, FIRST, Outcome.NOT_RUN),
+            (KEYED, may_have_run, primary),
+            (READ, FIRST, RetryTarget.OTHER_DATABASE),
+        ):
+            with self.subTest(work=work, attempts=attempts):
+                refused = Refused("unreachable")
+                self.assertEqual(decision_for(work, refused, attempts, now), wanted)
+        early = now - 0.2
+        self.assertEqual(decision_for(KEYED, Refused("busy"), FIRST, early), primary)
+
     def test_write_without_a_primary_waits_until_its_deadline(self) -> None:
         many = Attempts(RetryPolicy().max_attempts)
         cases = (
