--- /dev/null
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -0,0 +1,41 @@
+"""The reasons for which a primary is replaced, and how long each must have lasted."""
+
+from beryltiller.sessions.succession.state import Cause, GroupView
+
+# A primary is replaced once it has been failing for this long.
+FAILING_SECONDS = 0.3
+# A primary that answers but acknowledges no write is replaced after this time.
+STALLED_SECONDS = 0.5
+# A primary whose replicas all lag too far to serve reads is replaced by one of them
+# after it has been overloaded for this long.
+OVERLOADED_ALONE_SECONDS = 0.5
+# A replica is promoted in a service without a primary after this time. Registry entries
+# that lapsed by mistake have returned by then, also for a process that just started.
+PRIMARYLESS_SECONDS = 4.0
+
+
+def replacement_cause(view: GroupView, now: float) -> Cause | None:
+    """Return why a group's primary must be replaced, or None if it need not be."""
+    if not view.replicas:
+        return None
+    if view.leader is None:
+        return (
+            Cause.NO_PRIMARY
+            if _has_lasted(view.primaryless_since, now, PRIMARYLESS_SECONDS)
+            else None
+        )
+    if _has_lasted(view.failing_since, now, FAILING_SECONDS):
+        return Cause.FAILING
+    if _has_lasted(view.stalled_since, now, STALLED_SECONDS):
+        return Cause.STALLED
+    if view.is_leader_draining and any(
+        replica not in view.draining for replica in view.replicas
+    ):
+        return Cause.LEAVING
+    if _has_lasted(view.overloaded_alone_since, now, OVERLOADED_ALONE_SECONDS):
+        return Cause.REPLICAS_LAG
+    return None
+
+
+def _has_lasted(since: float | None, now: float, seconds: float) -> bool:
+    return since is not None and now - since >= seconds
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -17,6 +17,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.succession.causes import replacement_cause
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -43,16 +44,6 @@
 DUTY_SECONDS = 4.0
 # The holder stops using a claim this long before it expires.
 DUTY_MARGIN_SECONDS = 1.2
-# A primary is replaced once it has been failing for this long.
-FAILING_SECONDS = 0.3
-# A primary that answers but acknowledges no write is replaced after this time.
-STALLED_SECONDS = 0.5
-# A primary whose replicas all lag too far to serve reads is replaced by one of them
-# after it has been overloaded for this long.
-OVERLOADED_ALONE_SECONDS = 0.5
-# A replica is promoted in a service without a primary after this time. Registry entries
-# that lapsed by mistake have returned by then, also for a process that just started.
-PRIMARYLESS_SECONDS = 4.0
 # Each proxy delays its claim by a random time up to this long, so that proxies that
 # detect a failure at the same time do not claim the duty simultaneously.
 MAX_CLAIM_DELAY_SECONDS = 0.15
@@ -69,29 +60,6 @@
 Decision = tuple[State, tuple[Action, ...]]
 
 
-def replacement_cause(view: GroupView, now: float) -> Cause | None:
-    """Return why a group's primary must be replaced, or None if it need not be."""
-    if not view.replicas:
-        return None
-    if view.leader is None:
-        return (
-            Cause.NO_PRIMARY
-            if _has_lasted(view.primaryless_since, now, PRIMARYLESS_SECONDS)
-            else None
-        )
-    if _has_lasted(view.failing_since, now, FAILING_SECONDS):
-        return Cause.FAILING
-    if _has_lasted(view.stalled_since, now, STALLED_SECONDS):
-        return Cause.STALLED
-    if view.is_leader_draining and any(
-        replica not in view.draining for replica in view.replicas
-    ):
-        return Cause.LEAVING
-    if _has_lasted(view.overloaded_alone_since, now, OVERLOADED_ALONE_SECONDS):
-        return Cause.REPLICAS_LAG
-    return None
-
-
 class SuccessionPolicy:
     """The state machine of all successions that this proxy performs.
 
@@ -375,10 +343,6 @@
     return _store_succession(state, replace(succession, former_log_end=event.received))
 
 
-def _has_lasted(since: float | None, now: float, seconds: float) -> bool:
-    return since is not None and now - since >= seconds
-
-
 def _store_succession(state: State, succession: Succession) -> State:
     successions = {**state.successions, succession.service: succession}
     return replace(state, successions=successions)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -31,6 +31,7 @@
     "tables.relay",
     "tables.relay_messages",
     "statements",
+    "succession.causes",
     "succession.lag_relief",
     "succession.policy",
     "succession.state",
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -9,7 +9,8 @@
 from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import policy
-from beryltiller.sessions.succession.policy import SuccessionPolicy, replacement_cause
+from beryltiller.sessions.succession.causes import replacement_cause
+from beryltiller.sessions.succession.policy import SuccessionPolicy
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -12,7 +12,7 @@
 from beryltiller.sessions.databases.fleet import SILENCE_SECONDS
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import AskStatus, Code
-from beryltiller.sessions.succession.policy import FAILING_SECONDS
+from beryltiller.sessions.succession.causes import FAILING_SECONDS
 from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
 from beryltiller.sessions.succession.state import (
     Cause,
