Do not relieve lagging replicas by promoting one that leaves

Cause, by reading the whole difference: with all replicas draining, an overloaded primary would have been replaced by one of them, and that one again soon after.

Change: a planned change of primary, for either reason, needs a replica that stays.

Result: the new case of `CauseTest` fails on the former code.

--- a/src/beryltiller/sessions/succession/causes.py
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -28,9 +28,9 @@
         return Cause.FAILING
     if _has_lasted(view.stalled_since, now, STALLED_SECONDS):
         return Cause.STALLED
-    if view.is_leader_draining and any(
-        replica not in view.draining for replica in view.replicas
-    ):
+    if all(replica in view.draining for replica in view.replicas):
+        return None
+    if view.is_leader_draining:
         return Cause.LEAVING
     if _has_lasted(view.overloaded_alone_since, now, OVERLOADED_ALONE_SECONDS):
         return Cause.REPLICAS_LAG
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -102,6 +102,11 @@
             ("leaving", draining, Cause.LEAVING),
             ("lag", replace(HEALTHY, overloaded_alone_since=9.0), Cause.REPLICAS_LAG),
             ("all are leaving", replace(draining, draining=frozenset("ab")), None),
+            (
+                "lag of leaving replicas",
+                replace(HEALTHY, overloaded_alone_since=9.0, draining=frozenset("ab")),
+                None,
+            ),
             (
                 "no primary",
                 replace(HEALTHY, leader=None, primaryless_since=5.0),
