Log the evidence of each read, the unfencing of replicas and a primary's step-down

An operator told that a read was served from an old log could not say why: the logs named leaders and fenced replicas, but neither the position that the read was sent with, nor the answer that this position or the proof of the leader's term came from, nor when replicas were unfenced.

Samples and proofs now carry their kind, the database that gave them and when it was asked. Without the flag nothing is built or written. No decision changes.

--- a/src/beryltiller/commands/documents.py
+++ b/src/beryltiller/commands/documents.py
@@ -26,8 +26,9 @@
 
 ## Log messages
 
-A proxy logs changes of state, and nothing else, to standard error. Each log message is
-a line of JSON, written by eliot, with `message_type`, `timestamp` and the fields below.
+A proxy logs changes of state to standard error, and nothing else unless it is started
+with `--log-reads`. Each log message is a line of JSON, written by eliot, with
+`message_type`, `timestamp` and the fields below.
 
 """
 _METRICS_TEXT = f"""
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -219,6 +219,25 @@
     positions: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicasUnfenced:
+    """This proxy let databases receive log entries again; a succession has ended."""
+
+    service: str
+    # The status of each database, `silent` if it did not answer.
+    positions: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrimarySteppedDown:
+    """A primary answered that it stepped down, and where its log ends."""
+
+    service: str
+    database: str
+    term: int
+    received: str
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAsked:
     """The platform was asked to promote `successor`; a failure has a `reason`."""
@@ -249,6 +268,39 @@
     services: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReadRan:
+    """A read ran at a database; logged with `--log-reads` only.
+
+    It names what the proxy believed, and the evidence on which the answer counts.
+    """
+
+    request: str
+    service: str
+    database: str
+    incarnation: int
+    # `leader` or `replica`, as believed when the answer was recorded.
+    role: str
+    # The newest term known of the group, and that in which the leader reported.
+    term: int
+    leader_term: int
+    leader_changes: int
+    # The log position that the database was required to have, or empty.
+    since: str
+    # The position that it answered with, or empty.
+    position: str
+    # The session's own position, or empty.
+    own_position: str
+    # How long ago the commits were acknowledged that the read must see.
+    required_age_seconds: float
+    # The kind of evidence, the database that gave it, and how long ago it was asked.
+    evidence: str
+    evidence_source: str
+    evidence_age_seconds: float
+    # The refusal's or failure's code, or empty for a success.
+    code: str
+
+
 @dataclass(frozen=True, slots=True)
 class WorkFailed:
     """The task or function `work` failed; periodic work is tried again later."""
@@ -281,9 +333,12 @@
     | ClaimRefused
     | SuccessionStarted
     | ReplicasFenced
+    | ReplicasUnfenced
+    | PrimarySteppedDown
     | PromotionAsked
     | CommandFailed
     | IsolationChanged
+    | ReadRan
     | WorkFailed
 )
 
--- a/src/beryltiller/platform/daemon.py
+++ b/src/beryltiller/platform/daemon.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Sequence
 from contextlib import AsyncExitStack, ExitStack
+from dataclasses import replace
 
 from beryltiller import __version__
 from beryltiller.observability import logs
@@ -114,6 +115,7 @@
     if parsed.check:
         print(f"{path}: valid settings for host {settings.host_name}")
         return EXIT_OK
+    settings = replace(settings, logs_reads=parsed.log_reads)
     return PlatformDaemon(path, settings).run()
 
 
@@ -131,4 +133,9 @@
     parser.add_argument(
         "--check", action="store_true", help="only check the settings file"
     )
+    parser.add_argument(
+        "--log-reads",
+        action="store_true",
+        help="log each read with the evidence that its answer counts on",
+    )
     return parser
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -28,6 +28,7 @@
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
+from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS, shutdown_step
 from beryltiller.sessions.succession.runner import SuccessionRunner
@@ -71,6 +72,7 @@
             Placer(zone, settings.drain_seconds - DRAIN_MARGIN_SECONDS),
             self._monitor,
             boot_clock,
+            ReadLog(settings.logs_reads),
         )
         self._ingress = Ingress(self._service, boot_clock)
 
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -64,7 +64,8 @@
 
     Its connections to the store and to databases start from `source_ip`. It must stop
     within `grace_seconds`; a draining database stops after `drain_seconds`. Other
-    proxies receive its relayed changes from `relay_address`, if it has one.
+    proxies receive its relayed changes from `relay_address`, if it has one. With
+    `logs_reads` each read is logged.
     """
 
     host_name: str
@@ -77,6 +78,7 @@
     grace_seconds: float
     drain_seconds: float
     relay_address: Address | None = None
+    logs_reads: bool = False
 
 
 def read_settings_file(path: str) -> PlatformSettings:
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -14,6 +14,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum, unique
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
@@ -36,12 +37,37 @@
 MIN_SAMPLE_SPACING_SECONDS = 0.02
 
 
+@unique
+class EvidenceKind(Enum):
+    """What an answer showed: a log's position, or that a leader's term is in force."""
+
+    SAMPLE = "sample"
+    SURVEY = "survey"
+    COMMIT = "commit"
+    STATUS = "status"
+    REPLICA_POSITION = "replica position"
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """A log position that covers every commit acknowledged before `asked_at`."""
+    """A log position that covers every commit acknowledged before `asked_at`.
+
+    `source` is the database that answered with it, or empty for a survey.
+    """
 
     asked_at: float
     position: Position
+    kind: EvidenceKind = EvidenceKind.SAMPLE
+    source: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TermProof:
+    """The newest proof of the leader's term: an answer of `source`, and when asked."""
+
+    asked_at: float
+    kind: EvidenceKind
+    source: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +99,7 @@
         # Like `_proved_until`, but reset by a change of leader: samples that are proved
         # stay so, whereas a proof of one leader's term does not count for the next.
         self._leader_proved_until = NEVER
+        self._newest_proof: TermProof | None = None
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Sample] = deque()
 
@@ -102,6 +129,11 @@
         """Return the moment up to which no later term can have begun."""
         return self._proved_until
 
+    @property
+    def newest_proof(self) -> TermProof | None:
+        """Return the newest proof of the leader's term, or None without any."""
+        return self._newest_proof
+
     @property
     def last_acknowledged(self) -> Position:
         """Return the newest position of a commit acknowledged through this proxy."""
@@ -168,9 +200,16 @@
         if position.term > self._term:
             self._enter_term(position.term)
         if member.database.identifier == self._leader:
-            self._add_sample(Sample(asked_at, position))
+            self._add_sample(
+                Sample(
+                    asked_at,
+                    position,
+                    EvidenceKind.SAMPLE,
+                    member.database.identifier,
+                )
+            )
         else:
-            self._record_replica_position(position)
+            self._record_replica_position(member, position)
 
     def record_commit(
         self, member: Member, asked_at: float, position: Position | None = None
@@ -183,7 +222,7 @@
         if position is not None and position > self._last_acknowledged:
             self._last_acknowledged = position
         if member.database.identifier == self._leader:
-            self._extend_proof(asked_at)
+            self._extend_proof(asked_at, EvidenceKind.COMMIT, member)
 
     def record_status(
         self, member: Member, status: DatabaseStatus, asked_at: float
@@ -205,7 +244,7 @@
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.reported_primary_term and not status.fenced_term:
-            self._extend_proof(asked_at)
+            self._extend_proof(asked_at, EvidenceKind.STATUS, member)
 
     def _record_primary(self, member: Member, term: int, is_newer: bool) -> None:
         """Record that a database reports to be primary in `term`.
@@ -241,7 +280,7 @@
         An acknowledged commit is in at least two logs, so in at least one of these.
         """
         surveys = self._surveys
-        surveys.append(Sample(asked_at, max(positions)))
+        surveys.append(Sample(asked_at, max(positions), EvidenceKind.SURVEY))
         while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
             surveys.popleft()
 
@@ -254,14 +293,19 @@
 
         Return None if no proved position is new enough.
         """
+        sample = self.covering_sample(moment)
+        return sample.position if sample else None
+
+    def covering_sample(self, moment: float) -> Sample | None:
+        """Return the oldest sample or survey that covers `moment`, or None."""
         for sample in self._samples:
             if sample.asked_at > self._proved_until:
                 break
             if sample.asked_at >= moment:
-                return sample.position
+                return sample
         for sample in self._surveys:
             if sample.asked_at >= moment:
-                return sample.position
+                return sample
         return None
 
     def lag_seconds(self, replica: Member, now: float) -> float:
@@ -279,7 +323,7 @@
         )
         return max(0.0, asked_at - next(missing, asked_at))
 
-    def _record_replica_position(self, position: Position) -> None:
+    def _record_replica_position(self, member: Member, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
 
         An entry beyond the position that the leader answered with was written after
@@ -292,11 +336,17 @@
             if sample.asked_at + TERM_PROOF_SECONDS <= self._proved_until:
                 return
             if sample.position < position:
-                self._extend_proof(sample.asked_at)
+                self._extend_proof(
+                    sample.asked_at, EvidenceKind.REPLICA_POSITION, member
+                )
                 return
 
-    def _extend_proof(self, asked_at: float) -> None:
+    def _extend_proof(
+        self, asked_at: float, kind: EvidenceKind, source: Member
+    ) -> None:
         until = asked_at + TERM_PROOF_SECONDS
+        if until > self._leader_proved_until:
+            self._newest_proof = TermProof(asked_at, kind, source.database.identifier)
         self._proved_until = max(self._proved_until, until)
         self._leader_proved_until = max(self._leader_proved_until, until)
 
@@ -346,6 +396,7 @@
             self._leader = identifier
             self._leader_change_count += 1
             self._leader_proved_until = NEVER
+            self._newest_proof = None
             self._drop_unproved_samples()
 
 
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -10,7 +10,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.databases.catalog import Route, RouteKind
-from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.groups import Group, Sample
 from beryltiller.sessions.databases.member import Member
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
@@ -52,11 +52,13 @@
 
     `since` is None if any log is sufficient, as at the leader. `needs_proof` is True at
     the leader: the answer counts only with proof that the leader's term is in force.
+    `cover` is the sample or survey that `since` was taken from, if any.
     """
 
     member: Member
     since: Position | None
     needs_proof: bool
+    cover: Sample | None = None
 
 
 def read_requirement(
@@ -95,7 +97,8 @@
         `tried` names databases that already refused this read; `supply_of` returns how
         soon a connection to a member is available.
         """
-        covering = group.covering_position(requirement.acknowledged_before)
+        cover = group.covering_sample(requirement.acknowledged_before)
+        covering = cover.position if cover else None
         since = _later(covering, requirement.own_position)
         leader = group.leader
         best: Placement | None = None
@@ -110,7 +113,7 @@
             cost += _supply_cost_seconds(supply_of(member))
             if cost < best_cost:
                 best_cost = cost
-                best = _placement(member, is_leader, since)
+                best = _placement(member, is_leader, since, cover)
         return best
 
     def place_leader(
@@ -148,10 +151,12 @@
             return SCARCE_COST_SECONDS
 
 
-def _placement(member: Member, is_leader: bool, since: Position | None) -> Placement:
+def _placement(
+    member: Member, is_leader: bool, since: Position | None, cover: Sample | None
+) -> Placement:
     if is_leader:
         return Placement(member, None, needs_proof=True)
-    return Placement(member, since, needs_proof=False)
+    return Placement(member, since, needs_proof=False, cover=cover)
 
 
 def _is_behind(member: Member, since: Position | None) -> bool:
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -19,6 +19,7 @@
     NotSentError,
     SessionError,
 )
+from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
 from beryltiller.sessions.statements import (
     Code,
@@ -54,11 +55,14 @@
     Use it on a single event loop.
     """
 
-    def __init__(self, fleet: Fleet, placer: Placer, clock: Clock) -> None:
+    def __init__(
+        self, fleet: Fleet, placer: Placer, clock: Clock, read_log: ReadLog
+    ) -> None:
         """Use the fleet's databases, chosen by `placer`."""
         self._fleet = fleet
         self._placer = placer
         self._clock = clock
+        self._read_log = read_log
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -276,6 +280,19 @@
             case Code.READ_ONLY if member is group.leader:
                 group.record_lead_denied(member)
 
+    def log_read(
+        self,
+        request: Request,
+        group: Group,
+        placement: Placement,
+        requirement: ReadRequirement,
+        reply: Reply,
+    ) -> None:
+        """Log a read that has run, with the evidence on which its answer counts."""
+        self._read_log.record(
+            request.identifier, group, placement, requirement, reply, self._clock()
+        )
+
     async def prove_term(
         self,
         group: Group,
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/session_service.py
@@ -4,6 +4,7 @@
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.execution import Clock, StatementExecutor
 from beryltiller.sessions.isolation import IsolationMonitor
+from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.single_statements import SingleStatementRunner
 from beryltiller.sessions.statements import (
@@ -34,13 +35,21 @@
     """
 
     def __init__(
-        self, fleet: Fleet, placer: Placer, monitor: IsolationMonitor, clock: Clock
+        self,
+        fleet: Fleet,
+        placer: Placer,
+        monitor: IsolationMonitor,
+        clock: Clock,
+        read_log: ReadLog | None = None,
     ) -> None:
-        """Use the fleet's databases and report each outcome to `monitor`."""
+        """Use the fleet's databases and report each outcome to `monitor`.
+
+        Without `read_log`, reads are not logged.
+        """
         self._monitor = monitor
         self._fleet = fleet
         self._clock = clock
-        self._executor = StatementExecutor(fleet, placer, clock)
+        self._executor = StatementExecutor(fleet, placer, clock, read_log or ReadLog())
         self._transactions = SessionTransactionRunner(self._executor)
         self._single_statements = SingleStatementRunner(self._executor)
 
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -194,6 +194,8 @@
         if reply.is_success and placement.needs_proof and not is_write:
             leader_term = LeaderTerm(changes, placement.member.term)
             await self._executor.prove_term(group, leader_term, requirement, deadline)
+        if not is_write:
+            self._executor.log_read(request, group, placement, requirement, reply)
         return reply
 
 
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -195,6 +195,9 @@
                     return None
                 await self._command(service, identifier, Fence(term))
                 received = stepped_down.received
+                logs.log(
+                    logs.PrimarySteppedDown(service, identifier, term, str(received))
+                )
                 return succession_state.PrimarySteppedDown(
                     service, identifier, received
                 )
@@ -206,7 +209,8 @@
             case succession_state.Promote():
                 return await self._promote(action)
             case succession_state.UnfenceReplicas(service, replicas):
-                await self._command_all(service, replicas, Unfence())
+                unfenced = await self._command_all(service, replicas, Unfence())
+                logs.log(logs.ReplicasUnfenced(service, _statuses_text(unfenced)))
                 return None
 
     async def _claim(
@@ -253,15 +257,7 @@
             for name in action.departed
             if statuses[name] is None and name not in partitioned
         )
-        logs.log(
-            logs.ReplicasFenced(
-                service,
-                action.term,
-                "; ".join(
-                    f"{name} {_status_text(item)}" for name, item in statuses.items()
-                ),
-            )
-        )
+        logs.log(logs.ReplicasFenced(service, action.term, _statuses_text(statuses)))
         replaced = frozenset(self._replaced.intersection(statuses))
         return succession_state.FenceResults(
             service, statuses, gone, replaced, were_already_fenced
@@ -360,6 +356,10 @@
         return leader.failed_probe_recently(self._clock())
 
 
+def _statuses_text(statuses: Mapping[str, DatabaseStatus | None]) -> str:
+    return "; ".join(f"{name} {_status_text(item)}" for name, item in statuses.items())
+
+
 def _status_text(status: DatabaseStatus | None) -> str:
     if status is None:
         return "silent"
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -112,11 +112,28 @@
             acquired.placement, acquired.pool, OPEN_TRANSACTION_PRIORITY, wait
         )
         try:
-            return await self._executor.run_in_transaction(
+            reply = await self._executor.run_in_transaction(
                 session, group, acquired, request, deadline, deadline
             )
         finally:
             acquired.pool.semaphore.release()
+        self._log_read(session, transaction, request, acquired.placement, reply)
+        return reply
+
+    def _log_read(
+        self,
+        session: Session,
+        transaction: Transaction,
+        request: Request,
+        placement: Placement,
+        reply: Reply,
+    ) -> None:
+        statement = request.statement
+        if isinstance(statement, Commit) or session.is_write(statement):
+            return
+        group = self._executor.group(transaction.route.service)
+        requirement = transaction.requirement
+        self._executor.log_read(request, group, placement, requirement, reply)
 
     async def _run_first_statement(
         self,
@@ -224,6 +241,7 @@
         if placement.needs_proof:
             leader_term = LeaderTerm(changes, placement.member.term)
             await self._prove_term(transaction, group, leader_term, deadline)
+        self._log_read(session, transaction, request, placement, reply)
         return reply
 
     async def _prove_term(
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -17,6 +17,7 @@
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
 from beryltiller.sessions.isolation import IsolationMonitor
+from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
@@ -182,14 +183,18 @@
 class GroupFixture:
     """A session service over one fake group of a leader and two replicas."""
 
-    def __init__(self, kind: RouteKind = RouteKind.READ_YOUR_WRITES) -> None:
+    def __init__(
+        self,
+        kind: RouteKind = RouteKind.READ_YOUR_WRITES,
+        read_log: ReadLog | None = None,
+    ) -> None:
         self.leader = FakeDatabase("leader", "a", is_primary=True)
         self.near = FakeDatabase("near", "a")
         self.far = FakeDatabase("far", "b")
         self.databases = {each.identifier: each for each in self._all()}
         self.fleet = Fleet(self._connect, "a", virtual_now)
         self.service = SessionService(
-            self.fleet, Placer("a"), IsolationMonitor(), virtual_now
+            self.fleet, Placer("a"), IsolationMonitor(), virtual_now, read_log
         )
         route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
         configuration = Configuration(1, {"db": route}, {"s": Service("s", 20, 1)}, 3.0)
