--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -45,3 +45,11 @@
 def virtual_now() -> float:
     """Return the virtual time of the running loop, in seconds."""
     return asyncio.get_running_loop().time()
+
+
+async def pass_time(seconds: float) -> None:
+    """Return once the virtual clock has advanced by `seconds`."""
+    loop = asyncio.get_running_loop()
+    passed: asyncio.Future[None] = loop.create_future()
+    loop.call_later(seconds, passed.set_result, None)
+    await passed
