--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -54,9 +54,10 @@
     the connection breaks. `refuse` maps a statement type to the code it is refused
     with, and `refuse_start` is the code for new connections. An `is_unreachable`
     database accepts no connections and answers nothing. If `is_replaced`, another
-    database answers at its address. `ran` lists the requests that ran, each with the
-    number of its connection; `attempts` counts all connection attempts, `connections`
-    those that succeeded and `closed` those of them that were closed.
+    database answers at its address. `late` maps a command's type to the seconds after
+    which it is carried out, without an answer. `ran` lists the requests that ran, each
+    with the number of its connection; `attempts` counts all connection attempts,
+    `connections` those that succeeded and `closed` those of them that were closed.
     """
 
     identifier: str
@@ -69,6 +70,7 @@
     hang: set[type] = field(default_factory=set)
     cut: set[type] = field(default_factory=set)
     refuse: dict[type, Code] = field(default_factory=dict)
+    late: dict[type, float] = field(default_factory=dict)
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
     is_replaced: bool = False
@@ -115,11 +117,26 @@
     async def command(self, statement: ProxyCommand) -> DatabaseStatus:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         database = self.database
-        if database.is_unreachable:
+        if database.is_unreachable or type(statement) in database.hang:
             await asyncio.Event().wait()
         code = database.refuse.get(type(statement))
         if code is not None:
             raise NotSentError(code, "refused")
+        if type(statement) in database.late:
+            call_after(
+                database.late[type(statement)], lambda: self._carry_out(statement)
+            )
+            await asyncio.Event().wait()
+        self._carry_out(statement)
+        return DatabaseStatus(
+            database.is_primary,
+            database.term,
+            database.position,
+            database.fenced_term,
+        )
+
+    def _carry_out(self, statement: ProxyCommand) -> None:
+        database = self.database
         match statement:
             case Fence(term):
                 database.fenced_term = term
@@ -129,12 +146,6 @@
                 database.is_primary = False
             case AskStatus() | Reset():
                 pass
-        return DatabaseStatus(
-            database.is_primary,
-            database.term,
-            database.position,
-            database.fenced_term,
-        )
 
     def close(self) -> None:
         self.database.closed += self._is_open
