Hold after a departed database is fenced for the first time

What callers could see: a stale read at the former primary. A database whose entry is gone, and that answers for the first time when the promotion is confirmed, may have proved the former term just before it was fenced, for 0.5 s; it may also have received a commit that was acknowledged. Cause: departed databases were left out of `were_already_fenced` whether they answered or not, so the promotion was called at once instead of 0.4 s later. Fix: only departed databases that do not answer are left out.

--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -238,9 +238,8 @@
         if any(item is not None and item.is_primary for item in reported.values()):
             return succession_state.FenceResults(service, reported)
         were_already_fenced = all(
-            item is not None and item.fenced_term >= action.term
+            name in action.departed if item is None else item.fenced_term >= action.term
             for name, item in reported.items()
-            if name not in action.departed
         )
         answering = [name for name, item in reported.items() if item is not None]
         fenced = await self._command_all(service, answering, Fence(action.term))
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -89,8 +89,8 @@
     that they reported before.
     `gone` are databases that cannot be reached and whose registry entries are gone for
     good. `replaced` are those at whose address another database answers.
-    `were_already_fenced` is True if all databases except the departed ones had been
-    fenced before this round.
+    `were_already_fenced` is True if all databases had been fenced before this round,
+    except departed ones that do not answer.
     """
 
     service: str
