Confirm again if the promotion was not requested soon after

What callers could see: an acknowledged commit lost. A promoter that was paused after the answers of its confirmation requested the promotion when it woke, up to 2 s later, though a replica had restarted meanwhile, which ends its fence. Cause: only the claim's deadline was checked, not the age of the confirmation. Fix: the fence results carry the moment at which the fence commands were sent; the promotion is requested within 0.5 s of it, which is more than the commands' time-out, or the replicas are confirmed again. Proofs of the former term need nothing new: they only expire while the promoter is paused. The window between the request and its effect stays as docs/GUARANTEES.md describes.

--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -49,6 +49,9 @@
 MAX_CLAIM_DELAY_SECONDS = 0.15
 # Delay before replicas are fenced again, or a promotion without a result is repeated.
 RETRY_SECONDS = 0.2
+# A promotion is requested at most this long after the fence commands that confirmed it
+# were sent, as a replica that restarts is no longer fenced.
+CONFIRMATION_SECONDS = 0.5
 # How long a primary may have been silent before the proxy stops using its entry.
 MAX_ENTRY_SILENCE_SECONDS = 8.0
 # Delay before the next claim after a succession ended, whether it succeeded or not.
@@ -196,7 +199,7 @@
             return state, (*replaced, *actions)
         is_confirmed = event.were_already_fenced and successor == succession.successor
         if succession.phase is Phase.CONFIRMING and is_confirmed:
-            return self._promote(state, succession, now)
+            return self._promote(state, succession, event.fenced_at, now)
         held = replace(succession, phase=Phase.HOLDING, successor=successor)
         return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
 
@@ -268,9 +271,13 @@
                 return self._finish(state, succession, now)
         return state, ()
 
-    def _promote(self, state: State, succession: Succession, now: float) -> Decision:
-        if now > succession.deadline:
-            return self._finish(state, succession, now)
+    def _promote(
+        self, state: State, succession: Succession, confirmed_at: float, now: float
+    ) -> Decision:
+        """Promote the successor, or confirm again if that was too long ago."""
+        confirmed_until = confirmed_at + CONFIRMATION_SECONDS
+        if now > min(succession.deadline, confirmed_until):
+            return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
         promoting = replace(
             succession, phase=Phase.PROMOTING, promotion_may_take_effect=True
         )
@@ -278,7 +285,7 @@
             succession.service,
             succession.successor,
             succession.token,
-            succession.deadline,
+            min(succession.deadline, confirmed_until),
         )
         return _store_succession(state, promoting), (action,)
 
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -242,6 +242,7 @@
             for name, item in reported.items()
         )
         answering = [name for name, item in reported.items() if item is not None]
+        fenced_at = self._clock()
         fenced = await self._command_all(service, answering, Fence(action.term))
         statuses = {name: fenced.get(name) for name in others}
         partitioned = self._possibly_partitioned(
@@ -263,7 +264,7 @@
         )
         replaced = frozenset(self._replaced.intersection(statuses))
         return succession_state.FenceResults(
-            service, statuses, gone, replaced, were_already_fenced
+            service, statuses, gone, replaced, were_already_fenced, fenced_at
         )
 
     def _possibly_partitioned(
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -90,7 +90,8 @@
     `gone` are databases that cannot be reached and whose registry entries are gone for
     good. `replaced` are those at whose address another database answers.
     `were_already_fenced` is True if all databases had been fenced before this round,
-    except departed ones that do not answer.
+    except departed ones that do not answer. `fenced_at` is when the fence commands of
+    this round were sent.
     """
 
     service: str
@@ -98,6 +99,7 @@
     gone: frozenset[str] = frozenset()
     replaced: frozenset[str] = frozenset()
     were_already_fenced: bool = False
+    fenced_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -82,11 +82,18 @@
         self,
         statuses: Mapping[str, DatabaseStatus | None],
         gone: frozenset[str] = frozenset(),
+        confirm_after: float = 0.0,
     ) -> tuple[Action, ...]:
-        """Wait out the hold time, then report that all replicas are still fenced."""
+        """Wait out the hold time, then report that all replicas are still fenced.
+
+        The policy learns of it `confirm_after` seconds after the commands were sent.
+        """
         (fence_action,) = self.wait_out_hold()
         assert isinstance(fence_action, FenceReplicas), fence_action
-        return self.handle(FenceResults("s", statuses, gone, were_already_fenced=True))
+        results = FenceResults(
+            "s", statuses, gone, were_already_fenced=True, fenced_at=self.now
+        )
+        return self.handle(results, confirm_after)
 
 
 class CauseTest(unittest.TestCase):
@@ -281,6 +288,24 @@
         assert isinstance(promotion, Promote)
         self.assertEqual(promotion.successor, "a")
 
+    def test_late_confirmation_is_repeated(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        actions = driver.confirm(
+            self.FENCED, confirm_after=policy.CONFIRMATION_SECONDS + 0.01
+        )
+        self.assertEqual(actions, (FenceReplicas("s", 2, ("a", "b"), ()),))
+
+    def test_promotion_is_not_requested_long_after_the_confirmation(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        (promotion,) = driver.confirm(self.FENCED, confirm_after=0.1)
+        assert isinstance(promotion, Promote)
+        confirmed_until = driver.now - 0.1 + policy.CONFIRMATION_SECONDS
+        self.assertAlmostEqual(promotion.deadline, confirmed_until)
+
     def test_replica_that_registered_during_the_hold_is_fenced(self) -> None:
         driver = Driver()
         driver.claim()
