Unfence replicas only while this proxy's claim holds

What callers could see: a stale read at the former primary, or an acknowledged commit lost. A promoter that was frozen past its claim's deadline, or whose last round of fences took long, unfenced the replicas when it went on, while another promoter had fenced the same replicas, confirmed them and requested a promotion that had not taken effect yet. A command to unfence that was given up but still arrived did the same. Cause: a succession unfenced the replicas at its end in any case, up to 1 s after its deadline without any pause of the process, and after any time with one. Fix: UnfenceReplicas carries the claim's deadline. The policy leaves the replicas fenced after it, and the fleet checks the time once more after the connection is there, right before the command is sent. The others count the claim for 1.2 s longer, and their confirmation comes 0.4 s later at the earliest, so that a command may arrive 1.6 s late. So that replicas are not left fenced without need, a succession that cannot complete before its deadline gives up in time: no replicas are fenced in its last 0.8 s, the time that both rounds of commands take at most, except to confirm. The test of the deadline expected the command to unfence; it expects none now.

Evidence taken after the request no longer counts as covered by the hold, and each rule names all that goes wrong without it.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -48,6 +48,9 @@
 # its term.
 CONFIRM_INTERVAL_SECONDS = 0.4
 
+# The deadline of a command that may be sent at any time.
+FOREVER = float("inf")
+
 # A leader that answers no statement for this long is unresponsive, and is probed.
 SILENCE_SECONDS = 0.25
 
@@ -204,16 +207,24 @@
             return await _run_command(pool, connection, AskStatus())
 
     async def command(
-        self, database: Database, statement: ProxyCommand, timeout_seconds: float
+        self,
+        database: Database,
+        statement: ProxyCommand,
+        timeout_seconds: float,
+        deadline: float = FOREVER,
     ) -> DatabaseStatus:
         """Run a status query or a command at a database without waiting for capacity.
 
         It does not need a connection that callers' statements use: a database at its
-        limits could otherwise not be told from one that has failed.
+        limits could otherwise not be told from one that has failed. Raise
+        `NoCapacityError` if the connection was opened only after `deadline`.
         """
         pool = self.connection_pool(database)
         async with asyncio.timeout(timeout_seconds):
             connection = await pool.acquire_for_command()
+            if self._clock() > deadline:
+                pool.release(connection)
+                raise NoCapacityError(Code.BUSY, "too late to send the command")
             return await _run_command(pool, connection, statement)
 
     async def probe(self, member: Member) -> None:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -42,8 +42,12 @@
 
 # How long a claim of the promotion duty is valid, which excludes other claims.
 DUTY_SECONDS = 4.0
-# The holder stops using a claim this long before it expires.
+# The holder stops using a claim this long before it expires, so that its last commands
+# and its promotion request have arrived before another proxy holds the duty.
 DUTY_MARGIN_SECONDS = 1.2
+# No replicas are fenced this long before the claim's deadline, except to confirm: the
+# rest of the succession would not fit, and the replicas must be unfenced in time.
+FENCING_MARGIN_SECONDS = 0.8
 # Each proxy delays its claim by a random time up to this long, so that proxies that
 # detect a failure at the same time do not claim the duty simultaneously.
 MAX_CLAIM_DELAY_SECONDS = 0.15
@@ -152,7 +156,7 @@
         """Fence all databases but the former primary, including new ones."""
         view = state.groups.get(succession.service)
         former_primary = succession.former_primary
-        if view is None or now > succession.deadline:
+        if view is None or now > _last_fence_at(succession, phase):
             return self._finish(state, succession, now)
         if view.leader is not None and view.leader != former_primary:
             # The group already has another primary.
@@ -193,6 +197,8 @@
             if not_fenced:
                 term = max(term, newest_term + 1, newest_fence)
             retry = replace(succession, phase=Phase.FENCING, term=term)
+            if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
+                return self._finish(state, retry, now)
             state, actions = _schedule_step(state, retry, now, RETRY_SECONDS)
             # A primary of an older term was replaced and has not noticed yet.
             replaced = tuple(StepDownPrimary(service, term, name) for name in primaries)
@@ -201,6 +207,8 @@
         if succession.phase is Phase.CONFIRMING and is_confirmed:
             return self._promote(state, succession, event.fenced_at, now)
         held = replace(succession, phase=Phase.HOLDING, successor=successor)
+        if now + PROMOTION_HOLD_SECONDS > succession.deadline:
+            return self._finish(state, held, now)
         return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
 
     def _dispensable(
@@ -314,21 +322,32 @@
     def _finish(self, state: State, succession: Succession, now: float) -> Decision:
         """End a succession, whether it succeeded or not, and unfence its replicas.
 
-        The replicas stay fenced while a promotion may still take effect: otherwise the
-        former primary could acknowledge commits that the successor's log lacks. The
-        next succession continues with the fenced replicas.
+        The replicas stay fenced while a promotion may still take effect, of this proxy
+        or, after the claim's deadline, of another one: otherwise the former primary
+        could acknowledge commits that the successor's log lacks. The next succession
+        continues with the fenced replicas.
         """
         view = state.groups.get(succession.service)
         state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         is_done = view is not None and view.leader == succession.successor
         if succession.promotion_may_take_effect and not is_done:
             return state, ()
+        if now > succession.deadline:
+            return state, ()
         replicas = tuple(
             name
             for name in (view.replicas if view else ())
             if name != succession.successor
         )
-        return state, (UnfenceReplicas(succession.service, replicas),)
+        unfence = UnfenceReplicas(succession.service, replicas, succession.deadline)
+        return state, (unfence,)
+
+
+def _last_fence_at(succession: Succession, phase: Phase) -> float:
+    """Return the last moment at which replicas may be fenced in a phase."""
+    if phase is Phase.CONFIRMING:
+        return succession.deadline
+    return succession.deadline - FENCING_MARGIN_SECONDS
 
 
 def _possible_partition_start(view: GroupView, cause: Cause, now: float) -> float:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -14,7 +14,7 @@
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import ReplacedError, SessionError
@@ -205,8 +205,8 @@
                 return self._observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
-            case succession_state.UnfenceReplicas(service, replicas):
-                await self._command_all(service, replicas, Unfence())
+            case succession_state.UnfenceReplicas(service, replicas, deadline):
+                await self._command_all(service, replicas, Unfence(), deadline)
                 return None
 
     async def _claim(
@@ -296,20 +296,28 @@
         return succession_state.PromotionResult(service, is_accepted, is_refused)
 
     async def _command_all(
-        self, service: str, names: Iterable[str], statement: ProxyCommand
+        self,
+        service: str,
+        names: Iterable[str],
+        statement: ProxyCommand,
+        deadline: float = FOREVER,
     ) -> dict[str, DatabaseStatus | None]:
-        """Send a command to several databases concurrently.
+        """Send a command to several databases concurrently, none after `deadline`.
 
         Return each database's status, or None for one that failed or refused.
         """
         names = tuple(names)
         results = await asyncio.gather(
-            *(self._command(service, name, statement) for name in names)
+            *(self._command(service, name, statement, deadline) for name in names)
         )
         return dict(zip(names, results, strict=True))
 
     async def _command(
-        self, service: str, name: str, statement: ProxyCommand
+        self,
+        service: str,
+        name: str,
+        statement: ProxyCommand,
+        deadline: float = FOREVER,
     ) -> DatabaseStatus | None:
         database = self._database(service, name)
         if database is None:
@@ -317,7 +325,7 @@
         asked_at = self._clock()
         try:
             status = await self._fleet.command(
-                database, statement, COMMAND_TIMEOUT_SECONDS
+                database, statement, COMMAND_TIMEOUT_SECONDS, deadline
             )
         except (SessionError, TimeoutError) as error:
             logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -188,10 +188,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UnfenceReplicas:
-    """A request to let fenced replicas receive log entries again."""
+    """A request to let fenced replicas receive log entries again.
+
+    No command is sent after `deadline`: the replicas may then be fenced by another
+    proxy that holds the promotion duty.
+    """
 
     service: str
     replicas: tuple[str, ...]
+    deadline: float
 
 
 Action = (
@@ -228,9 +233,9 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, known once it has stepped down. `deadline` is the last moment at
-    which the claim, with fencing token `token`, may be used. `refused_successors` are
-    replicas that the platform reported as not running. `promotion_may_take_effect` is
-    True once a promotion was requested and not refused.
+    which the claim, with fencing token `token`, may be used to promote or unfence.
+    `refused_successors` are replicas that the platform reported as not running.
+    `promotion_may_take_effect` is True once a promotion was requested and not refused.
     """
 
     service: str
--- a/tests/spec_succession.py
+++ b/tests/spec_succession.py
@@ -7,6 +7,10 @@
 come late or never; a dead primary is one that takes no more steps. A replica that
 restarts is no longer fenced, so right before the promotion is requested, all replicas
 are fenced and compared once more.
+
+An earlier promoter may have fenced replicas too, and may unfence them; its commands to
+unfence can arrive late. The promoter that is described above holds the duty after it. A
+later holder may lift fences that are left.
 """
 
 from collections.abc import Iterator
@@ -20,13 +24,19 @@
 REPLICAS = (1, 2)
 NO_DATABASE = -1
 
+LOST = "acknowledged write lost"
+STALE = "read of a replaced primary returned"
+
 
 class Rule(Enum):
     """The safety rules of the protocol, each of which a check can leave out.
 
     Every replica is fenced, not just one; the successor has the longest log; HOLD lets
     early evidence lapse before the promotion; CONFIRM repeats the comparison right
-    before the request; only a replica that is not fenced gives evidence.
+    before the request; only a replica that is not fenced gives evidence. A promoter
+    sends commands to unfence only UNDER_CLAIM, and a claim is OUTLASTING: no other one
+    is accepted while such a command may still arrive. A later holder lifts fences
+    AFTER_PROMOTION, when no promotion can take effect any more.
     """
 
     FENCE_ALL = auto()
@@ -34,6 +44,9 @@
     HOLD = auto()
     CONFIRM = auto()
     EVIDENCE_OF_UNFENCED = auto()
+    UNDER_CLAIM = auto()
+    OUTLASTING = auto()
+    AFTER_PROMOTION = auto()
 
 
 class Restart(Enum):
@@ -59,7 +72,9 @@
     `reported_lengths` are the lengths that the replicas reported when they were fenced,
     or -1. With `evidence` a proxy may return reads of the old primary; the promoter's
     hold time outlasts only evidence taken before all replicas were fenced. With
-    `new_commit` the new leader has committed in term 2.
+    `new_commit` the new leader has committed in term 2. While `earlier_claim` holds, an
+    earlier promoter holds the duty. `unfencing` tells for each replica whether a
+    command to unfence it is on its way.
     """
 
     lengths: tuple[int, int, int] = (0, 0, 0)
@@ -71,14 +86,20 @@
     is_requested: bool = False
     leader: int = NO_DATABASE
     new_commit: bool = False
+    earlier_claim: bool = False
+    unfencing: tuple[bool, bool] = (False, False)
 
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """The limits of the state space: the number of writes, and possible restarts."""
+    """The limits of the state space: the number of writes, and possible restarts.
+
+    With `other_promoters` there is an earlier promoter and a later holder of the duty.
+    """
 
     writes: int = 2
     restart: Restart = Restart.NEVER
+    other_promoters: bool = False
 
 
 Steps = Iterator[tuple[str, World]]
@@ -97,9 +118,12 @@
             name="succession",
             candidate=False,
             fields=World._fields,
-            initial=World(),
+            initial=World(earlier_claim=self._bounds.other_promoters),
             transitions=self._transitions,
-            invariants={"safe": lambda fields: not violations(World(**fields))},
+            invariants={
+                LOST: lambda fields: LOST not in violations(World(**fields)),
+                STALE: lambda fields: STALE not in violations(World(**fields)),
+            },
         )
 
     def _has(self, rule: Rule) -> bool:
@@ -110,6 +134,7 @@
             *self._commits(world),
             *self._evidence(world),
             *self._fences(world),
+            *self._other_promoters(world),
             *self._promotion(world),
         ]
 
@@ -130,7 +155,8 @@
     def _evidence(self, world: World) -> Steps:
         if world.evidence is not Evidence.NONE:
             yield "evidence lapses", world._replace(evidence=Evidence.NONE)
-        taken = Evidence.LATE if all(world.fenced) else Evidence.EARLY
+        is_late = world.is_requested or all(world.fenced)
+        taken = Evidence.LATE if is_late else Evidence.EARLY
         for replica in REPLICAS:
             is_unfenced = not world.fenced[replica - 1]
             if self._has(Rule.EVIDENCE_OF_UNFENCED) and not is_unfenced:
@@ -141,7 +167,9 @@
     def _fences(self, world: World) -> Steps:
         for replica in REPLICAS:
             index = replica - 1
-            if not world.fenced[index] and world.leader == NO_DATABASE:
+            is_due = not world.fenced[index] or world.reported_lengths[index] < 0
+            is_promoter = not world.earlier_claim and world.leader == NO_DATABASE
+            if is_due and is_promoter:
                 fenced = with_item(world.fenced, index, True)
                 reported_lengths = with_item(
                     world.reported_lengths, index, world.lengths[replica]
@@ -153,7 +181,32 @@
                 fenced = with_item(world.fenced, index, False)
                 yield "restart", world._replace(fenced=fenced)
 
+    def _other_promoters(self, world: World) -> Steps:
+        if not self._bounds.other_promoters:
+            return
+        may_unfence = world.earlier_claim or not self._has(Rule.UNDER_CLAIM)
+        for index, is_arriving in enumerate(world.unfencing):
+            if world.earlier_claim:
+                fenced = with_item(world.fenced, index, True)
+                yield "fence by the earlier promoter", world._replace(fenced=fenced)
+            if may_unfence and not is_arriving:
+                unfencing = with_item(world.unfencing, index, True)
+                yield "send a command to unfence", world._replace(unfencing=unfencing)
+            if is_arriving:
+                yield "unfence", world._replace(
+                    fenced=with_item(world.fenced, index, False),
+                    unfencing=with_item(world.unfencing, index, False),
+                )
+        is_outlasting = self._has(Rule.OUTLASTING)
+        if world.earlier_claim and not (is_outlasting and any(world.unfencing)):
+            yield "the earlier claim ends", world._replace(earlier_claim=False)
+        is_pending = world.is_requested and world.leader == NO_DATABASE
+        if is_pending and not self._has(Rule.AFTER_PROMOTION):
+            yield "a later holder unfences", world._replace(fenced=(False, False))
+
     def _promotion(self, world: World) -> Steps:
+        if world.earlier_claim:
+            return
         repliers = [
             replica for replica in REPLICAS if world.reported_lengths[replica - 1] >= 0
         ]
@@ -209,9 +262,9 @@
     """Return the invariants that do not hold in a state."""
     found = []
     if world.leader != NO_DATABASE and world.lengths[world.leader] < world.acknowledged:
-        found.append("acknowledged write lost")
+        found.append(LOST)
     if world.new_commit and world.evidence is not Evidence.NONE:
-        found.append("read of a replaced primary returned")
+        found.append(STALE)
     return found
 
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -11,6 +11,7 @@
 from beryltiller.sessions.succession import policy
 from beryltiller.sessions.succession.causes import replacement_cause
 from beryltiller.sessions.succession.policy import SuccessionPolicy
+from beryltiller.sessions.succession.runner import COMMAND_TIMEOUT_SECONDS
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -145,9 +146,9 @@
         self.assertEqual((promotion.successor, promotion.token), ("b", 7))
         driver.handle(PromotionResult("s", True, False))
         led = replace(HEALTHY, leader="b", replicas=("a", "old"))
-        self.assertEqual(
-            driver.observe(led, 0.3), (UnfenceReplicas("s", ("a", "old")),)
-        )
+        deadline = driver.state.successions["s"].deadline
+        unfence = UnfenceReplicas("s", ("a", "old"), deadline)
+        self.assertEqual(driver.observe(led, 0.3), (unfence,))
 
     def test_group_is_observed_when_the_next_step_is_due(self) -> None:
         """Guards against steps that only ticks trigger, up to one tick late."""
@@ -256,8 +257,32 @@
         driver = Driver()
         driver.claim()
         driver.report_fences({"a": status(5), "b": status(6)})
-        (unfence,) = driver.observe(FAILING, policy.DUTY_SECONDS)
-        self.assertIsInstance(unfence, UnfenceReplicas)
+        self.assertEqual(driver.observe(FAILING, policy.DUTY_SECONDS), ())
+        self.assertEqual(driver.state.successions, {})
+
+    def test_replicas_are_unfenced_before_the_claim_ends(self) -> None:
+        """Guards against leaving a primary that works without replicas."""
+        driver = Driver()
+        driver.claim()
+        claimed_at = driver.now
+        actions: tuple[Action, ...] = ()
+        while driver.state.successions:
+            actions = driver.observe(FAILING, policy.RETRY_SECONDS)
+            if any(isinstance(each, FenceReplicas) for each in actions):
+                driver.now += 2 * COMMAND_TIMEOUT_SECONDS
+            if driver.state.successions:
+                actions = driver.report_fences({"a": status(5), "b": None})
+        deadline = claimed_at + policy.DUTY_SECONDS - policy.DUTY_MARGIN_SECONDS
+        self.assertEqual(actions, (UnfenceReplicas("s", ("a", "b"), deadline),))
+        self.assertLessEqual(driver.now, deadline)
+
+    def test_other_primary_found_after_the_deadline_unfences_nothing(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.now += policy.DUTY_SECONDS
+        statuses = {"a": status(5, is_primary=True), "b": status(6)}
+        self.assertEqual(driver.report_fences(statuses), ())
+        self.assertEqual(driver.state.successions, {})
 
 
 class ConfirmationTest(unittest.TestCase):
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -24,8 +24,9 @@
     ObserveAfter,
     PrimarySteppedDown,
     StepDownPrimary,
+    UnfenceReplicas,
 )
-from tests.fake_group import FakeDatabase, GroupFixture
+from tests.fake_group import ROUND_TRIP_SECONDS, FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
 
@@ -289,6 +290,22 @@
         leader = run_virtual(work())
         self.assertEqual((leader.is_primary, leader.fenced_term), (False, 2))
 
+    def test_unfence_is_not_sent_after_its_deadline(self) -> None:
+        """Guards against a command that waits for its connection past the claim."""
+
+        async def work(seconds: float) -> int:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = 2
+            deadline = virtual_now() + seconds
+            action = UnfenceReplicas("s", ("near",), deadline)
+            await make_runner(fixture).part().perform(action)
+            return fixture.near.fenced_term
+
+        for seconds, fenced_term in ((0.5, 2), (1.5, 0)):
+            with self.subTest(seconds=seconds):
+                waited = seconds * ROUND_TRIP_SECONDS
+                self.assertEqual(run_virtual(work(waited)), fenced_term)
+
     def test_reports_the_log_end_of_a_stepped_down_primary(self) -> None:
         async def work(is_unreachable: bool) -> object:
             fixture = GroupFixture()
