Lift fences that a promoter left

What callers could see: a replica that served no fresh read for good, or a group whose reads at the primary were never proved. A promoter that ended, or that left the replicas fenced as its claim had run out, had nobody to follow it while the primary worked: a succession started only once writes went unanswered, which takes a group with all replicas fenced and some write. Fix: each proxy asks the replicas of its own zone for their status every 3 s on average. A fence that has been seen for 2 s under a primary that works is a reason to claim the duty (FENCES_LEFT). The proxy asks once more before the claim, changes no primary, and unfences 1 s after the claim, while the claim holds. By then a promotion that an earlier holder requested last has taken effect. Cost: with p proxies in its zone a replica answers p / 3 more status queries a second, fewer where reads ask already. While the duty is held to lift fences, up to 4 s, other proxies cannot claim it for another service. A succession that finds another primary in the first second of its claim leaves its replicas fenced until that second is over.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -132,6 +132,11 @@
         )
         self._spawn(periodic.run_every(CHECK_INTERVAL_SECONDS, self._check_leaders))
         self._spawn(periodic.run_every(CHECK_INTERVAL_SECONDS, self._isolation.check))
+        self._spawn(
+            periodic.run_every(
+                CHECK_INTERVAL_SECONDS, self._succession_runner.check_fences
+            )
+        )
         await self._serve_readiness(stack)
         caller = settings.caller_address
         await self._ingress.listen(caller.ip, caller.port)
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -116,6 +116,11 @@
             if identifier != self._leader
         )
 
+    @property
+    def fenced_replicas(self) -> tuple[Member, ...]:
+        """Return the replicas whose last status showed a fence."""
+        return tuple(each for each in self.replicas if each.fenced_since is not None)
+
     def update(self, databases: tuple[Database, ...], now: float) -> None:
         """Replace the group's databases by those that are registered now.
 
@@ -195,6 +200,7 @@
         has not reported so yet proves nothing: it may be a replica in that term itself.
         """
         member.record_answer(None)
+        member.record_fence(bool(status.fenced_term), asked_at)
         member.term = max(member.term, status.term)
         is_newer = status.term > self._term
         if is_newer:
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -67,6 +67,7 @@
         self._lagging_until = NEVER
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
+        self._fenced_since: float | None = None
 
     @property
     def in_flight(self) -> int:
@@ -137,6 +138,18 @@
         """Return True if a statement was recently refused for the database's load."""
         return now < self._refused_for_load_at + OVERLOAD_MEMORY_SECONDS
 
+    @property
+    def fenced_since(self) -> float | None:
+        """Return since when every status of it has shown a fence, or None."""
+        return self._fenced_since
+
+    def record_fence(self, is_fenced: bool, asked_at: float) -> None:
+        """Record whether it answered to be fenced when asked at `asked_at`."""
+        if not is_fenced:
+            self._fenced_since = None
+        elif self._fenced_since is None:
+            self._fenced_since = asked_at
+
     @property
     def position_asked_at(self) -> float:
         """Return when the database was last asked for the position it answered with."""
--- a/src/beryltiller/sessions/succession/causes.py
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -1,4 +1,4 @@
-"""The reasons for which a primary is replaced, and how long each must have lasted."""
+"""The reasons to claim the promotion duty, and how long each must have lasted."""
 
 from beryltiller.sessions.succession.state import Cause, GroupView
 
@@ -12,6 +12,18 @@
 # A replica is promoted in a service without a primary after this time. Registry entries
 # that lapsed by mistake have returned by then, also for a process that just started.
 PRIMARYLESS_SECONDS = 4.0
+# Fences of a primary that works are lifted once they have been seen for this long. That
+# is more than a succession takes.
+FENCED_SECONDS = 2.0
+
+
+def cause_of_claim(view: GroupView, now: float) -> Cause | None:
+    """Return why the promotion duty must be claimed, or None if it need not be."""
+    cause = replacement_cause(view, now)
+    if cause is not None:
+        return cause
+    is_left = view.leader and _has_lasted(view.fenced_since, now, FENCED_SECONDS)
+    return Cause.FENCES_LEFT if is_left else None
 
 
 def replacement_cause(view: GroupView, now: float) -> Cause | None:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -17,7 +17,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession.causes import replacement_cause
+from beryltiller.sessions.succession.causes import cause_of_claim
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -51,8 +51,13 @@
 # Each proxy delays its claim by a random time up to this long, so that proxies that
 # detect a failure at the same time do not claim the duty simultaneously.
 MAX_CLAIM_DELAY_SECONDS = 0.15
+# The same for lifting fences, which is less urgent and noticed by more proxies.
+MAX_LIFT_DELAY_SECONDS = 1.0
 # Delay before replicas are fenced again, or a promotion without a result is repeated.
 RETRY_SECONDS = 0.2
+# Replicas are unfenced at the earliest this long after the claim: a promotion that an
+# earlier holder requested last has taken effect by then.
+LIFT_SECONDS = 1.0
 # A promotion is requested at most this long after the fence commands that confirmed it
 # were sent, as a replica that restarts is no longer fenced.
 CONFIRMATION_SECONDS = 0.5
@@ -113,14 +118,16 @@
         service = view.service
         if service in state.successions:
             return state, ()
-        cause = replacement_cause(view, now)
+        cause = cause_of_claim(view, now)
         claim_not_before = state.claim_not_before.get(service)
         if cause is None:
             if claim_not_before is not None and now > claim_not_before:
                 state = _clear_claim_delay(state, service)
             return state, ()
         if claim_not_before is None:
-            delay = self._rng.uniform(0.0, MAX_CLAIM_DELAY_SECONDS)
+            is_lift = cause is Cause.FENCES_LEFT
+            max_delay = MAX_LIFT_DELAY_SECONDS if is_lift else MAX_CLAIM_DELAY_SECONDS
+            delay = self._rng.uniform(0.0, max_delay)
             return _delay_claim(state, service, now + delay), ()
         if now < claim_not_before:
             return state, ()
@@ -136,6 +143,8 @@
             return state, ()
         deadline = event.asked_at + DUTY_SECONDS - DUTY_MARGIN_SECONDS
         succession = replace(succession, token=event.token, deadline=deadline)
+        if succession.cause is Cause.FENCES_LEFT:
+            return self._finish(state, succession, now)
         return self._step_down_and_fence(state, succession, now)
 
     def _step_down_and_fence(
@@ -271,6 +280,8 @@
                 return self._step_down_and_fence(state, succession, now)
             case Phase.HOLDING if now >= succession.next_step_at:
                 return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
+            case Phase.LIFTING if now >= succession.next_step_at:
+                return self._finish(state, succession, now)
             case Phase.PROMOTING if now > succession.deadline + DUTY_MARGIN_SECONDS:
                 return self._finish(state, succession, now)
             case Phase.AWAITING if view and view.leader == succession.successor:
@@ -325,14 +336,18 @@
         The replicas stay fenced while a promotion may still take effect, of this proxy
         or, after the claim's deadline, of another one: otherwise the former primary
         could acknowledge commits that the successor's log lacks. The next succession
-        continues with the fenced replicas.
+        continues with the fenced replicas, or lifts the fences of a primary that works.
         """
         view = state.groups.get(succession.service)
-        state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         is_done = view is not None and view.leader == succession.successor
-        if succession.promotion_may_take_effect and not is_done:
-            return state, ()
-        if now > succession.deadline:
+        may_take_effect = succession.promotion_may_take_effect and not is_done
+        claimed_at = succession.deadline - DUTY_SECONDS + DUTY_MARGIN_SECONDS
+        wait = claimed_at + LIFT_SECONDS - now
+        if wait > 0 and not may_take_effect and not is_done:
+            lifting = replace(succession, phase=Phase.LIFTING)
+            return _schedule_step(state, lifting, now, wait)
+        state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
+        if may_take_effect or now > succession.deadline:
             return state, ()
         replicas = tuple(
             name
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -32,6 +32,8 @@
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
 COMMAND_TIMEOUT_SECONDS = 0.4
+# The mean time between two status queries that find fences which a promoter left.
+FENCE_CHECK_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,8 @@
         self._duty = duty
         self._is_store_reachable = is_store_reachable
         self._policy = policy.SuccessionPolicy(rng)
+        self._rng = rng
+        self._next_fence_check: dict[str, float] = {}
         self._clock = clock
         self._primaryless_since: dict[str, float] = {}
         self._leader_healthy_until: dict[str, float] = {}
@@ -141,6 +145,7 @@
         self._record_leader_change(group, leader, now)
         self._record_relief_needed(group, now)
         departed = self._fleet.directory.departed_of(service)
+        fenced = (member.fenced_since for member in group.fenced_replicas)
         return succession_state.GroupView(
             service,
             leader.database.identifier if leader else None,
@@ -159,6 +164,7 @@
             self._overloaded_alone_since.get(service),
             self._leader_healthy_until.get(service),
             group.last_acknowledged,
+            min((each for each in fenced if each is not None), default=None),
         )
 
     def _record_relief_needed(self, group: Group, now: float) -> None:
@@ -216,6 +222,11 @@
             leader = self._fleet.group(action.service).leader
             if leader is not None and not await self._is_failure_confirmed(leader):
                 return succession_state.ClaimFailed(action.service)
+        if action.cause is succession_state.Cause.FENCES_LEFT:
+            group = self._fleet.group(action.service)
+            await self._query_fences((group, each) for each in group.fenced_replicas)
+            if not group.fenced_replicas:
+                return succession_state.ClaimFailed(action.service)
         try:
             claim = await self._duty.claim(action.service, policy.DUTY_SECONDS)
         except PortError as error:
@@ -357,6 +368,49 @@
         to_probe = [leader for leader in leaders if leader.is_available(now)]
         await asyncio.gather(*map(self._fleet.probe, to_probe))
 
+    async def check_fences(self) -> None:
+        """Ask the replicas of this availability zone now and then for their status.
+
+        This finds fences of a promoter that ended before it lifted them.
+        """
+        now = self._clock()
+        replicas = self._fleet.local_replicas()
+        names = {member.database.identifier for _, member in replicas}
+        for name in self._next_fence_check.keys() - names:
+            del self._next_fence_check[name]
+        await self._query_fences(
+            (group, member)
+            for group, member in replicas
+            if self._is_fence_check_due(member.database.identifier, now)
+        )
+
+    def _is_fence_check_due(self, name: str, now: float) -> bool:
+        """Return True if a replica is to be asked now, and draw when it is asked next.
+
+        Random times keep the proxies of a zone from asking at once.
+        """
+        next_check = self._next_fence_check.get(name)
+        if next_check is not None and now < next_check:
+            return False
+        wait = self._rng.uniform(0.5, 1.5) * FENCE_CHECK_SECONDS
+        self._next_fence_check[name] = now + wait
+        return next_check is not None
+
+    async def _query_fences(self, replicas: Iterable[tuple[Group, Member]]) -> None:
+        queries = (self._query_fence(group, member) for group, member in replicas)
+        await asyncio.gather(*queries)
+
+    async def _query_fence(self, group: Group, member: Member) -> None:
+        asked_at = self._clock()
+        try:
+            status = await self._fleet.ask_status(member)
+        except (SessionError, TimeoutError) as error:
+            # Whether a replica works is found by the reads that are sent to it.
+            name = member.database.identifier
+            logs.log(logs.CommandFailed(name, AskStatus.__name__, f"{error!r}"))
+            return
+        group.record_status(member, status, asked_at)
+
     async def _is_failure_confirmed(self, leader: Member) -> bool:
         """Return True if a recent probe of the leader failed, after probing if needed.
 
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -16,7 +16,8 @@
 class Cause(Enum):
     """The reason why a primary is replaced; a LEAVING one is draining.
 
-    With REPLICAS_LAG it works, but all its replicas lag too far to serve reads.
+    With REPLICAS_LAG it works, but all its replicas lag too far to serve reads. With
+    FENCES_LEFT it works and stays, and fences that a promoter left are lifted.
     """
 
     FAILING = "failing"
@@ -24,6 +25,7 @@
     LEAVING = "leaving"
     NO_PRIMARY = "no primary"
     REPLICAS_LAG = "replicas lag"
+    FENCES_LEFT = "fences left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     leader, or None if it never did. `overloaded_alone_since` is since when the leader
     has been overloaded while no replica could serve reads. `last_acknowledged` is the
     newest position of a commit that a leader acknowledged through this proxy.
+    `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
     service: str
@@ -52,6 +55,7 @@
     overloaded_alone_since: float | None = None
     leader_healthy_until: float | None = None
     last_acknowledged: Position = NO_POSITION
+    fenced_since: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +219,9 @@
 
     HOLDING lasts for the hold time, so that all proofs of the former term have expired
     when the promotion takes effect. CONFIRMING fences the replicas once more. In
-    AWAITING the promotion was accepted, but the new primary is not observed yet.
+    AWAITING the promotion was accepted, but the new primary is not observed yet. In
+    LIFTING no promotion of this proxy is under way, and fences are lifted once those of
+    earlier claims have taken effect.
     """
 
     CLAIMING = "claiming"
@@ -224,6 +230,7 @@
     CONFIRMING = "confirming"
     PROMOTING = "promoting"
     AWAITING = "awaiting"
+    LIFTING = "lifting"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fake_promoters.py
+++ b/tests/fake_promoters.py
@@ -134,6 +134,7 @@
         await self._running.wait()
         await self.runner.probe_unresponsive_leaders()
         await self.fixture.fleet.confirm_leaders()
+        await self.runner.check_fences()
 
     def _spawn_handle(self, event: Any) -> None:
         self._spawn(self._handle(event))
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Departed, Directory
@@ -13,7 +14,11 @@
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import AskStatus, Code
 from beryltiller.sessions.succession.causes import FAILING_SECONDS
-from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
+from beryltiller.sessions.succession.runner import (
+    FENCE_CHECK_SECONDS,
+    DutyClaim,
+    SuccessionRunner,
+)
 from beryltiller.sessions.succession.state import (
     Cause,
     ClaimDuty,
@@ -334,6 +339,52 @@
         self.assertIsNone(results.statuses["far"])
 
 
+class FenceCheckTest(unittest.TestCase):
+    """Status queries that find fences which a promoter left."""
+
+    def test_replicas_of_the_own_zone_are_asked_now_and_then(self) -> None:
+        async def work() -> tuple[float | None, float | None, int]:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = fixture.far.fenced_term = 2
+            runner = make_runner(fixture)
+            group = fixture.fleet.group("s")
+            with mock.patch.object(
+                group, "record_status", wraps=group.record_status
+            ) as record_status:
+                for _ in range(round(10 * FENCE_CHECK_SECONDS / 0.1)):
+                    await runner.check_fences()
+                    await asyncio.sleep(0.1)
+            near, far = group.members["near"], group.members["far"]
+            return near.fenced_since, far.fenced_since, record_status.call_count
+
+        near_since, far_since, queries = run_virtual(work())
+        self.assertIsNotNone(near_since)
+        self.assertIsNone(far_since)
+        self.assertIn(queries, range(6, 16))
+
+    def test_duty_is_not_claimed_for_a_fence_that_has_ended(self) -> None:
+        async def work() -> object:
+            fixture = GroupFixture()
+            group = fixture.fleet.group("s")
+            group.members["near"].record_fence(True, virtual_now())
+            claim = ClaimDuty("s", Cause.FENCES_LEFT)
+            return await make_runner(fixture).part().perform(claim)
+
+        self.assertIsInstance(run_virtual(work()), ClaimFailed)
+
+    def test_duty_is_claimed_for_a_fence_that_lasts(self) -> None:
+        async def work() -> None:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = 2
+            group = fixture.fleet.group("s")
+            group.members["near"].record_fence(True, virtual_now())
+            claim = ClaimDuty("s", Cause.FENCES_LEFT)
+            with self.assertRaisesRegex(AssertionError, "not to be claimed"):
+                await make_runner(fixture).part().perform(claim)
+
+        run_virtual(work())
+
+
 class ConfirmTest(unittest.TestCase):
     """Databases that claim to lead, whose term is then confirmed."""
 
