--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -6,12 +6,13 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.catalog import Departed, Directory
-from beryltiller.sessions.statements import Fence, Unfence
+from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.statements import Code, Fence, Unfence
 from beryltiller.sessions.succession.policy import DUTY_SECONDS
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
 from tests.fake_group import FakeDatabase, GroupFixture
-from tests.fake_promoters import FakeDuty, FakePlatform, Promoter
+from tests.fake_promoters import EFFECT_SECONDS, FakeDuty, FakePlatform, Promoter
 from tests.virtual_loop import run_virtual, virtual_now
 
 # How late a command arrives that was sent again over a link that loses packets.
@@ -155,6 +156,31 @@
         self.assertEqual(fences, [0, 0, 0])
 
 
+class HoldTest(unittest.TestCase):
+    """The hold, which begins once the last replica is fenced."""
+
+    def test_hold_begins_when_the_last_replica_is_fenced(self) -> None:
+        async def work() -> float:
+            source = GroupFixture()
+            platform = FakePlatform(source.databases)
+            promoter = Promoter(platform, source, "first", 1)
+            fail_leader(promoter)
+            source.near.refuse[Fence] = Code.BUSY
+            promoter.start()
+            await promoter.reach("FENCING")
+            await asyncio.sleep(0.5)
+            source.near.refuse.clear()
+            while not source.near.fenced_term:
+                await asyncio.sleep(0.001)
+            fenced_at = virtual_now()
+            while not platform.promoted:
+                await asyncio.sleep(0.001)
+            return virtual_now() - fenced_at
+
+        passed = run_virtual(work())
+        self.assertGreaterEqual(passed, PROMOTION_HOLD_SECONDS + EFFECT_SECONDS)
+
+
 class FirstAnswerTest(unittest.TestCase):
     """A database that answers for the first time at the confirmation."""
 
