Keep replicas fenced if a refusal follows an unanswered promotion

What callers could see: an acknowledged commit lost. A promotion whose request got no answer may still take effect. If the next request was refused, as its database did not run, the succession forgot the first one and unfenced the replicas at its end. Cause: one flag stood for all requests, and a refusal cleared it. Fix: a refusal answers only for the last request. Evidence: test_refusal_does_not_answer_for_an_earlier_promotion failed before (replica a was unfenced) and passes. Found by reading; not seen in a play.

--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -298,7 +298,10 @@
         if now > min(succession.deadline, confirmed_until):
             return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
         promoting = replace(
-            succession, phase=Phase.PROMOTING, promotion_may_take_effect=True
+            succession,
+            phase=Phase.PROMOTING,
+            promotion_may_take_effect=True,
+            earlier_may_take_effect=succession.promotion_may_take_effect,
         )
         action = Promote(
             succession.service,
@@ -324,7 +327,7 @@
             retry = replace(
                 succession,
                 refused_successors=refused_successors,
-                promotion_may_take_effect=False,
+                promotion_may_take_effect=succession.earlier_may_take_effect,
             )
             return self._step_down_and_fence(state, retry, now)
         retry = replace(succession, phase=Phase.HOLDING)
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -242,7 +242,8 @@
     primary's log, known once it has stepped down. `deadline` is the last moment at
     which the claim, with fencing token `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
-    `promotion_may_take_effect` is True once a promotion was requested and not refused.
+    `promotion_may_take_effect` is True once a promotion was requested and not refused;
+    `earlier_may_take_effect` tells the same of the promotions before the last one.
     """
 
     service: str
@@ -258,6 +259,7 @@
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
     promotion_may_take_effect: bool = False
+    earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
 
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -242,6 +242,27 @@
         self.assertEqual(actions, ())
         self.assertEqual(driver.state.successions, {})
 
+    def test_refusal_does_not_answer_for_an_earlier_promotion(self) -> None:
+        """Guards against unfencing while an unanswered request may take effect."""
+        driver = Driver()
+        driver.claim()
+        statuses = {"a": status(5), "b": status(6)}
+        driver.report_fences(statuses)
+        driver.confirm(statuses)
+        driver.handle(PromotionResult("s", False, False))
+        driver.observe(FAILING, policy.RETRY_SECONDS)
+        confirmed = FenceResults(
+            "s", statuses, were_already_fenced=True, fenced_at=driver.now
+        )
+        (promotion,) = driver.handle(confirmed)
+        self.assertIsInstance(promotion, Promote)
+        driver.handle(PromotionResult("s", False, True))
+        actions: tuple[Action, ...] = ()
+        while driver.state.successions:
+            actions = driver.report_fences({"a": status(5), "b": None})
+            driver.observe(FAILING, policy.RETRY_SECONDS)
+        self.assertEqual(actions, ())
+
     def test_refused_successor_is_not_chosen_again(self) -> None:
         driver = Driver()
         driver.claim()
