Find fences that are left in zones without proxies

What callers could see: a replica that served no fresh read for good. Fix: replicas of other zones are asked too, every 30 s on average. A replica that is not available for a moment keeps its time of the next query. Cost: with 65 proxies in other zones a replica answers 2.2 more status queries a second. Evidence: test_fence_in_a_zone_without_proxies_is_lifted failed before (still fenced after 50 s) and passes.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -295,15 +295,9 @@
         member.record_probe_answer(self._clock())
         group.record_status(member, status, asked_at)
 
-    def local_replicas(self) -> tuple[tuple[Group, Member], ...]:
-        """Return the working replicas of this proxy's availability zone."""
-        now = self._clock()
-        return tuple(
-            (group, member)
-            for group in self._groups.values()
-            for member in group.replicas
-            if member.is_available(now) and not self._is_remote(member)
-        )
+    def is_local(self, member: Member) -> bool:
+        """Return True if a database is in this proxy's availability zone."""
+        return not self._is_remote(member)
 
     async def count_reachable_services(self) -> ServiceReachability:
         """Query every database, and count the services whose majority answers."""
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -34,6 +34,8 @@
 COMMAND_TIMEOUT_SECONDS = 0.4
 # The mean time between two status queries that find fences which a promoter left.
 FENCE_CHECK_SECONDS = 3.0
+# The same for replicas of other availability zones, where other proxies ask more often.
+REMOTE_FENCE_CHECK_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -369,31 +371,37 @@
         await asyncio.gather(*map(self._fleet.probe, to_probe))
 
     async def check_fences(self) -> None:
-        """Ask the replicas of this availability zone now and then for their status.
+        """Ask the replicas now and then for their status.
 
         This finds fences of a promoter that ended before it lifted them.
         """
         now = self._clock()
-        replicas = self._fleet.local_replicas()
+        replicas = tuple(
+            (group, member)
+            for group in self._fleet.groups()
+            for member in group.replicas
+        )
         names = {member.database.identifier for _, member in replicas}
         for name in self._next_fence_check.keys() - names:
             del self._next_fence_check[name]
         await self._query_fences(
             (group, member)
             for group, member in replicas
-            if self._is_fence_check_due(member.database.identifier, now)
+            if member.is_available(now) and self._is_fence_check_due(member, now)
         )
 
-    def _is_fence_check_due(self, name: str, now: float) -> bool:
+    def _is_fence_check_due(self, member: Member, now: float) -> bool:
         """Return True if a replica is to be asked now, and draw when it is asked next.
 
-        Random times keep the proxies of a zone from asking at once.
+        Random times keep the proxies from asking at once.
         """
+        name = member.database.identifier
         next_check = self._next_fence_check.get(name)
         if next_check is not None and now < next_check:
             return False
-        wait = self._rng.uniform(0.5, 1.5) * FENCE_CHECK_SECONDS
-        self._next_fence_check[name] = now + wait
+        is_local = self._fleet.is_local(member)
+        mean = FENCE_CHECK_SECONDS if is_local else REMOTE_FENCE_CHECK_SECONDS
+        self._next_fence_check[name] = now + self._rng.uniform(0.5, 1.5) * mean
         return next_check is not None
 
     async def _query_fences(self, replicas: Iterable[tuple[Group, Member]]) -> None:
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -19,6 +19,8 @@
 LATE_SECONDS = 1.5
 # A fence that nobody needs any more is lifted within this time.
 LIFTED_SECONDS = 10.0
+# The same for a replica in an availability zone without proxies.
+REMOTE_LIFTED_SECONDS = 50.0
 
 
 def fail_leader(*promoters: Promoter) -> None:
@@ -125,6 +127,12 @@
         self.assertEqual(source.near.fenced_term, 0)
         self.assertTrue(source.leader.is_primary)
 
+    def test_fence_in_a_zone_without_proxies_is_lifted(self) -> None:
+        """Guards against a command to unfence that was lost, with nobody near."""
+        source = self.fixture_after(REMOTE_LIFTED_SECONDS, "far")
+        self.assertEqual(source.far.fenced_term, 0)
+        self.assertTrue(source.leader.is_primary)
+
     def test_fences_of_all_replicas_are_lifted_without_any_write(self) -> None:
         """Guards against a group whose reads at the primary are never proved."""
         source = self.fixture_after(LIFTED_SECONDS, "near", "far")
