--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -6,14 +6,21 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.databases.fleet import SILENCE_SECONDS
+from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.statements import AskStatus, Code
+from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus
 from beryltiller.sessions.succession.causes import FAILING_SECONDS
-from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
+from beryltiller.sessions.succession.runner import (
+    FENCE_CHECK_SECONDS,
+    REMOTE_FENCE_CHECK_SECONDS,
+    DutyClaim,
+    SuccessionRunner,
+)
 from beryltiller.sessions.succession.state import (
     Cause,
     ClaimDuty,
@@ -24,8 +31,9 @@
     ObserveAfter,
     PrimarySteppedDown,
     StepDownPrimary,
+    UnfenceReplicas,
 )
-from tests.fake_group import FakeDatabase, GroupFixture
+from tests.fake_group import ROUND_TRIP_SECONDS, FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
 
@@ -289,6 +297,22 @@
         leader = run_virtual(work())
         self.assertEqual((leader.is_primary, leader.fenced_term), (False, 2))
 
+    def test_unfence_is_not_sent_after_its_deadline(self) -> None:
+        """Guards against a command that waits for its connection past the claim."""
+
+        async def work(seconds: float) -> int:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = 2
+            deadline = virtual_now() + seconds
+            action = UnfenceReplicas("s", ("near",), deadline)
+            await make_runner(fixture).part().perform(action)
+            return fixture.near.fenced_term
+
+        for seconds, fenced_term in ((0.5, 2), (1.5, 0)):
+            with self.subTest(seconds=seconds):
+                waited = seconds * ROUND_TRIP_SECONDS
+                self.assertEqual(run_virtual(work(waited)), fenced_term)
+
     def test_reports_the_log_end_of_a_stepped_down_primary(self) -> None:
         async def work(is_unreachable: bool) -> object:
             fixture = GroupFixture()
@@ -317,6 +341,60 @@
         self.assertIsNone(results.statuses["far"])
 
 
+class FenceCheckTest(unittest.TestCase):
+    """Status queries that find fences which a promoter left."""
+
+    def test_replicas_are_asked_now_and_then_those_of_the_own_zone_more_often(
+        self,
+    ) -> None:
+        async def work() -> tuple[int, int, bool]:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = fixture.far.fenced_term = 2
+            runner = make_runner(fixture)
+            group = fixture.fleet.group("s")
+            asked: list[str] = []
+            record_status = group.record_status
+
+            def record(member: Member, status: DatabaseStatus, at: float) -> None:
+                asked.append(member.database.identifier)
+                record_status(member, status, at)
+
+            with mock.patch.object(group, "record_status", record):
+                for _ in range(round(2 * REMOTE_FENCE_CHECK_SECONDS / 0.1)):
+                    await runner.check_fences()
+                    await asyncio.sleep(0.1)
+            are_known = len(group.fenced_replicas) == 2
+            return asked.count("near"), asked.count("far"), are_known
+
+        near, far, are_known = run_virtual(work())
+        expected = 2 * REMOTE_FENCE_CHECK_SECONDS / FENCE_CHECK_SECONDS
+        self.assertIn(near, range(round(expected * 0.6), round(expected * 1.5)))
+        self.assertIn(far, range(1, 4))
+        self.assertTrue(are_known)
+
+    def test_duty_is_not_claimed_for_a_fence_that_has_ended(self) -> None:
+        async def work() -> object:
+            fixture = GroupFixture()
+            group = fixture.fleet.group("s")
+            group.members["near"].record_fence(True, virtual_now())
+            claim = ClaimDuty("s", Cause.FENCES_LEFT)
+            return await make_runner(fixture).part().perform(claim)
+
+        self.assertIsInstance(run_virtual(work()), ClaimFailed)
+
+    def test_duty_is_claimed_for_a_fence_that_lasts(self) -> None:
+        async def work() -> None:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = 2
+            group = fixture.fleet.group("s")
+            group.members["near"].record_fence(True, virtual_now())
+            claim = ClaimDuty("s", Cause.FENCES_LEFT)
+            with self.assertRaisesRegex(AssertionError, "not to be claimed"):
+                await make_runner(fixture).part().perform(claim)
+
+        run_virtual(work())
+
+
 class ConfirmTest(unittest.TestCase):
     """Databases that claim to lead, whose term is then confirmed."""
 
