--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -54,7 +54,8 @@
     the connection breaks. `refuse` maps a statement type to the code it is refused
     with, and `refuse_start` is the code for new connections. An `is_unreachable`
     database accepts no connections and answers nothing. If `is_replaced`, another
-    database answers at its address. `ran` lists the requests that ran, each with the
+    database answers at its address. If it `hides_position`, its answers have none.
+    `ran` lists the requests that ran, each with the
     number of its connection; `attempts` counts all connection attempts, `connections`
     those that succeeded and `closed` those of them that were closed.
     """
@@ -72,6 +73,7 @@
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
     is_replaced: bool = False
+    hides_position: bool = False
     connections: int = 0
     closed: int = 0
     attempts: int = 0
@@ -154,7 +156,8 @@
             return Reply(self.state, code=code, position=database.position)
         self._advance(request)
         rows = ("row",) if kind in (Read, Execute) else ()
-        return Reply(self.state, rows, signature="signed", position=database.position)
+        position = None if database.hides_position else database.position
+        return Reply(self.state, rows, signature="signed", position=position)
 
     def _refusal(self, request: Request) -> Code | None:
         database = self.database
