Count evidence only for the database and term that gave it

Callers could read a lagging replica: a position answered before a promotion, or by a replaced primary whose entry was learned late, was taken for the position of the database believed to lead when the reply was recorded, and the successor's proof counted for it. Positions of one leader also proved the term of another.

A sample now has the term in which its database is known to be primary, and is used only if that term is proved up to the moment it was asked. A database is known to be primary in a term once its status says so or it acknowledges a commit in it; a log shorter than it had then is not the primary's. Proofs are kept per term, so nothing has to be reset by a change of leader. A reply's kind is recorded before its position, so a refusal's position is not the leader's. A commit without a position proves no term.

The tests of groups that recorded positions or commits of a leader that had stated no term now let it state one, and give commits their positions: without these nothing tells which term the evidence is for. They check the same results, and one was added.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -3,8 +3,12 @@
 The leader is the database that this proxy believes to be the primary. Each primary
 leads in a term; a later primary has a higher term. A position in the replicated log is
 a term and an index. A term is proved until a moment if no later term can have begun by
-then. A sample is a position that the leader answered with; a survey is a sample taken
-from all databases except at most one, for when the leader cannot be reached.
+then. A sample is a position that the primary of a term answered with; a survey is a
+position taken from all databases except at most one, for when the leader cannot be
+reached.
+
+An observation counts only for the database that made it and for its term, whichever
+database is believed to be primary when the observation is recorded.
 
 Times are seconds on a clock that also runs while the host is suspended; the caller
 passes them in.
@@ -38,6 +42,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
+    """The position that the primary of `term` answered with.
+
+    It covers every commit acknowledged before `asked_at` if `term` is proved until
+    then: a later term could have acknowledged others.
+    """
+
+    asked_at: float
+    position: Position
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Survey:
     """A log position that covers every commit acknowledged before `asked_at`."""
 
     asked_at: float
@@ -53,11 +70,12 @@
 
 
 class Group:
-    """One service's databases, their leader, and until when its term is proved.
+    """One service's databases, their leader, and until when each term is proved.
 
-    `proved_until` is the newest moment up to which no later term can have begun. Only
-    samples taken at or before that moment are used: a log that reaches the position of
-    such a sample holds every commit acknowledged before its `asked_at`.
+    `_proved_until` maps a term to the newest moment up to which no later term can have
+    begun. Only samples taken in a term at or before that moment are used: a log that
+    reaches the position of such a sample holds every commit acknowledged before its
+    `asked_at`.
     """
 
     def __init__(self, service: str) -> None:
@@ -69,12 +87,9 @@
         self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
         self._leader_change_count = 0
-        self._proved_until = NEVER
-        # Like `_proved_until`, but reset by a change of leader: samples that are proved
-        # stay so, whereas a proof of one leader's term does not count for the next.
-        self._leader_proved_until = NEVER
+        self._proved_until: dict[int, float] = {}
         self._samples: deque[Sample] = deque()
-        self._surveys: deque[Sample] = deque()
+        self._surveys: deque[Survey] = deque()
 
     @property
     def leader(self) -> Member | None:
@@ -97,11 +112,6 @@
         """Return how often the believed leader has changed."""
         return self._leader_change_count
 
-    @property
-    def proved_until(self) -> float:
-        """Return the moment up to which no later term can have begun."""
-        return self._proved_until
-
     @property
     def last_acknowledged(self) -> Position:
         """Return the newest position of a commit acknowledged through this proxy."""
@@ -139,7 +149,7 @@
                 member.primary_serial = (
                     self._next_primary_serial() if database.is_primary else 0
                 )
-                member.reported_primary_term = 0
+                member.lead = None
             member.database = database
             if not database.is_draining:
                 member.draining_since = None
@@ -167,23 +177,26 @@
         member.record_position_asked(asked_at)
         if position.term > self._term:
             self._enter_term(position.term)
-        if member.database.identifier == self._leader:
-            self._add_sample(Sample(asked_at, position))
-        else:
+        if member is not self.leader:
             self._record_replica_position(position)
+        elif member.lead is not None and member.lead.includes(position):
+            self._add_sample(Sample(asked_at, position, member.lead.term))
 
     def record_commit(
         self, member: Member, asked_at: float, position: Position | None = None
     ) -> None:
         """Record an acknowledged commit, which at least one replica has received.
 
-        If the member is the leader, this proves its term at `asked_at`.
+        If the member is the leader, it was primary in the position's term, and that
+        term was in force at `asked_at`. Without a position the term is not known.
         """
         member.record_acknowledged_write(asked_at)
-        if position is not None and position > self._last_acknowledged:
-            self._last_acknowledged = position
-        if member.database.identifier == self._leader:
-            self._extend_proof(asked_at)
+        if position is None:
+            return
+        self._last_acknowledged = max(self._last_acknowledged, position)
+        if member is self.leader:
+            member.record_lead(position.term, position)
+            self._extend_proof(position.term, asked_at)
 
     def record_status(
         self, member: Member, status: DatabaseStatus, asked_at: float
@@ -200,15 +213,17 @@
         if is_newer:
             self._enter_term(status.term)
         if status.is_primary:
-            self._record_primary(member, status.term, is_newer)
+            self._record_primary(member, status, is_newer)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.reported_primary_term and not status.fenced_term:
-            self._extend_proof(asked_at)
+            self._extend_proof(status.term, asked_at)
 
-    def _record_primary(self, member: Member, term: int, is_newer: bool) -> None:
-        """Record that a database reports to be primary in `term`.
+    def _record_primary(
+        self, member: Member, status: DatabaseStatus, is_newer: bool
+    ) -> None:
+        """Record that a database reports to be primary.
 
         A primary of an older term was replaced and has not noticed yet. One of the
         same term may have been replaced by a leader that was not asked yet, so it
@@ -216,11 +231,11 @@
         """
         leader = self.leader
         is_new = leader is None or (member is not leader and is_newer)
-        member.reported_primary_term = term
-        if term >= self._term:
+        member.record_lead(status.term, status.received)
+        if status.term >= self._term:
             member.has_denied_lead = False
             member.has_reported_lead = True
-        if is_new and term >= self._term:
+        if is_new and status.term >= self._term:
             member.primary_serial = self._next_primary_serial()
         self._choose_leader()
 
@@ -241,13 +256,16 @@
         An acknowledged commit is in at least two logs, so in at least one of these.
         """
         surveys = self._surveys
-        surveys.append(Sample(asked_at, max(positions)))
+        surveys.append(Survey(asked_at, max(positions)))
         while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
             surveys.popleft()
 
     def is_term_proved(self, moment: float) -> bool:
         """Return True if no term later than the leader's can have begun by `moment`."""
-        return self._leader_proved_until >= moment
+        leader = self.leader
+        if leader is None or leader.lead is None:
+            return False
+        return self._is_proved(leader.lead.term, moment)
 
     def covering_position(self, moment: float) -> Position | None:
         """Return a position that covers all commits acknowledged before `moment`.
@@ -255,13 +273,13 @@
         Return None if no proved position is new enough.
         """
         for sample in self._samples:
-            if sample.asked_at > self._proved_until:
-                break
-            if sample.asked_at >= moment:
-                return sample.position
-        for sample in self._surveys:
-            if sample.asked_at >= moment:
+            if sample.asked_at < moment:
+                continue
+            if self._is_proved(sample.term, sample.asked_at):
                 return sample.position
+        for survey in self._surveys:
+            if survey.asked_at >= moment:
+                return survey.position
         return None
 
     def lag_seconds(self, replica: Member, now: float) -> float:
@@ -282,23 +300,30 @@
     def _record_replica_position(self, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
 
-        An entry beyond the position that the leader answered with was written after
-        the leader was asked, and received by a replica that was not fenced then.
+        An entry beyond the position that the leader answered with in this term was
+        written after the leader was asked, and received by a replica that was not
+        fenced then.
         """
         leader = self.leader
         if leader is None or position.term != leader.reported_primary_term:
             return
         for sample in reversed(self._samples):
-            if sample.asked_at + TERM_PROOF_SECONDS <= self._proved_until:
+            if self._is_proved(position.term, sample.asked_at + TERM_PROOF_SECONDS):
                 return
-            if sample.position < position:
-                self._extend_proof(sample.asked_at)
+            if sample.term == position.term and sample.position < position:
+                self._extend_proof(position.term, sample.asked_at)
                 return
 
-    def _extend_proof(self, asked_at: float) -> None:
+    def _is_proved(self, term: int, moment: float) -> bool:
+        return self._proved_until.get(term, NEVER) >= moment
+
+    def _extend_proof(self, term: int, asked_at: float) -> None:
+        proved_until = self._proved_until
         until = asked_at + TERM_PROOF_SECONDS
-        self._proved_until = max(self._proved_until, until)
-        self._leader_proved_until = max(self._leader_proved_until, until)
+        proved_until[term] = max(proved_until.get(term, NEVER), until)
+        for each in tuple(proved_until):
+            if proved_until[each] < asked_at - SAMPLE_RETENTION_SECONDS:
+                del proved_until[each]
 
     def _add_sample(self, sample: Sample) -> None:
         samples = self._samples
@@ -312,7 +337,6 @@
 
     def _enter_term(self, term: int) -> None:
         self._term = term
-        self._drop_unproved_samples()
         self._choose_leader()
 
     def _next_primary_serial(self) -> int:
@@ -332,10 +356,6 @@
             return member.reported_primary_term >= self._term
         return member.primary_serial >= self._newest_primary_serial
 
-    def _drop_unproved_samples(self) -> None:
-        while self._samples and self._samples[-1].asked_at > self._proved_until:
-            self._samples.pop()
-
     def _choose_leader(self) -> None:
         candidates = [
             each for each in self.members.values() if self._is_credible_leader(each)
@@ -345,8 +365,6 @@
         if identifier != self._leader:
             self._leader = identifier
             self._leader_change_count += 1
-            self._leader_proved_until = NEVER
-            self._drop_unproved_samples()
 
 
 def _leader_rank(member: Member) -> tuple[int, int, str]:
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -4,6 +4,8 @@
 passes them in.
 """
 
+from dataclasses import dataclass
+
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
 
@@ -31,6 +33,27 @@
 FIRST_LATENCY_SECONDS = 0.03
 
 
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """A term in which a database is known to be primary.
+
+    `log_end` is the end of its log when this became known.
+    """
+
+    term: int
+    log_end: Position
+
+    def includes(self, position: Position) -> bool:
+        """Return True if the primary of this term may have answered with `position`.
+
+        Before its first commit in the term, its log ends with an entry of an earlier
+        one. A shorter log is that of a replica, or of a process that lost its log.
+        """
+        if position.term == self.term:
+            return True
+        return position.term < self.term and position >= self.log_end
+
+
 class Member:
     """One database as seen by this proxy: failures, load and applied position.
 
@@ -38,8 +61,8 @@
     term in which it is known to have been primary or replica. `has_reported_lead` is
     True once it reported to be primary, `has_denied_lead` once it turned out not to
     be the primary. `primary_serial` is higher the later this proxy observed that it
-    became primary. `reported_primary_term` is the term in which it reported to be
-    primary, or 0 if it was not asked.
+    became primary. `lead` is the newest term in which it is known to be primary, or
+    None if it was not asked and has acknowledged no commit.
     """
 
     def __init__(self, database: Database) -> None:
@@ -52,7 +75,7 @@
         self.has_denied_lead = False
         self.has_reported_lead = False
         self.primary_serial = 0
-        self.reported_primary_term = 0
+        self.lead: Lead | None = None
         self.term = 0
         self._stalled_since: float | None = None
         self._unacknowledged_at = NEVER
@@ -109,6 +132,19 @@
         """Return True if its registry entry or its status says that it is primary."""
         return self.database.is_primary or self.has_reported_lead
 
+    @property
+    def reported_primary_term(self) -> int:
+        """Return the newest term in which it is known to be primary, or 0."""
+        return self.lead.term if self.lead else 0
+
+    def record_lead(self, term: int, log_end: Position) -> None:
+        """Record that the database is primary in `term` and its log reaches `log_end`.
+
+        The earliest such observation of the newest term is kept.
+        """
+        if term > self.reported_primary_term:
+            self.lead = Lead(term, log_end)
+
     @property
     def failing_since(self) -> float | None:
         """Return when the current run of failures began, or None."""
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -262,7 +262,6 @@
         reply: Reply,
         asked_at: float,
     ) -> None:
-        group.record_position(member, reply.position, asked_at)
         now = self._clock()
         match reply.code:
             case None:
@@ -275,6 +274,8 @@
                 member.record_load_refusal(now)
             case Code.READ_ONLY if member is group.leader:
                 group.record_lead_denied(member)
+        # Recorded last, as the reply decides whose position it is.
+        group.record_position(member, reply.position, asked_at)
 
     async def prove_term(
         self,
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -138,7 +138,7 @@
     def test_commit_and_unfenced_replica_prove_the_term(self) -> None:
         group = self.proved_group()
         self.assertFalse(group.is_term_proved(1.0))
-        group.record_commit(group.members["p"], 2.0)
+        group.record_commit(group.members["p"], 2.0, Position(1, 5))
         self.assertTrue(group.is_term_proved(2.0 + TERM_PROOF_SECONDS))
         self.assertFalse(group.is_term_proved(2.01 + TERM_PROOF_SECONDS))
         group.record_status(group.members["r1"], status(1), 3.0)
@@ -156,7 +156,7 @@
                 group.record_status(group.members[member], reported, 3.0)
                 self.assertFalse(group.is_term_proved(3.0))
         group = self.proved_group()
-        group.record_commit(group.members["r1"], 3.0)
+        group.record_commit(group.members["r1"], 3.0, Position(1, 5))
         self.assertFalse(group.is_term_proved(3.0))
 
     def test_replica_ahead_of_the_leaders_sample_proves_the_term(self) -> None:
@@ -169,7 +169,7 @@
     def test_evidence_of_one_leader_does_not_prove_another(self) -> None:
         """Guards against reading a replaced primary with its successor's proof."""
         group = self.proved_group()
-        group.record_commit(group.members["p"], 2.0)
+        group.record_commit(group.members["p"], 2.0, Position(1, 5))
         group.update((LEADER, replace(NEAR, is_primary=True), FAR), 2.1)
         self.assertFalse(group.is_term_proved(2.0))
         self.assertEqual(
@@ -187,6 +187,12 @@
         group.record_status(group.members["r2"], status(2), 1.2)
         self.assertFalse(group.is_term_proved(1.0))
 
+    def test_commit_without_a_position_proves_no_term(self) -> None:
+        """Guards against proving a term by a commit of a later one."""
+        group = self.proved_group()
+        group.record_commit(group.members["p"], 2.0)
+        self.assertFalse(group.is_term_proved(2.0))
+
     def test_leader_term_differs_after_a_leader_change(self) -> None:
         group = self.proved_group()
         before = group.leader_term
@@ -200,10 +206,11 @@
     def test_earliest_proved_sample_that_is_new_enough(self) -> None:
         group = make_group()
         leader = group.members["p"]
+        group.record_status(leader, status(1, is_primary=True), 0.5)
         for asked_at, index in ((1.0, 4), (2.0, 6), (3.0, 8)):
             group.record_position(leader, Position(1, index), asked_at)
         self.assertIsNone(group.covering_position(1.5))
-        group.record_commit(leader, 2.0)
+        group.record_commit(leader, 2.0, Position(1, 6))
         self.assertEqual(group.covering_position(0.5), Position(1, 4))
         self.assertEqual(group.covering_position(1.5), Position(1, 6))
         self.assertIsNone(group.covering_position(2.5), "the sample at 3 is not proved")
@@ -211,9 +218,10 @@
     def test_new_term_discards_unproved_samples(self) -> None:
         group = make_group()
         leader = group.members["p"]
+        group.record_status(leader, status(1, is_primary=True), 0.5)
         group.record_position(leader, Position(1, 4), 1.0)
         group.record_position(group.members["r1"], Position(2, 1), 2.0)
-        group.record_commit(leader, 2.0)
+        group.record_commit(leader, 2.0, Position(1, 6))
         self.assertIsNone(group.covering_position(0.0))
 
     def test_survey_needs_no_proof_and_expires(self) -> None:
@@ -226,14 +234,15 @@
     def test_evidence_from_before_a_suspension_proves_nothing_after_it(self) -> None:
         """The clock runs while the host is suspended, so nothing has to be cleared."""
         group = make_group()
+        group.record_status(group.members["p"], status(1, is_primary=True), 0.5)
         group.record_position(group.members["p"], Position(1, 4), 1.0)
-        group.record_commit(group.members["p"], 1.0)
+        group.record_commit(group.members["p"], 1.0, Position(1, 4))
         self.assertTrue(group.is_term_proved(1.0))
         woken_at = 31.0
         self.assertIsNone(group.covering_position(woken_at))
         self.assertFalse(group.is_term_proved(woken_at))
         group.record_position(group.members["p"], Position(1, 4), 1.0)
-        group.record_commit(group.members["p"], 1.0)
+        group.record_commit(group.members["p"], 1.0, Position(1, 4))
         self.assertIsNone(group.covering_position(woken_at), "asked before it")
         self.assertFalse(group.is_term_proved(woken_at))
 
@@ -247,8 +256,9 @@
 
     def group_with_covering_position(self) -> Group:
         group = make_group()
+        group.record_status(group.members["p"], status(1, is_primary=True), 0.5)
         group.record_position(group.members["p"], Position(1, 4), 1.0)
-        group.record_commit(group.members["p"], 1.0)
+        group.record_commit(group.members["p"], 1.0, Position(1, 4))
         return group
 
     def test_own_zone_is_preferred_and_failing_databases_skipped(self) -> None:
