Require of a leader the log that it has answered with

A database that restarted under its identifier, with less in its log, was read as the leader for up to the route's staleness and 0.5 s more, until its entry or a refused write told of it: callers did not see acknowledged commits, nor their own. A proof of its term says that its log was complete, not that this process still has it.

Reads and begins at the leader now carry the newest position that it has answered with in its term; its log never gets shorter while it leads, so this costs nothing. One that refuses it as lagging does not lead. The answer counts only if its position is one of the term that is proved and in which the database leads; this replaces the comparison of the leader's term before and after, which took the term from the answer itself. Shorter positions are no samples.

Not served as before: a read at the leader answered without a position, unless its log was empty when it stated its term; the first read at a new leader if it states its term only afterwards and has committed in between.

The test of the former comparison is replaced by tests of the new one, which check a change of leader too.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -21,8 +21,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.member import NEVER, Member
-from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.databases.member import NEVER, Lead, Member
+from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
 # A promoting proxy waits this long between fencing the replicas and promoting one.
 PROMOTION_HOLD_SECONDS = 0.4
@@ -61,14 +61,6 @@
     position: Position
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderTerm:
-    """One leader's period, identified by the leader changes so far and its term."""
-
-    leader_change_count: int
-    term: int
-
-
 class Group:
     """One service's databases, their leader, and until when each term is proved.
 
@@ -86,7 +78,6 @@
         self._term = 0
         self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
-        self._leader_change_count = 0
         self._proved_until: dict[int, float] = {}
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Survey] = deque()
@@ -101,17 +92,6 @@
         """Return the newest term known, or 0."""
         return self._term
 
-    @property
-    def leader_term(self) -> LeaderTerm:
-        """Return the current leader's period, to detect a change of leader or term."""
-        leader = self.leader
-        return LeaderTerm(self._leader_change_count, leader.term if leader else 0)
-
-    @property
-    def leader_change_count(self) -> int:
-        """Return how often the believed leader has changed."""
-        return self._leader_change_count
-
     @property
     def last_acknowledged(self) -> Position:
         """Return the newest position of a commit acknowledged through this proxy."""
@@ -180,7 +160,7 @@
         if member is not self.leader:
             self._record_replica_position(position)
         elif member.lead is not None and member.lead.includes(position):
-            self._add_sample(Sample(asked_at, position, member.lead.term))
+            self._record_leader_position(member, member.lead, position, asked_at)
 
     def record_commit(
         self, member: Member, asked_at: float, position: Position | None = None
@@ -261,12 +241,28 @@
             surveys.popleft()
 
     def is_term_proved(self, moment: float) -> bool:
-        """Return True if no term later than the leader's can have begun by `moment`."""
+        """Return True if no term later than the leader's can have begun by `moment`.
+
+        The leader's log then holds every commit acknowledged before `moment`.
+        """
         leader = self.leader
         if leader is None or leader.lead is None:
             return False
         return self._is_proved(leader.lead.term, moment)
 
+    def is_answer_proved(
+        self, member: Member, position: Position | None, moment: float
+    ) -> bool:
+        """Return True if the log that a database answered from is complete.
+
+        It holds every commit acknowledged before `moment` if the database leads in a
+        term proved until then, and answered with a position of that term's primary.
+        """
+        if member is not self.leader or not self.is_term_proved(moment):
+            return False
+        lead = member.lead
+        return lead is not None and lead.includes(position or NO_POSITION)
+
     def covering_position(self, moment: float) -> Position | None:
         """Return a position that covers all commits acknowledged before `moment`.
 
@@ -297,6 +293,18 @@
         )
         return max(0.0, asked_at - next(missing, asked_at))
 
+    def _record_leader_position(
+        self, member: Member, lead: Lead, position: Position, asked_at: float
+    ) -> None:
+        """Add a sample, unless the leader has answered with a later position before.
+
+        Answers may be recorded in another order than they were given, or be those of a
+        process that has restarted and lost its log.
+        """
+        if lead.answered is None or position >= lead.answered:
+            member.record_lead_position(position)
+            self._add_sample(Sample(asked_at, position, lead.term))
+
     def _record_replica_position(self, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
 
@@ -361,10 +369,7 @@
             each for each in self.members.values() if self._is_credible_leader(each)
         ]
         leader = max(candidates, key=_leader_rank, default=None)
-        identifier = leader.database.identifier if leader else None
-        if identifier != self._leader:
-            self._leader = identifier
-            self._leader_change_count += 1
+        self._leader = leader.database.identifier if leader else None
 
 
 def _leader_rank(member: Member) -> tuple[int, int, str]:
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -4,7 +4,7 @@
 passes them in.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
@@ -37,11 +37,14 @@
 class Lead:
     """A term in which a database is known to be primary.
 
-    `log_end` is the end of its log when this became known.
+    `log_end` is the end of its log when this became known, and `answered` the newest
+    position that it has answered with since. Its log never gets shorter in the term,
+    unless its process ends.
     """
 
     term: int
     log_end: Position
+    answered: Position | None = None
 
     def includes(self, position: Position) -> bool:
         """Return True if the primary of this term may have answered with `position`.
@@ -208,6 +211,12 @@
         if self._answered_at < asked_at:
             self.record_failure(now)
 
+    def record_lead_position(self, position: Position) -> None:
+        """Record a position that the database answered with in its present term."""
+        lead = self.lead
+        if lead is not None and (lead.answered is None or position > lead.answered):
+            self.lead = replace(lead, answered=position)
+
     def record_answer(self, position: Position | None) -> None:
         """Record an answer of any kind, which ends a run of failures."""
         self._failures = 0
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -50,8 +50,9 @@
 class Placement:
     """The database chosen for a statement, whose log must reach `since`.
 
-    `since` is None if any log is sufficient, as at the leader. `needs_proof` is True at
-    the leader: the answer counts only with proof that the leader's term is in force.
+    `since` is None if no position is required. `needs_proof` is True at the leader: the
+    answer counts only with proof that the leader's term is in force. Its log must reach
+    what it answered with before in this term, as its process may have restarted.
     """
 
     member: Member
@@ -125,7 +126,7 @@
         draining_since = leader.draining_since
         if draining_since is not None and now > draining_since + self.drain_seconds:
             return None
-        return Placement(leader, None, needs_proof=True)
+        return _leader_placement(leader)
 
     def _cost(
         self, member: Member, is_leader: bool, since: Position | None, now: float
@@ -150,10 +151,15 @@
 
 def _placement(member: Member, is_leader: bool, since: Position | None) -> Placement:
     if is_leader:
-        return Placement(member, None, needs_proof=True)
+        return _leader_placement(member)
     return Placement(member, since, needs_proof=False)
 
 
+def _leader_placement(leader: Member) -> Placement:
+    since = leader.lead.answered if leader.lead else None
+    return Placement(leader, since, needs_proof=True)
+
+
 def _is_behind(member: Member, since: Position | None) -> bool:
     return since is not None and (member.applied is None or member.applied < since)
 
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -6,11 +6,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.databases.catalog import Configuration, Route
 from beryltiller.sessions.databases.fleet import Fleet
-from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement, Placer, ReadRequirement
 from beryltiller.sessions.errors import (
@@ -216,7 +217,7 @@
             raise
         finally:
             member.record_end(self._clock(), is_answered)
-        self._record_reply(session, group, member, request, reply, asked_at)
+        self._record_reply(session, group, acquired.placement, request, reply, asked_at)
         return reply
 
     async def run_in_transaction(
@@ -257,17 +258,21 @@
         self,
         session: Session,
         group: Group,
-        member: Member,
+        placement: Placement,
         request: Request,
         reply: Reply,
         asked_at: float,
     ) -> None:
+        member = placement.member
         now = self._clock()
         match reply.code:
             case None:
                 member.record_latency(now - asked_at)
                 if _is_commit_of_write(session, request):
                     group.record_commit(member, asked_at, reply.position)
+            case Code.LAGGING if placement.needs_proof:
+                # It has lost what it answered with while it led.
+                group.record_lead_denied(member)
             case Code.LAGGING:
                 member.record_lag_refusal(now)
             case Code.BUSY:
@@ -280,23 +285,21 @@
     async def prove_term(
         self,
         group: Group,
-        leader_term: LeaderTerm,
+        member: Member,
+        position: Position | None,
         requirement: ReadRequirement,
         deadline: float,
     ) -> None:
-        """Wait for proof that the leader which ran a read had not been replaced.
+        """Wait for proof that a read ran on the log of the primary in force.
 
-        The proof must be recent enough for `requirement`, and counts only if the same
-        database has led in the same term throughout. Raise `NotSentError` if there is
-        none.
+        `position` is the one in the answer of `member`. The proof must be recent enough
+        for `requirement`, and be of the term in which the database leads. Raise
+        `NotSentError` if there is none.
         """
-        if not group.is_term_proved(requirement.acknowledged_before):
-            wait = deadline - self._clock()
-            await self._fleet.prove_term(group, requirement.acknowledged_before, wait)
-        if (
-            not group.is_term_proved(requirement.acknowledged_before)
-            or group.leader_term != leader_term
-        ):
+        moment = requirement.acknowledged_before
+        if not group.is_term_proved(moment):
+            await self._fleet.prove_term(group, moment, deadline - self._clock())
+        if not group.is_answer_proved(member, position, moment):
             raise NotSentError(Code.ABORTED, "the primary's term could not be proved")
 
     async def roll_back(self, transaction: Transaction) -> None:
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.catalog import Route
-from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.placement import (
     Placement,
     ReadRequirement,
@@ -175,7 +175,6 @@
         """
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
-        changes = group.leader_change_count
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
@@ -192,8 +191,9 @@
             reply = replace(reply, state=SessionState.IDLE)
         is_write = session.is_write(request.statement)
         if reply.is_success and placement.needs_proof and not is_write:
-            leader_term = LeaderTerm(changes, placement.member.term)
-            await self._executor.prove_term(group, leader_term, requirement, deadline)
+            await self._executor.prove_term(
+                group, placement.member, reply.position, requirement, deadline
+            )
         return reply
 
 
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -4,7 +4,9 @@
 statement that may have run inside a transaction is not run again elsewhere.
 """
 
-from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.core.position import Position
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement, read_requirement
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
@@ -190,7 +192,6 @@
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
         retry_until = self._executor.now() + wait
-        changes = group.leader_change_count
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
@@ -222,15 +223,17 @@
             await self._executor.roll_back(transaction)
             return None
         if placement.needs_proof:
-            leader_term = LeaderTerm(changes, placement.member.term)
-            await self._prove_term(transaction, group, leader_term, deadline)
+            await self._prove_term(
+                transaction, group, placement.member, reply.position, deadline
+            )
         return reply
 
     async def _prove_term(
         self,
         transaction: Transaction,
         group: Group,
-        leader_term: LeaderTerm,
+        member: Member,
+        position: Position | None,
         deadline: float,
     ) -> None:
         """Prove the leader's term, or roll back and raise `BrokenError`.
@@ -240,7 +243,7 @@
         """
         try:
             await self._executor.prove_term(
-                group, leader_term, transaction.requirement, deadline
+                group, member, position, transaction.requirement, deadline
             )
         except NotSentError as error:
             await self._executor.roll_back(transaction)
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -193,11 +193,44 @@
         group.record_commit(group.members["p"], 2.0)
         self.assertFalse(group.is_term_proved(2.0))
 
-    def test_leader_term_differs_after_a_leader_change(self) -> None:
+    def test_answer_counts_only_from_the_leader_in_its_own_term(self) -> None:
+        """Guards against a read on the log of a replica or of an empty process."""
         group = self.proved_group()
-        before = group.leader_term
-        group.update((LEADER, replace(NEAR, is_primary=True), FAR), 0.0)
-        self.assertNotEqual(group.leader_term, before)
+        leader = group.members["p"]
+        group.record_commit(leader, 2.0, Position(1, 5))
+        for position, is_proved in (
+            (Position(1, 5), True),
+            (Position(2, 1), False),
+            (Position(0, 4), False),
+            (None, False),
+        ):
+            with self.subTest(position=position):
+                self.assertEqual(
+                    group.is_answer_proved(leader, position, 2.0), is_proved
+                )
+        replica = group.members["r1"]
+        self.assertFalse(group.is_answer_proved(replica, Position(1, 5), 2.0))
+
+    def test_answer_does_not_count_after_a_leader_change(self) -> None:
+        group = self.proved_group()
+        leader, successor = group.members["p"], group.members["r1"]
+        group.record_commit(leader, 2.0, Position(1, 5))
+        group.update((LEADER, replace(NEAR, is_primary=True), FAR), 2.1)
+        group.record_commit(successor, 2.6, Position(2, 6))
+        self.assertFalse(group.is_answer_proved(leader, Position(1, 5), 2.0))
+        self.assertTrue(group.is_answer_proved(successor, Position(2, 6), 2.0))
+
+    def test_answer_in_the_log_of_the_term_before_counts_until_the_first_commit(
+        self,
+    ) -> None:
+        group = make_group()
+        leader = group.members["p"]
+        group.record_status(
+            leader, DatabaseStatus(True, 2, Position(1, 5), 0), asked_at=1.0
+        )
+        group.record_status(group.members["r1"], status(2), 1.0)
+        self.assertTrue(group.is_answer_proved(leader, Position(1, 5), 1.0))
+        self.assertFalse(group.is_answer_proved(leader, Position(1, 4), 1.0))
 
 
 class CoveringPositionTest(unittest.TestCase):
