Show surveys that miss a log lost unnoticed

A replica that restarted with less in its log before its entry says so, and a process that does not know which logs were lost before it started.

--- a/tests/test_session_evidence.py
+++ b/tests/test_session_evidence.py
@@ -137,6 +137,13 @@
 class LostLogTest(unittest.TestCase):
     """Surveys after a database was lost whose log may have held commits."""
 
+    async def fail_leader(self, fixture: GroupFixture) -> None:
+        """Make the leader fail, after positions that it answered with are too old."""
+        await asyncio.sleep(6.0)
+        fixture.leader.is_unreachable = True
+        await fixture.run(fixture.session(), Read("i"))
+        await asyncio.sleep(0.5)
+
     def survey_after(self, is_replaced: bool, has_caught_up: bool) -> bool:
         """Return whether a read is served after `far` was lost and the leader failed.
 
@@ -160,10 +167,7 @@
                 await fixture.run(fixture.session(), Write("i", "d"))
                 await fixture.run(fixture.session(), Write("i", "d"))
                 fixture.near.index = fixture.leader.index
-            await asyncio.sleep(6.0)
-            fixture.leader.is_unreachable = True
-            await fixture.run(fixture.session(), Read("i"))
-            await asyncio.sleep(0.5)
+            await self.fail_leader(fixture)
             reply = await fixture.run(fixture.session(), Read("i"))
             results.append(reply.is_success)
 
@@ -178,6 +182,36 @@
         """Guards against a stale read: only the replica's former log had the commit."""
         self.assertFalse(self.survey_after(is_replaced=True, has_caught_up=False))
 
+    def test_survey_does_not_count_a_log_that_was_longer_before(self) -> None:
+        """Guards against a replica's restart that its entry does not tell of yet."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.zone = "b"
+            fixture.near.zone, fixture.far.zone = "b", "a"
+            fixture.register()
+            await fixture.run(fixture.session(), Write("i", "d"))
+            fixture.near.index = fixture.leader.index
+            await fixture.run(fixture.session(), Write("i", "d"))
+            fixture.far.index = fixture.leader.index
+            await fixture.run(fixture.session(), Read("i"))
+            self.assertEqual(fixture.far.statement_names(), ["Read"])
+            fixture.far.index = 5
+            await self.fail_leader(fixture)
+            reply = await fixture.run(fixture.session(), Read("i"))
+            self.assertFalse(reply.is_success)
+
+        run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
+
+    def test_survey_by_a_process_that_has_just_started_does_not_count(self) -> None:
+        """Guards against a stale read: it does not know which logs were lost before."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.is_unreachable = True
+            reply = await fixture.run(fixture.session(), Read("i"))
+            self.assertFalse(reply.is_success)
+
+        run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
+
     def test_survey_counts_once_a_log_holds_what_came_after_the_loss(self) -> None:
         for is_replaced in (False, True):
             with self.subTest(is_replaced=is_replaced):
