Count a survey only if it covers what lost logs may have held

Reads of a stated age could be served without a primary from logs that lack an acknowledged commit. A survey took every such commit to be in two of the logs known at that moment. The second log may have been that of a replica which left, or restarted with less, or that a process which has just started never knew; or the members changed while they answered.

A survey now counts only if it began after the last loss of a log and one of its logs reaches a position that covers all commits acknowledged before the loss; later ones are in two of the logs that are left. The first knowledge of a group counts as a loss. A log shorter than it was before does not count as an answer.

Not served as before: without a reachable primary, reads of a stated age at a proxy that, since its start or since a replica was lost, has had no proved answer of the primary, or while none of the reachable replicas has received what came after.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -344,13 +344,17 @@
             departed = self._directory.possibly_partitioned_of(
                 group.service, _failing_since(group)
             )
+            applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(*map(self._status_or_none, members))
             positions = []
-            for member, status in zip(members, statuses, strict=True):
-                if status is not None and status.received != NO_POSITION:
+            for member, before, status in zip(members, applied, statuses, strict=True):
+                if status is None or status.received == NO_POSITION:
                     # A log whose end is not known shows no commit that it may hold.
+                    continue
+                group.record_status(member, status, asked_at)
+                if status.received >= before:
+                    # A shorter log is not the one that received the commits.
                     positions.append(status.received)
-                    group.record_status(member, status, asked_at)
             if group.leader is None:
                 # A process that just started may not know of departed databases that
                 # hold commits, so the survey could miss these commits.
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -81,6 +81,10 @@
         self._proved_until: dict[int, float] = {}
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Survey] = deque()
+        # When a log that may have held acknowledged commits was last lost, and a
+        # position that covers all commits acknowledged before then.
+        self._log_lost_at = NEVER
+        self._lost_log_covered_by: Position | None = None
 
     @property
     def leader(self) -> Member | None:
@@ -110,6 +114,8 @@
         """Replace the group's databases by those that are registered now.
 
         A database that restarted or moved to another address starts with a new member.
+        The log of one that restarted or is gone is lost; so may be others that were
+        gone before this process learned of the group.
         """
         previous = self.members
         self.members = {}
@@ -136,6 +142,12 @@
             elif member.draining_since is None:
                 member.draining_since = now
             self.members[database.identifier] = member
+        is_lost = (
+            self.members.get(name) is not each for name, each in previous.items()
+        )
+        if not previous or any(is_lost):
+            self._log_lost_at = now
+            self._lost_log_covered_by = None
         self._choose_leader()
 
     def record_lead_denied(self, member: Member) -> None:
@@ -233,8 +245,15 @@
     def record_survey(self, positions: tuple[Position, ...], asked_at: float) -> None:
         """Record the received positions of all databases except one.
 
-        An acknowledged commit is in at least two logs, so in at least one of these.
+        A commit acknowledged since the last loss of a log is in at least two logs, so
+        in at least one of these. Earlier ones are if one of these logs reaches a
+        position that covers them; the survey does not count otherwise.
         """
+        covered_by = self._lost_log_covered_by
+        if asked_at < self._log_lost_at or covered_by is None:
+            return
+        if max(positions) < covered_by:
+            return
         surveys = self._surveys
         surveys.append(Survey(asked_at, max(positions)))
         while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
@@ -268,16 +287,28 @@
 
         Return None if no proved position is new enough.
         """
+        position = self._proved_position(moment)
+        if position is not None:
+            return position
+        for survey in self._surveys:
+            if survey.asked_at >= moment:
+                return survey.position
+        return None
+
+    def _proved_position(self, moment: float) -> Position | None:
+        """Return the position of the first proved sample since `moment`, or None."""
         for sample in self._samples:
             if sample.asked_at < moment:
                 continue
             if self._is_proved(sample.term, sample.asked_at):
                 return sample.position
-        for survey in self._surveys:
-            if survey.asked_at >= moment:
-                return survey.position
         return None
 
+    def _cover_lost_log(self) -> None:
+        """Look for a position that covers what the lost log may have held."""
+        if self._lost_log_covered_by is None:
+            self._lost_log_covered_by = self._proved_position(self._log_lost_at)
+
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
 
@@ -332,6 +363,7 @@
         for each in tuple(proved_until):
             if proved_until[each] < asked_at - SAMPLE_RETENTION_SECONDS:
                 del proved_until[each]
+        self._cover_lost_log()
 
     def _add_sample(self, sample: Sample) -> None:
         samples = self._samples
@@ -342,6 +374,7 @@
         samples.append(sample)
         while samples[0].asked_at < sample.asked_at - SAMPLE_RETENTION_SECONDS:
             samples.popleft()
+        self._cover_lost_log()
 
     def _enter_term(self, term: int) -> None:
         self._term = term
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -259,6 +259,11 @@
 
     def test_survey_needs_no_proof_and_expires(self) -> None:
         group = make_group()
+        group.record_status(group.members["p"], status(1, is_primary=True), 0.5)
+        group.record_commit(group.members["p"], 0.5, Position(1, 7))
+        group.record_position(group.members["p"], Position(1, 7), 0.5)
+        group.record_survey((Position(1, 4), Position(1, 6)), 1.0)
+        self.assertIsNone(group.covering_position(1.0), "misses the commit at 7")
         group.record_survey((Position(1, 4), Position(1, 7)), 1.0)
         self.assertEqual(group.covering_position(1.0), Position(1, 7))
         group.record_survey((Position(1, 9),), 1.1 + SAMPLE_RETENTION_SECONDS)
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -1,5 +1,6 @@
 """Tests of `SessionService` with a fake group of databases on a virtual clock."""
 
+import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -369,20 +370,37 @@
 class SurveyTest(unittest.TestCase):
     """Reads with a maximum age are served without a primary after a survey."""
 
+    async def write_to_all(self, fixture: GroupFixture) -> None:
+        """Write what all replicas receive, which any survey must then show."""
+        await fixture.run(fixture.session(), Write("i", "d"))
+        fixture.near.index = fixture.far.index = fixture.leader.index
+
+    async def fail_leader(self, fixture: GroupFixture) -> None:
+        """Make the leader fail, after positions that it answered with are too old."""
+        await asyncio.sleep(6.0)
+        fixture.leader.is_unreachable = True
+        await fixture.run(fixture.session(), Read("i"))
+        await asyncio.sleep(0.5)
+
+    def register_departed(self, fixture: GroupFixture) -> None:
+        """Register a database that has departed now."""
+        gone = replace(fixture.far.entry(), identifier="gone")
+        entries = fixture.fleet.directory.databases
+        departed = (Departed(gone, virtual_now()),)
+        fixture.fleet.register(Directory(entries, departed))
+
     def read_without_leader(
         self, *more_unreachable: str, has_departed: bool = False
     ) -> bool:
         results: list[bool] = []
 
         async def work(fixture: GroupFixture) -> None:
-            fixture.leader.is_unreachable = True
+            await self.write_to_all(fixture)
             for name in more_unreachable:
                 fixture.databases[name].is_unreachable = True
             if has_departed:
-                gone = replace(fixture.far.entry(), identifier="gone")
-                entries = fixture.fleet.directory.databases
-                departed = (Departed(gone, virtual_now()),)
-                fixture.fleet.register(Directory(entries, departed))
+                call_after(5.9, lambda: self.register_departed(fixture))
+            await self.fail_leader(fixture)
             reply = await fixture.run(fixture.session(), Read("i"))
             results.append(reply.is_success)
 
@@ -413,8 +431,9 @@
         """Guards against a stale read: that log may hold what the others lack."""
 
         async def work(fixture: GroupFixture) -> None:
-            fixture.leader.is_unreachable = True
+            await self.write_to_all(fixture)
             fixture.far.term = fixture.far.index = 0
+            await self.fail_leader(fixture)
             reply = await fixture.run(fixture.session(), Read("i"))
             self.assertFalse(reply.is_success)
 
