Leave out two checks of surveys that others imply, and test three rules

Two are implied: a survey begun before a loss covers what the position required after the loss covers, and no position is known at the start. The proof by a sample of another term, a sample proved by another term, and the denied lead of a database that lost its log are tested now.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -82,7 +82,8 @@
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Survey] = deque()
         # When a log that may have held acknowledged commits was last lost, and a
-        # position that covers all commits acknowledged before then.
+        # position that covers all commits acknowledged before then. A process needs it
+        # from its start on, as it does not know what was lost before.
         self._log_lost_at = NEVER
         self._lost_log_covered_by: Position | None = None
 
@@ -114,8 +115,7 @@
         """Replace the group's databases by those that are registered now.
 
         A database that restarted or moved to another address starts with a new member.
-        The log of one that restarted or is gone is lost; so may be others that were
-        gone before this process learned of the group.
+        The log of one that restarted or is gone is lost.
         """
         previous = self.members
         self.members = {}
@@ -145,7 +145,7 @@
         is_lost = (
             self.members.get(name) is not each for name, each in previous.items()
         )
-        if not previous or any(is_lost):
+        if any(is_lost):
             self._log_lost_at = now
             self._lost_log_covered_by = None
         self._choose_leader()
@@ -250,9 +250,7 @@
         position that covers them; the survey does not count otherwise.
         """
         covered_by = self._lost_log_covered_by
-        if asked_at < self._log_lost_at or covered_by is None:
-            return
-        if max(positions) < covered_by:
+        if covered_by is None or max(positions) < covered_by:
             return
         surveys = self._surveys
         surveys.append(Survey(asked_at, max(positions)))
--- a/tests/test_session_evidence.py
+++ b/tests/test_session_evidence.py
@@ -75,6 +75,22 @@
         group.record_position(group.members["r2"], Position(2, 4), asked_at=2.48)
         self.assertFalse(group.is_term_proved(2.6))
 
+    def test_answer_in_one_term_does_not_prove_another(self) -> None:
+        """Guards against a late answer of a replaced primary as proof of the next."""
+        group = make_group()
+        group.record_status(
+            group.members["p"], primary_status(1, Position(1, 5)), asked_at=1.0
+        )
+        group.record_position(group.members["p"], Position(1, 6), asked_at=5.0)
+        group.record_status(
+            group.members["r1"], primary_status(2, Position(2, 7)), asked_at=5.1
+        )
+        group.record_position(group.members["r2"], Position(2, 7), asked_at=5.2)
+        self.assertFalse(group.is_term_proved(5.0))
+        group.record_commit(group.members["r1"], 5.3, Position(2, 8))
+        self.assertTrue(group.is_term_proved(5.0))
+        self.assertIsNone(group.covering_position(4.9))
+
     def test_position_of_a_replica_proves_no_more_when_it_is_repeated(self) -> None:
         group = make_group()
         group.record_status(group.members["p"], status(1, is_primary=True), 0.5)
@@ -119,6 +135,7 @@
             await fixture.run(session, Begin(True), "b")
             reply = await fixture.run(session, Read("i"))
             self.assertFalse(reply.is_success)
+            self.assertIsNone(fixture.fleet.group("s").leader)
 
         run_with_fixture(work)
 
