Require of later reads an own commit whose position is not known

A commit answered without a position required nothing of the session's later reads: with read-your-writes its caller could read a log without it. The session now keeps when such a commit was acknowledged, and its reads on those routes must see everything acknowledged before then.

--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -11,7 +11,7 @@
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.databases.catalog import Route, RouteKind
 from beryltiller.sessions.databases.groups import Group
-from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.member import NEVER, Member
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
 # proxy's zone is preferred until it is this much slower.
@@ -61,16 +61,24 @@
 
 
 def read_requirement(
-    route: Route, arrived_at: float, own: Position | None
+    route: Route,
+    arrived_at: float,
+    own: Position | None,
+    unplaced_own_at: float = NEVER,
 ) -> ReadRequirement:
-    """Return what a read of the route that arrived at `arrived_at` requires."""
+    """Return what a read of the route that arrived at `arrived_at` requires.
+
+    `own` is the position of the session's own commits, and `unplaced_own_at` is when
+    the last one whose position is not known was acknowledged.
+    """
     match route.kind:
         case RouteKind.PRIMARY:
             return ReadRequirement(arrived_at)
         case RouteKind.BOUNDED_STALENESS:
             return ReadRequirement(arrived_at - route.max_staleness_seconds)
         case RouteKind.READ_YOUR_WRITES:
-            return ReadRequirement(arrived_at - route.max_staleness_seconds, own)
+            oldest = arrived_at - route.max_staleness_seconds
+            return ReadRequirement(max(oldest, unplaced_own_at), own)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -6,7 +6,12 @@
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.databases.catalog import Route
-from beryltiller.sessions.databases.placement import Placement, ReadRequirement
+from beryltiller.sessions.databases.member import NEVER
+from beryltiller.sessions.databases.placement import (
+    Placement,
+    ReadRequirement,
+    read_requirement,
+)
 from beryltiller.sessions.statements import (
     PROXY_SIGNATURE,
     Code,
@@ -54,7 +59,8 @@
 class Session:
     """The session of one open caller connection.
 
-    `committed` maps a service to the log position of the session's last commit there.
+    `committed` maps a service to the log position of the session's last commit there,
+    and `unplaced_commits` to when the last one without a position was acknowledged.
     `position` is the log position of the last reply that had one.
     """
 
@@ -63,6 +69,7 @@
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Prepare] = field(default_factory=dict)
     committed: dict[str, Position] = field(default_factory=dict)
+    unplaced_commits: dict[str, float] = field(default_factory=dict)
     transaction: Transaction | None = None
     position: Position | None = None
 
@@ -103,9 +110,24 @@
             case _:
                 return False
 
-    def record_commit(self, service: str, position: Position | None) -> None:
-        """Record the position of a commit, unless a later one is known."""
+    def read_requirement(self, route: Route, arrived_at: float) -> ReadRequirement:
+        """Return what a read of the session that arrived at `arrived_at` requires."""
+        return read_requirement(
+            route,
+            arrived_at,
+            self.committed.get(route.service),
+            self.unplaced_commits.get(route.service, NEVER),
+        )
+
+    def record_commit(
+        self, service: str, position: Position | None, now: float
+    ) -> None:
+        """Record the position of a commit, unless a later one is known.
+
+        A commit that was answered without a position is recorded with the time `now`.
+        """
         if position is None:
+            self.unplaced_commits[service] = now
             return
         last = self.committed.get(service)
         if last is None or position > last:
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -12,7 +12,6 @@
 from beryltiller.sessions.databases.placement import (
     Placement,
     ReadRequirement,
-    read_requirement,
 )
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
@@ -63,9 +62,7 @@
     async def _read(
         self, session: Session, route: Route, request: Request, arrived: float
     ) -> Reply:
-        requirement = read_requirement(
-            route, arrived, session.committed.get(route.service)
-        )
+        requirement = session.read_requirement(route, arrived)
         deadline = arrived + route.timeout_seconds
         last = NotSentError(
             Code.BUSY, f"no database of {route.service} can serve the read"
@@ -153,7 +150,8 @@
                 last = error
                 continue
             if reply.is_success:
-                session.record_commit(route.service, reply.position)
+                now = self._executor.now()
+                session.record_commit(route.service, reply.position, now)
             if reply.code is None or not may_run_elsewhere(reply.code):
                 return reply
             last = NotSentError(reply.code, reply.text)
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -7,7 +7,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
-from beryltiller.sessions.databases.placement import Placement, read_requirement
+from beryltiller.sessions.databases.placement import Placement
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
     StatementExecutor,
@@ -50,9 +50,7 @@
         route = self._executor.route(session.database_name)
         if route is None:
             return session.refuse(Code.NO_ROUTE, session.database_name)
-        requirement = read_requirement(
-            route, arrived, session.committed.get(route.service)
-        )
+        requirement = session.read_requirement(route, arrived)
         session.transaction = Transaction(route, is_read_only, requirement)
         session.state = SessionState.OPEN
         return session.accept()
@@ -276,7 +274,8 @@
                 code = Code.ABORTED
             return session.refuse(code, error.reason)
         if reply.is_success and transaction.has_written:
-            session.record_commit(transaction.route.service, reply.position)
+            now = self._executor.now()
+            session.record_commit(transaction.route.service, reply.position, now)
         session.transaction = None
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -337,6 +337,19 @@
                 route = Route("d", "s", kind, 1.0, 0.4, 1, 1.5)
                 self.assertEqual(read_requirement(route, 10.0, own), expected)
 
+    def test_only_read_your_writes_requires_an_own_commit_without_a_position(
+        self,
+    ) -> None:
+        for kind, acknowledged_before in (
+            (RouteKind.PRIMARY, 10.0),
+            (RouteKind.BOUNDED_STALENESS, 8.5),
+            (RouteKind.READ_YOUR_WRITES, 9.5),
+        ):
+            with self.subTest(kind):
+                route = Route("d", "s", kind, 1.0, 0.4, 1, 1.5)
+                requirement = read_requirement(route, 10.0, None, 9.5)
+                self.assertEqual(requirement.acknowledged_before, acknowledged_before)
+
 
 class RegistryTest(unittest.TestCase):
     """Entries that lapse by mistake, and databases that have departed."""
