--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -284,7 +284,6 @@
     # The newest term known of the group, and that in which the leader reported.
     term: int
     leader_term: int
-    leader_changes: int
     # The log position that the database was required to have, or empty.
     since: str
     # The position that it answered with, or empty.
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -3,8 +3,12 @@
 The leader is the database that this proxy believes to be the primary. Each primary
 leads in a term; a later primary has a higher term. A position in the replicated log is
 a term and an index. A term is proved until a moment if no later term can have begun by
-then. A sample is a position that the leader answered with; a survey is a sample taken
-from all databases except at most one, for when the leader cannot be reached.
+then. A sample is a position that the primary of a term answered with; a survey is a
+position taken from all databases except at most one, for when the leader cannot be
+reached.
+
+An observation counts only for the database that made it and for its term, whichever
+database is believed to be primary when the observation is recorded.
 
 Times are seconds on a clock that also runs while the host is suspended; the caller
 passes them in.
@@ -18,8 +22,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.member import NEVER, Member
-from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.databases.member import NEVER, Lead, Member
+from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
 # A promoting proxy waits this long between fencing the replicas and promoting one.
 PROMOTION_HOLD_SECONDS = 0.4
@@ -48,42 +52,55 @@
     REPLICA_POSITION = "replica position"
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """The kind of an answer, the database that gave it, and when it was asked.
+
+    `source` is empty for a survey.
+    """
+
+    kind: EvidenceKind
+    source: str
+    asked_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """A log position that covers every commit acknowledged before `asked_at`.
+    """The position that the primary of `term`, database `source`, answered with.
 
-    `source` is the database that answered with it, or empty for a survey.
+    It covers every commit acknowledged before `asked_at` if `term` is proved until
+    then: a later term could have acknowledged others.
     """
 
     asked_at: float
     position: Position
-    kind: EvidenceKind = EvidenceKind.SAMPLE
-    source: str = ""
+    term: int
+    source: str
 
 
 @dataclass(frozen=True, slots=True)
-class TermProof:
-    """The newest proof of the leader's term: an answer of `source`, and when asked."""
+class Survey:
+    """A log position that covers every commit acknowledged before `asked_at`."""
 
     asked_at: float
-    kind: EvidenceKind
-    source: str
+    position: Position
 
 
 @dataclass(frozen=True, slots=True)
-class LeaderTerm:
-    """One leader's period, identified by the leader changes so far and its term."""
+class Cover:
+    """A position that covers what a read must see, and the evidence for it."""
 
-    leader_change_count: int
-    term: int
+    position: Position
+    evidence: Evidence
 
 
 class Group:
-    """One service's databases, their leader, and until when its term is proved.
+    """One service's databases, their leader, and until when each term is proved.
 
-    `proved_until` is the newest moment up to which no later term can have begun. Only
-    samples taken at or before that moment are used: a log that reaches the position of
-    such a sample holds every commit acknowledged before its `asked_at`.
+    `_proved_until` maps a term to the newest moment up to which no later term can have
+    begun. Only samples taken in a term at or before that moment are used: a log that
+    reaches the position of such a sample holds every commit acknowledged before its
+    `asked_at`.
     """
 
     def __init__(self, service: str) -> None:
@@ -94,14 +111,15 @@
         self._term = 0
         self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
-        self._leader_change_count = 0
-        self._proved_until = NEVER
-        # Like `_proved_until`, but reset by a change of leader: samples that are proved
-        # stay so, whereas a proof of one leader's term does not count for the next.
-        self._leader_proved_until = NEVER
-        self._newest_proof: TermProof | None = None
+        self._proved_until: dict[int, float] = {}
+        self._newest_proofs: dict[int, Evidence] = {}
         self._samples: deque[Sample] = deque()
-        self._surveys: deque[Sample] = deque()
+        self._surveys: deque[Survey] = deque()
+        # When a log that may have held acknowledged commits was last lost, and a
+        # position that covers all commits acknowledged before then. A process needs it
+        # from its start on, as it does not know what was lost before.
+        self._log_lost_at = NEVER
+        self._lost_log_covered_by: Position | None = None
 
     @property
     def leader(self) -> Member | None:
@@ -114,25 +132,10 @@
         return self._term
 
     @property
-    def leader_term(self) -> LeaderTerm:
-        """Return the current leader's period, to detect a change of leader or term."""
-        leader = self.leader
-        return LeaderTerm(self._leader_change_count, leader.term if leader else 0)
-
-    @property
-    def leader_change_count(self) -> int:
-        """Return how often the believed leader has changed."""
-        return self._leader_change_count
-
-    @property
-    def proved_until(self) -> float:
-        """Return the moment up to which no later term can have begun."""
-        return self._proved_until
-
-    @property
-    def newest_proof(self) -> TermProof | None:
+    def newest_proof(self) -> Evidence | None:
         """Return the newest proof of the leader's term, or None without any."""
-        return self._newest_proof
+        leader = self.leader
+        return self._newest_proofs.get(leader.reported_primary_term) if leader else None
 
     @property
     def last_acknowledged(self) -> Position:
@@ -157,6 +160,7 @@
         """Replace the group's databases by those that are registered now.
 
         A database that restarted or moved to another address starts with a new member.
+        The log of one that restarted or is gone is lost.
         """
         previous = self.members
         self.members = {}
@@ -176,13 +180,19 @@
                 member.primary_serial = (
                     self._next_primary_serial() if database.is_primary else 0
                 )
-                member.reported_primary_term = 0
+                member.lead = None
             member.database = database
             if not database.is_draining:
                 member.draining_since = None
             elif member.draining_since is None:
                 member.draining_since = now
             self.members[database.identifier] = member
+        is_lost = (
+            self.members.get(name) is not each for name, each in previous.items()
+        )
+        if any(is_lost):
+            self._log_lost_at = now
+            self._lost_log_covered_by = None
         self._choose_leader()
 
     def record_lead_denied(self, member: Member) -> None:
@@ -204,30 +214,26 @@
         member.record_position_asked(asked_at)
         if position.term > self._term:
             self._enter_term(position.term)
-        if member.database.identifier == self._leader:
-            self._add_sample(
-                Sample(
-                    asked_at,
-                    position,
-                    EvidenceKind.SAMPLE,
-                    member.database.identifier,
-                )
-            )
-        else:
+        if member is not self.leader:
             self._record_replica_position(member, position)
+        elif member.lead is not None and member.lead.includes(position):
+            self._record_leader_position(member, member.lead, position, asked_at)
 
     def record_commit(
         self, member: Member, asked_at: float, position: Position | None = None
     ) -> None:
         """Record an acknowledged commit, which at least one replica has received.
 
-        If the member is the leader, this proves its term at `asked_at`.
+        If the member is the leader, it was primary in the position's term, and that
+        term was in force at `asked_at`. Without a position the term is not known.
         """
         member.record_acknowledged_write(asked_at)
-        if position is not None and position > self._last_acknowledged:
-            self._last_acknowledged = position
-        if member.database.identifier == self._leader:
-            self._extend_proof(asked_at, EvidenceKind.COMMIT, member)
+        if position is None:
+            return
+        self._last_acknowledged = max(self._last_acknowledged, position)
+        if member is self.leader:
+            member.record_lead(position.term, position)
+            self._extend_proof(position.term, member, EvidenceKind.COMMIT, asked_at)
 
     def record_status(
         self, member: Member, status: DatabaseStatus, asked_at: float
@@ -245,15 +251,17 @@
         if is_newer:
             self._enter_term(status.term)
         if status.is_primary:
-            self._record_primary(member, status.term, is_newer)
+            self._record_primary(member, status, is_newer)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.reported_primary_term and not status.fenced_term:
-            self._extend_proof(asked_at, EvidenceKind.STATUS, member)
+            self._extend_proof(status.term, member, EvidenceKind.STATUS, asked_at)
 
-    def _record_primary(self, member: Member, term: int, is_newer: bool) -> None:
-        """Record that a database reports to be primary in `term`.
+    def _record_primary(
+        self, member: Member, status: DatabaseStatus, is_newer: bool
+    ) -> None:
+        """Record that a database reports to be primary.
 
         A primary of an older term was replaced and has not noticed yet. One of the
         same term may have been replaced by a leader that was not asked yet, so it
@@ -261,11 +269,11 @@
         """
         leader = self.leader
         is_new = leader is None or (member is not leader and is_newer)
-        member.reported_primary_term = term
-        if term >= self._term:
+        member.record_lead(status.term, status.received)
+        if status.term >= self._term:
             member.has_denied_lead = False
             member.has_reported_lead = True
-        if is_new and term >= self._term:
+        if is_new and status.term >= self._term:
             member.primary_serial = self._next_primary_serial()
         self._choose_leader()
 
@@ -283,37 +291,76 @@
     def record_survey(self, positions: tuple[Position, ...], asked_at: float) -> None:
         """Record the received positions of all databases except one.
 
-        An acknowledged commit is in at least two logs, so in at least one of these.
+        A commit acknowledged since the last loss of a log is in at least two logs, so
+        in at least one of these. Earlier ones are if one of these logs reaches a
+        position that covers them; the survey does not count otherwise.
         """
+        covered_by = self._lost_log_covered_by
+        if covered_by is None or max(positions) < covered_by:
+            return
         surveys = self._surveys
-        surveys.append(Sample(asked_at, max(positions), EvidenceKind.SURVEY))
+        surveys.append(Survey(asked_at, max(positions)))
         while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
             surveys.popleft()
 
     def is_term_proved(self, moment: float) -> bool:
-        """Return True if no term later than the leader's can have begun by `moment`."""
-        return self._leader_proved_until >= moment
+        """Return True if no term later than the leader's can have begun by `moment`.
+
+        The leader's log then holds every commit acknowledged before `moment`.
+        """
+        leader = self.leader
+        if leader is None or leader.lead is None:
+            return False
+        return self._is_proved(leader.lead.term, moment)
+
+    def is_answer_proved(
+        self, member: Member, position: Position | None, moment: float
+    ) -> bool:
+        """Return True if the log that a database answered from is complete.
+
+        It holds every commit acknowledged before `moment` if the database leads in a
+        term proved until then, and answered with a position of that term's primary.
+        """
+        if member is not self.leader or not self.is_term_proved(moment):
+            return False
+        lead = member.lead
+        return lead is not None and lead.includes(position or NO_POSITION)
 
     def covering_position(self, moment: float) -> Position | None:
         """Return a position that covers all commits acknowledged before `moment`.
 
         Return None if no proved position is new enough.
         """
-        sample = self.covering_sample(moment)
-        return sample.position if sample else None
+        cover = self.cover(moment)
+        return cover.position if cover else None
+
+    def cover(self, moment: float) -> Cover | None:
+        """Return what covers all commits acknowledged before `moment`, or None."""
+        sample = self._proved_sample(moment)
+        if sample is not None:
+            evidence = Evidence(EvidenceKind.SAMPLE, sample.source, sample.asked_at)
+            return Cover(sample.position, evidence)
+        for survey in self._surveys:
+            if survey.asked_at >= moment:
+                evidence = Evidence(EvidenceKind.SURVEY, "", survey.asked_at)
+                return Cover(survey.position, evidence)
+        return None
 
-    def covering_sample(self, moment: float) -> Sample | None:
-        """Return the oldest sample or survey that covers `moment`, or None."""
+    def _proved_sample(self, moment: float) -> Sample | None:
+        """Return the first proved sample since `moment`, or None."""
         for sample in self._samples:
-            if sample.asked_at > self._proved_until:
-                break
-            if sample.asked_at >= moment:
-                return sample
-        for sample in self._surveys:
-            if sample.asked_at >= moment:
+            if sample.asked_at < moment:
+                continue
+            if self._is_proved(sample.term, sample.asked_at):
                 return sample
         return None
 
+    def _cover_lost_log(self) -> None:
+        """Look for a position that covers what the lost log may have held."""
+        if self._lost_log_covered_by is None:
+            sample = self._proved_sample(self._log_lost_at)
+            self._lost_log_covered_by = sample.position if sample else None
+
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
 
@@ -329,32 +376,53 @@
         )
         return max(0.0, asked_at - next(missing, asked_at))
 
+    def _record_leader_position(
+        self, member: Member, lead: Lead, position: Position, asked_at: float
+    ) -> None:
+        """Add a sample, unless the leader has answered with a later position before.
+
+        Answers may be recorded in another order than they were given, or be those of a
+        process that has restarted and lost its log.
+        """
+        if lead.answered is None or position >= lead.answered:
+            member.record_lead_position(position)
+            source = member.database.identifier
+            self._add_sample(Sample(asked_at, position, lead.term, source))
+
     def _record_replica_position(self, member: Member, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
 
-        An entry beyond the position that the leader answered with was written after
-        the leader was asked, and received by a replica that was not fenced then.
+        An entry beyond the position that the leader answered with in this term was
+        written after the leader was asked, and received by a replica that was not
+        fenced then.
         """
         leader = self.leader
         if leader is None or position.term != leader.reported_primary_term:
             return
         for sample in reversed(self._samples):
-            if sample.asked_at + TERM_PROOF_SECONDS <= self._proved_until:
+            if self._is_proved(position.term, sample.asked_at + TERM_PROOF_SECONDS):
                 return
-            if sample.position < position:
-                self._extend_proof(
-                    sample.asked_at, EvidenceKind.REPLICA_POSITION, member
-                )
+            if sample.term == position.term and sample.position < position:
+                kind = EvidenceKind.REPLICA_POSITION
+                self._extend_proof(position.term, member, kind, sample.asked_at)
                 return
 
+    def _is_proved(self, term: int, moment: float) -> bool:
+        return self._proved_until.get(term, NEVER) >= moment
+
     def _extend_proof(
-        self, asked_at: float, kind: EvidenceKind, source: Member
+        self, term: int, source: Member, kind: EvidenceKind, asked_at: float
     ) -> None:
+        proved_until = self._proved_until
         until = asked_at + TERM_PROOF_SECONDS
-        if until > self._leader_proved_until:
-            self._newest_proof = TermProof(asked_at, kind, source.database.identifier)
-        self._proved_until = max(self._proved_until, until)
-        self._leader_proved_until = max(self._leader_proved_until, until)
+        if until > proved_until.get(term, NEVER):
+            proved_until[term] = until
+            identifier = source.database.identifier
+            self._newest_proofs[term] = Evidence(kind, identifier, asked_at)
+        for each in tuple(proved_until):
+            if proved_until[each] < asked_at - SAMPLE_RETENTION_SECONDS:
+                del proved_until[each], self._newest_proofs[each]
+        self._cover_lost_log()
 
     def _add_sample(self, sample: Sample) -> None:
         samples = self._samples
@@ -365,10 +433,10 @@
         samples.append(sample)
         while samples[0].asked_at < sample.asked_at - SAMPLE_RETENTION_SECONDS:
             samples.popleft()
+        self._cover_lost_log()
 
     def _enter_term(self, term: int) -> None:
         self._term = term
-        self._drop_unproved_samples()
         self._choose_leader()
 
     def _next_primary_serial(self) -> int:
@@ -388,22 +456,12 @@
             return member.reported_primary_term >= self._term
         return member.primary_serial >= self._newest_primary_serial
 
-    def _drop_unproved_samples(self) -> None:
-        while self._samples and self._samples[-1].asked_at > self._proved_until:
-            self._samples.pop()
-
     def _choose_leader(self) -> None:
         candidates = [
             each for each in self.members.values() if self._is_credible_leader(each)
         ]
         leader = max(candidates, key=_leader_rank, default=None)
-        identifier = leader.database.identifier if leader else None
-        if identifier != self._leader:
-            self._leader = identifier
-            self._leader_change_count += 1
-            self._leader_proved_until = NEVER
-            self._newest_proof = None
-            self._drop_unproved_samples()
+        self._leader = leader.database.identifier if leader else None
 
 
 def _leader_rank(member: Member) -> tuple[int, int, str]:
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -10,8 +10,8 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.databases.catalog import Route, RouteKind
-from beryltiller.sessions.databases.groups import Group, Sample
-from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.groups import Cover, Group
+from beryltiller.sessions.databases.member import NEVER, Member
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
 # proxy's zone is preferred until it is this much slower.
@@ -50,28 +50,37 @@
 class Placement:
     """The database chosen for a statement, whose log must reach `since`.
 
-    `since` is None if any log is sufficient, as at the leader. `needs_proof` is True at
-    the leader: the answer counts only with proof that the leader's term is in force.
-    `cover` is the sample or survey that `since` was taken from, if any.
+    `since` is None if no position is required. `needs_proof` is True at the leader: the
+    answer counts only with proof that the leader's term is in force. Its log must reach
+    what it answered with before in this term, as its process may have restarted.
+    `cover` is what a replica's `since` covers the required commits by.
     """
 
     member: Member
     since: Position | None
     needs_proof: bool
-    cover: Sample | None = None
+    cover: Cover | None = None
 
 
 def read_requirement(
-    route: Route, arrived_at: float, own: Position | None
+    route: Route,
+    arrived_at: float,
+    own: Position | None,
+    unplaced_own_at: float = NEVER,
 ) -> ReadRequirement:
-    """Return what a read of the route that arrived at `arrived_at` requires."""
+    """Return what a read of the route that arrived at `arrived_at` requires.
+
+    `own` is the position of the session's own commits, and `unplaced_own_at` is when
+    the last one whose position is not known was acknowledged.
+    """
     match route.kind:
         case RouteKind.PRIMARY:
             return ReadRequirement(arrived_at)
         case RouteKind.BOUNDED_STALENESS:
             return ReadRequirement(arrived_at - route.max_staleness_seconds)
         case RouteKind.READ_YOUR_WRITES:
-            return ReadRequirement(arrived_at - route.max_staleness_seconds, own)
+            oldest = arrived_at - route.max_staleness_seconds
+            return ReadRequirement(max(oldest, unplaced_own_at), own)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,9 +106,8 @@
         `tried` names databases that already refused this read; `supply_of` returns how
         soon a connection to a member is available.
         """
-        cover = group.covering_sample(requirement.acknowledged_before)
-        covering = cover.position if cover else None
-        since = _later(covering, requirement.own_position)
+        cover = group.cover(requirement.acknowledged_before)
+        since = _later(cover.position if cover else None, requirement.own_position)
         leader = group.leader
         best: Placement | None = None
         best_cost = float("inf")
@@ -107,7 +115,7 @@
             is_leader = member is leader
             if identifier in tried or not member.is_available(now):
                 continue
-            if member.database.is_draining or (covering is None and not is_leader):
+            if member.database.is_draining or (cover is None and not is_leader):
                 continue
             cost = self._cost(member, is_leader, since, now)
             cost += _supply_cost_seconds(supply_of(member))
@@ -128,7 +136,7 @@
         draining_since = leader.draining_since
         if draining_since is not None and now > draining_since + self.drain_seconds:
             return None
-        return Placement(leader, None, needs_proof=True)
+        return _leader_placement(leader)
 
     def _cost(
         self, member: Member, is_leader: bool, since: Position | None, now: float
@@ -152,13 +160,18 @@
 
 
 def _placement(
-    member: Member, is_leader: bool, since: Position | None, cover: Sample | None
+    member: Member, is_leader: bool, since: Position | None, cover: Cover | None
 ) -> Placement:
     if is_leader:
-        return Placement(member, None, needs_proof=True)
+        return _leader_placement(member)
     return Placement(member, since, needs_proof=False, cover=cover)
 
 
+def _leader_placement(leader: Member) -> Placement:
+    since = leader.lead.answered if leader.lead else None
+    return Placement(leader, since, needs_proof=True)
+
+
 def _is_behind(member: Member, since: Position | None) -> bool:
     return since is not None and (member.applied is None or member.applied < since)
 
--- a/src/beryltiller/sessions/read_log.py
+++ b/src/beryltiller/sessions/read_log.py
@@ -9,18 +9,11 @@
 
 from beryltiller.core.position import Position
 from beryltiller.observability import logs
-from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.groups import Evidence, Group
 from beryltiller.sessions.databases.placement import Placement, ReadRequirement
 from beryltiller.sessions.statements import Reply
 
 
-@dataclass(frozen=True, slots=True)
-class _Evidence:
-    kind: str = ""
-    source: str = ""
-    asked_at: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class ReadLog:
     """Writes a line for each read if it is enabled."""
@@ -41,7 +34,6 @@
             return
         member = placement.member
         evidence = _evidence(group, placement)
-        asked_at = now if evidence.asked_at is None else evidence.asked_at
         logs.log(
             logs.ReadRan(
                 request=identifier,
@@ -50,31 +42,26 @@
                 incarnation=member.database.incarnation,
                 role="leader" if placement.needs_proof else "replica",
                 term=group.term,
-                leader_term=group.leader_term.term,
-                leader_changes=group.leader_change_count,
+                leader_term=group.leader.reported_primary_term if group.leader else 0,
                 since=_position_text(placement.since),
                 position=_position_text(reply.position),
                 own_position=_position_text(requirement.own_position),
                 required_age_seconds=round(now - requirement.acknowledged_before, 3),
-                evidence=evidence.kind,
-                evidence_source=evidence.source,
-                evidence_age_seconds=round(now - asked_at, 3),
+                evidence=evidence.kind.value if evidence else "",
+                evidence_source=evidence.source if evidence else "",
+                evidence_age_seconds=(
+                    round(now - evidence.asked_at, 3) if evidence else 0.0
+                ),
                 code=reply.code.name.lower() if reply.code else "",
             )
         )
 
 
-def _evidence(group: Group, placement: Placement) -> _Evidence:
+def _evidence(group: Group, placement: Placement) -> Evidence | None:
     """Return the proof of the leader's term, or the cover of a replica's read."""
     if placement.needs_proof:
-        proof = group.newest_proof
-        if proof is None:
-            return _Evidence()
-        return _Evidence(proof.kind.value, proof.source, proof.asked_at)
-    cover = placement.cover
-    if cover is None:
-        return _Evidence()
-    return _Evidence(cover.kind.value, cover.source, cover.asked_at)
+        return group.newest_proof
+    return placement.cover.evidence if placement.cover else None
 
 
 def _position_text(position: Position | None) -> str:
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -4,8 +4,10 @@
 statement that may have run inside a transaction is not run again elsewhere.
 """
 
-from beryltiller.sessions.databases.groups import Group, LeaderTerm
-from beryltiller.sessions.databases.placement import Placement, read_requirement
+from beryltiller.core.position import Position
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.placement import Placement
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
     StatementExecutor,
@@ -48,9 +50,7 @@
         route = self._executor.route(session.database_name)
         if route is None:
             return session.refuse(Code.NO_ROUTE, session.database_name)
-        requirement = read_requirement(
-            route, arrived, session.committed.get(route.service)
-        )
+        requirement = session.read_requirement(route, arrived)
         session.transaction = Transaction(route, is_read_only, requirement)
         session.state = SessionState.OPEN
         return session.accept()
@@ -207,7 +207,6 @@
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
         retry_until = self._executor.now() + wait
-        changes = group.leader_change_count
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
@@ -239,8 +238,9 @@
             await self._executor.roll_back(transaction)
             return None
         if placement.needs_proof:
-            leader_term = LeaderTerm(changes, placement.member.term)
-            await self._prove_term(transaction, group, leader_term, deadline)
+            await self._prove_term(
+                transaction, group, placement.member, reply.position, deadline
+            )
         self._log_read(session, transaction, request, placement, reply)
         return reply
 
@@ -248,7 +248,8 @@
         self,
         transaction: Transaction,
         group: Group,
-        leader_term: LeaderTerm,
+        member: Member,
+        position: Position | None,
         deadline: float,
     ) -> None:
         """Prove the leader's term, or roll back and raise `BrokenError`.
@@ -258,7 +259,7 @@
         """
         try:
             await self._executor.prove_term(
-                group, leader_term, transaction.requirement, deadline
+                group, member, position, transaction.requirement, deadline
             )
         except NotSentError as error:
             await self._executor.roll_back(transaction)
@@ -291,7 +292,8 @@
                 code = Code.ABORTED
             return session.refuse(code, error.reason)
         if reply.is_success and transaction.has_written:
-            session.record_commit(transaction.route.service, reply.position)
+            now = self._executor.now()
+            session.record_commit(transaction.route.service, reply.position, now)
         session.transaction = None
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -55,10 +55,11 @@
     the connection breaks. `refuse` maps a statement type to the code it is refused
     with, and `refuse_start` is the code for new connections. An `is_unreachable`
     database accepts no connections and answers nothing. If `is_replaced`, another
-    database answers at its address. `late` maps a command's type to the seconds after
-    which it is carried out, without an answer. `ran` lists the requests that ran, each
-    with the number of its connection; `attempts` counts all connection attempts,
-    `connections` those that succeeded and `closed` those of them that were closed.
+    database answers at its address. If it `hides_position`, its answers have none.
+    `late` maps a command's type to the seconds after which it is carried out, without
+    an answer. `ran` lists the requests that ran, each with the number of its
+    connection; `attempts` counts all connection attempts, `connections` those that
+    succeeded and `closed` those of them that were closed.
     """
 
     identifier: str
@@ -75,6 +76,7 @@
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
     is_replaced: bool = False
+    hides_position: bool = False
     connections: int = 0
     closed: int = 0
     attempts: int = 0
@@ -166,7 +168,8 @@
             return Reply(self.state, code=code, position=database.position)
         self._advance(request)
         rows = ("row",) if kind in (Read, Execute) else ()
-        return Reply(self.state, rows, signature="signed", position=database.position)
+        position = None if database.hides_position else database.position
+        return Reply(self.state, rows, signature="signed", position=position)
 
     def _refusal(self, request: Request) -> Code | None:
         database = self.database
