Count a leader's term as proved only while it shows that it still leads

What callers saw: on the large deployment a read on a primary route was served from a log at 1:46 that lacked commit 2:47.

Cause: a replica that is not fenced was taken to show that no later term has begun. It does not after a promote, which ends all fences before each replica has heard of the new term, nor if a succession went on without it, as the primary had stepped down.

A term is now proved by two answers: of a replica that is not fenced, and of the leader that it still leads. The leader shows it by a commit, by accepting the begin of a transaction that may write, or when asked for it; that takes no slot.

The test that one status proved the term now asks for both answers.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -16,11 +16,14 @@
     ReplacedError,
 )
 from beryltiller.sessions.statements import (
+    Begin,
     Code,
     DatabaseStatus,
     ProxyCommand,
     Reply,
     Request,
+    Rollback,
+    SessionState,
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.6
@@ -121,6 +124,20 @@
         except wire.WireError as error:
             raise BrokenError(str(error)) from error
 
+    async def is_primary(self) -> bool:
+        """Return True if the database accepts transactions that write.
+
+        A transaction is begun and rolled back at once: unlike a status query, neither
+        takes a slot. A replica refuses the begin.
+        """
+        begin, rollback = Request(Begin()), Request(Rollback())
+        begun, ended = await self.send_requests((begin, rollback))
+        if ended.state is not SessionState.IDLE:
+            raise BrokenError("the transaction could not be rolled back")
+        if begun.code is not None and begun.code is not Code.READ_ONLY:
+            raise NotSentError(begun.code, begun.text)
+        return begun.is_success
+
     def close(self) -> None:
         """Close the connection; the database rolls back its open transaction."""
         if self._transport is not None:
--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -45,6 +45,14 @@
         """
         ...
 
+    async def is_primary(self) -> bool:
+        """Return True if the database accepts transactions that write.
+
+        It runs no statement and takes no slot. Raise `NotSentError` if the database
+        refuses to answer and `BrokenError` if it does not answer.
+        """
+        ...
+
     def close(self) -> None:
         """Close the connection; the database rolls back its open transaction."""
         ...
@@ -104,6 +112,10 @@
         """Run a status query, or a command that changes the database's role."""
         return await self._connection.command(statement)
 
+    async def is_primary(self) -> bool:
+        """Return True if the database accepts transactions that write."""
+        return await self._connection.is_primary()
+
     def close(self) -> None:
         """Close the connection; the database rolls back its open transaction."""
         self._connection.close()
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionPoolPolicy,
@@ -56,6 +57,7 @@
 
 Connect = Callable[[Database], Awaitable[DatabaseConnection]]
 PoolKey = tuple[str, str, int]
+_Answer = TypeVar("_Answer")
 
 
 @dataclass(frozen=True, slots=True)
@@ -332,26 +334,53 @@
             pool.close()
 
     async def _prove_term(self, group: Group) -> None:
-        """Query replicas, nearest first, until one proves the leader's term."""
+        """Prove the leader's term: it still leads, and some replica is not fenced.
+
+        A replica that was not fenced does not show that the leader has not stepped
+        down, after which a succession may go on without that replica.
+        """
         try:
-            for member in self._replicas_by_distance(group):
-                asked_at = self._clock()
-                try:
-                    status = await self.ask_status(member)
-                except (SessionError, TimeoutError) as error:
-                    self._record_query_failure(member, error)
-                    continue
-                group.record_status(member, status, asked_at)
-                leader = group.leader
-                if leader is not None and leader.reported_primary_term != status.term:
-                    # The replica's status proves only a term that the leader reported.
-                    await self._query_leader(group, leader, status.term)
-                    group.record_status(member, status, asked_at)
-                if group.is_term_proved(asked_at):
-                    return
+            await asyncio.gather(self._confirm_lead(group), self._query_fence(group))
         finally:
             del self._proofs[group.service]
 
+    async def _confirm_lead(self, group: Group) -> None:
+        """Ask the leader whether it is still primary, unless it showed so recently."""
+        leader = group.leader
+        asked_at = self._clock()
+        if leader is None or group.is_lead_shown(asked_at):
+            return
+        pool = self.connection_pool(leader.database)
+        try:
+            async with asyncio.timeout(2 * STATUS_TIMEOUT_SECONDS):
+                connection = await pool.acquire({}, STATUS_TIMEOUT_SECONDS)
+                is_primary = await _run_query(pool, connection, connection.is_primary())
+        except (SessionError, TimeoutError) as error:
+            self._record_query_failure(leader, error)
+            return
+        if is_primary:
+            group.record_lead(leader, asked_at)
+        else:
+            group.record_lead_denied(leader)
+
+    async def _query_fence(self, group: Group) -> None:
+        """Query replicas, nearest first, until one shows that it is not fenced."""
+        for member in self._replicas_by_distance(group):
+            asked_at = self._clock()
+            try:
+                status = await self.ask_status(member)
+            except (SessionError, TimeoutError) as error:
+                self._record_query_failure(member, error)
+                continue
+            group.record_status(member, status, asked_at)
+            leader = group.leader
+            if leader is not None and leader.reported_primary_term != status.term:
+                # The replica's status proves only a term that the leader reported.
+                await self._query_leader(group, leader, status.term)
+                group.record_status(member, status, asked_at)
+            if group.is_unfenced(asked_at):
+                return
+
     async def _survey(self, group: Group) -> None:
         try:
             asked_at = self._clock()
@@ -452,8 +481,15 @@
     pool: ConnectionPool, connection: PooledConnection, statement: ProxyCommand
 ) -> DatabaseStatus:
     """Run a command on an acquired connection, and release the connection."""
+    return await _run_query(pool, connection, connection.command(statement))
+
+
+async def _run_query(
+    pool: ConnectionPool, connection: PooledConnection, query: Awaitable[_Answer]
+) -> _Answer:
+    """Await a query on an acquired connection, and release the connection."""
     try:
-        status = await connection.command(statement)
+        answer = await query
     except NotSentError:
         # A database too busy to answer leaves the connection open.
         pool.release(connection)
@@ -462,7 +498,7 @@
         pool.discard(connection)
         raise
     pool.release(connection)
-    return status
+    return answer
 
 
 def _pool_key(database: Database) -> PoolKey:
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -97,10 +97,11 @@
 class Group:
     """One service's databases, their leader, and until when each term is proved.
 
-    `_proved_until` maps a term to the newest moment up to which no later term can have
-    begun. Only samples taken in a term at or before that moment are used: a log that
-    reaches the position of such a sample holds every commit acknowledged before its
-    `asked_at`.
+    A term is proved until the earlier of two moments, kept for each term: until
+    `_unfenced_until` no later term can have begun unless its primary had stepped down,
+    and until `_led_until` its primary had not, or no later term had begun. Only samples
+    taken in a term at or before both are used: a log that reaches the position of such
+    a sample holds every commit acknowledged before its `asked_at`.
     """
 
     def __init__(self, service: str) -> None:
@@ -111,7 +112,8 @@
         self._term = 0
         self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
-        self._proved_until: dict[int, float] = {}
+        self._unfenced_until: dict[int, float] = {}
+        self._led_until: dict[int, float] = {}
         self._newest_proofs: dict[int, Evidence] = {}
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Survey] = deque()
@@ -233,6 +235,7 @@
         self._last_acknowledged = max(self._last_acknowledged, position)
         if member is self.leader:
             member.record_lead(position.term, position)
+            self._extend_lead(position.term, asked_at)
             self._extend_proof(position.term, member, EvidenceKind.COMMIT, asked_at)
 
     def record_status(
@@ -252,6 +255,7 @@
             self._enter_term(status.term)
         if status.is_primary:
             self._record_primary(member, status, is_newer)
+            self.record_lead(member, asked_at)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
@@ -277,6 +281,11 @@
             member.primary_serial = self._next_primary_serial()
         self._choose_leader()
 
+    def record_lead(self, member: Member, asked_at: float) -> None:
+        """Record that a database showed that it is primary when it was asked."""
+        if member is self.leader and member.lead is not None:
+            self._extend_lead(member.lead.term, asked_at)
+
     def leaders_to_confirm(self) -> tuple[Member, ...]:
         """Return the databases to be asked whether they are primary.
 
@@ -313,6 +322,16 @@
             return False
         return self._is_proved(leader.lead.term, moment)
 
+    def is_lead_shown(self, moment: float) -> bool:
+        """Return True if the leader has shown recently that it is still primary."""
+        term = self.leader.reported_primary_term if self.leader else 0
+        return self._led_until.get(term, NEVER) >= moment
+
+    def is_unfenced(self, moment: float) -> bool:
+        """Return True if a replica has shown recently that it was not fenced."""
+        term = self.leader.reported_primary_term if self.leader else 0
+        return self._unfenced_until.get(term, NEVER) >= moment
+
     def is_answer_proved(
         self, member: Member, position: Position | None, moment: float
     ) -> bool:
@@ -404,24 +423,28 @@
                 return
             if sample.term == position.term and sample.position < position:
                 kind = EvidenceKind.REPLICA_POSITION
+                self._extend_lead(position.term, sample.asked_at)
                 self._extend_proof(position.term, member, kind, sample.asked_at)
                 return
 
     def _is_proved(self, term: int, moment: float) -> bool:
-        return self._proved_until.get(term, NEVER) >= moment
+        unfenced_until = self._unfenced_until.get(term, NEVER)
+        led_until = self._led_until.get(term, NEVER)
+        return min(unfenced_until, led_until) >= moment
 
     def _extend_proof(
         self, term: int, source: Member, kind: EvidenceKind, asked_at: float
     ) -> None:
-        proved_until = self._proved_until
-        until = asked_at + TERM_PROOF_SECONDS
-        if until > proved_until.get(term, NEVER):
-            proved_until[term] = until
+        """Record that a replica was not fenced in a term when `source` was asked."""
+        if _extend(self._unfenced_until, term, asked_at):
             identifier = source.database.identifier
             self._newest_proofs[term] = Evidence(kind, identifier, asked_at)
-        for each in tuple(proved_until):
-            if proved_until[each] < asked_at - SAMPLE_RETENTION_SECONDS:
-                del proved_until[each], self._newest_proofs[each]
+        for each in self._newest_proofs.keys() - self._unfenced_until.keys():
+            del self._newest_proofs[each]
+        self._cover_lost_log()
+
+    def _extend_lead(self, term: int, asked_at: float) -> None:
+        _extend(self._led_until, term, asked_at)
         self._cover_lost_log()
 
     def _add_sample(self, sample: Sample) -> None:
@@ -464,6 +487,20 @@
         self._leader = leader.database.identifier if leader else None
 
 
+def _extend(until_of: dict[int, float], term: int, asked_at: float) -> bool:
+    """Extend until when evidence for a term counts, and drop what is of no use.
+
+    Return True if this evidence is the newest.
+    """
+    is_newest = asked_at + TERM_PROOF_SECONDS > until_of.get(term, NEVER)
+    if is_newest:
+        until_of[term] = asked_at + TERM_PROOF_SECONDS
+    for each in tuple(until_of):
+        if until_of[each] < asked_at - SAMPLE_RETENTION_SECONDS:
+            del until_of[each]
+    return is_newest
+
+
 def _leader_rank(member: Member) -> tuple[int, int, str]:
     """Rank by the latest change to primary, then by the newest term."""
     return member.primary_serial, member.term, member.database.identifier
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -23,6 +23,7 @@
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
 from beryltiller.sessions.statements import (
+    Begin,
     Code,
     Commit,
     Execute,
@@ -274,6 +275,8 @@
                 member.record_latency(now - asked_at)
                 if _is_commit_of_write(session, request):
                     group.record_commit(member, asked_at, reply.position)
+                elif isinstance(request.statement, Begin) and placement.needs_proof:
+                    self._record_begun(group, member, request.statement, asked_at)
             case Code.LAGGING if placement.needs_proof:
                 # It has lost what it answered with while it led.
                 group.record_lead_denied(member)
@@ -286,6 +289,13 @@
         # Recorded last, as the reply decides whose position it is.
         group.record_position(member, reply.position, asked_at)
 
+    def _record_begun(
+        self, group: Group, member: Member, begin: Begin, asked_at: float
+    ) -> None:
+        """Record a begin, which only a primary accepts unless it is read-only."""
+        if not begin.is_read_only:
+            group.record_lead(member, asked_at)
+
     def log_read(
         self,
         request: Request,
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -150,6 +150,12 @@
             case AskStatus() | Reset():
                 pass
 
+    async def is_primary(self) -> bool:
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        if self.database.is_unreachable:
+            await asyncio.Event().wait()
+        return self.database.is_primary
+
     def close(self) -> None:
         self.database.closed += self._is_open
         self._is_open = False
--- a/tests/loaded_database.py
+++ b/tests/loaded_database.py
@@ -134,6 +134,10 @@
             database.is_primary, database.term, received, database.fenced_term
         )
 
+    async def is_primary(self) -> bool:
+        await asyncio.sleep(2 * HOP_SECONDS)
+        return self._database.is_primary
+
     def close(self) -> None:
         if self._is_open:
             self._is_open = False
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -142,7 +142,17 @@
         self.assertTrue(group.is_term_proved(2.0 + TERM_PROOF_SECONDS))
         self.assertFalse(group.is_term_proved(2.01 + TERM_PROOF_SECONDS))
         group.record_status(group.members["r1"], status(1), 3.0)
-        self.assertTrue(group.is_term_proved(3.0))
+        self.assertFalse(group.is_term_proved(3.0))
+        group.record_lead(group.members["p"], 3.1)
+        self.assertTrue(group.is_term_proved(3.0 + TERM_PROOF_SECONDS))
+        self.assertFalse(group.is_term_proved(3.01 + TERM_PROOF_SECONDS))
+
+    def test_lead_is_shown_by_the_leader_alone(self) -> None:
+        """Guards against a replica's claim that proves the leader's term."""
+        group = self.proved_group()
+        group.record_status(group.members["r1"], status(1), 3.0)
+        group.record_lead(group.members["r1"], 3.0)
+        self.assertFalse(group.is_term_proved(3.0))
 
     def test_other_observations_do_not_prove_the_term(self) -> None:
         cases = (
