--- /dev/null
+++ b/tests/simulated_faults.py
@@ -0,0 +1,313 @@
+"""Faults of a simulated group, its proxies and the store, drawn from a seed."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from tests.simulated_databases import LAG_SECONDS, STORE, SimulatedDatabase
+from tests.simulated_sessions import FREEZE_SECONDS, SimulatedProxy, Simulation
+
+LONG_LAG_SECONDS = 4.0
+DRAIN_SECONDS = 6.0
+
+
+@unique
+class FaultKind(Enum):
+    """What goes wrong."""
+
+    CUT_REPLICAS = "the primary is cut off from its replicas"
+    CUT_PROXIES = "the primary is cut off from some proxies"
+    CUT_ALL = "the primary is cut off from everything"
+    CUT_HALF = "the primary, a replica and some proxies are cut off from the rest"
+    CUT_STORE = "a database is cut off from the store"
+    CRASH_PRIMARY = "the primary's process ends and comes back with its log"
+    LOSE_PRIMARY = "the primary's host is off for a time"
+    CRASH_REPLICA = "a replica's process ends and comes back with its log"
+    EMPTY_RESTART = "a database comes back with an empty log"
+    LAG = "a replica applies its log late"
+    DEAF = "a replica receives nothing"
+    DRAIN_PRIMARY = "the primary leaves, and another takes its place"
+    DRAIN_REPLICA = "a replica leaves, and another takes its place"
+    FREEZE = "a proxy stands still"
+    FREEZE_HOLDER = "a proxy stands still during a succession"
+    RESTART = "a proxy restarts"
+    STORE_REFUSES = "the store refuses some proxies"
+    STORE_DOWN = "the store is down"
+    SLOW = "messages arrive late, and some are lost"
+    OVERLOAD = "a database refuses most statements"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault at a time for some seconds; `choice`, from 0 to 1, draws its subject."""
+
+    kind: FaultKind
+    at: float
+    seconds: float
+    choice: float
+
+    async def __call__(self, simulation: Simulation) -> None:
+        await asyncio.sleep(max(0.0, self.at - simulation.now()))
+        simulation.checker.trace(f"FAULT {self.kind.name} for {self.seconds:.2f} s")
+        await _Injection(simulation, self).run()
+        simulation.checker.trace(f"END OF {self.kind.name}")
+
+
+def draw_faults(
+    seed: int,
+    kinds: Iterable[FaultKind] = tuple(FaultKind),
+    count: int = 10,
+    until: float = 24.0,
+) -> tuple[Fault, ...]:
+    """Draw faults of some kinds, at any time between 2 s and `until`."""
+    rng = random.Random(seed)
+    choices = tuple(kinds)
+    drawn = [
+        Fault(
+            rng.choice(choices),
+            rng.uniform(2.0, until),
+            rng.choice((rng.uniform(0.2, 1.5), rng.uniform(1.0, 6.0))),
+            rng.random(),
+        )
+        for _ in range(count)
+    ]
+    return tuple(sorted(drawn, key=lambda each: each.at))
+
+
+class _Injection:
+    """Carries out one fault."""
+
+    def __init__(self, simulation: Simulation, fault: Fault) -> None:
+        self._simulation = simulation
+        self._group = simulation.group
+        self._fault = fault
+
+    async def run(self) -> None:
+        """Begin the fault, and end it after its time."""
+        at_primary = {
+            FaultKind.CUT_REPLICAS: self._cut_replicas,
+            FaultKind.CUT_PROXIES: self._cut_proxies,
+            FaultKind.CUT_ALL: self._cut_all,
+            FaultKind.CUT_HALF: self._cut_half,
+            FaultKind.CRASH_PRIMARY: self._crash,
+            FaultKind.LOSE_PRIMARY: self._lose,
+            FaultKind.DRAIN_PRIMARY: self._drain,
+        }
+        at_replica = {
+            FaultKind.CRASH_REPLICA: self._crash,
+            FaultKind.LAG: self._lag,
+            FaultKind.DEAF: self._make_deaf,
+            FaultKind.DRAIN_REPLICA: self._drain,
+        }
+        at_database = {
+            FaultKind.CUT_STORE: self._cut_store,
+            FaultKind.EMPTY_RESTART: self._restart_empty,
+            FaultKind.OVERLOAD: self._overload,
+        }
+        elsewhere = {
+            FaultKind.FREEZE: self._freeze,
+            FaultKind.FREEZE_HOLDER: self._freeze_holders,
+            FaultKind.RESTART: self._restart_proxy,
+            FaultKind.STORE_REFUSES: self._refuse_some,
+            FaultKind.STORE_DOWN: self._stop_store,
+            FaultKind.SLOW: self._slow_network,
+        }
+        kind, primary = self._fault.kind, self._group.primary
+        if kind in elsewhere:
+            await elsewhere[kind]()
+        elif kind in at_database:
+            await at_database[kind](self._any_database())
+        elif kind in at_replica:
+            await at_replica[kind](self._replica())
+        elif primary is not None:
+            await at_primary[kind](primary)
+
+    async def _cut_replicas(self, primary: SimulatedDatabase) -> None:
+        await self._cut([primary.host], self._other_hosts(primary))
+
+    async def _cut_proxies(self, primary: SimulatedDatabase) -> None:
+        await self._cut([primary.host], self._some_proxies())
+
+    async def _cut_all(self, primary: SimulatedDatabase) -> None:
+        others = [*self._other_hosts(primary), *self._proxies(), STORE]
+        await self._cut([primary.host], others)
+
+    async def _cut_store(self, database: SimulatedDatabase) -> None:
+        await self._cut([database.host], [STORE])
+
+    async def _lag(self, replica: SimulatedDatabase) -> None:
+        replica.lag_seconds = LONG_LAG_SECONDS
+        await asyncio.sleep(self._fault.seconds)
+        replica.lag_seconds = LAG_SECONDS
+
+    async def _make_deaf(self, replica: SimulatedDatabase) -> None:
+        replica.is_deaf = True
+        await asyncio.sleep(self._fault.seconds)
+        replica.is_deaf = False
+
+    async def _overload(self, database: SimulatedDatabase) -> None:
+        database.is_overloaded = True
+        await asyncio.sleep(self._fault.seconds)
+        database.is_overloaded = False
+
+    async def _freeze(self) -> None:
+        self._simulation.freeze(self._proxy())
+
+    async def _freeze_holders(self) -> None:
+        self._simulation.freezes_holders = True
+        await asyncio.sleep(self._fault.seconds + FREEZE_SECONDS)
+        self._simulation.freezes_holders = False
+
+    async def _restart_proxy(self) -> None:
+        self._proxy().restart()
+
+    async def _refuse_some(self) -> None:
+        await self._refuse(self._some_proxies())
+
+    async def _stop_store(self) -> None:
+        self._simulation.store.is_down = True
+        await asyncio.sleep(self._fault.seconds)
+        self._simulation.store.is_down = False
+
+    async def _slow_network(self) -> None:
+        self._simulation.network.is_slow = True
+        await asyncio.sleep(self._fault.seconds)
+        self._simulation.network.is_slow = False
+
+    def _other_hosts(self, database: SimulatedDatabase) -> list[str]:
+        return [host for host in self._group.hosts if host != database.host]
+
+    def _proxies(self) -> list[str]:
+        return [proxy.name for proxy in self._simulation.proxies]
+
+    def _some_proxies(self) -> list[str]:
+        """Return some of the proxies, but not all."""
+        names = self._proxies()
+        mask = 1 + int(self._fault.choice * (2 ** len(names) - 2))
+        return [name for bit, name in enumerate(names) if mask >> bit & 1]
+
+    def _proxy(self) -> SimulatedProxy:
+        proxies = self._simulation.proxies
+        return proxies[int(self._fault.choice * len(proxies))]
+
+    def _any_database(self) -> SimulatedDatabase:
+        databases = self._group.databases
+        return databases[int(self._fault.choice * len(databases))]
+
+    def _replica(self) -> SimulatedDatabase:
+        primary = self._group.primary
+        replicas = [each for each in self._group.databases if each is not primary]
+        return replicas[int(self._fault.choice * len(replicas))]
+
+    async def _cut(self, side: list[str], other: list[str]) -> None:
+        network = self._simulation.network
+        pairs = [(one, each) for one in side for each in other]
+        self._simulation.checker.trace(f"cut {side} from {other}")
+        for pair in pairs:
+            network.cut(*pair)
+        await asyncio.sleep(self._fault.seconds)
+        for pair in pairs:
+            network.mend(*pair)
+
+    async def _cut_half(self, primary: SimulatedDatabase) -> None:
+        replica = self._replica()
+        proxies = self._some_proxies()
+        side = [primary.host, replica.host, *proxies]
+        rest = [
+            each
+            for each in (*self._group.hosts, *self._proxies(), STORE)
+            if each not in side
+        ]
+        await self._cut(side, rest)
+
+    def _stop(self, database: SimulatedDatabase) -> None:
+        self._simulation.checker.trace(f"{database.identifier} ends")
+        database.stop()
+
+    def _return(self, database: SimulatedDatabase) -> None:
+        """Start a database again with its log."""
+        newest = max(each.term for each in self._group.databases)
+        database.is_running = True
+        database.is_primary = database.is_primary and database.term == newest
+        database.apply_all()
+        role = "primary" if database.is_primary else "replica"
+        self._simulation.checker.trace(
+            f"{database.identifier} is back as {role} at {database.received}"
+        )
+
+    async def _crash(self, database: SimulatedDatabase) -> None:
+        if not database.is_running:
+            return
+        self._stop(database)
+        await asyncio.sleep(self._fault.seconds)
+        if self._group.hosts[database.host] is database:
+            self._return(database)
+
+    async def _lose(self, database: SimulatedDatabase) -> None:
+        if not database.is_running:
+            return
+        self._stop(database)
+        others = [*self._other_hosts(database), *self._proxies(), STORE]
+        await self._cut([database.host], others)
+        if self._group.hosts[database.host] is database:
+            self._return(database)
+
+    async def _restart_empty(self, database: SimulatedDatabase) -> None:
+        """End a database that comes back empty, if no commit is lost with its log."""
+        checker = self._simulation.checker
+        if not database.is_running:
+            return
+        if not checker.has_copies(self._group, without=database):
+            return
+        self._stop(database)
+        database.truncate(0)
+        database.is_primary = False
+        database.is_draining = False
+        database.term = 0
+        await asyncio.sleep(self._fault.seconds)
+        if self._group.hosts[database.host] is database:
+            self._simulation.incarnations += 1
+            database.incarnation = self._simulation.incarnations
+            database.is_running = True
+            checker.trace(f"{database.identifier} is back and empty")
+
+    async def _drain(self, database: SimulatedDatabase) -> None:
+        simulation = self._simulation
+        if any(each.is_draining for each in self._group.databases):
+            return
+        database.is_draining = True
+        simulation.checker.trace(f"{database.identifier} drains")
+        await asyncio.sleep(DRAIN_SECONDS + self._fault.choice)
+        if self._group.hosts[database.host] is not database:
+            return
+        if not (database.is_draining and database.is_running):
+            return
+        self._stop(database)
+        simulation.store.remove(database.identifier)
+        simulation.incarnations += 1
+        number = simulation.incarnations
+        successor = SimulatedDatabase(
+            f"n{number}", database.host, database.zone, term=database.term
+        )
+        successor.incarnation = number
+        successor.log = list(database.log)
+        successor.applied_at = list(database.applied_at)
+        successor.is_running = False
+        self._group.hosts[database.host] = successor
+        await asyncio.sleep(0.3 + self._fault.choice)
+        successor.is_running = True
+        successor.apply_all()
+        simulation.checker.trace(
+            f"{successor.identifier} replaces {database.identifier}"
+        )
+
+    async def _refuse(self, names: list[str]) -> None:
+        refused = [each for each in self._simulation.proxies if each.name in names]
+        self._simulation.checker.trace(f"the store refuses {names}")
+        for proxy in refused:
+            proxy.is_refused_by_store = True
+        await asyncio.sleep(self._fault.seconds)
+        for proxy in refused:
+            proxy.is_refused_by_store = False
