Let no replica prove a term while another one may be promoted

What callers could see: a stale read at a primary that its promoter could not reach, and which therefore still leads for those that reach it. A promote ends the fences of all replicas at once, but each hears of the new term only when the successor reaches it; until then its status, not fenced and in the old term, counted as proof, for 0.5 s more.

Fix: all replicas are asked at the same time, and none proves the term while another one shows a fence or a newer term: the successor is fenced until it leads. A replica that is asked alone proves nothing.

Left: if the successor does not answer this proxy, the former primary and a replica that has not heard of it do.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -299,7 +299,7 @@
 
     def is_local(self, member: Member) -> bool:
         """Return True if a database is in this proxy's availability zone."""
-        return not self._is_remote(member)
+        return member.database.availability_zone == self._availability_zone
 
     async def count_reachable_services(self) -> ServiceReachability:
         """Query every database, and count the services whose majority answers."""
@@ -340,7 +340,7 @@
         down, after which a succession may go on without that replica.
         """
         try:
-            await asyncio.gather(self._confirm_lead(group), self._query_fence(group))
+            await asyncio.gather(self._confirm_lead(group), self._query_fences(group))
         finally:
             del self._proofs[group.service]
 
@@ -363,23 +363,23 @@
         else:
             group.record_lead_denied(leader)
 
-    async def _query_fence(self, group: Group) -> None:
-        """Query replicas, nearest first, until one shows that it is not fenced."""
-        for member in self._replicas_by_distance(group):
-            asked_at = self._clock()
-            try:
-                status = await self.ask_status(member)
-            except (SessionError, TimeoutError) as error:
-                self._record_query_failure(member, error)
-                continue
-            group.record_status(member, status, asked_at)
-            leader = group.leader
-            if leader is not None and leader.reported_primary_term != status.term:
-                # The replica's status proves only a term that the leader reported.
-                await self._query_leader(group, leader, status.term)
-                group.record_status(member, status, asked_at)
-            if group.is_unfenced(asked_at):
-                return
+    async def _query_fences(self, group: Group) -> None:
+        """Query all replicas at once whether they are fenced."""
+        asked_at = self._clock()
+        members = self._available_replicas(group)
+        statuses = await asyncio.gather(*map(self._status_or_none, members))
+        answers = [
+            (member, status)
+            for member, status in zip(members, statuses, strict=True)
+            if status is not None
+        ]
+        group.record_round(answers, asked_at)
+        leader = group.leader
+        terms = {status.term for _, status in answers}
+        if leader is not None and terms and leader.reported_primary_term not in terms:
+            # The replicas' statuses prove only a term that the leader reported.
+            await self._query_leader(group, leader, max(terms))
+            group.record_round(answers, asked_at)
 
     async def _survey(self, group: Group) -> None:
         try:
@@ -390,15 +390,17 @@
             )
             applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(*map(self._status_or_none, members))
+            answers = []
             positions = []
             for member, before, status in zip(members, applied, statuses, strict=True):
                 if status is None or status.received == NO_POSITION:
                     # A log whose end is not known shows no commit that it may hold.
                     continue
-                group.record_status(member, status, asked_at)
+                answers.append((member, status))
                 if status.received >= before:
                     # A shorter log is not the one that received the commits.
                     positions.append(status.received)
+            group.record_round(answers, asked_at)
             if group.leader is None:
                 # A process that just started may not know of departed databases that
                 # hold commits, so the survey could miss these commits.
@@ -444,13 +446,9 @@
         if not status.is_primary or status.term < term:
             group.record_lead_denied(leader)
 
-    def _replicas_by_distance(self, group: Group) -> list[Member]:
+    def _available_replicas(self, group: Group) -> list[Member]:
         now = self._clock()
-        usable = [each for each in group.replicas if each.is_available(now)]
-        return sorted(usable, key=self._is_remote)
-
-    def _is_remote(self, member: Member) -> bool:
-        return member.database.availability_zone != self._availability_zone
+        return [each for each in group.replicas if each.is_available(now)]
 
     def _update_groups(self) -> None:
         names = self._configuration.services if self._configuration else ()
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -17,6 +17,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -238,14 +239,31 @@
             self._extend_lead(position.term, asked_at)
             self._extend_proof(position.term, member, EvidenceKind.COMMIT, asked_at)
 
+    def record_round(
+        self, statuses: Iterable[tuple[Member, DatabaseStatus]], asked_at: float
+    ) -> None:
+        """Record the statuses of databases that were all asked at the same time.
+
+        Those that tell of a newer term, or of a fence and so of a possible promotion,
+        are recorded first, so that no other one proves the term then.
+        """
+        for member, status in sorted(statuses, key=_round_order):
+            self.record_status(member, status, asked_at)
+
     def record_status(
-        self, member: Member, status: DatabaseStatus, asked_at: float
+        self,
+        member: Member,
+        status: DatabaseStatus,
+        asked_at: float,
+        is_alone: bool = False,
     ) -> None:
         """Record a database's status, which may change the leader or prove its term.
 
         An unfenced replica in the term in which the leader reported to be primary
         proves that no later term had begun when the replica was asked. A leader that
         has not reported so yet proves nothing: it may be a replica in that term itself.
+        Nor does a replica that is asked alone, or while another one is fenced: when the
+        fenced one is promoted, its fence is lifted before it hears of the new term.
         """
         member.record_answer(None)
         member.record_fence(bool(status.fenced_term), asked_at)
@@ -257,7 +275,9 @@
             self._record_primary(member, status, is_newer)
             self.record_lead(member, asked_at)
         leader = self.leader
-        if leader is None or member is leader or status.is_primary:
+        if leader is None or member is leader or status.is_primary or is_alone:
+            return
+        if any(each.was_fenced(asked_at) for each in self.replicas):
             return
         if status.term == leader.reported_primary_term and not status.fenced_term:
             self._extend_proof(status.term, member, EvidenceKind.STATUS, asked_at)
@@ -487,6 +507,11 @@
         self._leader = leader.database.identifier if leader else None
 
 
+def _round_order(answer: tuple[Member, DatabaseStatus]) -> tuple[int, bool]:
+    _, status = answer
+    return -status.term, not status.fenced_term
+
+
 def _extend(until_of: dict[int, float], term: int, asked_at: float) -> bool:
     """Extend until when evidence for a term counts, and drop what is of no use.
 
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -415,7 +415,7 @@
             name = member.database.identifier
             logs.log(logs.CommandFailed(name, AskStatus.__name__, f"{error!r}"))
             return
-        group.record_status(member, status, asked_at)
+        group.record_status(member, status, asked_at, is_alone=True)
 
     async def _is_failure_confirmed(self, leader: Member) -> bool:
         """Return True if a recent probe of the leader failed, after probing if needed.
--- a/tests/simulated_databases.py
+++ b/tests/simulated_databases.py
@@ -413,6 +413,14 @@
         assert isinstance(status, DatabaseStatus)
         return status
 
+    async def is_primary(self) -> bool:
+        is_primary = await self._exchange(self._answer_role)
+        assert isinstance(is_primary, bool)
+        return is_primary
+
+    async def _answer_role(self) -> bool:
+        return self._database.is_primary
+
     def close(self) -> None:
         """Close it; what is on its way may still arrive."""
         self._is_open = False
--- a/tests/simulated_sessions.py
+++ b/tests/simulated_sessions.py
@@ -407,6 +407,7 @@
             await asyncio.sleep(0.1)
             await self.pass_gate()
             await self.runner.probe_unresponsive_leaders()
+            await self.runner.check_fences()
             await self.fleet.confirm_leaders()
 
     async def _succeed(self) -> None:
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -355,9 +355,11 @@
             asked: list[str] = []
             record_status = group.record_status
 
-            def record(member: Member, status: DatabaseStatus, at: float) -> None:
+            def record(
+                member: Member, status: DatabaseStatus, at: float, is_alone: bool
+            ) -> None:
                 asked.append(member.database.identifier)
-                record_status(member, status, at)
+                record_status(member, status, at, is_alone)
 
             with mock.patch.object(group, "record_status", record):
                 for _ in range(round(2 * REMOTE_FENCE_CHECK_SECONDS / 0.1)):
