Let a survey wait for databases that only lost their entry

What callers could see: a stale read of a stated age. A replica that is cut off from the store alone loses its entry and counts as gone; cut off together with the primary later, it goes on receiving what the primary acknowledges, while a survey of the one replica that is left passed for complete.

--- a/src/beryltiller/sessions/databases/catalog.py
+++ b/src/beryltiller/sessions/databases/catalog.py
@@ -125,3 +125,18 @@
         return tuple(
             each for each in self.departed_of(service) if each.missing_since >= since
         )
+
+    def possibly_receiving_of(
+        self, service: str, possible_partition_since: float
+    ) -> tuple[Departed, ...]:
+        """Return the departed databases that may still receive a primary's commits.
+
+        Besides those of `possibly_partitioned_of` these are all that did not announce
+        that they would end: one that only lost the store runs on without its entry.
+        """
+        partitioned = self.possibly_partitioned_of(service, possible_partition_since)
+        return tuple(
+            each
+            for each in self.departed_of(service)
+            if each in partitioned or not each.database.is_draining
+        )
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -385,7 +385,7 @@
         try:
             asked_at = self._clock()
             members = tuple(group.members.values())
-            departed = self._directory.possibly_partitioned_of(
+            departed = self._directory.possibly_receiving_of(
                 group.service, _failing_since(group)
             )
             applied = [member.applied or NO_POSITION for member in members]
