--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionPoolPolicy,
@@ -48,11 +49,15 @@
 # its term.
 CONFIRM_INTERVAL_SECONDS = 0.4
 
+# The deadline of a command that may be sent at any time.
+FOREVER = float("inf")
+
 # A leader that answers no statement for this long is unresponsive, and is probed.
 SILENCE_SECONDS = 0.25
 
 Connect = Callable[[Database], Awaitable[DatabaseConnection]]
 PoolKey = tuple[str, str, int]
+_Answer = TypeVar("_Answer")
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,16 +209,24 @@
             return await _run_command(pool, connection, AskStatus())
 
     async def command(
-        self, database: Database, statement: ProxyCommand, timeout_seconds: float
+        self,
+        database: Database,
+        statement: ProxyCommand,
+        timeout_seconds: float,
+        deadline: float = FOREVER,
     ) -> DatabaseStatus:
         """Run a status query or a command at a database without waiting for capacity.
 
         It does not need a connection that callers' statements use: a database at its
-        limits could otherwise not be told from one that has failed.
+        limits could otherwise not be told from one that has failed. Raise
+        `NoCapacityError` if the connection was opened only after `deadline`.
         """
         pool = self.connection_pool(database)
         async with asyncio.timeout(timeout_seconds):
             connection = await pool.acquire_for_command()
+            if self._clock() > deadline:
+                pool.release(connection)
+                raise NoCapacityError(Code.BUSY, "too late to send the command")
             return await _run_command(pool, connection, statement)
 
     async def probe(self, member: Member) -> None:
@@ -284,6 +297,10 @@
         member.record_probe_answer(self._clock())
         group.record_status(member, status, asked_at)
 
+    def is_local(self, member: Member) -> bool:
+        """Return True if a database is in this proxy's availability zone."""
+        return member.database.availability_zone == self._availability_zone
+
     async def count_reachable_services(self) -> ServiceReachability:
         """Query every database, and count the services whose majority answers."""
         groups = [group for group in self._groups.values() if group.members]
@@ -317,40 +334,73 @@
             pool.close()
 
     async def _prove_term(self, group: Group) -> None:
-        """Query replicas, nearest first, until one proves the leader's term."""
+        """Prove the leader's term: it still leads, and some replica is not fenced.
+
+        A replica that was not fenced does not show that the leader has not stepped
+        down, after which a succession may go on without that replica.
+        """
         try:
-            for member in self._replicas_by_distance(group):
-                asked_at = self._clock()
-                try:
-                    status = await self.ask_status(member)
-                except (SessionError, TimeoutError) as error:
-                    self._record_query_failure(member, error)
-                    continue
-                group.record_status(member, status, asked_at)
-                leader = group.leader
-                if leader is not None and leader.reported_primary_term != status.term:
-                    # The replica's status proves only a term that the leader reported.
-                    await self._query_leader(group, leader, status.term)
-                    group.record_status(member, status, asked_at)
-                if group.is_term_proved(asked_at):
-                    return
+            await asyncio.gather(self._confirm_lead(group), self._query_fences(group))
         finally:
             del self._proofs[group.service]
 
+    async def _confirm_lead(self, group: Group) -> None:
+        """Ask the leader whether it is still primary, unless it showed so recently."""
+        leader = group.leader
+        asked_at = self._clock()
+        if leader is None or group.is_lead_shown(asked_at):
+            return
+        pool = self.connection_pool(leader.database)
+        try:
+            async with asyncio.timeout(2 * STATUS_TIMEOUT_SECONDS):
+                connection = await pool.acquire({}, STATUS_TIMEOUT_SECONDS)
+                is_primary = await _run_query(pool, connection, connection.is_primary())
+        except (SessionError, TimeoutError) as error:
+            self._record_query_failure(leader, error)
+            return
+        if is_primary:
+            group.record_lead(leader, asked_at)
+        else:
+            group.record_lead_denied(leader)
+
+    async def _query_fences(self, group: Group) -> None:
+        """Query all replicas at once whether they are fenced."""
+        asked_at = self._clock()
+        members = self._available_replicas(group)
+        statuses = await asyncio.gather(*map(self._status_or_none, members))
+        answers = [
+            (member, status)
+            for member, status in zip(members, statuses, strict=True)
+            if status is not None
+        ]
+        group.record_round(answers, asked_at)
+        leader = group.leader
+        terms = {status.term for _, status in answers}
+        if leader is not None and terms and leader.reported_primary_term not in terms:
+            # The replicas' statuses prove only a term that the leader reported.
+            await self._query_leader(group, leader, max(terms))
+            group.record_round(answers, asked_at)
+
     async def _survey(self, group: Group) -> None:
         try:
             asked_at = self._clock()
             members = tuple(group.members.values())
-            departed = self._directory.possibly_partitioned_of(
+            departed = self._directory.possibly_receiving_of(
                 group.service, _failing_since(group)
             )
+            applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(*map(self._status_or_none, members))
+            answers = []
             positions = []
-            for member, status in zip(members, statuses, strict=True):
-                if status is not None and status.received != NO_POSITION:
+            for member, before, status in zip(members, applied, statuses, strict=True):
+                if status is None or status.received == NO_POSITION:
                     # A log whose end is not known shows no commit that it may hold.
+                    continue
+                answers.append((member, status))
+                if status.received >= before:
+                    # A shorter log is not the one that received the commits.
                     positions.append(status.received)
-                    group.record_status(member, status, asked_at)
+            group.record_round(answers, asked_at)
             if group.leader is None:
                 # A process that just started may not know of departed databases that
                 # hold commits, so the survey could miss these commits.
@@ -396,13 +446,9 @@
         if not status.is_primary or status.term < term:
             group.record_lead_denied(leader)
 
-    def _replicas_by_distance(self, group: Group) -> list[Member]:
+    def _available_replicas(self, group: Group) -> list[Member]:
         now = self._clock()
-        usable = [each for each in group.replicas if each.is_available(now)]
-        return sorted(usable, key=self._is_remote)
-
-    def _is_remote(self, member: Member) -> bool:
-        return member.database.availability_zone != self._availability_zone
+        return [each for each in group.replicas if each.is_available(now)]
 
     def _update_groups(self) -> None:
         names = self._configuration.services if self._configuration else ()
@@ -433,8 +479,15 @@
     pool: ConnectionPool, connection: PooledConnection, statement: ProxyCommand
 ) -> DatabaseStatus:
     """Run a command on an acquired connection, and release the connection."""
+    return await _run_query(pool, connection, connection.command(statement))
+
+
+async def _run_query(
+    pool: ConnectionPool, connection: PooledConnection, query: Awaitable[_Answer]
+) -> _Answer:
+    """Await a query on an acquired connection, and release the connection."""
     try:
-        status = await connection.command(statement)
+        answer = await query
     except NotSentError:
         # A database too busy to answer leaves the connection open.
         pool.release(connection)
@@ -443,7 +496,7 @@
         pool.discard(connection)
         raise
     pool.release(connection)
-    return status
+    return answer
 
 
 def _pool_key(database: Database) -> PoolKey:
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -4,6 +4,8 @@
 passes them in.
 """
 
+from dataclasses import dataclass, replace
+
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
 
@@ -25,12 +27,39 @@
 # A database counts as overloaded for this long after it refused a statement for lack of
 # capacity. A proxy that sends it few statements hears of an overload only now and then.
 OVERLOAD_MEMORY_SECONDS = 1.0
+# A replica that was fenced longer ago and has not answered since is not about to be
+# promoted any more: its promoter's claim has ended.
+FENCE_MEMORY_SECONDS = 4.0
 # The weight of the newest statement in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # The latency assumed before the first statement.
 FIRST_LATENCY_SECONDS = 0.03
 
 
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """A term in which a database is known to be primary.
+
+    `log_end` is the end of its log when this became known, and `answered` the newest
+    position that it has answered with since. Its log never gets shorter in the term,
+    unless its process ends.
+    """
+
+    term: int
+    log_end: Position
+    answered: Position | None = None
+
+    def includes(self, position: Position) -> bool:
+        """Return True if the primary of this term may have answered with `position`.
+
+        Before its first commit in the term, its log ends with an entry of an earlier
+        one. A shorter log is that of a replica, or of a process that lost its log.
+        """
+        if position.term == self.term:
+            return True
+        return position.term < self.term and position >= self.log_end
+
+
 class Member:
     """One database as seen by this proxy: failures, load and applied position.
 
@@ -38,8 +67,8 @@
     term in which it is known to have been primary or replica. `has_reported_lead` is
     True once it reported to be primary, `has_denied_lead` once it turned out not to
     be the primary. `primary_serial` is higher the later this proxy observed that it
-    became primary. `reported_primary_term` is the term in which it reported to be
-    primary, or 0 if it was not asked.
+    became primary. `lead` is the newest term in which it is known to be primary, or
+    None if it was not asked and has acknowledged no commit.
     """
 
     def __init__(self, database: Database) -> None:
@@ -52,7 +81,7 @@
         self.has_denied_lead = False
         self.has_reported_lead = False
         self.primary_serial = 0
-        self.reported_primary_term = 0
+        self.lead: Lead | None = None
         self.term = 0
         self._stalled_since: float | None = None
         self._unacknowledged_at = NEVER
@@ -67,6 +96,8 @@
         self._lagging_until = NEVER
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
+        self._fenced_since: float | None = None
+        self._fenced_at = NEVER
 
     @property
     def in_flight(self) -> int:
@@ -109,6 +140,19 @@
         """Return True if its registry entry or its status says that it is primary."""
         return self.database.is_primary or self.has_reported_lead
 
+    @property
+    def reported_primary_term(self) -> int:
+        """Return the newest term in which it is known to be primary, or 0."""
+        return self.lead.term if self.lead else 0
+
+    def record_lead(self, term: int, log_end: Position) -> None:
+        """Record that the database is primary in `term` and its log reaches `log_end`.
+
+        The earliest such observation of the newest term is kept.
+        """
+        if term > self.reported_primary_term:
+            self.lead = Lead(term, log_end)
+
     @property
     def failing_since(self) -> float | None:
         """Return when the current run of failures began, or None."""
@@ -137,6 +181,26 @@
         """Return True if a statement was recently refused for the database's load."""
         return now < self._refused_for_load_at + OVERLOAD_MEMORY_SECONDS
 
+    @property
+    def fenced_since(self) -> float | None:
+        """Return since when every status of it has shown a fence, or None."""
+        return self._fenced_since
+
+    def record_fence(self, is_fenced: bool, asked_at: float) -> None:
+        """Record whether it answered to be fenced when asked at `asked_at`."""
+        if not is_fenced:
+            self._fenced_since = None
+            return
+        self._fenced_at = asked_at
+        if self._fenced_since is None:
+            self._fenced_since = asked_at
+
+    def was_fenced(self, now: float) -> bool:
+        """Return True if its last status showed a fence, and not too long ago."""
+        if self._fenced_since is None:
+            return False
+        return now < self._fenced_at + FENCE_MEMORY_SECONDS
+
     @property
     def position_asked_at(self) -> float:
         """Return when the database was last asked for the position it answered with."""
@@ -172,6 +236,12 @@
         if self._answered_at < asked_at:
             self.record_failure(now)
 
+    def record_lead_position(self, position: Position) -> None:
+        """Record a position that the database answered with in its present term."""
+        lead = self.lead
+        if lead is not None and (lead.answered is None or position > lead.answered):
+            self.lead = replace(lead, answered=position)
+
     def record_answer(self, position: Position | None) -> None:
         """Record an answer of any kind, which ends a run of failures."""
         self._failures = 0
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -8,11 +8,10 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.catalog import Route
-from beryltiller.sessions.databases.groups import Group, LeaderTerm
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.placement import (
     Placement,
     ReadRequirement,
-    read_requirement,
 )
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.execution import (
@@ -63,9 +62,7 @@
     async def _read(
         self, session: Session, route: Route, request: Request, arrived: float
     ) -> Reply:
-        requirement = read_requirement(
-            route, arrived, session.committed.get(route.service)
-        )
+        requirement = session.read_requirement(route, arrived)
         deadline = arrived + route.timeout_seconds
         last = NotSentError(
             Code.BUSY, f"no database of {route.service} can serve the read"
@@ -153,7 +150,8 @@
                 last = error
                 continue
             if reply.is_success:
-                session.record_commit(route.service, reply.position)
+                now = self._executor.now()
+                session.record_commit(route.service, reply.position, now)
             if reply.code is None or not may_run_elsewhere(reply.code):
                 return reply
             last = NotSentError(reply.code, reply.text)
@@ -175,7 +173,6 @@
         """
         pool = self._executor.connection_pool(placement)
         wait = self._executor.queue_seconds(route, deadline)
-        changes = group.leader_change_count
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
             connection = await self._executor.acquire_connection(
@@ -192,8 +189,9 @@
             reply = replace(reply, state=SessionState.IDLE)
         is_write = session.is_write(request.statement)
         if reply.is_success and placement.needs_proof and not is_write:
-            leader_term = LeaderTerm(changes, placement.member.term)
-            await self._executor.prove_term(group, leader_term, requirement, deadline)
+            await self._executor.prove_term(
+                group, placement.member, reply.position, requirement, deadline
+            )
         if not is_write:
             self._executor.log_read(request, group, placement, requirement, reply)
         return reply
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -17,7 +17,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession.causes import replacement_cause
+from beryltiller.sessions.succession.causes import cause_of_claim
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -42,13 +42,25 @@
 
 # How long a claim of the promotion duty is valid, which excludes other claims.
 DUTY_SECONDS = 4.0
-# The holder stops using a claim this long before it expires.
+# The holder stops using a claim this long before it expires, so that its last commands
+# and its promotion request have arrived before another proxy holds the duty.
 DUTY_MARGIN_SECONDS = 1.2
+# No replicas are fenced this long before the claim's deadline, except to confirm: the
+# rest of the succession would not fit, and the replicas must be unfenced in time.
+FENCING_MARGIN_SECONDS = 0.8
 # Each proxy delays its claim by a random time up to this long, so that proxies that
 # detect a failure at the same time do not claim the duty simultaneously.
 MAX_CLAIM_DELAY_SECONDS = 0.15
+# The same for lifting fences, which is less urgent and noticed by more proxies.
+MAX_LIFT_DELAY_SECONDS = 1.0
 # Delay before replicas are fenced again, or a promotion without a result is repeated.
 RETRY_SECONDS = 0.2
+# Replicas are unfenced at the earliest this long after the claim: a promotion that an
+# earlier holder requested last has taken effect by then.
+LIFT_SECONDS = 1.0
+# A promotion is requested at most this long after the fence commands that confirmed it
+# were sent, as a replica that restarts is no longer fenced.
+CONFIRMATION_SECONDS = 0.5
 # How long a primary may have been silent before the proxy stops using its entry.
 MAX_ENTRY_SILENCE_SECONDS = 8.0
 # Delay before the next claim after a succession ended, whether it succeeded or not.
@@ -106,14 +118,16 @@
         service = view.service
         if service in state.successions:
             return state, ()
-        cause = replacement_cause(view, now)
+        cause = cause_of_claim(view, now)
         claim_not_before = state.claim_not_before.get(service)
         if cause is None:
             if claim_not_before is not None and now > claim_not_before:
                 state = _clear_claim_delay(state, service)
             return state, ()
         if claim_not_before is None:
-            delay = self._rng.uniform(0.0, MAX_CLAIM_DELAY_SECONDS)
+            is_lift = cause is Cause.FENCES_LEFT
+            max_delay = MAX_LIFT_DELAY_SECONDS if is_lift else MAX_CLAIM_DELAY_SECONDS
+            delay = self._rng.uniform(0.0, max_delay)
             return _delay_claim(state, service, now + delay), ()
         if now < claim_not_before:
             return state, ()
@@ -129,6 +143,8 @@
             return state, ()
         deadline = event.asked_at + DUTY_SECONDS - DUTY_MARGIN_SECONDS
         succession = replace(succession, token=event.token, deadline=deadline)
+        if succession.cause is Cause.FENCES_LEFT:
+            return self._finish(state, succession, now)
         return self._step_down_and_fence(state, succession, now)
 
     def _step_down_and_fence(
@@ -149,7 +165,7 @@
         """Fence all databases but the former primary, including new ones."""
         view = state.groups.get(succession.service)
         former_primary = succession.former_primary
-        if view is None or now > succession.deadline:
+        if view is None or now > _last_fence_at(succession, phase):
             return self._finish(state, succession, now)
         if view.leader is not None and view.leader != former_primary:
             # The group already has another primary.
@@ -190,14 +206,18 @@
             if not_fenced:
                 term = max(term, newest_term + 1, newest_fence)
             retry = replace(succession, phase=Phase.FENCING, term=term)
+            if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
+                return self._finish(state, retry, now)
             state, actions = _schedule_step(state, retry, now, RETRY_SECONDS)
             # A primary of an older term was replaced and has not noticed yet.
             replaced = tuple(StepDownPrimary(service, term, name) for name in primaries)
             return state, (*replaced, *actions)
         is_confirmed = event.were_already_fenced and successor == succession.successor
         if succession.phase is Phase.CONFIRMING and is_confirmed:
-            return self._promote(state, succession, now)
+            return self._promote(state, succession, event.fenced_at, now)
         held = replace(succession, phase=Phase.HOLDING, successor=successor)
+        if now + PROMOTION_HOLD_SECONDS > succession.deadline:
+            return self._finish(state, held, now)
         return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
 
     def _dispensable(
@@ -260,6 +280,8 @@
                 return self._step_down_and_fence(state, succession, now)
             case Phase.HOLDING if now >= succession.next_step_at:
                 return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
+            case Phase.LIFTING if now >= succession.next_step_at:
+                return self._finish(state, succession, now)
             case Phase.PROMOTING if now > succession.deadline + DUTY_MARGIN_SECONDS:
                 return self._finish(state, succession, now)
             case Phase.AWAITING if view and view.leader == succession.successor:
@@ -268,17 +290,24 @@
                 return self._finish(state, succession, now)
         return state, ()
 
-    def _promote(self, state: State, succession: Succession, now: float) -> Decision:
-        if now > succession.deadline:
-            return self._finish(state, succession, now)
+    def _promote(
+        self, state: State, succession: Succession, confirmed_at: float, now: float
+    ) -> Decision:
+        """Promote the successor, or confirm again if that was too long ago."""
+        confirmed_until = confirmed_at + CONFIRMATION_SECONDS
+        if now > min(succession.deadline, confirmed_until):
+            return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
         promoting = replace(
-            succession, phase=Phase.PROMOTING, promotion_may_take_effect=True
+            succession,
+            phase=Phase.PROMOTING,
+            promotion_may_take_effect=True,
+            earlier_may_take_effect=succession.promotion_may_take_effect,
         )
         action = Promote(
             succession.service,
             succession.successor,
             succession.token,
-            succession.deadline,
+            min(succession.deadline, confirmed_until),
         )
         return _store_succession(state, promoting), (action,)
 
@@ -298,7 +327,7 @@
             retry = replace(
                 succession,
                 refused_successors=refused_successors,
-                promotion_may_take_effect=False,
+                promotion_may_take_effect=succession.earlier_may_take_effect,
             )
             return self._step_down_and_fence(state, retry, now)
         retry = replace(succession, phase=Phase.HOLDING)
@@ -307,21 +336,36 @@
     def _finish(self, state: State, succession: Succession, now: float) -> Decision:
         """End a succession, whether it succeeded or not, and unfence its replicas.
 
-        The replicas stay fenced while a promotion may still take effect: otherwise the
-        former primary could acknowledge commits that the successor's log lacks. The
-        next succession continues with the fenced replicas.
+        The replicas stay fenced while a promotion may still take effect, of this proxy
+        or, after the claim's deadline, of another one: otherwise the former primary
+        could acknowledge commits that the successor's log lacks. The next succession
+        continues with the fenced replicas, or lifts the fences of a primary that works.
         """
         view = state.groups.get(succession.service)
-        state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         is_done = view is not None and view.leader == succession.successor
-        if succession.promotion_may_take_effect and not is_done:
+        may_take_effect = succession.promotion_may_take_effect and not is_done
+        claimed_at = succession.deadline - DUTY_SECONDS + DUTY_MARGIN_SECONDS
+        wait = claimed_at + LIFT_SECONDS - now
+        if wait > 0 and not may_take_effect and not is_done:
+            lifting = replace(succession, phase=Phase.LIFTING)
+            return _schedule_step(state, lifting, now, wait)
+        state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
+        if may_take_effect or now > succession.deadline:
             return state, ()
         replicas = tuple(
             name
             for name in (view.replicas if view else ())
             if name != succession.successor
         )
-        return state, (UnfenceReplicas(succession.service, replicas),)
+        unfence = UnfenceReplicas(succession.service, replicas, succession.deadline)
+        return state, (unfence,)
+
+
+def _last_fence_at(succession: Succession, phase: Phase) -> float:
+    """Return the last moment at which replicas may be fenced in a phase."""
+    if phase is Phase.CONFIRMING:
+        return succession.deadline
+    return succession.deadline - FENCING_MARGIN_SECONDS
 
 
 def _possible_partition_start(view: GroupView, cause: Cause, now: float) -> float:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -14,7 +14,7 @@
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import ReplacedError, SessionError
@@ -32,6 +32,10 @@
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
 COMMAND_TIMEOUT_SECONDS = 0.4
+# The mean time between two status queries that find fences which a promoter left.
+FENCE_CHECK_SECONDS = 3.0
+# The same for replicas of other availability zones, where other proxies ask more often.
+REMOTE_FENCE_CHECK_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +94,8 @@
         self._duty = duty
         self._is_store_reachable = is_store_reachable
         self._policy = policy.SuccessionPolicy(rng)
+        self._rng = rng
+        self._next_fence_check: dict[str, float] = {}
         self._clock = clock
         self._primaryless_since: dict[str, float] = {}
         self._leader_healthy_until: dict[str, float] = {}
@@ -141,6 +147,7 @@
         self._record_leader_change(group, leader, now)
         self._record_relief_needed(group, now)
         departed = self._fleet.directory.departed_of(service)
+        fenced = (member.fenced_since for member in group.fenced_replicas)
         return succession_state.GroupView(
             service,
             leader.database.identifier if leader else None,
@@ -159,6 +166,7 @@
             self._overloaded_alone_since.get(service),
             self._leader_healthy_until.get(service),
             group.last_acknowledged,
+            min((each for each in fenced if each is not None), default=None),
         )
 
     def _record_relief_needed(self, group: Group, now: float) -> None:
@@ -208,8 +216,10 @@
                 return self._observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
-            case succession_state.UnfenceReplicas(service, replicas):
-                unfenced = await self._command_all(service, replicas, Unfence())
+            case succession_state.UnfenceReplicas(service, replicas, deadline):
+                unfenced = await self._command_all(
+                    service, replicas, Unfence(), deadline
+                )
                 logs.log(logs.ReplicasUnfenced(service, _statuses_text(unfenced)))
                 return None
 
@@ -220,6 +230,11 @@
             leader = self._fleet.group(action.service).leader
             if leader is not None and not await self._is_failure_confirmed(leader):
                 return succession_state.ClaimFailed(action.service)
+        if action.cause is succession_state.Cause.FENCES_LEFT:
+            group = self._fleet.group(action.service)
+            await self._query_fences((group, each) for each in group.fenced_replicas)
+            if not group.fenced_replicas:
+                return succession_state.ClaimFailed(action.service)
         try:
             claim = await self._duty.claim(action.service, policy.DUTY_SECONDS)
         except PortError as error:
@@ -242,11 +257,11 @@
         if any(item is not None and item.is_primary for item in reported.values()):
             return succession_state.FenceResults(service, reported)
         were_already_fenced = all(
-            item is not None and item.fenced_term >= action.term
+            name in action.departed if item is None else item.fenced_term >= action.term
             for name, item in reported.items()
-            if name not in action.departed
         )
         answering = [name for name, item in reported.items() if item is not None]
+        fenced_at = self._clock()
         fenced = await self._command_all(service, answering, Fence(action.term))
         statuses = {name: fenced.get(name) for name in others}
         partitioned = self._possibly_partitioned(
@@ -260,7 +275,7 @@
         logs.log(logs.ReplicasFenced(service, action.term, _statuses_text(statuses)))
         replaced = frozenset(self._replaced.intersection(statuses))
         return succession_state.FenceResults(
-            service, statuses, gone, replaced, were_already_fenced
+            service, statuses, gone, replaced, were_already_fenced, fenced_at
         )
 
     def _possibly_partitioned(
@@ -292,20 +307,28 @@
         return succession_state.PromotionResult(service, is_accepted, is_refused)
 
     async def _command_all(
-        self, service: str, names: Iterable[str], statement: ProxyCommand
+        self,
+        service: str,
+        names: Iterable[str],
+        statement: ProxyCommand,
+        deadline: float = FOREVER,
     ) -> dict[str, DatabaseStatus | None]:
-        """Send a command to several databases concurrently.
+        """Send a command to several databases concurrently, none after `deadline`.
 
         Return each database's status, or None for one that failed or refused.
         """
         names = tuple(names)
         results = await asyncio.gather(
-            *(self._command(service, name, statement) for name in names)
+            *(self._command(service, name, statement, deadline) for name in names)
         )
         return dict(zip(names, results, strict=True))
 
     async def _command(
-        self, service: str, name: str, statement: ProxyCommand
+        self,
+        service: str,
+        name: str,
+        statement: ProxyCommand,
+        deadline: float = FOREVER,
     ) -> DatabaseStatus | None:
         database = self._database(service, name)
         if database is None:
@@ -313,7 +336,7 @@
         asked_at = self._clock()
         try:
             status = await self._fleet.command(
-                database, statement, COMMAND_TIMEOUT_SECONDS
+                database, statement, COMMAND_TIMEOUT_SECONDS, deadline
             )
         except (SessionError, TimeoutError) as error:
             logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
@@ -345,6 +368,55 @@
         to_probe = [leader for leader in leaders if leader.is_available(now)]
         await asyncio.gather(*map(self._fleet.probe, to_probe))
 
+    async def check_fences(self) -> None:
+        """Ask the replicas now and then for their status.
+
+        This finds fences of a promoter that ended before it lifted them.
+        """
+        now = self._clock()
+        replicas = tuple(
+            (group, member)
+            for group in self._fleet.groups()
+            for member in group.replicas
+        )
+        names = {member.database.identifier for _, member in replicas}
+        for name in self._next_fence_check.keys() - names:
+            del self._next_fence_check[name]
+        await self._query_fences(
+            (group, member)
+            for group, member in replicas
+            if member.is_available(now) and self._is_fence_check_due(member, now)
+        )
+
+    def _is_fence_check_due(self, member: Member, now: float) -> bool:
+        """Return True if a replica is to be asked now, and draw when it is asked next.
+
+        Random times keep the proxies from asking at once.
+        """
+        name = member.database.identifier
+        next_check = self._next_fence_check.get(name)
+        if next_check is not None and now < next_check:
+            return False
+        is_local = self._fleet.is_local(member)
+        mean = FENCE_CHECK_SECONDS if is_local else REMOTE_FENCE_CHECK_SECONDS
+        self._next_fence_check[name] = now + self._rng.uniform(0.5, 1.5) * mean
+        return next_check is not None
+
+    async def _query_fences(self, replicas: Iterable[tuple[Group, Member]]) -> None:
+        queries = (self._query_fence(group, member) for group, member in replicas)
+        await asyncio.gather(*queries)
+
+    async def _query_fence(self, group: Group, member: Member) -> None:
+        asked_at = self._clock()
+        try:
+            status = await self._fleet.ask_status(member)
+        except (SessionError, TimeoutError) as error:
+            # Whether a replica works is found by the reads that are sent to it.
+            name = member.database.identifier
+            logs.log(logs.CommandFailed(name, AskStatus.__name__, f"{error!r}"))
+            return
+        group.record_status(member, status, asked_at, is_alone=True)
+
     async def _is_failure_confirmed(self, leader: Member) -> bool:
         """Return True if a recent probe of the leader failed, after probing if needed.
 
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -16,7 +16,8 @@
 class Cause(Enum):
     """The reason why a primary is replaced; a LEAVING one is draining.
 
-    With REPLICAS_LAG it works, but all its replicas lag too far to serve reads.
+    With REPLICAS_LAG it works, but all its replicas lag too far to serve reads. With
+    FENCES_LEFT it works and stays, and fences that a promoter left are lifted.
     """
 
     FAILING = "failing"
@@ -24,6 +25,7 @@
     LEAVING = "leaving"
     NO_PRIMARY = "no primary"
     REPLICAS_LAG = "replicas lag"
+    FENCES_LEFT = "fences left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     leader, or None if it never did. `overloaded_alone_since` is since when the leader
     has been overloaded while no replica could serve reads. `last_acknowledged` is the
     newest position of a commit that a leader acknowledged through this proxy.
+    `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
     service: str
@@ -52,6 +55,7 @@
     overloaded_alone_since: float | None = None
     leader_healthy_until: float | None = None
     last_acknowledged: Position = NO_POSITION
+    fenced_since: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,8 +93,9 @@
     that they reported before.
     `gone` are databases that cannot be reached and whose registry entries are gone for
     good. `replaced` are those at whose address another database answers.
-    `were_already_fenced` is True if all databases except the departed ones had been
-    fenced before this round.
+    `were_already_fenced` is True if all databases had been fenced before this round,
+    except departed ones that do not answer. `fenced_at` is when the fence commands of
+    this round were sent.
     """
 
     service: str
@@ -98,6 +103,7 @@
     gone: frozenset[str] = frozenset()
     replaced: frozenset[str] = frozenset()
     were_already_fenced: bool = False
+    fenced_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,10 +192,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UnfenceReplicas:
-    """A request to let fenced replicas receive log entries again."""
+    """A request to let fenced replicas receive log entries again.
+
+    No command is sent after `deadline`: the replicas may then be fenced by another
+    proxy that holds the promotion duty.
+    """
 
     service: str
     replicas: tuple[str, ...]
+    deadline: float
 
 
 Action = (
@@ -208,7 +219,9 @@
 
     HOLDING lasts for the hold time, so that all proofs of the former term have expired
     when the promotion takes effect. CONFIRMING fences the replicas once more. In
-    AWAITING the promotion was accepted, but the new primary is not observed yet.
+    AWAITING the promotion was accepted, but the new primary is not observed yet. In
+    LIFTING no promotion of this proxy is under way, and fences are lifted once those of
+    earlier claims have taken effect.
     """
 
     CLAIMING = "claiming"
@@ -217,6 +230,7 @@
     CONFIRMING = "confirming"
     PROMOTING = "promoting"
     AWAITING = "awaiting"
+    LIFTING = "lifting"
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,9 +240,10 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, known once it has stepped down. `deadline` is the last moment at
-    which the claim, with fencing token `token`, may be used. `refused_successors` are
-    replicas that the platform reported as not running. `promotion_may_take_effect` is
-    True once a promotion was requested and not refused.
+    which the claim, with fencing token `token`, may be used to promote or unfence.
+    `refused_successors` are replicas that the platform reported as not running.
+    `promotion_may_take_effect` is True once a promotion was requested and not refused;
+    `earlier_may_take_effect` tells the same of the promotions before the last one.
     """
 
     service: str
@@ -244,6 +259,7 @@
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
     promotion_may_take_effect: bool = False
+    earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
 
 
--- a/tests/test_read_log.py
+++ b/tests/test_read_log.py
@@ -6,7 +6,7 @@
 from beryltiller.core.position import Position
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import Database, RouteKind
-from beryltiller.sessions.databases.groups import EvidenceKind, Group, Sample
+from beryltiller.sessions.databases.groups import Cover, Evidence, EvidenceKind, Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement, ReadRequirement
 from beryltiller.sessions.read_log import ReadLog
@@ -51,7 +51,8 @@
 
     def test_read_at_a_replica_names_the_sample_that_covers_it(self) -> None:
         near = Member(Database("near", "s", "127.0.0.1:1", "a", 3, False, False, 7))
-        cover = Sample(4.0, Position(1, 8), EvidenceKind.SAMPLE, "leader")
+        evidence = Evidence(EvidenceKind.SAMPLE, "leader", asked_at=4.0)
+        cover = Cover(Position(1, 8), evidence)
         placement = Placement(near, Position(1, 9), needs_proof=False, cover=cover)
         requirement = ReadRequirement(3.5, Position(1, 9))
         reply = Reply(SessionState.IDLE, code=Code.LAGGING, position=Position(1, 6))
