Part the evidence of a group from its databases and leader

What proves a term and what a position covers are in a module of their own, with the two classes that keep them; the behaviour is unchanged.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -16,94 +16,31 @@
 describe any moment since then.
 """
 
-from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import Enum, unique
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.member import NEVER, Lead, Member
+from beryltiller.sessions.databases.evidence import (
+    SAMPLE_RETENTION_SECONDS,
+    TERM_PROOF_SECONDS,
+    CommitCovers,
+    Cover,
+    Evidence,
+    EvidenceKind,
+    Sample,
+    TermProofs,
+)
+from beryltiller.sessions.databases.member import Lead, Member
 from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
-# A promoting proxy waits this long between fencing the replicas and promoting one.
-PROMOTION_HOLD_SECONDS = 0.4
-# A term that is proved to be in force at a moment remains so for this long: the hold
-# time plus the minimum time that a database takes to become primary.
-TERM_PROOF_SECONDS = 0.5
-
 # `Member.primary_serial` of a database that was first seen when the group already had
 # databases. If it claims to be primary, it is not the leader before it has confirmed
 # this when asked for its status.
 UNCONFIRMED_SERIAL = -1
 
-# How long samples and surveys are kept, and the minimum time between two samples.
-SAMPLE_RETENTION_SECONDS = 4.0
-MIN_SAMPLE_SPACING_SECONDS = 0.02
-
-
-@unique
-class EvidenceKind(Enum):
-    """What an answer showed: a log's position, or that a leader's term is in force."""
-
-    SAMPLE = "sample"
-    SURVEY = "survey"
-    COMMIT = "commit"
-    STATUS = "status"
-    REPLICA_POSITION = "replica position"
-
-
-@dataclass(frozen=True, slots=True)
-class Evidence:
-    """The kind of an answer, the database that gave it, and when it was asked.
-
-    `source` is empty for a survey.
-    """
-
-    kind: EvidenceKind
-    source: str
-    asked_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """The position that the primary of `term`, database `source`, answered with.
-
-    It covers every commit acknowledged before `asked_at` if `term` is proved until
-    then: a later term could have acknowledged others.
-    """
-
-    asked_at: float
-    position: Position
-    term: int
-    source: str
-
-
-@dataclass(frozen=True, slots=True)
-class Survey:
-    """A log position that covers every commit acknowledged before `asked_at`."""
-
-    asked_at: float
-    position: Position
-
-
-@dataclass(frozen=True, slots=True)
-class Cover:
-    """A position that covers what a read must see, and the evidence for it."""
-
-    position: Position
-    evidence: Evidence
-
 
 class Group:
-    """One service's databases, their leader, and until when each term is proved.
-
-    A term is proved until the earlier of two moments, kept for each term: until
-    `_unfenced_until` no later term can have begun unless its primary had stepped down,
-    and until `_led_until` its primary had not, or no later term had begun. Only samples
-    taken in a term at or before both are used: a log that reaches the position of such
-    a sample holds every commit acknowledged before its `asked_at`.
-    """
+    """One service's databases, their leader, and the evidence that they have given."""
 
     def __init__(self, service: str) -> None:
         """Create a group without databases."""
@@ -113,16 +50,8 @@
         self._term = 0
         self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
-        self._unfenced_until: dict[int, float] = {}
-        self._led_until: dict[int, float] = {}
-        self._newest_proofs: dict[int, Evidence] = {}
-        self._samples: deque[Sample] = deque()
-        self._surveys: deque[Survey] = deque()
-        # When a log that may have held acknowledged commits was last lost, and a
-        # position that covers all commits acknowledged before then. A process needs it
-        # from its start on, as it does not know what was lost before.
-        self._log_lost_at = NEVER
-        self._lost_log_covered_by: Position | None = None
+        self._proofs = TermProofs()
+        self._covers = CommitCovers(self._proofs)
 
     @property
     def leader(self) -> Member | None:
@@ -138,7 +67,7 @@
     def newest_proof(self) -> Evidence | None:
         """Return the newest proof of the leader's term, or None without any."""
         leader = self.leader
-        return self._newest_proofs.get(leader.reported_primary_term) if leader else None
+        return self._proofs.newest(leader.reported_primary_term) if leader else None
 
     @property
     def last_acknowledged(self) -> Position:
@@ -194,8 +123,7 @@
             self.members.get(name) is not each for name, each in previous.items()
         )
         if any(is_lost):
-            self._log_lost_at = now
-            self._lost_log_covered_by = None
+            self._covers.record_lost_log(now)
         self._choose_leader()
 
     def record_lead_denied(self, member: Member) -> None:
@@ -324,13 +252,7 @@
         in at least one of these. Earlier ones are if one of these logs reaches a
         position that covers them; the survey does not count otherwise.
         """
-        covered_by = self._lost_log_covered_by
-        if covered_by is None or max(positions) < covered_by:
-            return
-        surveys = self._surveys
-        surveys.append(Survey(asked_at, max(positions)))
-        while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
-            surveys.popleft()
+        self._covers.add_survey(max(positions), asked_at)
 
     def is_term_proved(self, moment: float) -> bool:
         """Return True if no term later than the leader's can have begun by `moment`.
@@ -340,17 +262,12 @@
         leader = self.leader
         if leader is None or leader.lead is None:
             return False
-        return self._is_proved(leader.lead.term, moment)
+        return self._proofs.is_proved(leader.lead.term, moment)
 
     def is_lead_shown(self, moment: float) -> bool:
         """Return True if the leader has shown recently that it is still primary."""
         term = self.leader.reported_primary_term if self.leader else 0
-        return self._led_until.get(term, NEVER) >= moment
-
-    def is_unfenced(self, moment: float) -> bool:
-        """Return True if a replica has shown recently that it was not fenced."""
-        term = self.leader.reported_primary_term if self.leader else 0
-        return self._unfenced_until.get(term, NEVER) >= moment
+        return self._proofs.is_led(term, moment)
 
     def is_answer_proved(
         self, member: Member, position: Position | None, moment: float
@@ -375,30 +292,7 @@
 
     def cover(self, moment: float) -> Cover | None:
         """Return what covers all commits acknowledged before `moment`, or None."""
-        sample = self._proved_sample(moment)
-        if sample is not None:
-            evidence = Evidence(EvidenceKind.SAMPLE, sample.source, sample.asked_at)
-            return Cover(sample.position, evidence)
-        for survey in self._surveys:
-            if survey.asked_at >= moment:
-                evidence = Evidence(EvidenceKind.SURVEY, "", survey.asked_at)
-                return Cover(survey.position, evidence)
-        return None
-
-    def _proved_sample(self, moment: float) -> Sample | None:
-        """Return the first proved sample since `moment`, or None."""
-        for sample in self._samples:
-            if sample.asked_at < moment:
-                continue
-            if self._is_proved(sample.term, sample.asked_at):
-                return sample
-        return None
-
-    def _cover_lost_log(self) -> None:
-        """Look for a position that covers what the lost log may have held."""
-        if self._lost_log_covered_by is None:
-            sample = self._proved_sample(self._log_lost_at)
-            self._lost_log_covered_by = sample.position if sample else None
+        return self._covers.cover(moment)
 
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
@@ -410,7 +304,7 @@
             return 0.0
         missing = (
             sample.asked_at
-            for sample in self._samples
+            for sample in self._covers.samples()
             if sample.position > replica.applied
         )
         return max(0.0, asked_at - next(missing, asked_at))
@@ -426,7 +320,7 @@
         if lead.answered is None or position >= lead.answered:
             member.record_lead_position(position)
             source = member.database.identifier
-            self._add_sample(Sample(asked_at, position, lead.term, source))
+            self._covers.add_sample(Sample(asked_at, position, lead.term, source))
 
     def _record_replica_position(self, member: Member, position: Position) -> None:
         """Record how far a replica has applied, which may prove the leader's term.
@@ -438,8 +332,9 @@
         leader = self.leader
         if leader is None or position.term != leader.reported_primary_term:
             return
-        for sample in reversed(self._samples):
-            if self._is_proved(position.term, sample.asked_at + TERM_PROOF_SECONDS):
+        for sample in self._covers.newest_samples():
+            until = sample.asked_at + TERM_PROOF_SECONDS
+            if self._proofs.is_proved(position.term, until):
                 return
             if sample.term == position.term and sample.position < position:
                 kind = EvidenceKind.REPLICA_POSITION
@@ -447,36 +342,16 @@
                 self._extend_proof(position.term, member, kind, sample.asked_at)
                 return
 
-    def _is_proved(self, term: int, moment: float) -> bool:
-        unfenced_until = self._unfenced_until.get(term, NEVER)
-        led_until = self._led_until.get(term, NEVER)
-        return min(unfenced_until, led_until) >= moment
-
     def _extend_proof(
         self, term: int, source: Member, kind: EvidenceKind, asked_at: float
     ) -> None:
-        """Record that a replica was not fenced in a term when `source` was asked."""
-        if _extend(self._unfenced_until, term, asked_at):
-            identifier = source.database.identifier
-            self._newest_proofs[term] = Evidence(kind, identifier, asked_at)
-        for each in self._newest_proofs.keys() - self._unfenced_until.keys():
-            del self._newest_proofs[each]
-        self._cover_lost_log()
+        identifier = source.database.identifier
+        self._proofs.record_unfenced(term, kind, identifier, asked_at)
+        self._covers.cover_lost_log()
 
     def _extend_lead(self, term: int, asked_at: float) -> None:
-        _extend(self._led_until, term, asked_at)
-        self._cover_lost_log()
-
-    def _add_sample(self, sample: Sample) -> None:
-        samples = self._samples
-        if samples:
-            last = samples[-1]
-            if sample.asked_at < last.asked_at + MIN_SAMPLE_SPACING_SECONDS:
-                return
-        samples.append(sample)
-        while samples[0].asked_at < sample.asked_at - SAMPLE_RETENTION_SECONDS:
-            samples.popleft()
-        self._cover_lost_log()
+        self._proofs.record_led(term, asked_at)
+        self._covers.cover_lost_log()
 
     def _enter_term(self, term: int) -> None:
         self._term = term
@@ -512,20 +387,6 @@
     return -status.term, not status.fenced_term
 
 
-def _extend(until_of: dict[int, float], term: int, asked_at: float) -> bool:
-    """Extend until when evidence for a term counts, and drop what is of no use.
-
-    Return True if this evidence is the newest.
-    """
-    is_newest = asked_at + TERM_PROOF_SECONDS > until_of.get(term, NEVER)
-    if is_newest:
-        until_of[term] = asked_at + TERM_PROOF_SECONDS
-    for each in tuple(until_of):
-        if until_of[each] < asked_at - SAMPLE_RETENTION_SECONDS:
-            del until_of[each]
-    return is_newest
-
-
 def _leader_rank(member: Member) -> tuple[int, int, str]:
     """Rank by the latest change to primary, then by the newest term."""
     return member.primary_serial, member.term, member.database.identifier
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -10,7 +10,8 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.databases.catalog import Route, RouteKind
-from beryltiller.sessions.databases.groups import Cover, Group
+from beryltiller.sessions.databases.evidence import Cover
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
--- a/src/beryltiller/sessions/read_log.py
+++ b/src/beryltiller/sessions/read_log.py
@@ -9,7 +9,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.observability import logs
-from beryltiller.sessions.databases.groups import Evidence, Group
+from beryltiller.sessions.databases.evidence import Evidence
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.placement import Placement, ReadRequirement
 from beryltiller.sessions.statements import Reply
 
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -15,7 +15,7 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession.causes import cause_of_claim
 from beryltiller.sessions.succession.state import (
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -22,6 +22,7 @@
 # Modules of `sessions` that decide; the others run on the event loop.
 _SESSION_DECISIONS = (
     "databases.catalog",
+    "databases.evidence",
     "databases.groups",
     "shutdown",
     "connections.connection_limits",
--- a/tests/test_read_log.py
+++ b/tests/test_read_log.py
@@ -6,7 +6,8 @@
 from beryltiller.core.position import Position
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import Database, RouteKind
-from beryltiller.sessions.databases.groups import Cover, Evidence, EvidenceKind, Group
+from beryltiller.sessions.databases.evidence import Cover, Evidence, EvidenceKind
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement, ReadRequirement
 from beryltiller.sessions.read_log import ReadLog
--- a/tests/test_session_evidence_properties.py
+++ b/tests/test_session_evidence_properties.py
@@ -11,7 +11,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.databases.groups import TERM_PROOF_SECONDS, Group
+from beryltiller.sessions.databases.evidence import TERM_PROOF_SECONDS
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -5,11 +5,11 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database, Departed, Route, RouteKind
-from beryltiller.sessions.databases.groups import (
+from beryltiller.sessions.databases.evidence import (
     SAMPLE_RETENTION_SECONDS,
     TERM_PROOF_SECONDS,
-    Group,
 )
+from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.placement import (
     DRAIN_SECONDS,
     Placer,
--- a/tests/test_session_members.py
+++ b/tests/test_session_members.py
@@ -5,9 +5,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Route, RouteKind
-from beryltiller.sessions.databases.groups import (
-    SAMPLE_RETENTION_SECONDS,
-)
+from beryltiller.sessions.databases.evidence import SAMPLE_RETENTION_SECONDS
 from beryltiller.sessions.databases.member import STALL_MEMORY_SECONDS
 from beryltiller.sessions.succession.lag_relief import (
     MIN_LEAD_SECONDS,
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import policy
 from beryltiller.sessions.succession.causes import cause_of_claim, replacement_cause
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.catalog import Departed, Directory
-from beryltiller.sessions.databases.groups import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import Code, Fence, Unfence
 from beryltiller.sessions.succession.policy import DUTY_SECONDS
 from beryltiller.sessions.succession.runner import SuccessionRunner
