Prove a term beyond the question only if every replica has answered

What callers could see: a stale read on a primary route, without any cut. While a promotion takes effect, a successor that is busy or whose answer is lost is silent; the other replica's fence has been lifted, and it has not heard of the new term. Its status still proved the old term for 0.5 s, and with it samples of the former primary.

Fix: replicas that are all unfenced prove the term for 0.5 s, as before. If one of them is silent or fenced, the others prove it only up to the moment of the question: whoever may lead by then has acknowledged nothing before, as that takes another log, and none of those that answered, nor the primary, has heard of it. If two are silent, nothing is proved. A fence that is left no longer keeps reads of the old term, nor of a new one, from being proved, and a replica that hangs delays a proof by 0.1 s instead of 0.6 s.

test_read_after_the_successors_first_commit_is_not_served failed before. The test that a replica proves nothing while another one is fenced now says after which moment.

--- a/src/beryltiller/sessions/databases/evidence.py
+++ b/src/beryltiller/sessions/databases/evidence.py
@@ -21,6 +21,8 @@
 # A term that is proved to be in force at a moment remains so for this long: the hold
 # time plus the minimum time that a database takes to become primary.
 TERM_PROOF_SECONDS = 0.5
+# For how long an answer counts that proves nothing.
+NO_PROOF_SECONDS = float("-inf")
 # How long samples and surveys are kept, and the minimum time between two samples.
 SAMPLE_RETENTION_SECONDS = 4.0
 MIN_SAMPLE_SPACING_SECONDS = 0.02
@@ -82,12 +84,13 @@
 class TermProofs:
     """Until when each term of a group is proved to be in force.
 
-    That takes two answers. A replica that is not fenced shows that no later term has
-    begun, unless the primary had stepped down; a primary that still leads shows that it
-    had not. Both count for `TERM_PROOF_SECONDS`.
+    That takes two kinds of answers: that no replica was fenced, which shows that no
+    later term began unless the primary had stepped down, and that the primary still
+    led, which shows that it had not.
 
     >>> proofs = TermProofs()
-    >>> proofs.record_unfenced(3, EvidenceKind.STATUS, "db2", asked_at=1.0)
+    >>> answer = Evidence(EvidenceKind.STATUS, "db2", asked_at=1.0)
+    >>> proofs.record_unfenced(3, answer, until=1.5)
     >>> proofs.is_proved(3, moment=1.0)
     False
     >>> proofs.record_led(3, asked_at=1.2)
@@ -101,18 +104,16 @@
         self._led_until: dict[int, float] = {}
         self._newest: dict[int, Evidence] = {}
 
-    def record_unfenced(
-        self, term: int, kind: EvidenceKind, source: str, asked_at: float
-    ) -> None:
-        """Record an answer by which a replica was not fenced in a term."""
-        if _extend(self._unfenced_until, term, asked_at):
-            self._newest[term] = Evidence(kind, source, asked_at)
+    def record_unfenced(self, term: int, evidence: Evidence, until: float) -> None:
+        """Record an answer that shows until when replicas were not fenced in a term."""
+        if _extend(self._unfenced_until, term, until):
+            self._newest[term] = evidence
         for each in self._newest.keys() - self._unfenced_until.keys():
             del self._newest[each]
 
     def record_led(self, term: int, asked_at: float) -> None:
         """Record an answer by which the primary of a term still led."""
-        _extend(self._led_until, term, asked_at)
+        _extend(self._led_until, term, asked_at + TERM_PROOF_SECONDS)
 
     def is_led(self, term: int, moment: float) -> bool:
         """Return True if the primary of a term showed that it led until `moment`."""
@@ -207,15 +208,15 @@
         return None
 
 
-def _extend(until_of: dict[int, float], term: int, asked_at: float) -> bool:
+def _extend(until_of: dict[int, float], term: int, until: float) -> bool:
     """Extend until when evidence for a term counts, and drop what is of no use.
 
-    Return True if this evidence is the newest.
+    Return True if this evidence counts for the longest.
     """
-    is_newest = asked_at + TERM_PROOF_SECONDS > until_of.get(term, NEVER)
-    if is_newest:
-        until_of[term] = asked_at + TERM_PROOF_SECONDS
+    is_longest = until > until_of.get(term, NEVER)
+    if is_longest:
+        until_of[term] = until
     for each in tuple(until_of):
-        if until_of[each] < asked_at - SAMPLE_RETENTION_SECONDS:
+        if until_of[each] < until - SAMPLE_RETENTION_SECONDS - TERM_PROOF_SECONDS:
             del until_of[each]
-    return is_newest
+    return is_longest
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -16,6 +16,7 @@
 )
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.catalog import Configuration, Database, Directory
+from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
 from beryltiller.sessions.errors import NoCapacityError, NotSentError, SessionError
@@ -37,6 +38,9 @@
 DEFAULT_MAX_CONNECTIONS = 20
 
 STATUS_TIMEOUT_SECONDS = 0.3
+# How long replicas are waited for after the first one has answered. Without them the
+# term is proved up to the moment of the question, and not beyond.
+LATE_ANSWER_SECONDS = 0.1
 # How many rounds of replica queries one read waits for until the leader's term is
 # proved.
 MAX_PROOF_ATTEMPTS = 2
@@ -87,6 +91,7 @@
         self._connection_pools: dict[PoolKey, ConnectionPool] = {}
         self._proofs: dict[str, asyncio.Task[None]] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
+        self._status_queries: set[asyncio.Task[DatabaseStatus | None]] = set()
         self._leader_queried_at: dict[str, float] = {}
         self._claimant_queried_at: dict[str, float] = {}
         self._follows_store = False
@@ -295,7 +300,7 @@
             self._record_query_failure(member, error)
             return
         member.record_probe_answer(self._clock())
-        group.record_status(member, status, asked_at)
+        group.record_status(member, status, asked_at, NO_PROOF_SECONDS)
 
     def is_local(self, member: Member) -> bool:
         """Return True if a database is in this proxy's availability zone."""
@@ -328,7 +333,8 @@
 
     def close(self) -> None:
         """Cancel status queries and close all connection pools."""
-        for task in (*self._proofs.values(), *self._surveys.values()):
+        tasks = (*self._proofs.values(), *self._surveys.values())
+        for task in (*tasks, *self._status_queries):
             task.cancel()
         for pool in self._connection_pools.values():
             pool.close()
@@ -364,14 +370,26 @@
             group.record_lead_denied(leader)
 
     async def _query_fences(self, group: Group) -> None:
-        """Query all replicas at once whether they are fenced."""
+        """Query all replicas at once whether they are fenced.
+
+        Once one has answered, the others are waited for only briefly.
+        """
         asked_at = self._clock()
-        members = self._available_replicas(group)
-        statuses = await asyncio.gather(*map(self._status_or_none, members))
+        queries = {
+            member: asyncio.create_task(self._status_or_none(member))
+            for member in self._available_replicas(group)
+        }
+        self._status_queries.update(queries.values())
+        for query in queries.values():
+            query.add_done_callback(self._status_queries.discard)
+        if not queries:
+            return
+        await asyncio.wait(queries.values(), return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(queries.values(), timeout=LATE_ANSWER_SECONDS)
         answers = [
             (member, status)
-            for member, status in zip(members, statuses, strict=True)
-            if status is not None
+            for member, query in queries.items()
+            if query.done() and (status := query.result()) is not None
         ]
         group.record_round(answers, asked_at)
         leader = group.leader
@@ -442,7 +460,7 @@
         except (SessionError, TimeoutError) as error:
             self._record_query_failure(leader, error)
             return
-        group.record_status(leader, status, asked_at)
+        group.record_status(leader, status, asked_at, NO_PROOF_SECONDS)
         if not status.is_primary or status.term < term:
             group.record_lead_denied(leader)
 
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -16,11 +16,12 @@
 describe any moment since then.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.evidence import (
+    NO_PROOF_SECONDS,
     SAMPLE_RETENTION_SECONDS,
     TERM_PROOF_SECONDS,
     CommitCovers,
@@ -165,33 +166,42 @@
         if member is self.leader:
             member.record_lead(position.term, position)
             self._extend_lead(position.term, asked_at)
-            self._extend_proof(position.term, member, EvidenceKind.COMMIT, asked_at)
+            kind, until = EvidenceKind.COMMIT, asked_at + TERM_PROOF_SECONDS
+            self._extend_proof(position.term, member, kind, asked_at, until)
 
     def record_round(
-        self, statuses: Iterable[tuple[Member, DatabaseStatus]], asked_at: float
+        self, statuses: Sequence[tuple[Member, DatabaseStatus]], asked_at: float
     ) -> None:
         """Record the statuses of databases that were all asked at the same time.
 
-        Those that tell of a newer term, or of a fence and so of a possible promotion,
-        are recorded first, so that no other one proves the term then.
+        They prove the leader's term beyond the moment of the question only if every
+        replica answered that it is not fenced. A promote lifts all fences before each
+        replica has heard of the new term: one that is silent or fenced may have become
+        primary meanwhile. It has acknowledged nothing before the question, though, if
+        it is the only silent one and none of the others has heard of it.
         """
-        for member, status in sorted(statuses, key=_round_order):
-            self.record_status(member, status, asked_at)
+        replicas = len(self.replicas)
+        answered = [status for member, status in statuses if member is not self.leader]
+        is_unfenced = not any(status.fenced_term for status in answered)
+        lasting = TERM_PROOF_SECONDS if is_unfenced else 0.0
+        if len(answered) < replicas:
+            lasting = 0.0 if len(answered) == replicas - 1 else NO_PROOF_SECONDS
+        for member, status in sorted(statuses, key=_newest_term_first):
+            self.record_status(member, status, asked_at, lasting)
 
     def record_status(
         self,
         member: Member,
         status: DatabaseStatus,
         asked_at: float,
-        is_alone: bool = False,
+        proof_seconds: float = TERM_PROOF_SECONDS,
     ) -> None:
         """Record a database's status, which may change the leader or prove its term.
 
         An unfenced replica in the term in which the leader reported to be primary
-        proves that no later term had begun when the replica was asked. A leader that
-        has not reported so yet proves nothing: it may be a replica in that term itself.
-        Nor does a replica that is asked alone, or while another one is fenced: when the
-        fenced one is promoted, its fence is lifted before it hears of the new term.
+        proves that no later term had begun, for `proof_seconds` from the question on. A
+        leader that has not reported so yet proves nothing: it may be a replica in that
+        term itself.
         """
         member.record_answer(None)
         member.record_fence(bool(status.fenced_term), asked_at)
@@ -203,12 +213,11 @@
             self._record_primary(member, status, is_newer)
             self.record_lead(member, asked_at)
         leader = self.leader
-        if leader is None or member is leader or status.is_primary or is_alone:
-            return
-        if any(each.was_fenced(asked_at) for each in self.replicas):
+        if leader is None or member is leader or status.is_primary:
             return
         if status.term == leader.reported_primary_term and not status.fenced_term:
-            self._extend_proof(status.term, member, EvidenceKind.STATUS, asked_at)
+            kind, until = EvidenceKind.STATUS, asked_at + proof_seconds
+            self._extend_proof(status.term, member, kind, asked_at, until)
 
     def _record_primary(
         self, member: Member, status: DatabaseStatus, is_newer: bool
@@ -339,14 +348,19 @@
             if sample.term == position.term and sample.position < position:
                 kind = EvidenceKind.REPLICA_POSITION
                 self._extend_lead(position.term, sample.asked_at)
-                self._extend_proof(position.term, member, kind, sample.asked_at)
+                self._extend_proof(position.term, member, kind, sample.asked_at, until)
                 return
 
     def _extend_proof(
-        self, term: int, source: Member, kind: EvidenceKind, asked_at: float
+        self,
+        term: int,
+        source: Member,
+        kind: EvidenceKind,
+        asked_at: float,
+        until: float,
     ) -> None:
-        identifier = source.database.identifier
-        self._proofs.record_unfenced(term, kind, identifier, asked_at)
+        evidence = Evidence(kind, source.database.identifier, asked_at)
+        self._proofs.record_unfenced(term, evidence, until)
         self._covers.cover_lost_log()
 
     def _extend_lead(self, term: int, asked_at: float) -> None:
@@ -382,9 +396,9 @@
         self._leader = leader.database.identifier if leader else None
 
 
-def _round_order(answer: tuple[Member, DatabaseStatus]) -> tuple[int, bool]:
+def _newest_term_first(answer: tuple[Member, DatabaseStatus]) -> int:
     _, status = answer
-    return -status.term, not status.fenced_term
+    return -status.term
 
 
 def _leader_rank(member: Member) -> tuple[int, int, str]:
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -27,9 +27,6 @@
 # A database counts as overloaded for this long after it refused a statement for lack of
 # capacity. A proxy that sends it few statements hears of an overload only now and then.
 OVERLOAD_MEMORY_SECONDS = 1.0
-# A replica that was fenced longer ago and has not answered since is not about to be
-# promoted any more: its promoter's claim has ended.
-FENCE_MEMORY_SECONDS = 4.0
 # The weight of the newest statement in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # The latency assumed before the first statement.
@@ -97,7 +94,6 @@
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
         self._fenced_since: float | None = None
-        self._fenced_at = NEVER
 
     @property
     def in_flight(self) -> int:
@@ -190,17 +186,9 @@
         """Record whether it answered to be fenced when asked at `asked_at`."""
         if not is_fenced:
             self._fenced_since = None
-            return
-        self._fenced_at = asked_at
-        if self._fenced_since is None:
+        elif self._fenced_since is None:
             self._fenced_since = asked_at
 
-    def was_fenced(self, now: float) -> bool:
-        """Return True if its last status showed a fence, and not too long ago."""
-        if self._fenced_since is None:
-            return False
-        return now < self._fenced_at + FENCE_MEMORY_SECONDS
-
     @property
     def position_asked_at(self) -> float:
         """Return when the database was last asked for the position it answered with."""
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -14,6 +14,7 @@
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
 from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
@@ -415,7 +416,7 @@
             name = member.database.identifier
             logs.log(logs.CommandFailed(name, AskStatus.__name__, f"{error!r}"))
             return
-        group.record_status(member, status, asked_at, is_alone=True)
+        group.record_status(member, status, asked_at, NO_PROOF_SECONDS)
 
     async def _is_failure_confirmed(self, leader: Member) -> bool:
         """Return True if a recent probe of the leader failed, after probing if needed.
--- a/tests/test_lifted_fences.py
+++ b/tests/test_lifted_fences.py
@@ -1,10 +1,14 @@
 """Tests of proofs by replicas whose fences a promotion has lifted."""
 
 import unittest
-from dataclasses import replace
 
 from beryltiller.sessions.databases.catalog import RouteKind
-from beryltiller.sessions.statements import Read
+from beryltiller.sessions.databases.evidence import (
+    NO_PROOF_SECONDS,
+    TERM_PROOF_SECONDS,
+)
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Read
 from tests.fake_group import GroupFixture
 from tests.test_session_groups import make_group, status
 from tests.virtual_loop import pass_time, run_virtual
@@ -16,23 +20,62 @@
 class LiftedFenceTest(unittest.TestCase):
     """A replica that is not fenced any more, and has not heard of the new term yet."""
 
-    def test_replica_does_not_prove_the_old_term_while_another_one_is_fenced(
+    def group_after(self, *answers: tuple[str, DatabaseStatus]) -> Group:
+        """Return a group whose leader shows that it leads until 1.6."""
+        group = make_group()
+        leader = group.members["p"]
+        group.record_status(leader, status(1, is_primary=True), 1.1)
+        named = [(group.members[name], reported) for name, reported in answers]
+        group.record_round(named, 1.1)
+        return group
+
+    def test_replica_proves_nothing_after_the_question_while_another_is_fenced(
         self,
     ) -> None:
-        group = make_group()
-        group.record_status(group.members["p"], status(1, is_primary=True), 1.0)
-        answers = (
-            (group.members["r1"], status(1)),
-            (group.members["r2"], status(1, fenced_term=2)),
-        )
-        group.record_round(answers, 1.1)
-        self.assertFalse(group.is_term_proved(1.1))
+        group = self.group_after(("r1", status(1)), ("r2", status(1, fenced_term=2)))
+        self.assertTrue(group.is_term_proved(1.1))
+        self.assertFalse(group.is_term_proved(1.11))
+
+    def test_replica_proves_nothing_after_the_question_while_another_is_silent(
+        self,
+    ) -> None:
+        group = self.group_after(("r1", status(1)))
+        self.assertTrue(group.is_term_proved(1.1))
+        self.assertFalse(group.is_term_proved(1.11))
+
+    def test_nothing_is_proved_by_replicas_that_are_all_fenced_or_silent(self) -> None:
+        for answers in ((), (("r1", status(1, fenced_term=2)),)):
+            self.assertFalse(self.group_after(*answers).is_term_proved(1.0))
+
+    def test_nothing_is_proved_if_another_one_leads_a_newer_term(self) -> None:
+        group = self.group_after(("r1", status(1)), ("r2", status(2, is_primary=True)))
+        self.assertFalse(group.is_term_proved(1.0))
 
     def test_replica_that_is_asked_alone_proves_no_term(self) -> None:
-        group = make_group()
-        group.record_status(group.members["p"], status(1, is_primary=True), 1.0)
-        group.record_status(group.members["r1"], status(1), 1.1, is_alone=True)
-        self.assertFalse(group.is_term_proved(1.1))
+        group = self.group_after()
+        group.record_status(group.members["r1"], status(1), 1.1, NO_PROOF_SECONDS)
+        self.assertFalse(group.is_term_proved(1.0))
+
+    def test_read_after_the_successors_first_commit_is_not_served(self) -> None:
+        """Guards against a proof that outlasts a promotion; the successor is busy."""
+
+        async def work() -> None:
+            fixture = GroupFixture(RouteKind.PRIMARY)
+            session, successor = fixture.session(), fixture.far
+            before = await fixture.run(session, Read("i"))
+            await pass_time(LAPSE_SECONDS)
+            successor.is_primary, successor.term = True, 2
+            successor.refuse[AskStatus] = Code.BUSY
+            await fixture.run(session, Read("i"))
+            successor.index = 11
+            fixture.near.term, fixture.near.index = 2, 11
+            await pass_time(0.2)
+            after = await fixture.run(session, Read("i"))
+            fixture.fleet.close()
+            is_stale = after.is_success and after.position == before.position
+            self.assertFalse(is_stale, after)
+
+        run_virtual(work())
 
     def test_read_is_not_served_by_a_primary_cut_off_from_its_successor(self) -> None:
         async def work() -> None:
@@ -51,9 +94,5 @@
         run_virtual(work())
 
     def test_group_whose_replicas_are_all_unfenced_is_proved(self) -> None:
-        group = make_group()
-        group.record_status(group.members["p"], status(1, is_primary=True), 1.0)
-        unfenced = replace(status(1), fenced_term=0)
-        members = (group.members["r1"], group.members["r2"])
-        group.record_round(((member, unfenced) for member in members), 1.1)
-        self.assertTrue(group.is_term_proved(1.1))
+        group = self.group_after(("r1", status(1)), ("r2", status(1)))
+        self.assertTrue(group.is_term_proved(1.1 + TERM_PROOF_SECONDS))
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -356,10 +356,10 @@
             record_status = group.record_status
 
             def record(
-                member: Member, status: DatabaseStatus, at: float, is_alone: bool
+                member: Member, status: DatabaseStatus, at: float, seconds: float
             ) -> None:
                 asked.append(member.database.identifier)
-                record_status(member, status, at, is_alone)
+                record_status(member, status, at, seconds)
 
             with mock.patch.object(group, "record_status", record):
                 for _ in range(round(2 * REMOTE_FENCE_CHECK_SECONDS / 0.1)):
