--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -129,3 +129,25 @@
             (status.is_primary, status.term, status.fenced_term),
             (False, 3, 4),
         )
+
+    async def ask_role(self, begun: bytes, ended: bytes) -> bool:
+        """Return the answer of a database about its role."""
+        script: dict[str, bytes | None] = {"BEGIN": begun, "ROLLBACK": ended}
+        _, connection = await self.connect({"STARTUP": READY, **script})
+        return await connection.is_primary()
+
+    async def test_primary_is_known_by_the_begin_that_it_accepts(self) -> None:
+        complete, open_state = b"COMPLETE -\r\n", b"READY T 1.5\r\n"
+        self.assertTrue(await self.ask_role(complete + open_state, complete + READY))
+        refused = b"ERROR READONLY i-1\r\n" + READY
+        outside = b"ERROR MALFORMED no\r\n" + READY
+        self.assertFalse(await self.ask_role(refused, outside))
+
+    async def test_role_is_not_known_if_the_database_has_no_capacity(self) -> None:
+        with self.assertRaises(NotSentError):
+            await self.ask_role(b"ERROR BUSY no\r\n" + READY, b"COMPLETE -\r\n" + READY)
+
+    async def test_connection_with_an_open_transaction_is_not_used_again(self) -> None:
+        open_state = b"COMPLETE -\r\nREADY T 1.5\r\n"
+        with self.assertRaises(BrokenError):
+            await self.ask_role(open_state, open_state)
