Let time pass in the tests of evidence without sleeps

They slept on the virtual clock where pass_time says what is meant. No check changes; tests.test_session_evidence, test_lifted_fences and test_stepped_down_primary: 24 passed.

--- a/tests/test_session_evidence.py
+++ b/tests/test_session_evidence.py
@@ -1,6 +1,5 @@
 """Tests that evidence counts only for the database, term and process that gave it."""
 
-import asyncio
 import unittest
 from dataclasses import replace
 from functools import partial
@@ -12,7 +11,7 @@
 from tests.fake_group import GroupFixture
 from tests.test_session_groups import FAR, LEADER, NEAR, make_group, status
 from tests.test_session_serving import run_with_fixture
-from tests.virtual_loop import virtual_now
+from tests.virtual_loop import pass_time, virtual_now
 
 
 def primary_status(term: int, received: Position) -> DatabaseStatus:
@@ -107,7 +106,7 @@
     async def restart_leader(self, fixture: GroupFixture) -> None:
         await fixture.run(fixture.session(), Write("i", "d"))
         await fixture.run(fixture.session(), Read("i"))
-        await asyncio.sleep(0.3)
+        await pass_time(0.3)
         fixture.near.is_unreachable = fixture.far.is_unreachable = True
         fixture.leader.is_primary = False
         fixture.leader.index = 2
@@ -156,10 +155,10 @@
 
     async def fail_leader(self, fixture: GroupFixture) -> None:
         """Make the leader fail, after positions that it answered with are too old."""
-        await asyncio.sleep(6.0)
+        await pass_time(6.0)
         fixture.leader.is_unreachable = True
         await fixture.run(fixture.session(), Read("i"))
-        await asyncio.sleep(0.5)
+        await pass_time(0.5)
 
     def survey_after(self, is_replaced: bool, has_caught_up: bool) -> bool:
         """Return whether a read is served after `far` was lost and the leader failed.
