Log on which knowledge a promotion is requested

Operators saw acknowledged commits missing from the log of a promoted database. The logs named the request's result, not which databases the promoter knew, which it left out and by which rule, so the hypotheses on the cause could not be told apart.

promotion_decided states it in one line before each request; promotion_asked now has how long the platform took. The comparison of logs moved to a module of its own, which names the reason for each database that is not waited for.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -238,6 +238,28 @@
     received: str
 
 
+@dataclass(frozen=True, slots=True)
+class PromotionDecided:
+    """A promotion is about to be requested, and on which knowledge."""
+
+    service: str
+    successor: str
+    token: int
+    cause: str
+    former_primary: str
+    term: int
+    # The databases that this proxy knew and asked, each with its incarnation and what
+    # it answered.
+    databases: str
+    # Databases that did not answer and were not waited for, each with the reason.
+    left_out: str
+    # The end of the former primary's log if it has stepped down, or empty.
+    former_log_end: str
+    last_acknowledged: str
+    claim_age_seconds: float
+    confirmation_age_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAsked:
     """The platform was asked to promote `successor`; a failure has a `reason`."""
@@ -246,6 +268,8 @@
     successor: str
     is_accepted: bool
     reason: str
+    # How long the platform took to answer, or until the request was given up.
+    duration_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -334,6 +358,7 @@
     | ReplicasFenced
     | ReplicasUnfenced
     | PrimarySteppedDown
+    | PromotionDecided
     | PromotionAsked
     | CommandFailed
     | IsolationChanged
--- /dev/null
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -0,0 +1,147 @@
+"""Comparison of the logs of a fenced group, from which the successor is chosen.
+
+The functions are pure. A successor must hold every acknowledged commit; so a database
+that does not answer may be left out only if others hold whatever it may have received.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from beryltiller.core.position import Position
+from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.succession.state import (
+    FenceResults,
+    GroupView,
+    PromotionBasis,
+    Succession,
+)
+
+
+@unique
+class LeftOut(Enum):
+    """Why a database that does not answer is not waited for.
+
+    FORMER_LOG_REACHED: the former primary has stepped down, and a log reaches the end
+    of its log. GONE: its registry entry was removed before the trouble began.
+    REPLACED: another database answers at its address.
+    """
+
+    FORMER_LOG_REACHED = "former log reached"
+    GONE = "gone"
+    REPLACED = "replaced"
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """What the answers of a group's databases show.
+
+    `primaries` are the databases that report to be primary. `newest_term` is the newest
+    one that a database or this proxy knows of. `not_fenced` are those that answered and
+    are not fenced in the succession's term, `silent` those that did not answer and must
+    be waited for, and `left_out` those that need not be. `successor` is the replica
+    with the most advanced log, or "" if there is none.
+    """
+
+    primaries: Mapping[str, DatabaseStatus]
+    newest_term: int
+    newest_fence: int
+    not_fenced: frozenset[str]
+    silent: frozenset[str]
+    left_out: Mapping[str, LeftOut]
+    successor: str
+
+    @property
+    def is_conclusive(self) -> bool:
+        """Return True if all that may hold commits are fenced and one can succeed."""
+        return bool(self.successor) and not self.silent and not self.not_fenced
+
+    @property
+    def has_present_primary(self) -> bool:
+        """Return True if some database is primary in the newest term."""
+        return any(each.term >= self.newest_term for each in self.primaries.values())
+
+
+def compare(
+    view: GroupView, succession: Succession, results: FenceResults
+) -> Comparison:
+    """Compare the databases' answers to the fence commands of a succession."""
+    answers = {name: item for name, item in results.statuses.items() if item}
+    silent = results.statuses.keys() - answers.keys()
+    longest = max((each.received for each in answers.values()), default=Position(0, 0))
+    left_out = {
+        name: reason
+        for name in silent
+        if (reason := _left_out(name, view, succession, results, longest))
+    }
+    terms = [each.term for each in answers.values()]
+    term = succession.term
+    return Comparison(
+        primaries={name: each for name, each in answers.items() if each.is_primary},
+        newest_term=max([view.term, *terms]),
+        newest_fence=max((each.fenced_term for each in answers.values()), default=0),
+        not_fenced=frozenset(
+            name for name, each in answers.items() if each.fenced_term < term
+        ),
+        silent=frozenset(silent - left_out.keys()),
+        left_out=left_out,
+        successor=_choose_successor(view, succession, answers, longest),
+    )
+
+
+def _left_out(
+    name: str,
+    view: GroupView,
+    succession: Succession,
+    results: FenceResults,
+    longest: Position,
+) -> LeftOut | None:
+    """Return why a database that does not answer is not waited for, or None if it is.
+
+    A replaced database has ended and cannot acknowledge further commits; those that it
+    received are in other logs if one of these reaches the last position known to be
+    acknowledged.
+    """
+    former_log_end = succession.former_log_end
+    if former_log_end is not None and longest >= former_log_end:
+        return LeftOut.FORMER_LOG_REACHED
+    if name in results.gone:
+        return LeftOut.GONE
+    if name in results.replaced and longest >= view.last_acknowledged:
+        return LeftOut.REPLACED
+    return None
+
+
+def _choose_successor(
+    view: GroupView,
+    succession: Succession,
+    answers: Mapping[str, DatabaseStatus],
+    longest: Position,
+) -> str:
+    """Return the replica with the most advanced log, or "" if there is none.
+
+    Among equal logs, replicas that are not draining and then the current choice
+    are preferred.
+    """
+    names = [name for name, each in answers.items() if each.received == longest]
+    names = [name for name in names if name not in succession.refused_successors]
+    current_choice = succession.successor
+    names.sort(key=lambda name: (name in view.draining, name != current_choice, name))
+    return names[0] if names else ""
+
+
+def promotion_basis(
+    view: GroupView, succession: Succession, results: FenceResults, found: Comparison
+) -> PromotionBasis:
+    """Return what a promotion that `found` allows is based on."""
+    return PromotionBasis(
+        succession.cause,
+        succession.former_primary or "",
+        succession.term,
+        results.statuses,
+        {name: reason.value for name, reason in found.left_out.items()},
+        succession.former_log_end,
+        view.last_acknowledged,
+        succession.claimed_at,
+        results.fenced_at,
+    )
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -11,13 +11,15 @@
 """
 
 import random
-from collections.abc import Mapping, Set
 from dataclasses import replace
 
-from beryltiller.core.position import Position
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
-from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession.causes import cause_of_claim
+from beryltiller.sessions.succession.comparison import (
+    Comparison,
+    compare,
+    promotion_basis,
+)
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -33,6 +35,7 @@
     Phase,
     PrimarySteppedDown,
     Promote,
+    PromotionBasis,
     PromotionResult,
     State,
     StepDownPrimary,
@@ -142,7 +145,12 @@
         if succession is None:
             return state, ()
         deadline = event.asked_at + DUTY_SECONDS - DUTY_MARGIN_SECONDS
-        succession = replace(succession, token=event.token, deadline=deadline)
+        succession = replace(
+            succession,
+            token=event.token,
+            claimed_at=event.asked_at,
+            deadline=deadline,
+        )
         if succession.cause is Cause.FENCES_LEFT:
             return self._finish(state, succession, now)
         return self._step_down_and_fence(state, succession, now)
@@ -189,81 +197,38 @@
             return state, ()
         if succession.phase not in (Phase.FENCING, Phase.CONFIRMING):
             return state, ()
-        responses = {name: item for name, item in event.statuses.items() if item}
-        newest_term = max((item.term for item in responses.values()), default=0)
-        newest_term = max(newest_term, state.groups[service].term)
-        primaries = {name: item for name, item in responses.items() if item.is_primary}
-        if any(item.term >= newest_term for item in primaries.values()):
+        found = compare(state.groups[service], succession, event)
+        if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
-        unresponsive = event.statuses.keys() - responses.keys()
-        unresponsive -= self._dispensable(state, succession, event, responses)
-        newest_fence = max((item.fenced_term for item in responses.values()), default=0)
-        not_fenced = [s for s in responses.values() if s.fenced_term < succession.term]
-        successor = self._choose_successor(state, succession, responses)
-        if unresponsive or not_fenced or not successor:
-            term = succession.term
-            if not_fenced:
-                term = max(term, newest_term + 1, newest_fence)
-            retry = replace(succession, phase=Phase.FENCING, term=term)
-            if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
-                return self._finish(state, retry, now)
-            state, actions = _schedule_step(state, retry, now, RETRY_SECONDS)
-            # A primary of an older term was replaced and has not noticed yet.
-            replaced = tuple(StepDownPrimary(service, term, name) for name in primaries)
-            return state, (*replaced, *actions)
+        if not found.is_conclusive:
+            return self._retry_fencing(state, succession, found, now)
+        successor = found.successor
         is_confirmed = event.were_already_fenced and successor == succession.successor
         if succession.phase is Phase.CONFIRMING and is_confirmed:
-            return self._promote(state, succession, event.fenced_at, now)
+            basis = promotion_basis(state.groups[service], succession, event, found)
+            return self._promote(state, succession, basis, now)
         held = replace(succession, phase=Phase.HOLDING, successor=successor)
         if now + PROMOTION_HOLD_SECONDS > succession.deadline:
             return self._finish(state, held, now)
         return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
 
-    def _dispensable(
-        self,
-        state: State,
-        succession: Succession,
-        event: FenceResults,
-        responses: Mapping[str, DatabaseStatus],
-    ) -> Set[str]:
-        """Return the databases that may stay unresponsive without risking a commit.
-
-        A database is dispensable if each acknowledged commit in its log is also in the
-        log of a database that responds. If the former primary has stepped down and some
-        log reaches the end of its log, all databases are dispensable. A replaced
-        database has ended and cannot acknowledge further commits; the commits that it
-        received are in other logs if one of these reaches the last position known to be
-        acknowledged. Databases that are gone are always dispensable.
-        """
-        longest = max((s.received for s in responses.values()), default=Position(0, 0))
-        last = succession.former_log_end
-        if last is not None and longest >= last:
-            return event.statuses.keys()
-        if longest >= state.groups[succession.service].last_acknowledged:
-            return event.gone | event.replaced
-        return event.gone
-
-    def _choose_successor(
-        self,
-        state: State,
-        succession: Succession,
-        responses: Mapping[str, DatabaseStatus],
-    ) -> str:
-        """Return the replica with the most advanced log, or "" if there is none.
-
-        Among equal logs, replicas that are not draining and then the current choice
-        are preferred.
-        """
-        view = state.groups[succession.service]
-        longest = max((s.received for s in responses.values()), default=Position(0, 0))
-        names = [name for name, s in responses.items() if s.received == longest]
-        names = [name for name in names if name not in succession.refused_successors]
-        current_choice = succession.successor
-        names.sort(
-            key=lambda name: (name in view.draining, name != current_choice, name)
+    def _retry_fencing(
+        self, state: State, succession: Succession, found: Comparison, now: float
+    ) -> Decision:
+        """Fence again in a moment, in a later term if a database was not fenced."""
+        term = succession.term
+        if found.not_fenced:
+            term = max(term, found.newest_term + 1, found.newest_fence)
+        retry = replace(succession, phase=Phase.FENCING, term=term)
+        if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
+            return self._finish(state, retry, now)
+        state, actions = _schedule_step(state, retry, now, RETRY_SECONDS)
+        # A primary of an older term was replaced and has not noticed yet.
+        replaced = tuple(
+            StepDownPrimary(succession.service, term, name) for name in found.primaries
         )
-        return names[0] if names else ""
+        return state, (*replaced, *actions)
 
     def _take_due_step(
         self, state: State, succession: Succession, now: float
@@ -291,10 +256,14 @@
         return state, ()
 
     def _promote(
-        self, state: State, succession: Succession, confirmed_at: float, now: float
+        self,
+        state: State,
+        succession: Succession,
+        basis: PromotionBasis,
+        now: float,
     ) -> Decision:
         """Promote the successor, or confirm again if that was too long ago."""
-        confirmed_until = confirmed_at + CONFIRMATION_SECONDS
+        confirmed_until = basis.confirmed_at + CONFIRMATION_SECONDS
         if now > min(succession.deadline, confirmed_until):
             return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
         promoting = replace(
@@ -308,6 +277,7 @@
             succession.successor,
             succession.token,
             min(succession.deadline, confirmed_until),
+            basis,
         )
         return _store_succession(state, promoting), (action,)
 
@@ -344,8 +314,7 @@
         view = state.groups.get(succession.service)
         is_done = view is not None and view.leader == succession.successor
         may_take_effect = succession.promotion_may_take_effect and not is_done
-        claimed_at = succession.deadline - DUTY_SECONDS + DUTY_MARGIN_SECONDS
-        wait = claimed_at + LIFT_SECONDS - now
+        wait = succession.claimed_at + LIFT_SECONDS - now
         if wait > 0 and not may_take_effect and not is_done:
             lifting = replace(succession, phase=Phase.LIFTING)
             return _schedule_step(state, lifting, now, wait)
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -294,8 +294,10 @@
         service, successor = action.service, action.successor
         is_accepted = is_refused = False
         reason = ""
-        if self._clock() > action.deadline:
+        asked_at = self._clock()
+        if asked_at > action.deadline:
             return succession_state.PromotionResult(service, False, False)
+        self._log_decision(action, asked_at)
         try:
             await self._duty.promote(service, successor, self._newest_token)
             is_accepted = True
@@ -304,9 +306,38 @@
             reason = str(error)
         except PortError as error:
             reason = str(error)
-        logs.log(logs.PromotionAsked(service, successor, is_accepted, reason))
+        duration = round(self._clock() - asked_at, 3)
+        logs.log(logs.PromotionAsked(service, successor, is_accepted, reason, duration))
         return succession_state.PromotionResult(service, is_accepted, is_refused)
 
+    def _log_decision(self, action: succession_state.Promote, now: float) -> None:
+        basis = action.basis
+        left_out = (f"{name} {reason}" for name, reason in basis.left_out.items())
+        logs.log(
+            logs.PromotionDecided(
+                action.service,
+                action.successor,
+                action.token,
+                basis.cause.value,
+                basis.former_primary,
+                basis.term,
+                "; ".join(
+                    f"{self._incarnation_text(action.service, name)} "
+                    f"{_status_text(status)}"
+                    for name, status in basis.statuses.items()
+                ),
+                "; ".join(left_out),
+                str(basis.former_log_end or ""),
+                str(basis.last_acknowledged),
+                round(now - basis.claimed_at, 3),
+                round(now - basis.confirmed_at, 3),
+            )
+        )
+
+    def _incarnation_text(self, service: str, name: str) -> str:
+        database = self._database(service, name)
+        return f"{name}/{database.incarnation}" if database else name
+
     async def _command_all(
         self,
         service: str,
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -180,6 +180,26 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class PromotionBasis:
+    """On which knowledge a promotion is requested, for the log.
+
+    `left_out` are the databases that did not answer and were not waited for, each with
+    the reason. `claimed_at` is when the duty was claimed, and `confirmed_at` when the
+    fence commands that confirmed the comparison were sent.
+    """
+
+    cause: Cause
+    former_primary: str
+    term: int
+    statuses: Mapping[str, DatabaseStatus | None]
+    left_out: Mapping[str, str]
+    former_log_end: Position | None
+    last_acknowledged: Position
+    claimed_at: float
+    confirmed_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Promote:
     """A request to have the platform promote `successor` before `deadline`."""
@@ -188,6 +208,7 @@
     successor: str
     token: int
     deadline: float
+    basis: PromotionBasis
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,8 +260,9 @@
 
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
-    primary's log, known once it has stepped down. `deadline` is the last moment at
-    which the claim, with fencing token `token`, may be used to promote or unfence.
+    primary's log, known once it has stepped down. `claimed_at` is when the duty was
+    asked for, and `deadline` the last moment at which the claim, with fencing token
+    `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `promotion_may_take_effect` is True once a promotion was requested and not refused;
     `earlier_may_take_effect` tells the same of the promotions before the last one.
@@ -254,6 +276,7 @@
     possible_partition_since: float = 0.0
     former_log_end: Position | None = None
     token: int = 0
+    claimed_at: float = 0.0
     deadline: float = 0.0
     term: int = 0
     successor: str = ""
