Fence whichever database answers at the address of an ended one

Cause: a promoter took a database at whose address another one answers for ended, and waited for nobody in its place. But the other one has its log and its place: it follows the primary, and with it acknowledges commits, before its entry reaches the promoter. The check that the longest log reaches the last commit acknowledged through this very proxy says nothing of what other proxies' callers were told.

Now the command is sent to the address without an identifier. An unknown database of the service that answers is fenced, must have been fenced before the confirmation, and its log is compared; if it alone is the longest, the succession waits until its entry is known. It is not asked if a database that answered by name, or the former primary, has the address. So every log that the primary's commits can reach through a known address is closed before a successor is chosen.

The tests of ReplacedDatabaseTest and UnknownReplacementTest describe the parts. The test of a replaced database that is left out now is about one whose address another service has; a replaced one is left out only if its replacement answers, which is stricter.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -251,6 +251,8 @@
     # The databases that this proxy knew and asked, each with its incarnation and what
     # it answered.
     databases: str
+    # Unknown databases that answered at the addresses of ended ones.
+    replacements: str
     # Databases that did not answer and were not waited for, each with the reason.
     left_out: str
     # The end of the former primary's log if it has stepped down, or empty.
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -206,8 +206,11 @@
 
 
 def encode_startup(service: str, identifier: str) -> bytes:
-    """Return the line that opens a session at a database."""
-    return f"STARTUP {service} beryltiller {identifier}\r\n".encode()
+    """Return the line that opens a session at a database.
+
+    With `ANY_DATABASE` as identifier it is opened at any database of the service.
+    """
+    return f"STARTUP {service} beryltiller {identifier}".rstrip().encode() + LINE_END
 
 
 def encode_reply(reply: Reply) -> bytes:
--- a/src/beryltiller/sessions/databases/catalog.py
+++ b/src/beryltiller/sessions/databases/catalog.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+# The identifier of whichever database of a service answers at an address.
+ANY_DATABASE = ""
 # An entry that went missing up to this long before a possible partition counts as
 # lost in it.
 PARTITION_MARGIN_SECONDS = 1.0
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 from beryltiller.sessions.connections.connection_limits import (
@@ -15,7 +15,12 @@
     PooledConnection,
 )
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
-from beryltiller.sessions.databases.catalog import Configuration, Database, Directory
+from beryltiller.sessions.databases.catalog import (
+    ANY_DATABASE,
+    Configuration,
+    Database,
+    Directory,
+)
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
@@ -234,6 +239,27 @@
                 raise NoCapacityError(Code.BUSY, "too late to send the command")
             return await _run_command(pool, connection, statement)
 
+    async def command_at_address(
+        self,
+        database: Database,
+        statement: ProxyCommand,
+        timeout_seconds: float,
+        deadline: float = FOREVER,
+    ) -> DatabaseStatus:
+        """Run a command at whichever database of the service has the address.
+
+        Raise `ReplacedError` if one of another service has it, and `NoCapacityError`
+        if the connection was opened only after `deadline`.
+        """
+        async with asyncio.timeout(timeout_seconds):
+            connection = await self._connect(replace(database, identifier=ANY_DATABASE))
+            try:
+                if self._clock() > deadline:
+                    raise NoCapacityError(Code.BUSY, "too late to send the command")
+                return await connection.command(statement)
+            finally:
+                connection.close()
+
     async def probe(self, member: Member) -> None:
         """Query a database's status and record whether it answers."""
         try:
--- /dev/null
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -0,0 +1,183 @@
+"""Commands to the databases of a group that a promoting proxy knows.
+
+A database that ends is often replaced by another one, which starts at its address with
+its log, and follows the primary before its registry entry is known here. So whichever
+database answers at the address of an ended one is sent the command instead.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from beryltiller.observability import logs
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.fleet import FOREVER, Fleet
+from beryltiller.sessions.errors import ReplacedError, SessionError
+from beryltiller.sessions.statements import DatabaseStatus, ProxyCommand
+
+COMMAND_TIMEOUT_SECONDS = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The database carried out the command, and is in `status` afterwards."""
+
+    status: DatabaseStatus
+
+
+@dataclass(frozen=True, slots=True)
+class ReplacementAnswered:
+    """The database has ended, and an unknown one at its address answered with `status`.
+
+    It belongs to the same service, and has the log of the ended one.
+    """
+
+    status: DatabaseStatus
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """The database has ended, and one that is asked itself has its address and log."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The database has ended, and one of another service answers at its address."""
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """No answer, or a refusal."""
+
+
+Outcome = Answered | ReplacementAnswered | Replaced | Ended | Silent
+
+
+def status_of(outcome: Outcome) -> DatabaseStatus | None:
+    """Return the status that was answered with, or None without an answer.
+
+    >>> status_of(Silent()) is None
+    True
+    """
+    match outcome:
+        case Answered(status) | ReplacementAnswered(status):
+            return status
+    return None
+
+
+class GroupCommands:
+    """Sends commands to databases by name, without waiting for capacity."""
+
+    def __init__(self, fleet: Fleet, clock: Callable[[], float]) -> None:
+        """Send commands to the fleet's databases."""
+        self._fleet = fleet
+        self._clock = clock
+
+    async def send(
+        self,
+        service: str,
+        name: str,
+        statement: ProxyCommand,
+        deadline: float = FOREVER,
+    ) -> DatabaseStatus | None:
+        """Send a command to the database of that name, and to no other one.
+
+        Return its status, or None if it failed or refused.
+        """
+        return status_of(await self._send(service, name, statement, deadline))
+
+    async def send_all(
+        self,
+        service: str,
+        names: Iterable[str],
+        statement: ProxyCommand,
+        former_primary: str | None = None,
+        deadline: float = FOREVER,
+    ) -> dict[str, Outcome]:
+        """Send a command to several databases concurrently, none after `deadline`.
+
+        A database that has ended counts as replaced if one that answered, or the
+        former primary, has its address.
+        """
+        names = tuple(names)
+        results = await asyncio.gather(
+            *(self._send(service, name, statement, deadline) for name in names)
+        )
+        outcomes: dict[str, Outcome] = dict(zip(names, results, strict=True))
+        taken = self._addresses(service, outcomes, former_primary)
+        ended = {
+            name: database
+            for name, outcome in outcomes.items()
+            if isinstance(outcome, Replaced)
+            and (database := self.database(service, name)) is not None
+            and database.address not in taken
+        }
+        replies = await asyncio.gather(
+            *(
+                self._send_to_address(database, statement, deadline)
+                for database in ended.values()
+            )
+        )
+        outcomes.update(zip(ended, replies, strict=True))
+        return outcomes
+
+    def database(self, service: str, name: str) -> Database | None:
+        """Return a registered or departed database, or None if it is not known."""
+        member = self._fleet.group(service).members.get(name)
+        if member is not None:
+            return member.database
+        for departed in self._fleet.directory.departed_of(service):
+            if departed.database.identifier == name:
+                return departed.database
+        return None
+
+    def _addresses(
+        self,
+        service: str,
+        outcomes: Mapping[str, Outcome],
+        former_primary: str | None,
+    ) -> set[str]:
+        """Return the addresses of those that answered, and of the former primary."""
+        names = [name for name, each in outcomes.items() if isinstance(each, Answered)]
+        if former_primary is not None:
+            names.append(former_primary)
+        found = (self.database(service, name) for name in names)
+        return {database.address for database in found if database is not None}
+
+    async def _send(
+        self, service: str, name: str, statement: ProxyCommand, deadline: float
+    ) -> Outcome:
+        database = self.database(service, name)
+        if database is None:
+            return Silent()
+        asked_at = self._clock()
+        try:
+            status = await self._fleet.command(
+                database, statement, COMMAND_TIMEOUT_SECONDS, deadline
+            )
+        except (SessionError, TimeoutError) as error:
+            _log_failure(name, statement, error)
+            return Replaced() if isinstance(error, ReplacedError) else Silent()
+        group = self._fleet.group(service)
+        member = group.members.get(name)
+        if member is not None and status.is_primary:
+            group.record_status(member, status, asked_at)
+        return Answered(status)
+
+    async def _send_to_address(
+        self, database: Database, statement: ProxyCommand, deadline: float
+    ) -> Outcome:
+        try:
+            status = await self._fleet.command_at_address(
+                database, statement, COMMAND_TIMEOUT_SECONDS, deadline
+            )
+        except ReplacedError:
+            return Ended()
+        except (SessionError, TimeoutError) as error:
+            _log_failure(f"at {database.address}", statement, error)
+            return Silent()
+        return ReplacementAnswered(status)
+
+
+def _log_failure(name: str, statement: ProxyCommand, error: Exception) -> None:
+    logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -24,12 +24,14 @@
 
     FORMER_LOG_REACHED: the former primary has stepped down, and a log reaches the end
     of its log. GONE: its registry entry was removed before the trouble began.
-    REPLACED: another database answers at its address.
+    REPLACED: it has ended, and a database that answered has its address and log. ENDED:
+    a database of another service answers at its address.
     """
 
     FORMER_LOG_REACHED = "former log reached"
     GONE = "gone"
     REPLACED = "replaced"
+    ENDED = "ended"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +42,7 @@
     one that a database or this proxy knows of. `not_fenced` are those that answered and
     are not fenced in the succession's term, `silent` those that did not answer and must
     be waited for, and `left_out` those that need not be. `successor` is the replica
-    with the most advanced log, or "" if there is none.
+    with the most advanced log, or "" if none of those whose names are known has it.
     """
 
     primaries: Mapping[str, DatabaseStatus]
@@ -67,21 +69,22 @@
 ) -> Comparison:
     """Compare the databases' answers to the fence commands of a succession."""
     answers = {name: item for name, item in results.statuses.items() if item}
-    silent = results.statuses.keys() - answers.keys()
-    longest = max((each.received for each in answers.values()), default=Position(0, 0))
+    silent = results.statuses.keys() - answers.keys() - results.replacements.keys()
+    everyone = {**answers, **results.replacements}
+    longest = max((each.received for each in everyone.values()), default=Position(0, 0))
     left_out = {
         name: reason
         for name in silent
         if (reason := _left_out(name, view, succession, results, longest))
     }
-    terms = [each.term for each in answers.values()]
+    terms = [each.term for each in everyone.values()]
     term = succession.term
     return Comparison(
-        primaries={name: each for name, each in answers.items() if each.is_primary},
+        primaries={name: each for name, each in everyone.items() if each.is_primary},
         newest_term=max([view.term, *terms]),
-        newest_fence=max((each.fenced_term for each in answers.values()), default=0),
+        newest_fence=max((each.fenced_term for each in everyone.values()), default=0),
         not_fenced=frozenset(
-            name for name, each in answers.items() if each.fenced_term < term
+            name for name, each in everyone.items() if each.fenced_term < term
         ),
         silent=frozenset(silent - left_out.keys()),
         left_out=left_out,
@@ -98,17 +101,19 @@
 ) -> LeftOut | None:
     """Return why a database that does not answer is not waited for, or None if it is.
 
-    A replaced database has ended and cannot acknowledge further commits; those that it
-    received are in other logs if one of these reaches the last position known to be
-    acknowledged.
+    One that has ended without a replacement cannot acknowledge further commits; those
+    that it received are in other logs if one of these reaches the last position known
+    to be acknowledged.
     """
     former_log_end = succession.former_log_end
     if former_log_end is not None and longest >= former_log_end:
         return LeftOut.FORMER_LOG_REACHED
     if name in results.gone:
         return LeftOut.GONE
-    if name in results.replaced and longest >= view.last_acknowledged:
+    if name in results.replaced:
         return LeftOut.REPLACED
+    if name in results.ended and longest >= view.last_acknowledged:
+        return LeftOut.ENDED
     return None
 
 
@@ -139,6 +144,7 @@
         succession.former_primary or "",
         succession.term,
         results.statuses,
+        results.replacements,
         {name: reason.value for name, reason in found.left_out.items()},
         succession.former_log_end,
         view.last_acknowledged,
--- /dev/null
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -0,0 +1,156 @@
+"""One round of fencing: a group's databases are asked for their status and fenced."""
+
+from collections.abc import Callable, Mapping
+
+from beryltiller.observability import logs
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.statements import AskStatus, DatabaseStatus, Fence
+from beryltiller.sessions.succession.commands import (
+    Answered,
+    Ended,
+    GroupCommands,
+    Outcome,
+    Replaced,
+    ReplacementAnswered,
+    Silent,
+    status_of,
+)
+from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
+
+Outcomes = Mapping[str, Outcome]
+
+
+class Fencer:
+    """Fences the databases that this proxy knows, and those that replace them."""
+
+    def __init__(
+        self, fleet: Fleet, commands: GroupCommands, clock: Callable[[], float]
+    ) -> None:
+        """Fence the fleet's databases by `commands`."""
+        self._fleet = fleet
+        self._commands = commands
+        self._clock = clock
+
+    async def fence(self, action: FenceReplicas) -> FenceResults:
+        """Fence the databases that answer, or none if one of them is primary."""
+        service, former_primary = action.service, action.former_primary
+        names = (*action.replicas, *action.departed)
+        reported = await self._commands.send_all(
+            service, names, AskStatus(), former_primary
+        )
+        if any(_is_primary(outcome) for outcome in reported.values()):
+            return _results(action, reported)
+        fenced_at = self._clock()
+        answering = [name for name, each in reported.items() if status_of(each)]
+        fenced = await self._commands.send_all(
+            service, answering, Fence(action.term), former_primary
+        )
+        outcomes = {**reported, **dict.fromkeys(answering, Silent()), **fenced}
+        logs.log(logs.ReplicasFenced(service, action.term, outcomes_text(outcomes)))
+        return _results(
+            action,
+            outcomes,
+            gone=self._gone(action, outcomes),
+            were_already_fenced=all(
+                _was_fenced(action, name, reported[name], outcomes[name])
+                for name in names
+            ),
+            fenced_at=fenced_at,
+        )
+
+    def _gone(self, action: FenceReplicas, outcomes: Outcomes) -> frozenset[str]:
+        """Return the departed databases that are gone for good and do not answer.
+
+        One whose entry was removed when a partition may have begun may be cut off with
+        the former primary.
+        """
+        partitioned = self._fleet.directory.possibly_partitioned_of(
+            action.service, action.possible_partition_since
+        )
+        names = {each.database.identifier for each in partitioned}
+        return frozenset(
+            name
+            for name in action.departed
+            if name not in names and isinstance(outcomes[name], Silent)
+        )
+
+
+def outcomes_text(outcomes: Outcomes) -> str:
+    """Return what each database answered, for a log line."""
+    return "; ".join(f"{name} {_outcome_text(each)}" for name, each in outcomes.items())
+
+
+def status_text(status: DatabaseStatus | None) -> str:
+    """Return a database's status for a log line."""
+    if status is None:
+        return "silent"
+    role = "primary" if status.is_primary else "replica"
+    return f"{role} term {status.term} at {status.received} fenced {status.fenced_term}"
+
+
+def _results(
+    action: FenceReplicas,
+    outcomes: Outcomes,
+    gone: frozenset[str] = frozenset(),
+    were_already_fenced: bool = False,
+    fenced_at: float = 0.0,
+) -> FenceResults:
+    replacements = {
+        name: outcome.status
+        for name, outcome in outcomes.items()
+        if isinstance(outcome, ReplacementAnswered)
+    }
+    statuses = {
+        name: None if name in replacements else status_of(outcome)
+        for name, outcome in outcomes.items()
+    }
+    return FenceResults(
+        action.service,
+        statuses,
+        gone,
+        _names_of(outcomes, Replaced),
+        _names_of(outcomes, Ended),
+        replacements,
+        were_already_fenced,
+        fenced_at,
+    )
+
+
+def _names_of(outcomes: Outcomes, kind: type[Outcome]) -> frozenset[str]:
+    return frozenset(name for name, each in outcomes.items() if isinstance(each, kind))
+
+
+def _is_primary(outcome: Outcome) -> bool:
+    status = status_of(outcome)
+    return status is not None and status.is_primary
+
+
+def _was_fenced(
+    action: FenceReplicas, name: str, reported: Outcome, fenced: Outcome
+) -> bool:
+    """Return True if a database was fenced before this round, or need not have been.
+
+    If another one answered at its address than before, that one was not.
+    """
+    if type(fenced) is not type(reported):
+        return False
+    match reported:
+        case Answered(status) | ReplacementAnswered(status):
+            return status.fenced_term >= action.term
+        case Silent():
+            return name in action.departed
+    return True
+
+
+def _outcome_text(outcome: Outcome) -> str:
+    match outcome:
+        case Answered(status):
+            return status_text(status)
+        case ReplacementAnswered(status):
+            return f"replaced by an unknown {status_text(status)}"
+        case Replaced():
+            return "replaced"
+        case Ended():
+            return "ended"
+        case Silent():
+            return "silent"
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -186,7 +186,9 @@
         replicas = tuple(name for name in view.replicas if name != former_primary)
         departed = tuple(name for name in view.departed if name != former_primary)
         since = succession.possible_partition_since
-        fence = FenceReplicas(succession.service, term, replicas, departed, since)
+        fence = FenceReplicas(
+            succession.service, term, replicas, departed, since, former_primary
+        )
         return _store_succession(state, succession), (fence,)
 
     def _handle_fence_results(
@@ -198,6 +200,8 @@
         if succession.phase not in (Phase.FENCING, Phase.CONFIRMING):
             return state, ()
         found = compare(state.groups[service], succession, event)
+        replacements = frozenset(event.replacements)
+        succession = replace(succession, unknown_replacements=replacements)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
@@ -321,12 +325,12 @@
         state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         if may_take_effect or now > succession.deadline:
             return state, ()
-        replicas = tuple(
-            name
-            for name in (view.replicas if view else ())
-            if name != succession.successor
+        known = view.replicas if view else ()
+        replicas = tuple(name for name in known if name != succession.successor)
+        others = tuple(sorted(succession.unknown_replacements - set(known)))
+        unfence = UnfenceReplicas(
+            succession.service, (*replicas, *others), succession.deadline
         )
-        unfence = UnfenceReplicas(succession.service, replicas, succession.deadline)
         return state, (unfence,)
 
 
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -6,33 +6,31 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from beryltiller.core.ports import PortError, RefusedError
 from beryltiller.observability import logs
 from beryltiller.process.actors import Part
-from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
-from beryltiller.sessions.databases.fleet import FOREVER, Fleet
+from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
-from beryltiller.sessions.errors import ReplacedError, SessionError
+from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
-    DatabaseStatus,
     Fence,
-    ProxyCommand,
     StepDown,
     Unfence,
 )
 from beryltiller.sessions.succession import lag_relief, policy
 from beryltiller.sessions.succession import state as succession_state
+from beryltiller.sessions.succession.commands import GroupCommands
+from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
 
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
-COMMAND_TIMEOUT_SECONDS = 0.4
 # The mean time between two status queries that find fences which a promoter left.
 FENCE_CHECK_SECONDS = 3.0
 # The same for replicas of other availability zones, where other proxies ask more often.
@@ -102,7 +100,8 @@
         self._leader_healthy_until: dict[str, float] = {}
         self._overloaded_alone_since: dict[str, float] = {}
         self._leader_since: dict[str, float] = {}
-        self._replaced: set[str] = set()
+        self._commands = GroupCommands(fleet, clock)
+        self._fencer = Fencer(fleet, self._commands, clock)
         self._logged_leaders: dict[str, str] = {}
         self._newest_token = 0
 
@@ -199,10 +198,12 @@
             case succession_state.StepDownPrimary(service, term, identifier):
                 # After stepping down it is fenced too: an unfenced replica could start
                 # to follow another primary.
-                stepped_down = await self._command(service, identifier, StepDown(term))
+                stepped_down = await self._commands.send(
+                    service, identifier, StepDown(term)
+                )
                 if stepped_down is None or stepped_down.is_primary:
                     return None
-                await self._command(service, identifier, Fence(term))
+                await self._commands.send(service, identifier, Fence(term))
                 received = stepped_down.received
                 logs.log(
                     logs.PrimarySteppedDown(service, identifier, term, str(received))
@@ -211,17 +212,17 @@
                     service, identifier, received
                 )
             case succession_state.FenceReplicas():
-                return await self._fence_replicas(action)
+                return await self._fencer.fence(action)
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
                 return self._observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
             case succession_state.UnfenceReplicas(service, replicas, deadline):
-                unfenced = await self._command_all(
-                    service, replicas, Unfence(), deadline
+                unfenced = await self._commands.send_all(
+                    service, replicas, Unfence(), deadline=deadline
                 )
-                logs.log(logs.ReplicasUnfenced(service, _statuses_text(unfenced)))
+                logs.log(logs.ReplicasUnfenced(service, outcomes_text(unfenced)))
                 return None
 
     async def _claim(
@@ -248,46 +249,6 @@
             action.service, claim.token, claim.asked_at
         )
 
-    async def _fence_replicas(
-        self, action: succession_state.FenceReplicas
-    ) -> succession_state.Event:
-        """Fence the databases that answer, or none if one of them is primary."""
-        service = action.service
-        others = (*action.replicas, *action.departed)
-        reported = await self._command_all(service, others, AskStatus())
-        if any(item is not None and item.is_primary for item in reported.values()):
-            return succession_state.FenceResults(service, reported)
-        were_already_fenced = all(
-            name in action.departed if item is None else item.fenced_term >= action.term
-            for name, item in reported.items()
-        )
-        answering = [name for name, item in reported.items() if item is not None]
-        fenced_at = self._clock()
-        fenced = await self._command_all(service, answering, Fence(action.term))
-        statuses = {name: fenced.get(name) for name in others}
-        partitioned = self._possibly_partitioned(
-            service, action.possible_partition_since
-        )
-        gone = frozenset(
-            name
-            for name in action.departed
-            if statuses[name] is None and name not in partitioned
-        )
-        logs.log(logs.ReplicasFenced(service, action.term, _statuses_text(statuses)))
-        replaced = frozenset(self._replaced.intersection(statuses))
-        return succession_state.FenceResults(
-            service, statuses, gone, replaced, were_already_fenced, fenced_at
-        )
-
-    def _possibly_partitioned(
-        self, service: str, possible_partition_since: float
-    ) -> frozenset[str]:
-        """Return the departed databases that may be cut off with the former primary."""
-        partitioned = self._fleet.directory.possibly_partitioned_of(
-            service, possible_partition_since
-        )
-        return frozenset(each.database.identifier for each in partitioned)
-
     async def _promote(
         self, action: succession_state.Promote
     ) -> succession_state.Event | None:
@@ -323,9 +284,13 @@
                 basis.term,
                 "; ".join(
                     f"{self._incarnation_text(action.service, name)} "
-                    f"{_status_text(status)}"
+                    f"{status_text(status)}"
                     for name, status in basis.statuses.items()
                 ),
+                "; ".join(
+                    f"{name} {status_text(status)}"
+                    for name, status in basis.replacements.items()
+                ),
                 "; ".join(left_out),
                 str(basis.former_log_end or ""),
                 str(basis.last_acknowledged),
@@ -335,61 +300,9 @@
         )
 
     def _incarnation_text(self, service: str, name: str) -> str:
-        database = self._database(service, name)
+        database = self._commands.database(service, name)
         return f"{name}/{database.incarnation}" if database else name
 
-    async def _command_all(
-        self,
-        service: str,
-        names: Iterable[str],
-        statement: ProxyCommand,
-        deadline: float = FOREVER,
-    ) -> dict[str, DatabaseStatus | None]:
-        """Send a command to several databases concurrently, none after `deadline`.
-
-        Return each database's status, or None for one that failed or refused.
-        """
-        names = tuple(names)
-        results = await asyncio.gather(
-            *(self._command(service, name, statement, deadline) for name in names)
-        )
-        return dict(zip(names, results, strict=True))
-
-    async def _command(
-        self,
-        service: str,
-        name: str,
-        statement: ProxyCommand,
-        deadline: float = FOREVER,
-    ) -> DatabaseStatus | None:
-        database = self._database(service, name)
-        if database is None:
-            return None
-        asked_at = self._clock()
-        try:
-            status = await self._fleet.command(
-                database, statement, COMMAND_TIMEOUT_SECONDS, deadline
-            )
-        except (SessionError, TimeoutError) as error:
-            logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
-            if isinstance(error, ReplacedError):
-                self._replaced.add(name)
-            return None
-        self._replaced.discard(name)
-        member = self._fleet.group(service).members.get(name)
-        if member is not None and status.is_primary:
-            self._fleet.group(service).record_status(member, status, asked_at)
-        return status
-
-    def _database(self, service: str, name: str) -> Database | None:
-        member: Member | None = self._fleet.group(service).members.get(name)
-        if member is not None:
-            return member.database
-        for departed in self._fleet.directory.departed_of(service):
-            if departed.database.identifier == name:
-                return departed.database
-        return None
-
     async def probe_unresponsive_leaders(self) -> None:
         """Ask leaders that are failing or unresponsive for their status.
 
@@ -458,14 +371,3 @@
         if not leader.was_probed_recently(self._clock()):
             await self._fleet.probe(leader)
         return leader.failed_probe_recently(self._clock())
-
-
-def _statuses_text(statuses: Mapping[str, DatabaseStatus | None]) -> str:
-    return "; ".join(f"{name} {_status_text(item)}" for name, item in statuses.items())
-
-
-def _status_text(status: DatabaseStatus | None) -> str:
-    if status is None:
-        return "silent"
-    role = "primary" if status.is_primary else "replica"
-    return f"{role} term {status.term} at {status.received} fenced {status.fenced_term}"
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -92,16 +92,21 @@
     If one of them already was primary, none was fenced, and the statuses are those
     that they reported before.
     `gone` are databases that cannot be reached and whose registry entries are gone for
-    good. `replaced` are those at whose address another database answers.
-    `were_already_fenced` is True if all databases had been fenced before this round,
-    except departed ones that do not answer. `fenced_at` is when the fence commands of
-    this round were sent.
+    good. `replaced` are those that have ended and whose address and log another one in
+    `statuses`, or the former primary, has. `replacements` are the statuses of unknown
+    databases that answer at the addresses of others that have ended, by the names of
+    the latter; they have their logs. `ended` are those at whose address a database of
+    another service answers. `were_already_fenced` is True if all databases had been
+    fenced before this round, except departed ones that do not answer. `fenced_at` is
+    when the fence commands of this round were sent.
     """
 
     service: str
     statuses: Mapping[str, DatabaseStatus | None]
     gone: frozenset[str] = frozenset()
     replaced: frozenset[str] = frozenset()
+    ended: frozenset[str] = frozenset()
+    replacements: Mapping[str, DatabaseStatus] = field(default_factory=dict)
     were_already_fenced: bool = False
     fenced_at: float = 0.0
 
@@ -171,6 +176,7 @@
     replicas: tuple[str, ...]
     departed: tuple[str, ...] = ()
     possible_partition_since: float = 0.0
+    former_primary: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +199,7 @@
     former_primary: str
     term: int
     statuses: Mapping[str, DatabaseStatus | None]
+    replacements: Mapping[str, DatabaseStatus]
     left_out: Mapping[str, str]
     former_log_end: Position | None
     last_acknowledged: Position
@@ -215,8 +222,9 @@
 class UnfenceReplicas:
     """A request to let fenced replicas receive log entries again.
 
-    No command is sent after `deadline`: the replicas may then be fenced by another
-    proxy that holds the promotion duty.
+    Instead of one that has ended, this is the database at its address. No command is
+    sent after `deadline`: the replicas may then be fenced by another proxy that holds
+    the promotion duty.
     """
 
     service: str
@@ -264,8 +272,10 @@
     asked for, and `deadline` the last moment at which the claim, with fencing token
     `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
-    `promotion_may_take_effect` is True once a promotion was requested and not refused;
-    `earlier_may_take_effect` tells the same of the promotions before the last one.
+    `unknown_replacements` are the ended databases at whose addresses unknown ones were
+    fenced. `promotion_may_take_effect` is True once a promotion was requested and not
+    refused; `earlier_may_take_effect` tells the same of the promotions before the last
+    one.
     """
 
     service: str
@@ -281,6 +291,7 @@
     term: int = 0
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
+    unknown_replacements: frozenset[str] = frozenset()
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -6,6 +6,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import (
+    ANY_DATABASE,
     Configuration,
     Database,
     Directory,
@@ -55,11 +56,11 @@
     the connection breaks. `refuse` maps a statement type to the code it is refused
     with, and `refuse_start` is the code for new connections. An `is_unreachable`
     database accepts no connections and answers nothing. If `is_replaced`, another
-    database answers at its address. If it `hides_position`, its answers have none.
-    `late` maps a command's type to the seconds after which it is carried out, without
-    an answer. `ran` lists the requests that ran, each with the number of its
-    connection; `attempts` counts all connection attempts, `connections` those that
-    succeeded and `closed` those of them that were closed.
+    database answers at its address: `replacement`, or one of another service. If it
+    `hides_position`, its answers have none. `late` maps a command's type to the seconds
+    after which it is carried out, without an answer. `ran` lists the requests that ran,
+    each with the number of its connection; `attempts` counts all connection attempts,
+    `connections` those that succeeded and `closed` those of them that were closed.
     """
 
     identifier: str
@@ -76,6 +77,8 @@
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
     is_replaced: bool = False
+    address: str = ""
+    replacement: "FakeDatabase | None" = None
     hides_position: bool = False
     connections: int = 0
     closed: int = 0
@@ -86,7 +89,7 @@
         return Position(self.term, self.index)
 
     def entry(self) -> Database:
-        address = "127.0.0.1:1"
+        address = self.address or f"{self.identifier}:1"
         return Database(
             self.identifier, "s", address, self.zone, 3, self.is_primary, False
         )
@@ -244,9 +247,21 @@
     def _all(self) -> tuple[FakeDatabase, ...]:
         return self.leader, self.near, self.far
 
+    def _find(self, database: Database) -> FakeDatabase:
+        """Return the database of an entry, or whichever of its service is there."""
+        if database.identifier != ANY_DATABASE:
+            return self.databases[database.identifier]
+        at_address = (
+            each
+            for each in self.databases.values()
+            if each.entry().address == database.address
+        )
+        found = next(at_address)
+        return found.replacement or found
+
     async def _connect(self, database: Database) -> FakeConnection:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
-        fake = self.databases[database.identifier]
+        fake = self._find(database)
         fake.attempts += 1
         if fake.is_unreachable:
             raise NotSentError(Code.WRONG_DATABASE, "unreachable")
--- a/tests/simulated_databases.py
+++ b/tests/simulated_databases.py
@@ -13,7 +13,7 @@
 
 from beryltiller.core.ports import RefusedError
 from beryltiller.core.position import ORIGIN, Position
-from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.catalog import ANY_DATABASE, Database
 from beryltiller.sessions.errors import (
     BrokenError,
     NoCapacityError,
@@ -574,6 +574,6 @@
     found = group.hosts[host]
     if not is_connected or not found.is_running:
         raise NotSentError(Code.WRONG_DATABASE, "unreachable")
-    if found.identifier != database.identifier:
+    if database.identifier not in (found.identifier, ANY_DATABASE):
         raise ReplacedError(Code.WRONG_DATABASE, "another database answers")
     return SimulatedConnection(group, caller, found)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -6,7 +6,7 @@
 from beryltiller.core.ports import Row
 from beryltiller.core.position import Position
 from beryltiller.platform import records, wire
-from beryltiller.sessions.databases.catalog import RouteKind
+from beryltiller.sessions.databases.catalog import ANY_DATABASE, RouteKind
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
@@ -71,6 +71,18 @@
         )
 
 
+class StartupTest(unittest.TestCase):
+    """The line that opens a session at a database."""
+
+    def test_identifier_is_left_out_for_any_database(self) -> None:
+        self.assertEqual(
+            wire.encode_startup("s", ANY_DATABASE), b"STARTUP s beryltiller\r\n"
+        )
+        self.assertEqual(
+            wire.encode_startup("s", "i-1"), b"STARTUP s beryltiller i-1\r\n"
+        )
+
+
 class ReplyTest(unittest.TestCase):
     """Replies are encoded, and decoded to equal values."""
 
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -84,7 +84,7 @@
 
     def test_promotion_loses_no_commit_that_an_unknown_replica_received(self) -> None:
         lost = {}
-        for seed in (10, 12):
+        for seed in (5, 10, 12, 14):
             findings = run(
                 seed,
                 Fault(FaultKind.DRAIN_REPLICA, 3.142805, 1.0, 0.428889),
@@ -94,7 +94,7 @@
                 sessions=15,
             )
             lost[seed] = findings.lost
-        self.assertEqual(lost, {10: [], 12: []})
+        self.assertEqual(lost, {5: [], 10: [], 12: [], 14: []})
 
 
 def main() -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -10,8 +10,8 @@
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import policy
 from beryltiller.sessions.succession.causes import cause_of_claim, replacement_cause
+from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
 from beryltiller.sessions.succession.policy import SuccessionPolicy
-from beryltiller.sessions.succession.runner import COMMAND_TIMEOUT_SECONDS
 from beryltiller.sessions.succession.state import (
     Action,
     Cause,
@@ -137,7 +137,7 @@
 
     def test_complete_succession(self) -> None:
         driver = Driver()
-        fence_action = FenceReplicas("s", 2, ("a", "b"), ())
+        fence_action = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old")
         self.assertEqual(driver.claim(), (StepDownPrimary("s", 2, "old"), fence_action))
         wait = driver.report_fences({"a": status(5), "b": status(6)})
         self.assertEqual(wait, (ObserveAfter(PROMOTION_HOLD_SECONDS),))
@@ -345,7 +345,7 @@
         actions = driver.confirm(
             self.FENCED, confirm_after=policy.CONFIRMATION_SECONDS + 0.01
         )
-        self.assertEqual(actions, (FenceReplicas("s", 2, ("a", "b"), ()),))
+        self.assertEqual(actions, (FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old"),))
 
     def test_promotion_is_not_requested_long_after_the_confirmation(self) -> None:
         driver = Driver()
@@ -363,7 +363,9 @@
         (fence_action,) = driver.wait_out_hold(
             replace(FAILING, replicas=("a", "b", "c"))
         )
-        self.assertEqual(fence_action, FenceReplicas("s", 2, ("a", "b", "c"), ()))
+        self.assertEqual(
+            fence_action, FenceReplicas("s", 2, ("a", "b", "c"), (), 0.0, "old")
+        )
 
     def test_succession_ends_if_a_primary_appears_during_the_hold(self) -> None:
         """Guards against losing commits of a primary that returned renamed.
@@ -449,14 +451,14 @@
     """Unresponsive databases that delay nothing, as other logs hold their commits."""
 
     def is_waited_for(
-        self, driver: Driver, received: int, replaced: frozenset[str] = frozenset()
+        self, driver: Driver, received: int, ended: frozenset[str] = frozenset()
     ) -> bool:
         """Return True if unresponsive database `b` delays the succession.
 
         `received` is the end of the log of `a`, which responds.
         """
         statuses = {"a": status(received), "b": None}
-        driver.handle(FenceResults("s", statuses, replaced=replaced))
+        driver.handle(FenceResults("s", statuses, ended=ended))
         return not driver.state.successions["s"].successor
 
     def test_log_that_reaches_the_end_of_the_former_primarys_log(self) -> None:
@@ -477,23 +479,60 @@
         driver.handle(PrimarySteppedDown("s", "other", Position(1, 5)))
         self.assertTrue(self.is_waited_for(driver, 6))
 
-    def test_database_that_was_replaced_at_its_address(self) -> None:
+    def test_database_that_ended_without_a_replacement(self) -> None:
         """Guards against waiting for a database that has ended.
 
-        Another database answers at its address.
+        A database of another service answers at its address.
         """
         cases: tuple[tuple[str, int, frozenset[str], bool], ...] = (
             ("reaches", 7, frozenset("b"), False),
             ("too short", 6, frozenset("b"), True),
-            ("not replaced", 7, frozenset(), True),
+            ("not ended", 7, frozenset(), True),
         )
-        for name, received, replaced, expected in cases:
+        for name, received, ended, expected in cases:
             with self.subTest(name):
                 driver = Driver()
                 driver.claim(replace(FAILING, last_acknowledged=Position(1, 7)))
-                waited = self.is_waited_for(driver, received, replaced)
+                waited = self.is_waited_for(driver, received, ended)
                 self.assertEqual(waited, expected)
 
+    def test_database_whose_known_replacement_answers(self) -> None:
+        driver = Driver()
+        driver.claim(replace(FAILING, last_acknowledged=Position(1, 9)))
+        statuses = {"a": status(7), "b": None}
+        driver.handle(FenceResults("s", statuses, replaced=frozenset("b")))
+        self.assertEqual(driver.state.successions["s"].successor, "a")
+
+
+class UnknownReplacementTest(unittest.TestCase):
+    """An unknown database that has the address and log of one that has ended."""
+
+    def successor(self, replacement: DatabaseStatus) -> str:
+        """Return which database is chosen if one answers at the address of `b`."""
+        driver = Driver()
+        driver.claim()
+        statuses = {"a": status(7), "b": None}
+        driver.handle(FenceResults("s", statuses, replacements={"b": replacement}))
+        return driver.state.successions["s"].successor
+
+    def test_commits_that_only_it_received_are_not_lost(self) -> None:
+        self.assertEqual(self.successor(status(8)), "")
+
+    def test_it_must_be_fenced(self) -> None:
+        self.assertEqual(self.successor(status(7, fenced_term=0)), "")
+
+    def test_a_log_that_reaches_its_log_can_succeed(self) -> None:
+        self.assertEqual(self.successor(status(7)), "a")
+
+    def test_its_fence_is_lifted(self) -> None:
+        driver = Driver()
+        driver.claim()
+        statuses = {"a": status(7), "d": None}
+        driver.handle(FenceResults("s", statuses, replacements={"d": status(8)}))
+        actions = driver.observe(FAILING, 2.7)
+        assert isinstance(actions[-1], UnfenceReplicas), actions
+        self.assertEqual(actions[-1].replicas, ("a", "b", "d"))
+
     def test_start_of_a_possible_partition(self) -> None:
         primaryless = replace(HEALTHY, leader=None, primaryless_since=4.0)
         silence = policy.MAX_ENTRY_SILENCE_SECONDS
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -327,18 +327,73 @@
         self.assertEqual(run_virtual(work(False)), stepped_down)
         self.assertIsNone(run_virtual(work(True)))
 
-    def test_reports_databases_replaced_at_their_address(self) -> None:
+
+class ReplacedDatabaseTest(unittest.TestCase):
+    """Databases that have ended and at whose address another one answers."""
+
+    def fence(
+        self, arrange: Callable[[GroupFixture], None], former_primary: str = "leader"
+    ) -> FenceResults:
+        """Return the results of fencing near and far, where far has ended."""
+
         async def work() -> FenceResults:
             fixture = GroupFixture()
             fixture.far.is_replaced = True
-            action = FenceReplicas("s", 2, ("near", "far"), ())
+            arrange(fixture)
+            fixture.register()
+            names = ("near", "far")
+            action = FenceReplicas("s", 2, names, (), 0.0, former_primary)
             results = await make_runner(fixture).part().perform(action)
             assert isinstance(results, FenceResults)
+            self.assertIsNone(results.statuses["far"])
             return results
 
-        results = run_virtual(work())
+        return run_virtual(work())
+
+    def test_unknown_replacement_is_fenced_before_a_promotion(self) -> None:
+        """Guards against commits that it receives while another one is promoted."""
+        unknown = FakeDatabase("unknown", index=12)
+
+        def replace_far(fixture: GroupFixture) -> None:
+            fixture.far.replacement = unknown
+
+        results = self.fence(replace_far)
+        self.assertEqual(unknown.fenced_term, 2)
+        self.assertEqual(results.replacements["far"].received, Position(1, 12))
+        self.assertEqual(results.replaced | results.ended | results.gone, frozenset())
+        self.assertFalse(results.were_already_fenced)
+
+    def test_database_of_another_service_is_no_replacement(self) -> None:
+        results = self.fence(lambda fixture: None)
+        self.assertEqual(results.ended, frozenset({"far"}))
+
+    def test_known_replacement_is_asked_itself(self) -> None:
+        def move_near(fixture: GroupFixture) -> None:
+            fixture.near.address = "far:1"
+
+        results = self.fence(move_near)
         self.assertEqual(results.replaced, frozenset({"far"}))
-        self.assertIsNone(results.statuses["far"])
+        self.assertEqual(results.replacements, {})
+
+    def test_former_primary_at_the_address_is_not_fenced_as_a_replica(self) -> None:
+        """Guards against taking it for another primary, which ends the succession."""
+
+        def move_leader(fixture: GroupFixture) -> None:
+            fixture.leader.address = "far:1"
+            fixture.far.replacement = fixture.leader
+
+        results = self.fence(move_leader)
+        self.assertEqual(results.replaced, frozenset({"far"}))
+
+    def test_silent_replacement_is_waited_for(self) -> None:
+        def silence(fixture: GroupFixture) -> None:
+            fixture.far.replacement = FakeDatabase("unknown", is_unreachable=True)
+
+        results = self.fence(silence)
+        self.assertEqual(
+            (results.replaced, results.ended, results.replacements),
+            (frozenset(), frozenset(), {}),
+        )
 
 
 class FenceCheckTest(unittest.TestCase):
