Leave a departed database out only if a log covers what it may have had

Callers could lose commits that were acknowledged through other proxies.

Cause: a database whose entry was gone before the trouble was left out always, and one whose address another service has as soon as a log reached the last commit acknowledged through this very proxy. A proxy that had acknowledged little, or has just started, had nothing to compare with. Each commit is in the primary's log and in one replica's at least: the departed one may have been that replica.

Now the longest log must reach a position that the primary was proved to answer with after the log was lost, which the evidence for surveys already keeps (lost_log_covered_by); it covers what all proxies acknowledged.

The test covers seven cases of both.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -257,7 +257,8 @@
     left_out: str
     # The end of the former primary's log if it has stepped down, or empty.
     former_log_end: str
-    last_acknowledged: str
+    # A position that covers what was acknowledged before the last loss of a log.
+    lost_log_covered_by: str
     claim_age_seconds: float
     confirmation_age_seconds: float
 
--- a/src/beryltiller/sessions/databases/evidence.py
+++ b/src/beryltiller/sessions/databases/evidence.py
@@ -145,6 +145,11 @@
         self._log_lost_at = NEVER
         self._lost_log_covered_by: Position | None = None
 
+    @property
+    def lost_log_covered_by(self) -> Position | None:
+        """Return a position that covers what lost logs may have held, or None."""
+        return self._lost_log_covered_by
+
     def newest_samples(self) -> Iterator[Sample]:
         """Yield the samples, the newest first."""
         yield from reversed(self._samples)
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -49,7 +49,6 @@
         self.members: dict[str, Member] = {}
         self._leader: str | None = None
         self._term = 0
-        self._last_acknowledged = Position(0, 0)
         self._newest_primary_serial = 0
         self._proofs = TermProofs()
         self._covers = CommitCovers(self._proofs)
@@ -71,9 +70,12 @@
         return self._proofs.newest(leader.reported_primary_term) if leader else None
 
     @property
-    def last_acknowledged(self) -> Position:
-        """Return the newest position of a commit acknowledged through this proxy."""
-        return self._last_acknowledged
+    def lost_log_covered_by(self) -> Position | None:
+        """Return a position that covers what was acknowledged before a log was lost.
+
+        This is the last loss of a log in the group. Return None while none is known.
+        """
+        return self._covers.lost_log_covered_by
 
     @property
     def replicas(self) -> tuple[Member, ...]:
@@ -162,7 +164,6 @@
         member.record_acknowledged_write(asked_at)
         if position is None:
             return
-        self._last_acknowledged = max(self._last_acknowledged, position)
         if member is self.leader:
             member.record_lead(position.term, position)
             self._extend_lead(position.term, asked_at)
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -101,20 +101,21 @@
 ) -> LeftOut | None:
     """Return why a database that does not answer is not waited for, or None if it is.
 
-    One that has ended without a replacement cannot acknowledge further commits; those
-    that it received are in other logs if one of these reaches the last position known
-    to be acknowledged.
+    One that has departed without a replacement receives no further commits. It may
+    have been the only replica with earlier ones, unless a log reaches a position that
+    covers all that was acknowledged before it departed.
     """
     former_log_end = succession.former_log_end
     if former_log_end is not None and longest >= former_log_end:
         return LeftOut.FORMER_LOG_REACHED
-    if name in results.gone:
-        return LeftOut.GONE
     if name in results.replaced:
         return LeftOut.REPLACED
-    if name in results.ended and longest >= view.last_acknowledged:
-        return LeftOut.ENDED
-    return None
+    covered_by = view.lost_log_covered_by
+    if name not in view.departed or covered_by is None or longest < covered_by:
+        return None
+    if name in results.gone:
+        return LeftOut.GONE
+    return LeftOut.ENDED if name in results.ended else None
 
 
 def _choose_successor(
@@ -147,7 +148,7 @@
         results.replacements,
         {name: reason.value for name, reason in found.left_out.items()},
         succession.former_log_end,
-        view.last_acknowledged,
+        view.lost_log_covered_by,
         succession.claimed_at,
         results.fenced_at,
     )
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -165,7 +165,7 @@
             self._primaryless_since.get(service),
             self._overloaded_alone_since.get(service),
             self._leader_healthy_until.get(service),
-            group.last_acknowledged,
+            group.lost_log_covered_by,
             min((each for each in fenced if each is not None), default=None),
         )
 
@@ -293,7 +293,7 @@
                 ),
                 "; ".join(left_out),
                 str(basis.former_log_end or ""),
-                str(basis.last_acknowledged),
+                str(basis.lost_log_covered_by or ""),
                 round(now - basis.claimed_at, 3),
                 round(now - basis.confirmed_at, 3),
             )
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -9,7 +9,7 @@
 from enum import Enum, unique
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
+from beryltiller.sessions.statements import DatabaseStatus
 
 
 @unique
@@ -37,8 +37,9 @@
     leader. `departed` are databases whose registry entries are gone but that may
     still be running. `leader_healthy_until` is when this proxy last saw a healthy
     leader, or None if it never did. `overloaded_alone_since` is since when the leader
-    has been overloaded while no replica could serve reads. `last_acknowledged` is the
-    newest position of a commit that a leader acknowledged through this proxy.
+    has been overloaded while no replica could serve reads. `lost_log_covered_by`
+    is a position that covers all that was acknowledged before the last loss of a log,
+    or None while none is known.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -54,7 +55,7 @@
     primaryless_since: float | None = None
     overloaded_alone_since: float | None = None
     leader_healthy_until: float | None = None
-    last_acknowledged: Position = NO_POSITION
+    lost_log_covered_by: Position | None = None
     fenced_since: float | None = None
 
 
@@ -202,7 +203,7 @@
     replacements: Mapping[str, DatabaseStatus]
     left_out: Mapping[str, str]
     former_log_end: Position | None
-    last_acknowledged: Position
+    lost_log_covered_by: Position | None
     claimed_at: float
     confirmed_at: float
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -84,12 +84,13 @@
         statuses: Mapping[str, DatabaseStatus | None],
         gone: frozenset[str] = frozenset(),
         confirm_after: float = 0.0,
+        view: GroupView = FAILING,
     ) -> tuple[Action, ...]:
         """Wait out the hold time, then report that all replicas are still fenced.
 
         The policy learns of it `confirm_after` seconds after the commands were sent.
         """
-        (fence_action,) = self.wait_out_hold()
+        (fence_action,) = self.wait_out_hold(view)
         assert isinstance(fence_action, FenceReplicas), fence_action
         results = FenceResults(
             "s", statuses, gone, were_already_fenced=True, fenced_at=self.now
@@ -209,10 +210,12 @@
 
     def test_database_that_is_gone_is_not_waited_for(self) -> None:
         driver = Driver()
-        driver.claim()
+        view = replace(FAILING, departed=("b",), lost_log_covered_by=Position(1, 5))
+        driver.claim(view)
         gone = frozenset({"b"})
-        driver.report_fences({"a": status(5), "b": None}, gone=gone)
-        (promotion,) = driver.confirm({"a": status(5), "b": None}, gone=gone)
+        statuses = {"a": status(5), "b": None}
+        driver.report_fences(statuses, gone=gone)
+        (promotion,) = driver.confirm(statuses, gone=gone, view=view)
         self.assertIsInstance(promotion, Promote)
 
     def test_succession_ends_if_the_group_has_another_primary(self) -> None:
@@ -451,14 +454,18 @@
     """Unresponsive databases that delay nothing, as other logs hold their commits."""
 
     def is_waited_for(
-        self, driver: Driver, received: int, ended: frozenset[str] = frozenset()
+        self,
+        driver: Driver,
+        received: int,
+        gone: frozenset[str] = frozenset(),
+        ended: frozenset[str] = frozenset(),
     ) -> bool:
         """Return True if unresponsive database `b` delays the succession.
 
         `received` is the end of the log of `a`, which responds.
         """
         statuses = {"a": status(received), "b": None}
-        driver.handle(FenceResults("s", statuses, ended=ended))
+        driver.handle(FenceResults("s", statuses, gone, ended=ended))
         return not driver.state.successions["s"].successor
 
     def test_log_that_reaches_the_end_of_the_former_primarys_log(self) -> None:
@@ -479,26 +486,36 @@
         driver.handle(PrimarySteppedDown("s", "other", Position(1, 5)))
         self.assertTrue(self.is_waited_for(driver, 6))
 
-    def test_database_that_ended_without_a_replacement(self) -> None:
-        """Guards against waiting for a database that has ended.
-
-        A database of another service answers at its address.
-        """
-        cases: tuple[tuple[str, int, frozenset[str], bool], ...] = (
-            ("reaches", 7, frozenset("b"), False),
-            ("too short", 6, frozenset("b"), True),
-            ("not ended", 7, frozenset(), True),
+    def test_departed_database_may_have_had_the_only_copy_of_a_commit(self) -> None:
+        """Guards against commits acknowledged to callers of other proxies."""
+        covered = replace(FAILING, departed=("b",), lost_log_covered_by=Position(1, 7))
+        b = frozenset("b")
+        cases: tuple[tuple[str, GroupView, dict[str, frozenset[str]], int, bool], ...]
+        cases = (
+            ("gone, reaches", covered, {"gone": b}, 7, False),
+            ("gone, too short", covered, {"gone": b}, 6, True),
+            ("ended, reaches", covered, {"ended": b}, 7, False),
+            ("ended, too short", covered, {"ended": b}, 6, True),
+            ("neither gone nor ended", covered, {}, 7, True),
+            ("registered", replace(covered, departed=()), {"ended": b}, 7, True),
+            (
+                "no cover",
+                replace(covered, lost_log_covered_by=None),
+                {"gone": b},
+                7,
+                True,
+            ),
         )
-        for name, received, ended, expected in cases:
+        for name, view, reasons, received, expected in cases:
             with self.subTest(name):
                 driver = Driver()
-                driver.claim(replace(FAILING, last_acknowledged=Position(1, 7)))
-                waited = self.is_waited_for(driver, received, ended)
+                driver.claim(view)
+                waited = self.is_waited_for(driver, received, **reasons)
                 self.assertEqual(waited, expected)
 
     def test_database_whose_known_replacement_answers(self) -> None:
         driver = Driver()
-        driver.claim(replace(FAILING, last_acknowledged=Position(1, 9)))
+        driver.claim()
         statuses = {"a": status(7), "b": None}
         driver.handle(FenceResults("s", statuses, replaced=frozenset("b")))
         self.assertEqual(driver.state.successions["s"].successor, "a")
