Count the end of a log only if the database led until it stepped down

Callers could lose acknowledged commits.

Cause: a database that was asked to step down, and answered that it is no primary, stated the end of the former primary's log, and every log that reaches it let all other databases be left out. But it may have been a replica before, restarted or replaced, whose log lags behind those of others.

Now it is asked right before, by a begin that takes no slot, whether it leads, and its status must state the term in which it led; a primary of an older term than any known one does not count either.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -230,12 +230,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimarySteppedDown:
-    """A primary answered that it stepped down, and where its log ends."""
+    """A database answered that it is not primary any more, and where its log ends."""
 
     service: str
     database: str
+    # Primaries of terms below this one are stepped down.
     term: int
     received: str
+    # The term in which it showed that it led right before, or 0.
+    led_term: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -239,6 +239,13 @@
                 raise NoCapacityError(Code.BUSY, "too late to send the command")
             return await _run_command(pool, connection, statement)
 
+    async def is_primary(self, database: Database, timeout_seconds: float) -> bool:
+        """Ask a database whether it is primary, which takes no slot of it."""
+        pool = self.connection_pool(database)
+        async with asyncio.timeout(timeout_seconds):
+            connection = await pool.acquire_for_command()
+            return await _run_query(pool, connection, connection.is_primary())
+
     async def command_at_address(
         self,
         database: Database,
--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -121,6 +121,20 @@
         outcomes.update(zip(ended, replies, strict=True))
         return outcomes
 
+    async def led_term(self, service: str, name: str) -> int:
+        """Return the term in which a database shows that it leads now, or 0."""
+        member = self._fleet.group(service).members.get(name)
+        if member is None:
+            return 0
+        try:
+            is_primary = await self._fleet.is_primary(
+                member.database, COMMAND_TIMEOUT_SECONDS
+            )
+        except (SessionError, TimeoutError):
+            # The command that follows states and logs whether it answers.
+            return 0
+        return member.reported_primary_term if is_primary else 0
+
     def database(self, service: str, name: str) -> Database | None:
         """Return a registered or departed database, or None if it is not known."""
         member = self._fleet.group(service).members.get(name)
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -22,10 +22,10 @@
 class LeftOut(Enum):
     """Why a database that does not answer is not waited for.
 
-    FORMER_LOG_REACHED: the former primary has stepped down, and a log reaches the end
-    of its log. GONE: its registry entry was removed before the trouble began.
-    REPLACED: it has ended, and a database that answered has its address and log. ENDED:
-    a database of another service answers at its address.
+    FORMER_LOG_REACHED: the primary of the newest term has stepped down, and a log
+    reaches the end of its log. GONE: its registry entry was removed before the trouble
+    began. REPLACED: it has ended, and a database that answered has its address and log.
+    ENDED: a database of another service answers at its address.
     """
 
     FORMER_LOG_REACHED = "former log reached"
@@ -72,16 +72,22 @@
     silent = results.statuses.keys() - answers.keys() - results.replacements.keys()
     everyone = {**answers, **results.replacements}
     longest = max((each.received for each in everyone.values()), default=Position(0, 0))
+    terms = [each.term for each in everyone.values()]
+    newest_term = max([view.term, *terms])
+    is_former_log_reached = (
+        succession.former_log_end is not None
+        and succession.former_term >= newest_term
+        and longest >= succession.former_log_end
+    )
     left_out = {
         name: reason
         for name in silent
-        if (reason := _left_out(name, view, succession, results, longest))
+        if (reason := _left_out(name, view, results, longest, is_former_log_reached))
     }
-    terms = [each.term for each in everyone.values()]
     term = succession.term
     return Comparison(
         primaries={name: each for name, each in everyone.items() if each.is_primary},
-        newest_term=max([view.term, *terms]),
+        newest_term=newest_term,
         newest_fence=max((each.fenced_term for each in everyone.values()), default=0),
         not_fenced=frozenset(
             name for name, each in everyone.items() if each.fenced_term < term
@@ -95,9 +101,9 @@
 def _left_out(
     name: str,
     view: GroupView,
-    succession: Succession,
     results: FenceResults,
     longest: Position,
+    is_former_log_reached: bool,
 ) -> LeftOut | None:
     """Return why a database that does not answer is not waited for, or None if it is.
 
@@ -105,8 +111,7 @@
     have been the only replica with earlier ones, unless a log reaches a position that
     covers all that was acknowledged before it departed.
     """
-    former_log_end = succession.former_log_end
-    if former_log_end is not None and longest >= former_log_end:
+    if is_former_log_reached:
         return LeftOut.FORMER_LOG_REACHED
     if name in results.replaced:
         return LeftOut.REPLACED
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -357,7 +357,10 @@
     succession = state.successions.get(service)
     if succession is None or succession.former_primary != event.identifier:
         return state
-    return _store_succession(state, replace(succession, former_log_end=event.received))
+    stepped_down = replace(
+        succession, former_log_end=event.received, former_term=event.term
+    )
+    return _store_succession(state, stepped_down)
 
 
 def _store_succession(state: State, succession: Succession) -> State:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -195,22 +195,8 @@
                 return self._observe(self._clock())
             case succession_state.ClaimDuty():
                 return await self._claim(action)
-            case succession_state.StepDownPrimary(service, term, identifier):
-                # After stepping down it is fenced too: an unfenced replica could start
-                # to follow another primary.
-                stepped_down = await self._commands.send(
-                    service, identifier, StepDown(term)
-                )
-                if stepped_down is None or stepped_down.is_primary:
-                    return None
-                await self._commands.send(service, identifier, Fence(term))
-                received = stepped_down.received
-                logs.log(
-                    logs.PrimarySteppedDown(service, identifier, term, str(received))
-                )
-                return succession_state.PrimarySteppedDown(
-                    service, identifier, received
-                )
+            case succession_state.StepDownPrimary():
+                return await self._step_down(action)
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
             case succession_state.ObserveAfter(seconds):
@@ -225,6 +211,27 @@
                 logs.log(logs.ReplicasUnfenced(service, outcomes_text(unfenced)))
                 return None
 
+    async def _step_down(
+        self, action: succession_state.StepDownPrimary
+    ) -> succession_state.Event | None:
+        """Step a primary down; report the end of its log if it led until then."""
+        service, name = action.service, action.identifier
+        led_term = await self._commands.led_term(service, name)
+        status = await self._commands.send(service, name, StepDown(action.term))
+        if status is None or status.is_primary:
+            return None
+        # An unfenced replica could start to follow another primary.
+        await self._commands.send(service, name, Fence(action.term))
+        received = str(status.received)
+        logs.log(
+            logs.PrimarySteppedDown(service, name, action.term, received, led_term)
+        )
+        if led_term != status.term:
+            return None
+        return succession_state.PrimarySteppedDown(
+            service, name, led_term, status.received
+        )
+
     async def _claim(
         self, action: succession_state.ClaimDuty
     ) -> succession_state.Event:
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -114,10 +114,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimarySteppedDown:
-    """The change of a former primary to a replica, whose log ends at `received`."""
+    """The change of a primary to a replica, whose log ends at `received`.
+
+    It was primary in `term` until then.
+    """
 
     service: str
     identifier: str
+    term: int
     received: Position
 
 
@@ -269,9 +273,9 @@
 
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
-    primary's log, known once it has stepped down. `claimed_at` is when the duty was
-    asked for, and `deadline` the last moment at which the claim, with fencing token
-    `token`, may be used to promote or unfence.
+    primary's log, and `former_term` the term in which it led, known once it has stepped
+    down. `claimed_at` is when the duty was asked for, and `deadline` the last moment at
+    which the claim, with fencing token `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
     fenced. `promotion_may_take_effect` is True once a promotion was requested and not
@@ -286,6 +290,7 @@
     waiting_since: float
     possible_partition_since: float = 0.0
     former_log_end: Position | None = None
+    former_term: int = 0
     token: int = 0
     claimed_at: float = 0.0
     deadline: float = 0.0
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -477,15 +477,24 @@
             with self.subTest(received=received):
                 driver = Driver()
                 driver.claim()
-                driver.handle(PrimarySteppedDown("s", "old", Position(1, 7)))
+                driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 7)))
                 self.assertEqual(self.is_waited_for(driver, received), expected)
 
     def test_end_of_another_primarys_log_is_ignored(self) -> None:
         driver = Driver()
         driver.claim()
-        driver.handle(PrimarySteppedDown("s", "other", Position(1, 5)))
+        driver.handle(PrimarySteppedDown("s", "other", 1, Position(1, 5)))
         self.assertTrue(self.is_waited_for(driver, 6))
 
+    def test_end_of_an_older_primarys_log_lacks_later_commits(self) -> None:
+        """Guards against leaving out the replicas of a primary that replaced it."""
+        driver = Driver()
+        driver.claim()
+        driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 5)))
+        newer = DatabaseStatus(False, 2, Position(1, 6), 3)
+        driver.handle(FenceResults("s", {"a": newer, "b": None}))
+        self.assertEqual(driver.state.successions["s"].successor, "")
+
     def test_departed_database_may_have_had_the_only_copy_of_a_commit(self) -> None:
         """Guards against commits acknowledged to callers of other proxies."""
         covered = replace(FAILING, departed=("b",), lost_log_covered_by=Position(1, 7))
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -314,18 +314,22 @@
                 self.assertEqual(run_virtual(work(waited)), fenced_term)
 
     def test_reports_the_log_end_of_a_stepped_down_primary(self) -> None:
-        async def work(is_unreachable: bool) -> object:
+        async def work(is_unreachable: bool, was_primary: bool = True) -> object:
             fixture = GroupFixture()
+            await fixture.fleet.confirm_leaders()
             fixture.leader.is_unreachable = is_unreachable
+            fixture.leader.is_primary = was_primary
             return (
                 await make_runner(fixture)
                 .part()
                 .perform(StepDownPrimary("s", 2, "leader"))
             )
 
-        stepped_down = PrimarySteppedDown("s", "leader", Position(1, 10))
+        stepped_down = PrimarySteppedDown("s", "leader", 1, Position(1, 10))
         self.assertEqual(run_virtual(work(False)), stepped_down)
         self.assertIsNone(run_virtual(work(True)))
+        with self.subTest("a replica's log may end before others"):
+            self.assertIsNone(run_virtual(work(False, was_primary=False)))
 
 
 class ReplacedDatabaseTest(unittest.TestCase):
