Wait for a silent database that only lost its entry before the trouble

Cause: a database whose entry was removed before the primary failed counted as gone for good if it did not answer. But one that can reach no store loses its entry too, and follows the primary all the while. Surveys already wait for such databases.

Now a silent departed database is gone only if it announced its end by draining, or if its host answers that no process listens there. A proxy that steps the primary down, and so knows the end of its log, waits for nobody, as before.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -12,6 +12,7 @@
 from beryltiller.sessions.errors import (
     BrokenError,
     NoCapacityError,
+    NotRunningError,
     NotSentError,
     ReplacedError,
 )
@@ -180,7 +181,8 @@
 ) -> LineConnection:
     """Return an open connection to a database.
 
-    Raise `ReplacedError` if another database answers at the address. Raise
+    Raise `ReplacedError` if another database answers at the address, and
+    `NotRunningError` if the host is reached but no process listens. Raise
     `NotSentError` with the database's own code if it refuses the session, and with
     `WRONG_DATABASE` if no database answers at the address.
     """
@@ -197,6 +199,8 @@
     except (OSError, TimeoutError, BrokenError) as error:
         connection.close()
         reason = f"{type(error).__name__}: {error}"
+        if isinstance(error, ConnectionRefusedError):
+            raise NotRunningError(Code.WRONG_DATABASE, reason) from error
         raise NotSentError(Code.WRONG_DATABASE, reason) from error
     except BaseException:
         # An abandoned session would still count against the connection cap.
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -24,6 +24,10 @@
     """
 
 
+class NotRunningError(NotSentError):
+    """A refusal by a database's host, as no process listens at the address."""
+
+
 class ReplacedError(NotSentError):
     """A refusal because another database answers at the address of an ended one."""
 
--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -12,7 +12,7 @@
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
-from beryltiller.sessions.errors import ReplacedError, SessionError
+from beryltiller.sessions.errors import NotRunningError, ReplacedError, SessionError
 from beryltiller.sessions.statements import DatabaseStatus, ProxyCommand
 
 COMMAND_TIMEOUT_SECONDS = 0.4
@@ -45,12 +45,17 @@
     """The database has ended, and one of another service answers at its address."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotRunning:
+    """The database's host is reached, and no process listens at the address."""
+
+
 @dataclass(frozen=True, slots=True)
 class Silent:
     """No answer, or a refusal."""
 
 
-Outcome = Answered | ReplacementAnswered | Replaced | Ended | Silent
+Outcome = Answered | ReplacementAnswered | Replaced | Ended | NotRunning | Silent
 
 
 def status_of(outcome: Outcome) -> DatabaseStatus | None:
@@ -171,7 +176,7 @@
             )
         except (SessionError, TimeoutError) as error:
             _log_failure(name, statement, error)
-            return Replaced() if isinstance(error, ReplacedError) else Silent()
+            return _outcome_of(error)
         group = self._fleet.group(service)
         member = group.members.get(name)
         if member is not None and status.is_primary:
@@ -193,5 +198,14 @@
         return ReplacementAnswered(status)
 
 
+def _outcome_of(error: Exception) -> Outcome:
+    match error:
+        case ReplacedError():
+            return Replaced()
+        case NotRunningError():
+            return NotRunning()
+    return Silent()
+
+
 def _log_failure(name: str, statement: ProxyCommand, error: Exception) -> None:
     logs.log(logs.CommandFailed(name, type(statement).__name__, f"{error!r}"))
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -9,6 +9,7 @@
     Answered,
     Ended,
     GroupCommands,
+    NotRunning,
     Outcome,
     Replaced,
     ReplacementAnswered,
@@ -62,16 +63,21 @@
         """Return the departed databases that are gone for good and do not answer.
 
         One whose entry was removed when a partition may have begun may be cut off with
-        the former primary.
+        the former primary. One that is silent and did not announce its end may have
+        been cut off from the store, and from this proxy later.
         """
-        partitioned = self._fleet.directory.possibly_partitioned_of(
-            action.service, action.possible_partition_since
-        )
-        names = {each.database.identifier for each in partitioned}
+        directory, since = self._fleet.directory, action.possible_partition_since
+        service = action.service
+        receiving = directory.possibly_receiving_of(service, since)
+        partitioned = directory.possibly_partitioned_of(service, since)
+        may_run = {
+            Silent: {each.database.identifier for each in receiving},
+            NotRunning: {each.database.identifier for each in partitioned},
+        }
         return frozenset(
             name
             for name in action.departed
-            if name not in names and isinstance(outcomes[name], Silent)
+            if name not in may_run.get(type(outcomes[name]), action.departed)
         )
 
 
@@ -137,7 +143,7 @@
     match reported:
         case Answered(status) | ReplacementAnswered(status):
             return status.fenced_term >= action.term
-        case Silent():
+        case Silent() | NotRunning():
             return name in action.departed
     return True
 
@@ -152,5 +158,7 @@
             return "replaced"
         case Ended():
             return "ended"
+        case NotRunning():
+            return "not running"
         case Silent():
             return "silent"
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -16,7 +16,12 @@
 )
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
-from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
+from beryltiller.sessions.errors import (
+    BrokenError,
+    NotRunningError,
+    NotSentError,
+    ReplacedError,
+)
 from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import Session
@@ -55,12 +60,13 @@
     `hang` holds the statement types that are never answered, `cut` those after which
     the connection breaks. `refuse` maps a statement type to the code it is refused
     with, and `refuse_start` is the code for new connections. An `is_unreachable`
-    database accepts no connections and answers nothing. If `is_replaced`, another
-    database answers at its address: `replacement`, or one of another service. If it
-    `hides_position`, its answers have none. `late` maps a command's type to the seconds
-    after which it is carried out, without an answer. `ran` lists the requests that ran,
-    each with the number of its connection; `attempts` counts all connection attempts,
-    `connections` those that succeeded and `closed` those of them that were closed.
+    database accepts no connections and answers nothing. The host of one that
+    `is_stopped` refuses connections. If `is_replaced`, another database answers at its
+    address: `replacement`, or one of another service. If it `hides_position`, its
+    answers have none. `late` maps a command's type to the seconds after which it is
+    carried out, without an answer. `ran` lists the requests that ran, each with the
+    number of its connection; `attempts` counts all connection attempts, `connections`
+    those that succeeded and `closed` those of them that were closed.
     """
 
     identifier: str
@@ -76,6 +82,7 @@
     late: dict[type, float] = field(default_factory=dict)
     ran: list[tuple[int, Request]] = field(default_factory=list)
     refuse_start: Code | None = None
+    is_stopped: bool = False
     is_replaced: bool = False
     address: str = ""
     replacement: "FakeDatabase | None" = None
@@ -265,6 +272,8 @@
         fake.attempts += 1
         if fake.is_unreachable:
             raise NotSentError(Code.WRONG_DATABASE, "unreachable")
+        if fake.is_stopped:
+            raise NotRunningError(Code.WRONG_DATABASE, "refused")
         if fake.is_replaced:
             raise ReplacedError(Code.WRONG_DATABASE, "another database answers")
         if fake.refuse_start is not None:
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -1,12 +1,18 @@
 """Tests of connections to databases, with a small server of the line protocol."""
 
 import asyncio
+import socket
 import unittest
 from contextlib import AsyncExitStack
 
 from beryltiller.platform.databases import LineConnection, connect
 from beryltiller.sessions.databases.catalog import Database
-from beryltiller.sessions.errors import BrokenError, NotSentError, ReplacedError
+from beryltiller.sessions.errors import (
+    BrokenError,
+    NotRunningError,
+    NotSentError,
+    ReplacedError,
+)
 from beryltiller.sessions.statements import (
     AskStatus,
     Code,
@@ -101,6 +107,14 @@
         with self.assertRaises(ReplacedError):
             await self.connect({"STARTUP": OTHER_REFUSAL})
 
+    async def test_address_without_a_process_raises_its_own_error(self) -> None:
+        with socket.socket() as unused:
+            unused.bind((IP, 0))
+            address = f"{IP}:{unused.getsockname()[1]}"
+        database = Database("i-1", "s", address, "a", 3, False, False)
+        with self.assertRaises(NotRunningError):
+            await connect(database, IP)
+
     async def test_replies_are_returned_in_order(self) -> None:
         script: dict[str, bytes | None] = {
             "STARTUP": READY,
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -80,7 +80,7 @@
             Fault(FaultKind.CUT_STORE, 3.0, 9.0, 0.5),
             Fault(FaultKind.CUT_HALF, 10.0, 3.0, 0.2),
         )
-        self.assertEqual(findings.stale_answers, [])
+        self.assertEqual((findings.stale_answers, findings.lost), ([], []))
 
     def test_promotion_loses_no_commit_that_an_unknown_replica_received(self) -> None:
         lost = {}
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -57,25 +57,41 @@
 class DepartedTest(unittest.TestCase):
     """Departed databases, which are gone if they departed before the primary failed."""
 
+    def is_gone(
+        self, missing_since: float, is_draining: bool, is_stopped: bool
+    ) -> bool:
+        """Return whether a departed database that does not answer counts as gone."""
+
+        async def work() -> FenceResults:
+            fixture = GroupFixture()
+            fixture.databases["d"] = FakeDatabase(
+                "d", is_stopped=is_stopped, is_unreachable=not is_stopped
+            )
+            entry = fixture.databases["d"].entry()
+            departed = Departed(replace(entry, is_draining=is_draining), missing_since)
+            entries = fixture.fleet.directory.databases
+            fixture.fleet.register(Directory(entries, (departed,)))
+            action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
+            results = await make_runner(fixture).part().perform(action)
+            assert isinstance(results, FenceResults)
+            return results
+
+        return "d" in run_virtual(work()).gone
+
     def test_database_that_may_be_partitioned_is_not_gone(self) -> None:
         for missing_since, is_gone in ((-30.0, True), (0.0, False)):
-            with self.subTest(missing_since=missing_since):
-
-                async def work(since: float = missing_since) -> FenceResults:
-                    fixture = GroupFixture()
-                    fixture.databases["d"] = FakeDatabase("d", is_unreachable=True)
-                    departed = replace(fixture.far.entry(), identifier="d")
-                    entries = fixture.fleet.directory.databases
-                    fixture.fleet.register(
-                        Directory(entries, (Departed(departed, since),))
-                    )
-                    names = ("near", "far")
-                    action = FenceReplicas("s", 2, names, ("d",), virtual_now())
-                    results = await make_runner(fixture).part().perform(action)
-                    assert isinstance(results, FenceResults)
-                    return results
+            for is_stopped in (False, True):
+                with self.subTest(missing_since=missing_since, is_stopped=is_stopped):
+                    found = self.is_gone(missing_since, True, is_stopped)
+                    self.assertEqual(found, is_gone)
 
-                self.assertEqual("d" in run_virtual(work()).gone, is_gone)
+    def test_database_cut_off_from_the_store_before_the_trouble_is_not_gone(
+        self,
+    ) -> None:
+        """Guards against commits that it still receives from a cut-off primary."""
+        self.assertFalse(self.is_gone(-30.0, is_draining=False, is_stopped=False))
+        with self.subTest("its host answers that it does not run"):
+            self.assertTrue(self.is_gone(-30.0, is_draining=False, is_stopped=True))
 
 
 class SuccessionDelayTest(unittest.TestCase):
@@ -271,7 +287,8 @@
             fixture = GroupFixture()
             fixture.near.fenced_term = fixture.far.fenced_term = 2
             fixture.databases["d"] = FakeDatabase("d", is_unreachable=True)
-            departed = Departed(replace(fixture.far.entry(), identifier="d"), -30.0)
+            entry = replace(fixture.far.entry(), identifier="d", is_draining=True)
+            departed = Departed(entry, -30.0)
             entries = fixture.fleet.directory.databases
             fixture.fleet.register(Directory(entries, (departed,)))
             action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
