Announce a change of primary to all proxies before the promotion

Callers lost acknowledged commits although every database that the promoter knew was fenced.

Now the promoter announces the change in a row that all proxies follow: the term that ends and where the successor's log ends. From when a proxy reads it, it reports no commit beyond that as done (its outcome is unknown), sends the primary no further writes, and takes nothing as proof of the term. A proxy that has reported such a commit objects by writing the row again, and the promoter, which reads it at the confirmation, compares once more. A primary that stepped down acknowledges nothing any more, so a planned change waits for no announcement.

What does not hear of it: a proxy that reaches the primary but not the store.

The tests of announced changes and of AnnouncementTest are new; those that list a succession's actions now name the announcement.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -278,6 +278,25 @@
     duration_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncementFailed:
+    """An announced change of primary could not be written, read or decoded."""
+
+    service: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrimaryChangeOpposed:
+    """This proxy objects to a promotion that would drop a commit it has reported."""
+
+    service: str
+    # The end of the successor's log.
+    log_end: str
+    # The newest position that a commit was reported at.
+    reported: str
+
+
 @dataclass(frozen=True, slots=True)
 class CommandFailed:
     """A database did not carry out a command during a change of primary."""
@@ -366,6 +385,8 @@
     | PrimarySteppedDown
     | PromotionDecided
     | PromotionAsked
+    | AnnouncementFailed
+    | PrimaryChangeOpposed
     | CommandFailed
     | IsolationChanged
     | ReadRan
--- /dev/null
+++ b/src/beryltiller/platform/announcements.py
@@ -0,0 +1,81 @@
+"""Announced changes of primary as rows of the platform's store."""
+
+import msgspec
+
+from beryltiller.core.ports import Row, Write
+from beryltiller.core.position import Position
+from beryltiller.observability import logs
+from beryltiller.platform.store import StoreClient
+from beryltiller.sessions.databases.primary_change import PrimaryChange
+from beryltiller.sessions.succession.announcer import Announcement
+from beryltiller.sessions.tables.table_follower import Rows
+
+CHANGES_TABLE = "primary-changes"
+
+
+class AnnouncementModel(msgspec.Struct, frozen=True):
+    """The row of a service; the fields `log_end_...` are a log position.
+
+    `token` is the fencing token of the promoter's claim.
+    """
+
+    token: int
+    replaced_term: int
+    log_end_term: int
+    log_end_index: int
+    is_withdrawn: bool = False
+    is_opposed: bool = False
+
+
+class StoredAnnouncements:
+    """Announcements in the store; implements `AnnouncementPort`."""
+
+    def __init__(self, store: StoreClient) -> None:
+        """Keep the announcements in `store`."""
+        self._store = store
+
+    async def read(self, service: str) -> Announcement | None:
+        """Return a service's newest announcement, or None."""
+        dated = await self._store.read(CHANGES_TABLE, service)
+        return decode_announcement(dated.row) if dated.row else None
+
+    async def write(self, announcement: Announcement) -> int:
+        """Write an announcement if the row has its version; return the new one."""
+        change = announcement.change
+        model = AnnouncementModel(
+            announcement.token,
+            change.replaced_term,
+            change.log_end.term,
+            change.log_end.index,
+            announcement.is_withdrawn,
+            announcement.is_opposed,
+        )
+        value = msgspec.json.encode(model)
+        write = Write(CHANGES_TABLE, announcement.service, announcement.version, value)
+        return await self._store.commit((write,))
+
+
+def decode_announcement(row: Row) -> Announcement:
+    """Decode a row; one that cannot be read counts as withdrawn.
+
+    Only proxies write these rows, so an unreadable row does not stop a promotion.
+    """
+    try:
+        model = msgspec.json.decode(row.value, type=AnnouncementModel)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        logs.log(logs.AnnouncementFailed(row.key, str(error)))
+        model = AnnouncementModel(0, 0, 0, 0, is_withdrawn=True)
+    log_end = Position(model.log_end_term, model.log_end_index)
+    return Announcement(
+        row.key,
+        PrimaryChange(model.replaced_term, log_end),
+        model.token,
+        model.is_withdrawn,
+        model.is_opposed,
+        row.version,
+    )
+
+
+def decode_announcements(rows: Rows) -> tuple[Announcement, ...]:
+    """Decode all rows of the table."""
+    return tuple(map(decode_announcement, rows.values()))
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -16,6 +16,11 @@
 from beryltiller.adapters.broadcast import Broadcast, BroadcastError
 from beryltiller.observability import logs
 from beryltiller.platform import databases, records
+from beryltiller.platform.announcements import (
+    CHANGES_TABLE,
+    StoredAnnouncements,
+    decode_announcements,
+)
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
 from beryltiller.platform.settings import PlatformSettings
@@ -31,6 +36,7 @@
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS, shutdown_step
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.tables.relay import Feeder, feeder_lease_keys
 from beryltiller.sessions.tables.relay_runner import ANNOUNCE_SECONDS, RelayRunner
@@ -112,9 +118,13 @@
             settings.host_name,
             boot_clock,
         )
+        self._announcer = Announcer(
+            self._fleet, StoredAnnouncements(self._store), boot_clock
+        )
         self._succession_runner = SuccessionRunner(
             self._fleet,
             self._duty,
+            self._announcer,
             self._is_store_reachable,
             self._rng,
             boot_clock,
@@ -129,6 +139,7 @@
         self._databases_follower = self._follow(
             records.DATABASES_TABLE, self._update_registry
         )
+        self._follow(CHANGES_TABLE, self._observe_announcements)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
         )
@@ -216,6 +227,11 @@
         self._registry.replace(found, boot_clock())
         self._update_directory()
 
+    def _observe_announcements(self, rows: Rows) -> None:
+        for announcement in decode_announcements(rows):
+            if self._announcer.apply(announcement):
+                self._spawn(self._announcer.object_to(announcement))
+
     def _update_directory(self) -> None:
         self._fleet.register(self._registry.directory(boot_clock()))
 
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -32,6 +32,10 @@
     TermProofs,
 )
 from beryltiller.sessions.databases.member import Lead, Member
+from beryltiller.sessions.databases.primary_change import (
+    ChangeTracker,
+    PrimaryChange,
+)
 from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
 # `Member.primary_serial` of a database that was first seen when the group already had
@@ -52,6 +56,16 @@
         self._newest_primary_serial = 0
         self._proofs = TermProofs()
         self._covers = CommitCovers(self._proofs)
+        self._changes = ChangeTracker()
+
+    @property
+    def changes(self) -> ChangeTracker:
+        """Return the tracker of announced changes of the primary."""
+        return self._changes
+
+    def change_under_way(self, now: float) -> PrimaryChange | None:
+        """Return the announced change of the primary in force, or None."""
+        return self._changes.under_way(self._term, now)
 
     @property
     def leader(self) -> Member | None:
@@ -360,6 +374,9 @@
         asked_at: float,
         until: float,
     ) -> None:
+        if self.change_under_way(asked_at) is not None:
+            # The successor may lead any moment, whatever an unknown replica shows.
+            return
         evidence = Evidence(kind, source.database.identifier, asked_at)
         self._proofs.record_unfenced(term, evidence, until)
         self._covers.cover_lost_log()
--- /dev/null
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -0,0 +1,93 @@
+"""Announced changes of a group's primary, which all proxies take part in.
+
+A promoter knows a group's databases from their registry entries. One that it does not
+know yet may follow the former primary, and acknowledge commits together with it that
+the successor's log lacks. But callers learn of commits from proxies alone. So a change
+is announced to all proxies before the promotion: from then on they report no commit
+beyond the successor's log as done, and object if they have reported one.
+
+Times are seconds on the caller's clock, passed in.
+"""
+
+from dataclasses import dataclass
+
+from beryltiller.core.position import ORIGIN, Position
+from beryltiller.sessions.databases.member import NEVER
+
+# An announced promotion has taken effect by then, or will not be requested any more.
+CHANGE_SECONDS = 5.0
+# The entry of a database that joined is known to all proxies after this time. It is no
+# reason to object for longer: a position that was answered with may include a commit
+# that was not acknowledged.
+OBJECTION_SECONDS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class PrimaryChange:
+    """A change of primary whose successor leads in a term after `replaced_term`.
+
+    The successor's log ends at `log_end`, so the promotion drops later commits.
+    """
+
+    replaced_term: int
+    log_end: Position
+
+    def drops(self, position: Position | None) -> bool:
+        """Return True if the promotion may drop a commit at a position.
+
+        >>> change = PrimaryChange(2, Position(2, 7))
+        >>> change.drops(Position(2, 8)), change.drops(Position(3, 8))
+        (True, False)
+        """
+        if position is None:
+            return True
+        return position.term <= self.replaced_term and position > self.log_end
+
+
+class ChangeTracker:
+    """What one proxy knows of an announced change, and the commits that it reported.
+
+    >>> tracker = ChangeTracker()
+    >>> tracker.record_reported(Position(2, 8), now=1.0)
+    >>> tracker.objects_to(PrimaryChange(2, Position(2, 7)), now=2.0)
+    True
+    """
+
+    def __init__(self) -> None:
+        """Create a tracker without a change or a commit."""
+        self._change: PrimaryChange | None = None
+        self._until = NEVER
+        self._reported = ORIGIN
+        self._reported_at = NEVER
+
+    @property
+    def reported(self) -> Position:
+        """Return the newest position of a commit that was reported as done."""
+        return self._reported
+
+    def announce(self, change: PrimaryChange, now: float) -> None:
+        """Record an announced change."""
+        self._change = change
+        self._until = now + CHANGE_SECONDS
+
+    def withdraw(self) -> None:
+        """Record that the promotion will not be requested."""
+        self._change = None
+
+    def record_reported(self, position: Position, now: float) -> None:
+        """Record the answer to a commit that is reported to its caller as done."""
+        if position > self._reported:
+            self._reported = position
+            self._reported_at = now
+
+    def under_way(self, term: int, now: float) -> PrimaryChange | None:
+        """Return the change under way, or None; `term` is the newest term known."""
+        change = self._change
+        if change is None or now > self._until or term > change.replaced_term:
+            return None
+        return change
+
+    def objects_to(self, change: PrimaryChange, now: float) -> bool:
+        """Return True if a commit that the promotion drops was reported as done."""
+        is_recent = now <= self._reported_at + OBJECTION_SECONDS
+        return is_recent and change.drops(self._reported)
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -92,6 +92,8 @@
 
     async def place_leader(self, group: Group, tried: set[str]) -> Placement | None:
         """Place a statement at the leader; search for one if none is usable."""
+        if group.change_under_way(self._clock()) is not None:
+            return None
         placement = self._placer.place_leader(group, self._clock(), tried)
         if placement is not None:
             return placement
@@ -222,9 +224,23 @@
             raise
         finally:
             member.record_end(self._clock(), is_answered)
+        if reply.code is None and _is_commit_of_write(session, request):
+            self._check_commit(group, acquired, reply)
         self._record_reply(session, group, acquired.placement, request, reply, asked_at)
         return reply
 
+    def _check_commit(
+        self, group: Group, acquired: AcquiredConnection, reply: Reply
+    ) -> None:
+        """Raise `BrokenError` if a change of primary under way may drop a commit."""
+        now = self._clock()
+        change = group.change_under_way(now)
+        if change is not None and change.drops(reply.position):
+            acquired.pool.discard(acquired.connection)
+            raise BrokenError("a change of primary may drop the commit")
+        if reply.position is not None:
+            group.changes.record_reported(reply.position, now)
+
     async def run_in_transaction(
         self,
         session: Session,
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -41,8 +41,10 @@
     `primaries` are the databases that report to be primary. `newest_term` is the newest
     one that a database or this proxy knows of. `not_fenced` are those that answered and
     are not fenced in the succession's term, `silent` those that did not answer and must
-    be waited for, and `left_out` those that need not be. `successor` is the replica
-    with the most advanced log, or "" if none of those whose names are known has it.
+    be waited for, and `left_out` those that need not be. `longest` is the end of
+    the most advanced log, and `successor` a replica that has it, or "" if none of those
+    whose names are known has it. With `is_former_log_reached` the primary of the newest
+    term has stepped down, and that log reaches the end of its log.
     """
 
     primaries: Mapping[str, DatabaseStatus]
@@ -51,6 +53,8 @@
     not_fenced: frozenset[str]
     silent: frozenset[str]
     left_out: Mapping[str, LeftOut]
+    longest: Position
+    is_former_log_reached: bool
     successor: str
 
     @property
@@ -82,7 +86,13 @@
     left_out = {
         name: reason
         for name in silent
-        if (reason := _left_out(name, view, results, longest, is_former_log_reached))
+        if (
+            reason := (
+                LeftOut.FORMER_LOG_REACHED
+                if is_former_log_reached
+                else _left_out(name, view, results, longest)
+            )
+        )
     }
     term = succession.term
     return Comparison(
@@ -94,6 +104,8 @@
         ),
         silent=frozenset(silent - left_out.keys()),
         left_out=left_out,
+        longest=longest,
+        is_former_log_reached=is_former_log_reached,
         successor=_choose_successor(view, succession, answers, longest),
     )
 
@@ -103,7 +115,6 @@
     view: GroupView,
     results: FenceResults,
     longest: Position,
-    is_former_log_reached: bool,
 ) -> LeftOut | None:
     """Return why a database that does not answer is not waited for, or None if it is.
 
@@ -111,8 +122,6 @@
     have been the only replica with earlier ones, unless a log reaches a position that
     covers all that was acknowledged before it departed.
     """
-    if is_former_log_reached:
-        return LeftOut.FORMER_LOG_REACHED
     if name in results.replaced:
         return LeftOut.REPLACED
     covered_by = view.lost_log_covered_by
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -1,10 +1,12 @@
 """One round of fencing: a group's databases are asked for their status and fenced."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.statements import AskStatus, DatabaseStatus, Fence
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import (
     Answered,
     Ended,
@@ -25,11 +27,16 @@
     """Fences the databases that this proxy knows, and those that replace them."""
 
     def __init__(
-        self, fleet: Fleet, commands: GroupCommands, clock: Callable[[], float]
+        self,
+        fleet: Fleet,
+        commands: GroupCommands,
+        announcer: Announcer,
+        clock: Callable[[], float],
     ) -> None:
         """Fence the fleet's databases by `commands`."""
         self._fleet = fleet
         self._commands = commands
+        self._announcer = announcer
         self._clock = clock
 
     async def fence(self, action: FenceReplicas) -> FenceResults:
@@ -43,8 +50,11 @@
             return _results(action, reported)
         fenced_at = self._clock()
         answering = [name for name, each in reported.items() if status_of(each)]
-        fenced = await self._commands.send_all(
-            service, answering, Fence(action.term), former_primary
+        fenced, is_unopposed = await asyncio.gather(
+            self._commands.send_all(
+                service, answering, Fence(action.term), former_primary
+            ),
+            self._is_unopposed(action),
         )
         outcomes = {**reported, **dict.fromkeys(answering, Silent()), **fenced}
         logs.log(logs.ReplicasFenced(service, action.term, outcomes_text(outcomes)))
@@ -57,8 +67,15 @@
                 for name in names
             ),
             fenced_at=fenced_at,
+            is_unopposed=is_unopposed,
         )
 
+    async def _is_unopposed(self, action: FenceReplicas) -> bool:
+        version = action.announced_version
+        if not version:
+            return False
+        return await self._announcer.is_unopposed(action.service, version)
+
     def _gone(self, action: FenceReplicas, outcomes: Outcomes) -> frozenset[str]:
         """Return the departed databases that are gone for good and do not answer.
 
@@ -100,6 +117,7 @@
     gone: frozenset[str] = frozenset(),
     were_already_fenced: bool = False,
     fenced_at: float = 0.0,
+    is_unopposed: bool = False,
 ) -> FenceResults:
     replacements = {
         name: outcome.status
@@ -119,6 +137,7 @@
         replacements,
         were_already_fenced,
         fenced_at,
+        is_unopposed,
     )
 
 
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.succession.causes import cause_of_claim
 from beryltiller.sessions.succession.comparison import (
     Comparison,
@@ -22,7 +23,9 @@
 )
 from beryltiller.sessions.succession.state import (
     Action,
+    AnnounceChange,
     Cause,
+    ChangeAnnounced,
     ClaimAccepted,
     ClaimDuty,
     ClaimFailed,
@@ -41,6 +44,7 @@
     StepDownPrimary,
     Succession,
     UnfenceReplicas,
+    WithdrawChange,
 )
 
 # How long a claim of the promotion duty is valid, which excludes other claims.
@@ -64,6 +68,8 @@
 # A promotion is requested at most this long after the fence commands that confirmed it
 # were sent, as a replica that restarts is no longer fenced.
 CONFIRMATION_SECONDS = 0.5
+# Proxies have heard of an announced change and objected to it by then.
+OBJECTION_WAIT_SECONDS = 0.2
 # How long a primary may have been silent before the proxy stops using its entry.
 MAX_ENTRY_SILENCE_SECONDS = 8.0
 # Delay before the next claim after a succession ended, whether it succeeded or not.
@@ -99,6 +105,8 @@
                 return _record_step_down(state, event, service), ()
             case FenceResults(service):
                 return self._handle_fence_results(state, event, service, now)
+            case ChangeAnnounced(service):
+                return self._handle_change_announced(state, event, service, now)
             case PromotionResult(service):
                 return self._handle_promotion_result(state, event, service, now)
 
@@ -187,7 +195,13 @@
         departed = tuple(name for name in view.departed if name != former_primary)
         since = succession.possible_partition_since
         fence = FenceReplicas(
-            succession.service, term, replicas, departed, since, former_primary
+            succession.service,
+            term,
+            replicas,
+            departed,
+            since,
+            former_primary,
+            succession.announced_version,
         )
         return _store_succession(state, succession), (fence,)
 
@@ -207,15 +221,51 @@
             return self._finish(state, succession, now)
         if not found.is_conclusive:
             return self._retry_fencing(state, succession, found, now)
-        successor = found.successor
-        is_confirmed = event.were_already_fenced and successor == succession.successor
-        if succession.phase is Phase.CONFIRMING and is_confirmed:
+        is_confirmed = (
+            succession.phase is Phase.CONFIRMING
+            and event.were_already_fenced
+            and found.successor == succession.successor
+        )
+        if not is_confirmed:
+            return self._hold(state, succession, found, now)
+        is_announced = succession.announced == _change_by(found)
+        # A primary that has stepped down acknowledges nothing that the log lacks.
+        if found.is_former_log_reached or (is_announced and event.is_unopposed):
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
-        held = replace(succession, phase=Phase.HOLDING, successor=successor)
+        if is_announced and succession.announced_version:
+            return self._retry_fencing(state, succession, found, now)
+        return self._hold(state, succession, found, now)
+
+    def _hold(
+        self, state: State, succession: Succession, found: Comparison, now: float
+    ) -> Decision:
+        """Hold before the confirmation, and announce the change to all proxies."""
+        held = replace(succession, phase=Phase.HOLDING, successor=found.successor)
         if now + PROMOTION_HOLD_SECONDS > succession.deadline:
             return self._finish(state, held, now)
-        return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
+        change = _change_by(found)
+        if found.is_former_log_reached or change == succession.announced:
+            return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
+        announcing = replace(held, announced=change, announced_version=0)
+        state, actions = _schedule_step(state, announcing, now, PROMOTION_HOLD_SECONDS)
+        announce = AnnounceChange(succession.service, change, succession.token)
+        return state, (announce, *actions)
+
+    def _handle_change_announced(
+        self, state: State, event: ChangeAnnounced, service: str, now: float
+    ) -> Decision:
+        """Give all proxies time to object before the promotion is confirmed."""
+        succession = state.successions.get(service)
+        if succession is None:
+            return state, ()
+        if not event.version:
+            return _store_succession(state, replace(succession, announced=None)), ()
+        succession = replace(succession, announced_version=event.version)
+        if succession.phase is not Phase.HOLDING:
+            return _store_succession(state, succession), ()
+        wait = max(succession.next_step_at - now, OBJECTION_WAIT_SECONDS)
+        return _schedule_step(state, succession, now, wait)
 
     def _retry_fencing(
         self, state: State, succession: Succession, found: Comparison, now: float
@@ -331,9 +381,16 @@
         unfence = UnfenceReplicas(
             succession.service, (*replicas, *others), succession.deadline
         )
+        has_announced = succession.announced or succession.cause is Cause.FENCES_LEFT
+        if has_announced and not is_done:
+            return state, (WithdrawChange(succession.service), unfence)
         return state, (unfence,)
 
 
+def _change_by(found: Comparison) -> PrimaryChange:
+    return PrimaryChange(found.newest_term, found.longest)
+
+
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
     if phase is Phase.CONFIRMING:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -26,6 +26,7 @@
 )
 from beryltiller.sessions.succession import lag_relief, policy
 from beryltiller.sessions.succession import state as succession_state
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
 
@@ -81,6 +82,7 @@
         self,
         fleet: Fleet,
         duty: DutyPort,
+        announcer: Announcer,
         is_store_reachable: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float],
@@ -101,7 +103,8 @@
         self._overloaded_alone_since: dict[str, float] = {}
         self._leader_since: dict[str, float] = {}
         self._commands = GroupCommands(fleet, clock)
-        self._fencer = Fencer(fleet, self._commands, clock)
+        self._announcer = announcer
+        self._fencer = Fencer(fleet, self._commands, announcer, clock)
         self._logged_leaders: dict[str, str] = {}
         self._newest_token = 0
 
@@ -199,6 +202,12 @@
                 return await self._step_down(action)
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
+            case succession_state.AnnounceChange(service, change, token):
+                version = await self._announcer.announce(service, change, token)
+                return succession_state.ChangeAnnounced(service, version)
+            case succession_state.WithdrawChange(service):
+                await self._announcer.withdraw(service)
+                return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
                 return self._observe(self._clock())
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -9,6 +9,7 @@
 from enum import Enum, unique
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 
 
@@ -99,7 +100,8 @@
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
     fenced before this round, except departed ones that do not answer. `fenced_at` is
-    when the fence commands of this round were sent.
+    when the fence commands of this round were sent. `is_unopposed` is True if a change
+    was announced and no proxy has objected.
     """
 
     service: str
@@ -110,6 +112,7 @@
     replacements: Mapping[str, DatabaseStatus] = field(default_factory=dict)
     were_already_fenced: bool = False
     fenced_at: float = 0.0
+    is_unopposed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +128,17 @@
     received: Position
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeAnnounced:
+    """The outcome of announcing a change of primary to all proxies.
+
+    `version` is that of the announcement, or 0 if it failed.
+    """
+
+    service: str
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionResult:
     """The platform's response to a promotion request.
@@ -144,6 +158,7 @@
     | ClaimFailed
     | PrimarySteppedDown
     | FenceResults
+    | ChangeAnnounced
     | PromotionResult
 )
 
@@ -173,7 +188,8 @@
     """A request to fence replicas and departed databases against terms below `term`.
 
     A database whose entry went missing after `possible_partition_since` may be cut off
-    together with the former primary, so it does not count as gone.
+    together with the former primary, so it does not count as gone. If a change was
+    announced, the results state whether version `announced_version` is unopposed.
     """
 
     service: str
@@ -182,6 +198,23 @@
     departed: tuple[str, ...] = ()
     possible_partition_since: float = 0.0
     former_primary: str | None = None
+    announced_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceChange:
+    """A request to announce to all proxies that the primary is about to change."""
+
+    service: str
+    change: PrimaryChange
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawChange:
+    """A request to tell all proxies that an announced change will not happen."""
+
+    service: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +274,8 @@
     ClaimDuty
     | StepDownPrimary
     | FenceReplicas
+    | AnnounceChange
+    | WithdrawChange
     | ObserveAfter
     | Promote
     | UnfenceReplicas
@@ -278,7 +313,9 @@
     which the claim, with fencing token `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
-    fenced. `promotion_may_take_effect` is True once a promotion was requested and not
+    fenced. `announced` is the change that was announced, and `announced_version` the
+    announcement's version, or 0 while it is not confirmed. `promotion_may_take_effect`
+    is True once a promotion was requested and not
     refused; `earlier_may_take_effect` tells the same of the promotions before the last
     one.
     """
@@ -298,6 +335,8 @@
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
     unknown_replacements: frozenset[str] = frozenset()
+    announced: PrimaryChange | None = None
+    announced_version: int = 0
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
--- a/tests/fake_promoters.py
+++ b/tests/fake_promoters.py
@@ -12,6 +12,7 @@
 
 from beryltiller.core.ports import RefusedError
 from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
+from tests.fake_announcements import FakeAnnouncements
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.virtual_loop import virtual_now
 
@@ -33,6 +34,7 @@
     token: int = 0
     unfenced_meanwhile: list[str] = field(default_factory=list)
     promoted: list[str] = field(default_factory=list)
+    announcements: FakeAnnouncements = field(default_factory=FakeAnnouncements)
 
     def take_effect(self, identifier: str) -> None:
         """Let a promotion take effect: it ends all fences."""
@@ -91,6 +93,7 @@
         self.runner = SuccessionRunner(
             self.fixture.fleet,
             FakeDuty(platform, name),
+            platform.announcements.add_proxy(self.fixture.fleet),
             lambda: True,
             random.Random(seed),
             virtual_now,
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -34,6 +34,7 @@
     ObserveGroups,
     SuccessionRunner,
 )
+from tests.fake_announcements import FakeAnnouncements
 from tests.loaded_database import HOP_SECONDS, LoadedConnection, LoadedDatabase
 from tests.virtual_loop import virtual_now
 
@@ -86,6 +87,7 @@
         self.promotions = 0
         self.duty_holder: SharedDuty | None = None
         self.duty_until = 0.0
+        self._announcements = FakeAnnouncements()
         self._tasks: set[asyncio.Task[None]] = set()
         self.fleets = [
             Fleet(self._connect, "zone", virtual_now) for _ in range(proxies)
@@ -197,6 +199,7 @@
         runner = SuccessionRunner(
             fleet,
             SharedDuty(self),
+            self._announcements.add_proxy(fleet),
             lambda: True,
             random.Random(self.rng.random()),
             virtual_now,
--- a/tests/simulated_sessions.py
+++ b/tests/simulated_sessions.py
@@ -38,7 +38,9 @@
     Rollback,
 )
 from beryltiller.sessions.statements import Write as WriteItem
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.runner import ObserveGroups, SuccessionRunner
+from tests.simulated_announcements import AnnouncementRows, SimulatedAnnouncements
 from tests.simulated_databases import (
     LATE_SHARE,
     SERVICE,
@@ -217,6 +219,7 @@
 
     def __init__(self) -> None:
         self.is_down = False
+        self.announcements = AnnouncementRows()
         self.entries: dict[str, Database] = {}
         self.history: list[tuple[float, dict[str, Database]]] = []
         self._written_at: dict[str, float] = {}
@@ -341,9 +344,15 @@
         self.service = SessionService(
             self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
         )
+        self._announcer = Announcer(
+            self.fleet,
+            SimulatedAnnouncements(simulation.store.announcements, self),
+            virtual_now,
+        )
         self.runner = SuccessionRunner(
             self.fleet,
             SimulatedDuty(simulation, self),
+            self._announcer,
             lambda: simulation.reaches_store(self.name),
             random.Random(simulation.rng.random()),
             virtual_now,
@@ -368,6 +377,17 @@
         while virtual_now() < self.frozen_until:
             await asyncio.sleep(self.frozen_until - virtual_now())
 
+    async def call_store(self) -> bool:
+        """Wait for a call to the store; return False if it does not answer."""
+        await self.pass_gate()
+        await asyncio.sleep(self._simulation.rng.uniform(0.005, 0.04))
+        await self.pass_gate()
+        return self._simulation.reaches_store(self.name)
+
+    def is_answer_lost(self, share: float) -> bool:
+        """Return True if the answer to this call is lost."""
+        return self._simulation.rng.random() < share
+
     async def _connect(self, database: Database) -> SimulatedConnection:
         return await connect(self._simulation.group, self, database)
 
@@ -375,8 +395,17 @@
         while True:
             await self.pass_gate()
             self._read_entries()
+            self._read_announcements()
             await asyncio.sleep(0.05)
 
+    def _read_announcements(self) -> None:
+        if not self._simulation.reaches_store(self.name):
+            return
+        for announcement in self._simulation.store.announcements.rows.values():
+            if self._announcer.apply(announcement):
+                objection = self._announcer.object_to(announcement)
+                self._actions.add(self._simulation.group.spawn(objection))
+
     def _read_entries(self) -> None:
         simulation = self._simulation
         is_reachable = simulation.reaches_store(self.name)
--- /dev/null
+++ b/tests/test_announced_changes.py
@@ -0,0 +1,154 @@
+"""Tests of announced changes of primary: what proxies report, refuse and object to."""
+
+import asyncio
+import unittest
+
+from beryltiller.core.position import Position
+from beryltiller.sessions.databases.primary_change import (
+    CHANGE_SECONDS,
+    OBJECTION_SECONDS,
+    ChangeTracker,
+    PrimaryChange,
+)
+from beryltiller.sessions.statements import Code, Reply, Write
+from beryltiller.sessions.succession.announcer import Announcer
+from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
+from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture
+from tests.virtual_loop import pass_time, run_virtual, virtual_now
+
+CHANGE = PrimaryChange(1, Position(1, 10))
+
+
+class ChangeTrackerTest(unittest.TestCase):
+    """When a change is under way, and which commits are a reason to object."""
+
+    def test_change_is_under_way_until_it_ends(self) -> None:
+        cases = (
+            ("announced", 1, 1.0, CHANGE),
+            ("a later term is known", 2, 1.0, None),
+            ("long ago", 1, 1.0 + CHANGE_SECONDS, None),
+        )
+        for name, term, now, expected in cases:
+            with self.subTest(name):
+                tracker = ChangeTracker()
+                tracker.announce(CHANGE, 0.5)
+                self.assertEqual(tracker.under_way(term, now), expected)
+
+    def test_withdrawn_change_is_not_under_way(self) -> None:
+        tracker = ChangeTracker()
+        tracker.announce(CHANGE, 0.5)
+        tracker.withdraw()
+        self.assertIsNone(tracker.under_way(1, 0.6))
+
+    def test_objects_only_to_the_loss_of_a_recently_reported_commit(self) -> None:
+        cases = (
+            ("lost", Position(1, 11), 1.0, True),
+            ("kept", Position(1, 10), 1.0, False),
+            ("of a later term", Position(2, 11), 1.0, False),
+            ("reported long ago", Position(1, 11), 1.1 + OBJECTION_SECONDS, False),
+        )
+        for name, reported, now, expected in cases:
+            with self.subTest(name):
+                tracker = ChangeTracker()
+                tracker.record_reported(reported, 1.0)
+                self.assertEqual(tracker.objects_to(CHANGE, now), expected)
+
+
+class CallersTest(unittest.TestCase):
+    """What callers are told of writes during a change of primary."""
+
+    def test_commit_that_the_promotion_drops_is_not_reported_as_done(self) -> None:
+        """Guards against commits that an unknown replica acknowledges meanwhile."""
+
+        async def work() -> tuple[Reply, Reply]:
+            fixture = GroupFixture()
+            changes = fixture.fleet.group("s").changes
+            await fixture.run(fixture.session(), Write("i", "d"))
+            write = asyncio.create_task(fixture.run(fixture.session(), Write("i", "d")))
+            await pass_time(ROUND_TRIP_SECONDS / 2)
+            changes.announce(PrimaryChange(1, Position(1, 11)), virtual_now())
+            unknown = await write
+            changes.withdraw()
+            return unknown, await fixture.run(fixture.session(), Write("i", "d"))
+
+        unknown, done = run_virtual(work())
+        self.assertIs(unknown.code, Code.UNKNOWN_OUTCOME)
+        self.assertIsNone(done.code)
+
+    def test_write_is_refused_at_once_while_the_primary_changes(self) -> None:
+        async def work() -> tuple[Code | None, float, int]:
+            fixture = GroupFixture()
+            fixture.fleet.group("s").changes.announce(CHANGE, virtual_now())
+            began = virtual_now()
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            return reply.code, virtual_now() - began, len(fixture.leader.ran)
+
+        code, passed, ran = run_virtual(work())
+        self.assertEqual((code, ran), (Code.BUSY, 0))
+        self.assertLess(passed, 0.1)
+
+
+class AnnouncerTest(unittest.TestCase):
+    """One promoter that announces, and another proxy that hears of it."""
+
+    def setUp(self) -> None:
+        self.announcements = FakeAnnouncements()
+
+    def announce(self, reported: Position | None = None) -> tuple[int, bool, bool]:
+        """Announce a change; the other proxy has reported a commit at `reported`.
+
+        Return the version, whether it is unopposed, and whether the other proxy takes
+        the change to be under way.
+        """
+
+        async def work() -> tuple[int, bool, bool]:
+            promoter = self._proxy()
+            self._proxy()
+            changes = self._newest_group.changes
+            if reported is not None:
+                changes.record_reported(reported, virtual_now())
+            version = await promoter.announce("s", CHANGE, 7)
+            await pass_time(2 * FEED_SECONDS)
+            is_unopposed = await promoter.is_unopposed("s", version)
+            is_under_way = changes.under_way(1, virtual_now()) is not None
+            return version, is_unopposed, is_under_way
+
+        return run_virtual(work())
+
+    def _proxy(self) -> Announcer:
+        fixture = GroupFixture()
+        self._newest_group = fixture.fleet.group("s")
+        return self.announcements.add_proxy(fixture.fleet)
+
+    def test_other_proxies_learn_of_the_change(self) -> None:
+        self.assertEqual(self.announce(), (1, True, True))
+
+    def test_other_proxy_objects_if_it_reported_a_commit_that_is_dropped(self) -> None:
+        _, is_unopposed, _ = self.announce(Position(1, 11))
+        self.assertFalse(is_unopposed)
+
+    def test_announcement_whose_answer_was_lost_is_found(self) -> None:
+        self.announcements.lost_answers = 1
+        self.assertEqual(self.announce(), (1, True, True))
+
+    def test_write_that_is_not_answered_is_sent_again(self) -> None:
+        """Guards against a promotion that waits for a write that is done late."""
+        self.announcements.hanging_writes = 2
+        self.assertEqual(self.announce(), (1, True, True))
+
+    def test_announcement_without_the_store_fails(self) -> None:
+        self.announcements.is_down = True
+        self.assertEqual(self.announce(), (0, False, False))
+
+    def test_withdrawn_change_is_under_way_nowhere(self) -> None:
+        async def work() -> list[object]:
+            promoter = self._proxy()
+            own = self._newest_group.changes
+            self._proxy()
+            others = self._newest_group.changes
+            await promoter.announce("s", CHANGE, 7)
+            await promoter.withdraw("s")
+            await pass_time(2 * FEED_SECONDS)
+            return [each.under_way(1, virtual_now()) for each in (own, others)]
+
+        self.assertEqual(run_virtual(work()), [None, None])
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -7,6 +7,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import policy
 from beryltiller.sessions.succession.causes import cause_of_claim, replacement_cause
@@ -14,7 +15,9 @@
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 from beryltiller.sessions.succession.state import (
     Action,
+    AnnounceChange,
     Cause,
+    ChangeAnnounced,
     ClaimAccepted,
     ClaimDuty,
     ClaimFailed,
@@ -30,6 +33,7 @@
     State,
     StepDownPrimary,
     UnfenceReplicas,
+    WithdrawChange,
 )
 
 HEALTHY = GroupView("s", "old", False, 1, ("a", "b"))
@@ -90,10 +94,16 @@
 
         The policy learns of it `confirm_after` seconds after the commands were sent.
         """
+        self.handle(ChangeAnnounced("s", 1))
         (fence_action,) = self.wait_out_hold(view)
         assert isinstance(fence_action, FenceReplicas), fence_action
         results = FenceResults(
-            "s", statuses, gone, were_already_fenced=True, fenced_at=self.now
+            "s",
+            statuses,
+            gone,
+            were_already_fenced=True,
+            fenced_at=self.now,
+            is_unopposed=True,
         )
         return self.handle(results, confirm_after)
 
@@ -140,8 +150,9 @@
         driver = Driver()
         fence_action = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old")
         self.assertEqual(driver.claim(), (StepDownPrimary("s", 2, "old"), fence_action))
-        wait = driver.report_fences({"a": status(5), "b": status(6)})
-        self.assertEqual(wait, (ObserveAfter(PROMOTION_HOLD_SECONDS),))
+        actions = driver.report_fences({"a": status(5), "b": status(6)})
+        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 6)), 7)
+        self.assertEqual(actions, (announce, ObserveAfter(PROMOTION_HOLD_SECONDS)))
         (promotion,) = driver.confirm({"a": status(5), "b": status(6)})
         assert isinstance(promotion, Promote)
         self.assertEqual((promotion.successor, promotion.token), ("b", 7))
@@ -255,7 +266,11 @@
         driver.handle(PromotionResult("s", False, False))
         driver.observe(FAILING, policy.RETRY_SECONDS)
         confirmed = FenceResults(
-            "s", statuses, were_already_fenced=True, fenced_at=driver.now
+            "s",
+            statuses,
+            were_already_fenced=True,
+            fenced_at=driver.now,
+            is_unopposed=True,
         )
         (promotion,) = driver.handle(confirmed)
         self.assertIsInstance(promotion, Promote)
@@ -335,8 +350,9 @@
     def test_replica_with_a_longer_log_is_chosen_after_another_hold(self) -> None:
         driver = self.driver_after_hold()
         longer = {"a": status(9), "b": status(6)}
-        wait = driver.handle(FenceResults("s", longer, were_already_fenced=True))
-        self.assertEqual(wait, (ObserveAfter(PROMOTION_HOLD_SECONDS),))
+        actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
+        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 9)), 7)
+        self.assertEqual(actions, (announce, ObserveAfter(PROMOTION_HOLD_SECONDS)))
         (promotion,) = driver.confirm(longer)
         assert isinstance(promotion, Promote)
         self.assertEqual(promotion.successor, "a")
@@ -348,7 +364,8 @@
         actions = driver.confirm(
             self.FENCED, confirm_after=policy.CONFIRMATION_SECONDS + 0.01
         )
-        self.assertEqual(actions, (FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old"),))
+        again = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old", 1)
+        self.assertEqual(actions, (again,))
 
     def test_promotion_is_not_requested_long_after_the_confirmation(self) -> None:
         driver = Driver()
@@ -382,11 +399,61 @@
         back = replace(HEALTHY, leader="new", replicas=("a", "b", "old"))
         (wait,) = driver.wait_out_hold(back)
         self.assertIsInstance(wait, ObserveAfter)
-        (unfence,) = driver.observe(back, policy.LIFT_SECONDS)
+        withdraw, unfence = driver.observe(back, policy.LIFT_SECONDS)
+        self.assertIsInstance(withdraw, WithdrawChange)
         self.assertIsInstance(unfence, UnfenceReplicas)
         self.assertEqual(driver.state.successions, {})
 
 
+class AnnouncementTest(unittest.TestCase):
+    """The announcement of a change of primary, without which none is promoted."""
+
+    STATUSES = {"a": status(5), "b": status(6)}
+
+    def confirm(self, *events: ChangeAnnounced, is_unopposed: bool) -> tuple[str, ...]:
+        """Return the kinds of actions after a confirmation.
+
+        `events` are handled before it.
+        """
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        for event in events:
+            driver.handle(event)
+        driver.wait_out_hold()
+        confirmed = FenceResults(
+            "s",
+            self.STATUSES,
+            were_already_fenced=True,
+            fenced_at=driver.now,
+            is_unopposed=is_unopposed,
+        )
+        return tuple(type(each).__name__ for each in driver.handle(confirmed))
+
+    def test_promotion_waits_until_no_proxy_objects(self) -> None:
+        """Guards against dropping commits that other proxies reported as done."""
+        announced = ChangeAnnounced("s", 4)
+        self.assertEqual(self.confirm(announced, is_unopposed=False), ("ObserveAfter",))
+        self.assertEqual(self.confirm(announced, is_unopposed=True), ("Promote",))
+
+    def test_failed_announcement_is_repeated(self) -> None:
+        failed = ChangeAnnounced("s", 0)
+        actions = self.confirm(failed, is_unopposed=False)
+        self.assertEqual(actions, ("AnnounceChange", "ObserveAfter"))
+
+    def test_late_announcement_is_waited_for(self) -> None:
+        self.assertEqual(self.confirm(is_unopposed=False), ("ObserveAfter",))
+
+    def test_proxies_have_time_to_object(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        late = PROMOTION_HOLD_SECONDS - 0.01
+        (wait,) = driver.handle(ChangeAnnounced("s", 4), late)
+        self.assertEqual(wait, ObserveAfter(policy.OBJECTION_WAIT_SECONDS))
+        self.assertEqual(driver.observe(FAILING, 0.02), ())
+
+
 class LiftTest(unittest.TestCase):
     """The lifting of fences that a promoter left, under a primary that works."""
 
@@ -417,7 +484,8 @@
         self.assertEqual(wait, (ObserveAfter(policy.LIFT_SECONDS),))
         deadline = driver.state.successions["s"].deadline
         actions = driver.observe(self.LEFT, policy.LIFT_SECONDS + 0.01)
-        self.assertEqual(actions, (UnfenceReplicas("s", ("a", "b"), deadline),))
+        unfence = UnfenceReplicas("s", ("a", "b"), deadline)
+        self.assertEqual(actions, (WithdrawChange("s"), unfence))
         self.assertEqual(driver.state.successions, {})
 
     def test_no_fence_is_lifted_while_an_earlier_promotion_may_take_effect(
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -205,7 +205,12 @@
             platform = FakePlatform(fixture.databases)
             duty = FakeDuty(platform, "first")
             runner = SuccessionRunner(
-                fixture.fleet, duty, lambda: True, random.Random(1), virtual_now
+                fixture.fleet,
+                duty,
+                platform.announcements.add_proxy(fixture.fleet),
+                lambda: True,
+                random.Random(1),
+                virtual_now,
             )
             action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
             results = await runner.part().perform(action)
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -33,6 +33,7 @@
     StepDownPrimary,
     UnfenceReplicas,
 )
+from tests.fake_announcements import FakeAnnouncements
 from tests.fake_group import ROUND_TRIP_SECONDS, FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -49,8 +50,14 @@
 
 def make_runner(fixture: GroupFixture) -> SuccessionRunner:
     """Return a runner for the fixture's group, whose actor is not started."""
+    announcer = FakeAnnouncements().add_proxy(fixture.fleet)
     return SuccessionRunner(
-        fixture.fleet, IdleDuty(), lambda: True, random.Random(1), virtual_now
+        fixture.fleet,
+        IdleDuty(),
+        announcer,
+        lambda: True,
+        random.Random(1),
+        virtual_now,
     )
 
 
