Recover a group whose primary stepped down without a successor

Cause, of two parts. The command to step down was sent 0.4 s late, after a question that the cut-off primary did not answer, and reached it when the succession had been given up. Then the next succession waited for two databases that had drained and ended, as their entries went after the trouble had begun and no position covered what they may have had.

Now a primary that does not answer the question is not sent the command; the next attempt asks again. And a database that led in the newest term, and answers as a replica, holds all that was acknowledged in it, so departed databases are not waited for beside it.

The tests fail without the rule they name.

--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -79,6 +79,7 @@
         self.has_reported_lead = False
         self.primary_serial = 0
         self.lead: Lead | None = None
+        self._led_term = 0
         self.term = 0
         self._stalled_since: float | None = None
         self._unacknowledged_at = NEVER
@@ -141,11 +142,17 @@
         """Return the newest term in which it is known to be primary, or 0."""
         return self.lead.term if self.lead else 0
 
+    @property
+    def led_term(self) -> int:
+        """Return the newest term in which it was ever known to be primary, or 0."""
+        return self._led_term
+
     def record_lead(self, term: int, log_end: Position) -> None:
         """Record that the database is primary in `term` and its log reaches `log_end`.
 
         The earliest such observation of the newest term is kept.
         """
+        self._led_term = max(self._led_term, term)
         if term > self.reported_primary_term:
             self.lead = Lead(term, log_end)
 
--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -13,7 +13,7 @@
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.errors import NotRunningError, ReplacedError, SessionError
-from beryltiller.sessions.statements import DatabaseStatus, ProxyCommand
+from beryltiller.sessions.statements import Code, DatabaseStatus, ProxyCommand, StepDown
 
 COMMAND_TIMEOUT_SECONDS = 0.4
 
@@ -126,18 +126,22 @@
         outcomes.update(zip(ended, replies, strict=True))
         return outcomes
 
-    async def led_term(self, service: str, name: str) -> int:
-        """Return the term in which a database shows that it leads now, or 0."""
+    async def led_term(self, service: str, name: str) -> int | None:
+        """Return the term in which a database shows that it leads now.
+
+        Return 0 if it does not lead, or refuses to answer, and None without an answer.
+        """
         member = self._fleet.group(service).members.get(name)
         if member is None:
-            return 0
+            return None
         try:
             is_primary = await self._fleet.is_primary(
                 member.database, COMMAND_TIMEOUT_SECONDS
             )
-        except (SessionError, TimeoutError):
-            # The command that follows states and logs whether it answers.
-            return 0
+        except (SessionError, TimeoutError) as error:
+            _log_failure(name, StepDown(0), error)
+            is_refusal = isinstance(error, SessionError) and error.code is Code.BUSY
+            return 0 if is_refusal else None
         return member.reported_primary_term if is_primary else 0
 
     def database(self, service: str, name: str) -> Database | None:
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -23,9 +23,10 @@
     """Why a database that does not answer is not waited for.
 
     FORMER_LOG_REACHED: the primary of the newest term has stepped down, and a log
-    reaches the end of its log. GONE: its registry entry was removed before the trouble
-    began. REPLACED: it has ended, and a database that answered has its address and log.
-    ENDED: a database of another service answers at its address.
+    reaches the end of its log; or it answers itself, and the database has departed.
+    GONE: its registry entry was removed before the trouble began. REPLACED: it has
+    ended, and a database that answered has its address and log. ENDED: a database of
+    another service answers at its address.
     """
 
     FORMER_LOG_REACHED = "former log reached"
@@ -83,6 +84,10 @@
         and succession.former_term >= newest_term
         and longest >= succession.former_log_end
     )
+    has_former_leader = any(
+        name in view.former_leaders and each.term >= newest_term
+        for name, each in answers.items()
+    )
     left_out = {
         name: reason
         for name in silent
@@ -90,6 +95,7 @@
             reason := (
                 LeftOut.FORMER_LOG_REACHED
                 if is_former_log_reached
+                or (has_former_leader and name in view.departed)
                 else _left_out(name, view, results, longest)
             )
         )
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -170,6 +170,11 @@
             self._leader_healthy_until.get(service),
             group.lost_log_covered_by,
             min((each for each in fenced if each is not None), default=None),
+            frozenset(
+                member.database.identifier
+                for member in group.replicas
+                if member.led_term and member.led_term == group.term
+            ),
         )
 
     def _record_relief_needed(self, group: Group, now: float) -> None:
@@ -226,6 +231,9 @@
         """Step a primary down; report the end of its log if it led until then."""
         service, name = action.service, action.identifier
         led_term = await self._commands.led_term(service, name)
+        if led_term is None:
+            # A command that arrives late would find another succession, or none.
+            return None
         status = await self._commands.send(service, name, StepDown(action.term))
         if status is None or status.is_primary:
             return None
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -41,6 +41,7 @@
     has been overloaded while no replica could serve reads. `lost_log_covered_by`
     is a position that covers all that was acknowledged before the last loss of a log,
     or None while none is known.
+    `former_leaders` are replicas that were primary in the newest term.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -58,6 +59,7 @@
     leader_healthy_until: float | None = None
     lost_log_covered_by: Position | None = None
     fenced_since: float | None = None
+    former_leaders: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -548,6 +548,31 @@
                 driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 7)))
                 self.assertEqual(self.is_waited_for(driver, received), expected)
 
+    def test_log_of_a_former_leader_that_answers_holds_all_commits(self) -> None:
+        """Guards against waiting for departed databases once a primary stepped down."""
+        led = replace(
+            HEALTHY,
+            leader=None,
+            primaryless_since=0.0,
+            departed=("b",),
+            former_leaders=frozenset("a"),
+        )
+        newer = replace(led, term=2)
+        cases = (
+            ("departed", led, False),
+            ("registered", replace(led, departed=()), True),
+            ("of an older term", newer, True),
+            ("not known to have led", replace(led, former_leaders=frozenset()), True),
+        )
+        for name, view, expected in cases:
+            with self.subTest(name):
+                driver = Driver()
+                driver.claim(view)
+                statuses = {"a": status(7, fenced_term=3), "b": None}
+                driver.handle(FenceResults("s", statuses))
+                chosen = driver.state.successions["s"].successor
+                self.assertEqual(not chosen, expected)
+
     def test_end_of_another_primarys_log_is_ignored(self) -> None:
         driver = Driver()
         driver.claim()
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -307,6 +307,18 @@
         self.assertTrue(results.were_already_fenced)
         self.assertEqual(results.gone, frozenset({"d"}))
 
+    def test_unreachable_primary_is_not_asked_to_step_down(self) -> None:
+        """Guards against a command that arrives after the succession was given up."""
+
+        async def work() -> int:
+            fixture = GroupFixture()
+            fixture.leader.is_unreachable = True
+            action = StepDownPrimary("s", 2, "leader")
+            await make_runner(fixture).part().perform(action)
+            return fixture.leader.attempts
+
+        self.assertEqual(run_virtual(work()), 1)
+
     def test_primary_that_steps_down_is_fenced(self) -> None:
         """Guards against a former primary that follows a primary that comes back.
 
