--- a/tests/simulated_faults.py
+++ b/tests/simulated_faults.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from tests.simulated_databases import LAG_SECONDS, STORE, SimulatedDatabase
-from tests.simulated_sessions import FREEZE_SECONDS, SimulatedProxy, Simulation
+from tests.simulated_databases import LAG_SECONDS, SimulatedDatabase
+from tests.simulated_network import STORE
+from tests.simulated_proxy import SimulatedProxy
+from tests.simulated_sessions import FREEZE_SECONDS, Simulation
 
 LONG_LAG_SECONDS = 4.0
 DRAIN_SECONDS = 6.0
--- /dev/null
+++ b/tests/simulated_proxy.py
@@ -0,0 +1,135 @@
+"""A simulated proxy, which runs the real decisions before a simulated group."""
+
+import asyncio
+import random
+from typing import Any
+
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
+from beryltiller.sessions.databases.registry import Registry
+from beryltiller.sessions.isolation import IsolationMonitor
+from beryltiller.sessions.session_service import SessionService
+from beryltiller.sessions.succession.runner import ObserveGroups, SuccessionRunner
+from tests.simulated_connections import SimulatedConnection, connect
+from tests.simulated_store import SimulatedDuty, Surroundings
+from tests.virtual_loop import virtual_now
+
+
+class SimulatedProxy:
+    """One proxy; it may stand still, or restart and know nothing."""
+
+    def __init__(self, simulation: Surroundings, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.frozen_until = 0.0
+        self.is_refused_by_store = False
+        self.generation = 0
+        self.entries_delay = 0.3
+        self._simulation = simulation
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._actions: set[asyncio.Task[Any]] = set()
+        self.start()
+
+    def start(self) -> None:
+        """Start with nothing known."""
+        simulation = self._simulation
+        self.generation += 1
+        self._registry = Registry()
+        self._index = -1
+        self.fleet = Fleet(self._connect, self.zone, virtual_now)
+        self.fleet.adopt(simulation.configuration)
+        self.service = SessionService(
+            self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
+        )
+        self.runner = SuccessionRunner(
+            self.fleet,
+            SimulatedDuty(simulation, self),
+            lambda: simulation.reaches_store(self.name),
+            random.Random(simulation.rng.random()),
+            virtual_now,
+        )
+        self._part = self.runner.part()
+        self._state = self._part.initial_state(virtual_now())
+        loops = (self._follow_entries, self._succeed, self._check, self._maintain)
+        self._tasks = [simulation.group.spawn(each()) for each in loops]
+
+    def restart(self) -> None:
+        """End all work, and start with nothing known."""
+        self.stop()
+        self.start()
+
+    def stop(self) -> None:
+        """End all work."""
+        for task in (*self._tasks, *self._actions):
+            task.cancel()
+        self.fleet.close()
+
+    async def pass_gate(self) -> None:
+        while virtual_now() < self.frozen_until:
+            await asyncio.sleep(self.frozen_until - virtual_now())
+
+    async def _connect(self, database: Database) -> SimulatedConnection:
+        return await connect(self._simulation.group, self, database)
+
+    async def _follow_entries(self) -> None:
+        while True:
+            await self.pass_gate()
+            self._read_entries()
+            await asyncio.sleep(0.05)
+
+    def _read_entries(self) -> None:
+        simulation = self._simulation
+        is_reachable = simulation.reaches_store(self.name)
+        self.fleet.set_follows_store(is_reachable)
+        if is_reachable:
+            delay = self.entries_delay if self._index >= 0 else 0.0
+            index = simulation.store.index_at(virtual_now() - delay)
+            if index > self._index:
+                self._index = index
+                entries = simulation.store.snapshot(index).values()
+                self._registry.replace(entries, virtual_now())
+                self._register()
+
+    def _register(self) -> None:
+        self.fleet.register(self._registry.directory(virtual_now()))
+
+    async def _maintain(self) -> None:
+        while True:
+            await asyncio.sleep(0.3)
+            await self.pass_gate()
+            self.fleet.close_idle()
+            grace_end = self._registry.next_grace_end()
+            if grace_end is not None and grace_end <= virtual_now():
+                self._register()
+
+    async def _check(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            await self.pass_gate()
+            await self.runner.probe_unresponsive_leaders()
+            await self.runner.check_fences()
+            await self.fleet.confirm_leaders()
+
+    async def _succeed(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            await self.pass_gate()
+            self._perform_later(ObserveGroups())
+
+    def _perform_later(self, action: Any) -> None:
+        task = self._simulation.group.spawn(self._perform(action))
+        self._actions.add(task)
+        task.add_done_callback(self._actions.discard)
+
+    async def _perform(self, action: Any) -> None:
+        await self.pass_gate()
+        if not isinstance(action, ObserveGroups):
+            self._simulation.checker.trace(f"{self.name} performs {action}")
+        event = await self._part.perform(action)
+        await self.pass_gate()
+        if event is None:
+            return
+        self._state, actions = self._part.decide(self._state, event, virtual_now())
+        for each in actions:
+            self._perform_later(each)
--- /dev/null
+++ b/tests/simulated_store.py
@@ -0,0 +1,145 @@
+"""The platform's store and promotion call as simulated nodes see them."""
+
+import asyncio
+import random
+from typing import Protocol, cast
+
+import aiohttp
+
+from beryltiller.core.ports import LostAnswerError, RefusedError, Row, Write
+from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
+from beryltiller.platform.store import DatedRow, StoreClient
+from beryltiller.sessions.databases.catalog import Configuration, Database
+from tests.simulated_checker import Checker
+from tests.simulated_connections import Caller
+from tests.simulated_databases import SimulatedDatabase, SimulatedGroup
+from tests.virtual_loop import virtual_now
+
+HEARTBEAT_SECONDS = 1.0
+SILENT_HEARTBEATS = 3
+
+
+class SimulatedStore:
+    """The store: the databases' entries with their history, and the duty's row."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.entries: dict[str, Database] = {}
+        self.history: list[tuple[float, dict[str, Database]]] = []
+        self._written_at: dict[str, float] = {}
+        self.duty: Row | None = None
+        self.version = 0
+
+    def heartbeat(self, database: SimulatedDatabase) -> None:
+        """Write a database's entry if it changed or a heartbeat is due."""
+        now, entry = virtual_now(), database.entry()
+        written_at = self._written_at.get(entry.identifier, -10.0)
+        is_changed = self.entries.get(entry.identifier) != entry
+        if is_changed or now >= written_at + HEARTBEAT_SECONDS:
+            self._written_at[entry.identifier] = now
+        if is_changed:
+            self._replace({**self.entries, entry.identifier: entry})
+
+    def remove(self, identifier: str) -> None:
+        """Remove a database's entry."""
+        left = {key: each for key, each in self.entries.items() if key != identifier}
+        self._replace(left)
+
+    def expire(self) -> None:
+        """Remove the entries of databases that have been silent for long."""
+        silent_at = virtual_now() - HEARTBEAT_SECONDS * SILENT_HEARTBEATS
+        for identifier in tuple(self.entries):
+            if self._written_at[identifier] < silent_at:
+                self.remove(identifier)
+
+    def snapshot(self, index: int) -> dict[str, Database]:
+        return self.history[index][1]
+
+    def index_at(self, moment: float) -> int:
+        """Return the index of the snapshot that was current at a moment, or -1."""
+        index = len(self.history) - 1
+        while index >= 0 and self.history[index][0] > moment:
+            index -= 1
+        return index
+
+    def _replace(self, entries: dict[str, Database]) -> None:
+        self.entries = entries
+        self.history.append((virtual_now(), entries))
+
+
+class Surroundings(Protocol):
+    """What a simulated proxy, its callers and its calls to the store run in."""
+
+    rng: random.Random
+    checker: Checker
+    group: SimulatedGroup
+    store: SimulatedStore
+    configuration: Configuration
+    statements: int
+
+    def reaches_store(self, name: str) -> bool:
+        """Return True if the store answers a node."""
+        ...
+
+    def record_claim(self, name: str) -> None:
+        """Record that a proxy holds the duty."""
+        ...
+
+    def next_identifier(self) -> str:
+        """Return the identifier of the next statement."""
+        ...
+
+
+class DutyStore:
+    """One proxy's calls to the store for the promotion duty."""
+
+    def __init__(self, simulation: Surroundings, proxy: Caller) -> None:
+        self._simulation = simulation
+        self._proxy = proxy
+
+    async def read(self, table: str, key: str) -> DatedRow:
+        await self._call()
+        return DatedRow(self._simulation.store.duty, round(virtual_now() * 1000))
+
+    async def commit(self, writes: tuple[Write, ...]) -> int:
+        await self._call()
+        store, write = self._simulation.store, writes[0]
+        held = store.duty.version if store.duty is not None else 0
+        if held != write.expected:
+            raise RefusedError("conflict")
+        store.version += 1
+        store.duty = Row(write.key, store.version, write.value)
+        assert (write.table, write.key) == (DUTY_TABLE, DUTY_KEY)
+        if self._simulation.rng.random() < 0.05:
+            raise LostAnswerError("lost")
+        await self._proxy.pass_gate()
+        self._simulation.record_claim(self._proxy.name)
+        return store.version
+
+    async def _call(self) -> None:
+        await self._proxy.pass_gate()
+        await asyncio.sleep(self._simulation.rng.uniform(0.005, 0.04))
+        await self._proxy.pass_gate()
+        if not self._simulation.reaches_store(self._proxy.name):
+            raise RefusedError("unreachable")
+
+
+class SimulatedDuty(Duty):
+    """The promotion duty with the real claim and a simulated promotion call."""
+
+    def __init__(self, simulation: Surroundings, proxy: Caller) -> None:
+        store = cast(StoreClient, DutyStore(simulation, proxy))
+        session = cast(aiohttp.ClientSession, None)
+        super().__init__(session, store, "", proxy.name, virtual_now)
+        self._simulation = simulation
+        self._proxy = proxy
+
+    async def promote(self, service: str, identifier: str, token: int) -> None:
+        simulation = self._simulation
+        await self._proxy.pass_gate()
+        await asyncio.sleep(simulation.rng.uniform(0.005, 0.05))
+        if not simulation.reaches_store(self._proxy.name):
+            raise RefusedError("unreachable")
+        await simulation.group.promote(identifier)
+        if simulation.rng.random() < 0.05:
+            raise LostAnswerError("lost")
--- a/tests/test_stale_reads.py
+++ b/tests/test_stale_reads.py
@@ -8,8 +8,9 @@
 import sys
 import unittest
 
+from tests.simulated_checker import Findings
 from tests.simulated_faults import Fault, FaultKind, draw_faults
-from tests.simulated_sessions import Findings, Simulation
+from tests.simulated_sessions import Simulation
 
 # Faults that break a rule by themselves or with others have tests of their own below.
 ALONE = frozenset(
