Test that no commit is lost while databases are unknown

Callers lost acknowledged commits at a change of primary when a replica received them that the promoting proxy did not know: the successor at a departed replica's address, also one that started after the last fence, or a joining database. In a planned change the proxy promoted a replica with a shorter log than the primary that had stepped down.

--- a/tests/simulated_faults.py
+++ b/tests/simulated_faults.py
@@ -46,6 +46,7 @@
     SLOW = "messages arrive late, and some are lost"
     OVERLOAD = "a database refuses most statements"
     LATE_ENTRY = "databases that start have no entry in the store for a time"
+    LATE_START = "databases that take the place of others start late"
     LATE_WRITES = "writes to the store get no answer, and are done late"
     LATE_PROMOTION = "promotions get no answer, and are carried out late"
     JOIN = "a database joins at a new host, and another one leaves without a successor"
@@ -55,6 +56,7 @@
 
 LATE_KINDS = (
     FaultKind.LATE_ENTRY,
+    FaultKind.LATE_START,
     FaultKind.LATE_WRITES,
     FaultKind.LATE_PROMOTION,
     FaultKind.JOIN,
@@ -140,6 +142,7 @@
             FaultKind.STORE_DOWN: self._stop_store,
             FaultKind.SLOW: self._slow_network,
             FaultKind.LATE_ENTRY: self._delay_entries,
+            FaultKind.LATE_START: self._delay_starts,
             FaultKind.LATE_WRITES: self._delay_writes,
             FaultKind.LATE_PROMOTION: self._delay_promotions,
             FaultKind.JOIN: self._join,
@@ -201,6 +204,12 @@
         await asyncio.sleep(self._fault.seconds + LATE_ENTRY_SECONDS)
         lateness.entry_seconds = 0.0
 
+    async def _delay_starts(self) -> None:
+        lateness = self._simulation.lateness
+        lateness.start_seconds = self._lateness
+        await asyncio.sleep(self._fault.seconds + LATE_ENTRY_SECONDS)
+        lateness.start_seconds = 0.0
+
     async def _delay_writes(self) -> None:
         self._simulation.lateness.writes = True
         await asyncio.sleep(self._fault.seconds)
--- a/tests/simulated_lifecycle.py
+++ b/tests/simulated_lifecycle.py
@@ -75,7 +75,7 @@
         successor.applied_at = list(database.applied_at)
         successor.is_running = False
         self._group.hosts[database.host] = successor
-        await asyncio.sleep(0.3 + choice)
+        await asyncio.sleep(0.3 + choice + simulation.lateness.start_seconds)
         successor.is_running = True
         successor.registers_at = virtual_now() + simulation.lateness.entry_seconds
         successor.apply_all()
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -80,11 +80,13 @@
 class Lateness:
     """What reaches the platform late for now.
 
-    A database that starts has no entry for `entry_seconds`. Writes to the store and
-    promotions that get no answer are carried out `LATE_SECONDS` later.
+    A database that takes the place of another one starts `start_seconds` later, and has
+    no entry for `entry_seconds`. Writes to the store and promotions that get no answer
+    are carried out `LATE_SECONDS` later.
     """
 
     entry_seconds: float = 0.0
+    start_seconds: float = 0.0
     writes: bool = False
     promotions: bool = False
 
