Specify unknown successors and unanswered promotions

The specification of succession has a replica that ends and whose successor at its address the promoter does not know at first, a promotion that lifts all fences, and a request without an answer that takes effect late. Three rules are new, each needed: fence whichever database answers at an address, take evidence from the answers of all replicas, and choose the same successor while an unanswered request is pending.

Known limitations are documented by tests: a successor that starts between request and effect, a restart before an unanswered promotion takes effect, and a replica that still follows the old primary after its fence was lifted.

--- a/tests/test_spec_succession.py
+++ b/tests/test_spec_succession.py
@@ -18,6 +18,17 @@
     (Rule.OUTLASTING, {LOST, STALE}),
     (Rule.AFTER_PROMOTION, {LOST, STALE}),
 )
+REPLACEMENT = Bounds(restart=Restart.BEFORE_REQUEST, replacement=Restart.BEFORE_REQUEST)
+UNANSWERED = Bounds(
+    restart=Restart.BEFORE_REQUEST, other_promoters=True, unanswered_request=True
+)
+BROKEN_IN = (
+    (Rule.AT_ADDRESS, REPLACEMENT, {LOST}),
+    (Rule.EVIDENCE_OF_ALL, Bounds(), {STALE}),
+    (Rule.SAME_SUCCESSOR, UNANSWERED, {LOST}),
+    (Rule.AFTER_PROMOTION, UNANSWERED, {LOST, STALE}),
+    (Rule.CONFIRM, REPLACEMENT, {LOST, STALE}),
+)
 
 
 def broken_by(bounds: Bounds, *without: Rule) -> set[str]:
@@ -39,6 +50,8 @@
             Bounds(writes=3),
             Bounds(writes=3, restart=Restart.BEFORE_REQUEST),
             Bounds(restart=Restart.BEFORE_REQUEST, other_promoters=True),
+            REPLACEMENT,
+            UNANSWERED,
         ):
             with self.subTest(bounds):
                 self.assertEqual(broken_by(bounds), set())
@@ -49,10 +62,37 @@
                 bounds = Bounds(restart=Restart.BEFORE_REQUEST, other_promoters=True)
                 self.assertEqual(broken_by(bounds, rule), violations)
 
+    def test_each_rule_is_necessary_in_special_cases(self) -> None:
+        for rule, bounds, violations in BROKEN_IN:
+            with self.subTest(rule.name):
+                self.assertEqual(broken_by(bounds, rule), violations)
+
     def test_every_rule_has_a_case(self) -> None:
-        self.assertEqual({rule for rule, _ in BROKEN}, set(Rule))
+        cases = {rule for rule, _ in BROKEN} | {rule for rule, _, _ in BROKEN_IN}
+        self.assertEqual(cases, set(Rule))
 
     def test_restart_between_request_and_effect_loses_a_write(self) -> None:
         """Documents the known limitation that docs/PLATFORM.md describes."""
         bounds = Bounds(restart=Restart.ANY_TIME)
         self.assertEqual(broken_by(bounds), {LOST, STALE})
+
+    def test_restart_before_an_unanswered_promotion_takes_effect_loses_a_write(
+        self,
+    ) -> None:
+        """Documents a known limitation: the same, for the seconds that this takes."""
+        bounds = Bounds(restart=Restart.ANY_TIME, unanswered_request=True)
+        self.assertEqual(broken_by(bounds), {LOST, STALE})
+
+    def test_successor_that_starts_between_request_and_effect_loses_a_write(
+        self,
+    ) -> None:
+        """Documents a known limitation: nothing answers at the address before."""
+        bounds = Bounds(replacement=Restart.ANY_TIME)
+        self.assertEqual(broken_by(bounds), {LOST})
+
+    def test_replica_that_follows_the_old_primary_after_the_promotion_loses_a_write(
+        self,
+    ) -> None:
+        """Documents a known limitation: it cannot reach the new primary."""
+        bounds = Bounds(cut_off_replica=True)
+        self.assertEqual(broken_by(bounds), {LOST})
