--- a/tests/simulated_announcements.py
+++ b/tests/simulated_announcements.py
@@ -1,57 +1,62 @@
 """Announced changes of primary in the simulated store, as one proxy reaches them."""
 
-from dataclasses import dataclass, field, replace
-from typing import Protocol
+import asyncio
+from contextlib import suppress
+from dataclasses import replace
 
 from beryltiller.core.ports import LostAnswerError, RefusedError
 from beryltiller.sessions.succession.announcer import Announcement
+from tests.simulated_connections import Caller
+from tests.simulated_store import (
+    LATE_SECONDS,
+    UNANSWERED_SECONDS,
+    UNANSWERED_SHARE,
+    Surroundings,
+)
 
-LOST_ANSWERS_SHARE = 0.05
-
-
-@dataclass
-class AnnouncementRows:
-    """The rows of all services."""
-
-    rows: dict[str, Announcement] = field(default_factory=dict)
-    version: int = 0
-
-
-class Proxy(Protocol):
-    """A proxy that may stand still, or be cut off from the store."""
-
-    async def call_store(self) -> bool:
-        """Wait for a call to the store; return False if it does not answer."""
-        ...
-
-    def is_answer_lost(self, share: float) -> bool:
-        """Return True if the answer to this call is lost."""
-        ...
+LOST_SHARE = 0.05
 
 
 class SimulatedAnnouncements:
-    """One proxy's access to the rows; implements `AnnouncementPort`."""
+    """One proxy's access to the announcements; implements `AnnouncementPort`."""
 
-    def __init__(self, rows: AnnouncementRows, proxy: Proxy) -> None:
-        self._rows = rows
+    def __init__(self, simulation: Surroundings, proxy: Caller) -> None:
+        self._simulation = simulation
         self._proxy = proxy
 
     async def read(self, service: str) -> Announcement | None:
         await self._call()
-        return self._rows.rows.get(service)
+        return self._simulation.store.announcements.get(service)
 
     async def write(self, announcement: Announcement) -> int:
         await self._call()
-        present = self._rows.rows.get(announcement.service)
-        if announcement.version != (present.version if present else 0):
-            raise RefusedError("conflict")
-        self._rows.version += 1
-        version = self._rows.version
-        self._rows.rows[announcement.service] = replace(announcement, version=version)
-        if self._proxy.is_answer_lost(LOST_ANSWERS_SHARE):
+        simulation = self._simulation
+        if simulation.lateness.writes and simulation.rng.random() < UNANSWERED_SHARE:
+            simulation.group.spawn(self._write_late(announcement))
+            await asyncio.sleep(UNANSWERED_SECONDS)
+            raise LostAnswerError("no answer")
+        version = self._write(announcement)
+        if simulation.rng.random() < LOST_SHARE:
             raise LostAnswerError("lost")
         return version
 
+    def _write(self, announcement: Announcement) -> int:
+        store, service = self._simulation.store, announcement.service
+        present = store.announcements.get(service)
+        if announcement.version != (present.version if present else 0):
+            raise RefusedError("conflict")
+        store.version += 1
+        store.announcements[service] = replace(announcement, version=store.version)
+        return store.version
+
+    async def _write_late(self, announcement: Announcement) -> None:
+        await asyncio.sleep(self._simulation.rng.uniform(*LATE_SECONDS))
+        with suppress(RefusedError):
+            self._write(announcement)
+
     async def _call(self) -> None:
-        if not await self._proxy.call_store():
+        await self._proxy.pass_gate()
+        await asyncio.sleep(self._simulation.rng.uniform(0.005, 0.04))
+        await self._proxy.pass_gate()
+        if not self._simulation.reaches_store(self._proxy.name):
             raise RefusedError("unreachable")
