Send an objection again until it is answered, with the reported position

Cause: only the announcement was sent again while its answer was missing, not the objection. All three writes now go the same way. A change of a row that was read is applied to what the row holds then, if that is of the same claim, so that a withdrawal does not remove an objection, and neither replaces a later announcement.

The objection names the position of the commit.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from beryltiller.core.ports import Row, Write
-from beryltiller.core.position import Position
+from beryltiller.core.position import ORIGIN, Position
 from beryltiller.observability import logs
 from beryltiller.platform.store import StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
@@ -14,9 +14,10 @@
 
 
 class AnnouncementModel(msgspec.Struct, frozen=True):
-    """The row of a service; the fields `log_end_...` are a log position.
+    """The row of a service; `..._term` and `..._index` are log positions.
 
-    `token` is the fencing token of the promoter's claim.
+    Without an objection its position is 0:0. `token` is the fencing token of the
+    promoter's claim.
     """
 
     token: int
@@ -24,7 +25,8 @@
     log_end_term: int
     log_end_index: int
     is_withdrawn: bool = False
-    is_opposed: bool = False
+    objection_term: int = 0
+    objection_index: int = 0
 
 
 class StoredAnnouncements:
@@ -42,13 +44,15 @@
     async def write(self, announcement: Announcement) -> int:
         """Write an announcement if the row has its version; return the new one."""
         change = announcement.change
+        objection = announcement.objection or ORIGIN
         model = AnnouncementModel(
             announcement.token,
             change.replaced_term,
             change.log_end.term,
             change.log_end.index,
             announcement.is_withdrawn,
-            announcement.is_opposed,
+            objection.term,
+            objection.index,
         )
         value = msgspec.json.encode(model)
         write = Write(CHANGES_TABLE, announcement.service, announcement.version, value)
@@ -66,12 +70,13 @@
         logs.log(logs.AnnouncementFailed(row.key, str(error)))
         model = AnnouncementModel(0, 0, 0, 0, is_withdrawn=True)
     log_end = Position(model.log_end_term, model.log_end_index)
+    objection = Position(model.objection_term, model.objection_index)
     return Announcement(
         row.key,
         PrimaryChange(model.replaced_term, log_end),
         model.token,
         model.is_withdrawn,
-        model.is_opposed,
+        objection if objection != ORIGIN else None,
         row.version,
     )
 
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -57,6 +57,7 @@
         """Create a tracker without a change or a commit."""
         self._change: PrimaryChange | None = None
         self._until = NEVER
+        self._reported_anywhere = ORIGIN
         self._reported = ORIGIN
         self._reported_at = NEVER
 
@@ -65,11 +66,20 @@
         """Return the newest position of a commit that was reported as done."""
         return self._reported
 
+    @property
+    def reported_anywhere(self) -> Position:
+        """Return the newest position known of a commit that a proxy has reported."""
+        return max(self._reported, self._reported_anywhere)
+
     def announce(self, change: PrimaryChange, now: float) -> None:
         """Record an announced change."""
         self._change = change
         self._until = now + CHANGE_SECONDS
 
+    def record_objection(self, reported: Position) -> None:
+        """Record that a proxy objected, as it has reported a commit at a position."""
+        self._reported_anywhere = max(self._reported_anywhere, reported)
+
     def withdraw(self) -> None:
         """Record that the promotion will not be requested."""
         self._change = None
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -10,15 +10,16 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from beryltiller.core.ports import PortError
+from beryltiller.core.ports import PortError, RefusedError
+from beryltiller.core.position import Position
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 
 # A read that takes longer is given up.
 CALL_SECONDS = 0.3
-# How long an announcement is tried, and after which time it is written once more.
-ANNOUNCE_SECONDS = 1.0
+# How long a write is tried, and after which time it is sent once more.
+WRITE_SECONDS = 1.0
 HEDGE_SECONDS = 0.1
 
 
@@ -26,14 +27,15 @@
 class Announcement:
     """The announced change of a service's primary, as of row version `version`.
 
-    `token` is the fencing token of the promoter's claim.
+    `token` is the fencing token of the promoter's claim. `objection` is the position of
+    a commit that some proxy has reported, and that the promotion would drop.
     """
 
     service: str
     change: PrimaryChange
     token: int
     is_withdrawn: bool = False
-    is_opposed: bool = False
+    objection: Position | None = None
     version: int = 0
 
 
@@ -65,37 +67,13 @@
         self._applied: dict[str, int] = {}
 
     async def announce(self, service: str, change: PrimaryChange, token: int) -> int:
-        """Announce a change; return the announcement's version, or 0 if that failed.
-
-        A write whose answer is late is sent again meanwhile: all have the same
-        condition, so that only one of them has an effect.
-        """
-        began = self._clock()
-        self._fleet.group(service).changes.announce(change, began)
-        announced = Announcement(
-            service, change, token, version=self._applied.get(service, 0)
+        """Announce a change; return the announcement's version, or 0 if that failed."""
+        self._fleet.group(service).changes.announce(change, self._clock())
+        version = self._applied.get(service, 0)
+        announced = Announcement(service, change, token, version=version)
+        return await self._write(
+            announced, lambda present: replace(announced, version=present.version)
         )
-        writes: set[asyncio.Task[int]] = set()
-        try:
-            while self._clock() < began + ANNOUNCE_SECONDS:
-                writes.add(asyncio.create_task(self._write(announced)))
-                done, writes = await asyncio.wait(
-                    writes, timeout=HEDGE_SECONDS, return_when=asyncio.FIRST_COMPLETED
-                )
-                version = max((write.result() for write in done), default=0)
-                if done and not version:
-                    # One had an effect before, or the row is not as expected.
-                    present = await self._read(service)
-                    found = present.version if present else announced.version
-                    if present == replace(announced, version=found):
-                        version = found
-                    announced = replace(announced, version=found)
-                if version:
-                    return version
-            return 0
-        finally:
-            for write in writes:
-                write.cancel()
 
     async def is_unopposed(self, service: str, version: int) -> bool:
         """Return True if no proxy has objected to the announcement of that version."""
@@ -110,7 +88,7 @@
         self._fleet.group(service).changes.withdraw()
         present = await self._read(service)
         if present is not None and not present.is_withdrawn:
-            await self._write(replace(present, is_withdrawn=True))
+            await self._amend(present, lambda each: replace(each, is_withdrawn=True))
 
     def apply(self, announcement: Announcement) -> bool:
         """Apply an announcement that was read; return True to object to it.
@@ -122,12 +100,14 @@
             return False
         self._applied[service] = announcement.version
         changes = self._fleet.group(service).changes
+        if announcement.objection is not None:
+            changes.record_objection(announcement.objection)
         if announcement.is_withdrawn:
             changes.withdraw()
             return False
         now = self._clock()
         changes.announce(change, now)
-        return not announcement.is_opposed and changes.objects_to(change, now)
+        return announcement.objection is None and changes.objects_to(change, now)
 
     async def object_to(self, announcement: Announcement) -> None:
         """Object to a change that drops a commit which this proxy has reported."""
@@ -135,7 +115,12 @@
         reported = self._fleet.group(service).changes.reported
         end = str(announcement.change.log_end)
         logs.log(logs.PrimaryChangeOpposed(service, end, str(reported)))
-        await self._write(replace(announcement, is_opposed=True))
+        await self._amend(
+            announcement,
+            lambda each: replace(
+                each, objection=max(reported, each.objection or reported)
+            ),
+        )
 
     async def _read(self, service: str) -> Announcement | None:
         """Return a service's newest announcement, or None also if that failed."""
@@ -146,10 +131,64 @@
             logs.log(logs.AnnouncementFailed(service, f"{error!r}"))
             return None
 
-    async def _write(self, announcement: Announcement) -> int:
+    async def _amend(
+        self, read: Announcement, change: Callable[[Announcement], Announcement]
+    ) -> None:
+        """Write a change of an announcement, unless another one has followed it."""
+
+        def amended(present: Announcement) -> Announcement | None:
+            is_same = (present.token, present.change) == (read.token, read.change)
+            return change(present) if is_same else None
+
+        await self._write(change(read), amended)
+
+    async def _write(
+        self,
+        announcement: Announcement,
+        instead_of: Callable[[Announcement], Announcement | None],
+    ) -> int:
+        """Write an announcement until that is answered; return its version, or 0.
+
+        A write whose answer is late is sent again meanwhile: all have the same
+        condition, so that only one of them has an effect. If the row turns out to have
+        another version, what `instead_of` returns for that is written, if anything.
+        """
+        until = self._clock() + WRITE_SECONDS
+        writes: set[asyncio.Task[int]] = set()
+        try:
+            while self._clock() < until:
+                writes.add(asyncio.create_task(self._write_once(announcement)))
+                done, writes = await asyncio.wait(
+                    writes, timeout=HEDGE_SECONDS, return_when=asyncio.FIRST_COMPLETED
+                )
+                version = max((write.result() for write in done), default=0)
+                if version:
+                    return version
+                present = await self._read(announcement.service) if done else None
+                if present is None:
+                    continue
+                following = instead_of(present)
+                if following is None:
+                    break
+                if following == present:
+                    # An earlier write had an effect, and its answer was lost.
+                    return present.version
+                announcement = following
+            return 0
+        finally:
+            for write in writes:
+                write.cancel()
+
+    async def _write_once(self, announcement: Announcement) -> int:
         """Write an announcement; return its version, or 0 if that failed."""
         try:
             return await self._port.write(announcement)
+        except RefusedError as error:
+            logs.log(logs.AnnouncementFailed(announcement.service, f"{error!r}"))
+            if error.code != "conflict":
+                # The store refuses all calls for now.
+                await asyncio.sleep(HEDGE_SECONDS)
+            return 0
         except PortError as error:
             logs.log(logs.AnnouncementFailed(announcement.service, f"{error!r}"))
             return 0
--- /dev/null
+++ b/tests/test_platform_announcements.py
@@ -0,0 +1,71 @@
+"""Tests of announced changes of primary as rows of the platform's store."""
+
+import unittest
+from collections.abc import Sequence
+from typing import cast
+
+from beryltiller.core.ports import Row, Write
+from beryltiller.core.position import Position
+from beryltiller.platform.announcements import (
+    CHANGES_TABLE,
+    StoredAnnouncements,
+    decode_announcement,
+    decode_announcements,
+)
+from beryltiller.platform.store import DatedRow, StoreClient
+from beryltiller.sessions.databases.primary_change import PrimaryChange
+from beryltiller.sessions.succession.announcer import Announcement
+from tests.virtual_loop import run_virtual
+
+ANNOUNCED = Announcement(
+    "s", PrimaryChange(3, Position(2, 7)), 12, objection=Position(3, 8)
+)
+
+
+class RowStore:
+    """A store with one row, which keeps what is written."""
+
+    def __init__(self) -> None:
+        self.row: Row | None = None
+        self.writes: list[Write] = []
+
+    async def read(self, table: str, key: str) -> DatedRow:
+        assert table == CHANGES_TABLE
+        return DatedRow(self.row if self.row and self.row.key == key else None, 0)
+
+    async def commit(self, writes: Sequence[Write]) -> int:
+        self.writes += writes
+        self.row = Row(writes[0].key, 5, writes[0].value)
+        return 5
+
+
+class StoredAnnouncementsTest(unittest.TestCase):
+    """What is written is read again, with the version of its row."""
+
+    def test_announcement_is_read_as_it_was_written(self) -> None:
+        async def work() -> tuple[Announcement | None, ...]:
+            store = RowStore()
+            port = StoredAnnouncements(cast(StoreClient, store))
+            before = await port.read("s")
+            version = await port.write(ANNOUNCED)
+            self.assertEqual((version, store.writes[0].expected), (5, 0))
+            return before, await port.read("s"), await port.read("other")
+
+        before, found, other = run_virtual(work())
+        written = Announcement("s", ANNOUNCED.change, 12, False, Position(3, 8), 5)
+        self.assertEqual((before, found, other), (None, written, None))
+
+    def test_odd_row_stops_no_promotion_and_hides_no_other(self) -> None:
+        rows = {
+            key: Row(key, 4, value)
+            for key, value in (("a", b"{"), ("b", b"[]"), ("c", b'{"token": 1e999}'))
+        }
+        for announcement in decode_announcements(rows):
+            with self.subTest(announcement.service):
+                self.assertTrue(announcement.is_withdrawn)
+
+    def test_row_without_an_objection(self) -> None:
+        value = b'{"token":1,"replaced_term":2,"log_end_term":2,"log_end_index":9}'
+        found = decode_announcement(Row("s", 6, value))
+        expected = Announcement("s", PrimaryChange(2, Position(2, 9)), 1, version=6)
+        self.assertEqual(found, expected)
