Count no survey that misses a commit which some proxy has reported

Cause: a survey takes all known logs but one to hold every commit, and a replica that is not known had the last ones, together with the primary that could not be asked.

A proxy that objects to a change of primary states the position of the commit that it has reported. All proxies keep it, and count surveys only that reach it and what they have reported themselves. A commit that nobody objected for is not known in this way: a survey before any promotion is tried can still miss a joining log.

--- a/src/beryltiller/sessions/databases/evidence.py
+++ b/src/beryltiller/sessions/databases/evidence.py
@@ -191,14 +191,17 @@
         while surveys[0].asked_at < asked_at - SAMPLE_RETENTION_SECONDS:
             surveys.popleft()
 
-    def cover(self, moment: float) -> Cover | None:
-        """Return what covers all commits acknowledged before `moment`, or None."""
+    def cover(self, moment: float, surveyed_from: Position) -> Cover | None:
+        """Return what covers all commits acknowledged before `moment`, or None.
+
+        Surveys count if they reach `surveyed_from`.
+        """
         sample = self._proved_sample(moment)
         if sample is not None:
             evidence = Evidence(EvidenceKind.SAMPLE, sample.source, sample.asked_at)
             return Cover(sample.position, evidence)
         for survey in self._surveys:
-            if survey.asked_at >= moment:
+            if survey.asked_at >= moment and survey.position >= surveyed_from:
                 evidence = Evidence(EvidenceKind.SURVEY, "", survey.asked_at)
                 return Cover(survey.position, evidence)
         return None
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -315,8 +315,12 @@
         return cover.position if cover else None
 
     def cover(self, moment: float) -> Cover | None:
-        """Return what covers all commits acknowledged before `moment`, or None."""
-        return self._covers.cover(moment)
+        """Return what covers all commits acknowledged before `moment`, or None.
+
+        A survey that does not reach a commit which some proxy has reported has missed a
+        log that is not known here.
+        """
+        return self._covers.cover(moment, self._changes.reported_anywhere)
 
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -4,6 +4,13 @@
 import unittest
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.evidence import (
+    CommitCovers,
+    Evidence,
+    EvidenceKind,
+    Sample,
+    TermProofs,
+)
 from beryltiller.sessions.databases.primary_change import (
     CHANGE_SECONDS,
     OBJECTION_SECONDS,
@@ -11,7 +18,11 @@
     PrimaryChange,
 )
 from beryltiller.sessions.statements import Code, Reply, Write
-from beryltiller.sessions.succession.announcer import Announcer
+from beryltiller.sessions.succession.announcer import (
+    HEDGE_SECONDS,
+    Announcement,
+    Announcer,
+)
 from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture
 from tests.virtual_loop import pass_time, run_virtual, virtual_now
@@ -54,6 +65,27 @@
                 self.assertEqual(tracker.objects_to(CHANGE, now), expected)
 
 
+class SurveyTest(unittest.TestCase):
+    """Surveys of all known logs, beside commits that none of them has."""
+
+    def test_survey_that_misses_a_reported_commit_does_not_count(self) -> None:
+        """Guards against stale reads by logs of which one is not known."""
+        covers = CommitCovers(proofs := TermProofs())
+        proofs.record_led(1, 1.0)
+        proofs.record_unfenced(1, Evidence(EvidenceKind.STATUS, "a", 1.0), 1.5)
+        covers.add_sample(Sample(1.0, Position(1, 5), 1, "p"))
+        covers.add_survey(Position(1, 7), 2.0)
+        for reported, is_covered in ((Position(1, 7), True), (Position(1, 8), False)):
+            with self.subTest(reported):
+                self.assertEqual(covers.cover(1.8, reported) is not None, is_covered)
+
+    def test_objection_tells_all_proxies_of_the_commit(self) -> None:
+        tracker = ChangeTracker()
+        tracker.record_objection(Position(1, 11))
+        tracker.record_objection(Position(1, 9))
+        self.assertEqual(tracker.reported_anywhere, Position(1, 11))
+
+
 class CallersTest(unittest.TestCase):
     """What callers are told of writes during a change of primary."""
 
@@ -127,6 +159,31 @@
         _, is_unopposed, _ = self.announce(Position(1, 11))
         self.assertFalse(is_unopposed)
 
+    def test_objection_that_is_not_answered_is_sent_again(self) -> None:
+        """Guards against a promotion that no objection reaches in time."""
+
+        async def work() -> bool:
+            promoter = self._proxy()
+            self._proxy()
+            self._newest_group.changes.record_reported(Position(1, 11), virtual_now())
+            version = await promoter.announce("s", CHANGE, 7)
+            self.announcements.hanging_writes = 1
+            await pass_time(2 * FEED_SECONDS + HEDGE_SECONDS)
+            return await promoter.is_unopposed("s", version)
+
+        self.assertFalse(run_virtual(work()))
+
+    def test_objection_does_not_replace_a_later_announcement(self) -> None:
+        async def work() -> Announcement:
+            promoter, other = self._proxy(), self._proxy()
+            await promoter.announce("s", CHANGE, 7)
+            early = self.announcements.rows["s"]
+            await promoter.announce("s", PrimaryChange(2, Position(2, 20)), 8)
+            await other.object_to(early)
+            return self.announcements.rows["s"]
+
+        self.assertIsNone(run_virtual(work()).objection)
+
     def test_announcement_whose_answer_was_lost_is_found(self) -> None:
         self.announcements.lost_answers = 1
         self.assertEqual(self.announce(), (1, True, True))
