Promote no second database while the first one may take over

Callers could lose acknowledged commits.

The same promoter, without an answer, could choose another database for its next request. A later holder of the duty could confirm its choice 0.45 s after its claim, when an earlier request may have been made up to 1.2 s before that claim. Whichever takes effect first acknowledges commits until the second does.

Now a promoter whose request may take effect gives up rather than promote another one. One that finds a database fenced before its own first command, which an earlier promoter must have left, confirms 1 s after its claim at the earliest; a promotion that was requested before has taken effect by then, and the database that leads ends the succession. One that finds none fenced, the usual case, waits no longer than before.

The first test fails on the code before; the second one tests a field that is new.

--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -66,6 +66,11 @@
                 _was_fenced(action, name, reported[name], outcomes[name])
                 for name in names
             ),
+            was_any_fenced=any(
+                status.fenced_term
+                for outcome in reported.values()
+                if (status := status_of(outcome)) is not None
+            ),
             fenced_at=fenced_at,
             is_unopposed=is_unopposed,
         )
@@ -116,6 +121,7 @@
     outcomes: Outcomes,
     gone: frozenset[str] = frozenset(),
     were_already_fenced: bool = False,
+    was_any_fenced: bool = False,
     fenced_at: float = 0.0,
     is_unopposed: bool = False,
 ) -> FenceResults:
@@ -136,6 +142,7 @@
         _names_of(outcomes, Ended),
         replacements,
         were_already_fenced,
+        was_any_fenced,
         fenced_at,
         is_unopposed,
     )
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -216,15 +216,21 @@
         found = compare(state.groups[service], succession, event)
         replacements = frozenset(event.replacements)
         succession = replace(succession, unknown_replacements=replacements)
+        if not succession.has_fenced:
+            succession = _record_first_round(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
         if not found.is_conclusive:
             return self._retry_fencing(state, succession, found, now)
+        is_other = found.successor != succession.successor
+        if is_other and succession.promotion_may_take_effect:
+            # The one whose promotion was requested may lead before another one does.
+            return self._finish(state, succession, now)
         is_confirmed = (
             succession.phase is Phase.CONFIRMING
             and event.were_already_fenced
-            and found.successor == succession.successor
+            and not is_other
         )
         if not is_confirmed:
             return self._hold(state, succession, found, now)
@@ -242,13 +248,14 @@
     ) -> Decision:
         """Hold before the confirmation, and announce the change to all proxies."""
         held = replace(succession, phase=Phase.HOLDING, successor=found.successor)
-        if now + PROMOTION_HOLD_SECONDS > succession.deadline:
+        wait = max(PROMOTION_HOLD_SECONDS, succession.confirm_not_before - now)
+        if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = _change_by(found)
         if found.is_former_log_reached or change == succession.announced:
-            return _schedule_step(state, held, now, PROMOTION_HOLD_SECONDS)
+            return _schedule_step(state, held, now, wait)
         announcing = replace(held, announced=change, announced_version=0)
-        state, actions = _schedule_step(state, announcing, now, PROMOTION_HOLD_SECONDS)
+        state, actions = _schedule_step(state, announcing, now, wait)
         announce = AnnounceChange(succession.service, change, succession.token)
         return state, (announce, *actions)
 
@@ -387,6 +394,16 @@
         return state, (unfence,)
 
 
+def _record_first_round(succession: Succession, event: FenceResults) -> Succession:
+    """Record whether an earlier promoter had fenced databases.
+
+    The promotion that it may have requested has then taken effect before this one is
+    confirmed, or will not.
+    """
+    not_before = succession.claimed_at + LIFT_SECONDS if event.was_any_fenced else 0.0
+    return replace(succession, has_fenced=True, confirm_not_before=not_before)
+
+
 def _change_by(found: Comparison) -> PrimaryChange:
     return PrimaryChange(found.newest_term, found.longest)
 
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -35,13 +35,12 @@
 
     Each `..._since` time is when that condition began, or None while it does not hold.
     `replicas` are all known databases that may hold acknowledged commits, except the
-    leader. `departed` are databases whose registry entries are gone but that may
-    still be running. `leader_healthy_until` is when this proxy last saw a healthy
-    leader, or None if it never did. `overloaded_alone_since` is since when the leader
-    has been overloaded while no replica could serve reads. `lost_log_covered_by`
-    is a position that covers all that was acknowledged before the last loss of a log,
-    or None while none is known.
-    `former_leaders` are replicas that were primary in the newest term.
+    leader. `departed` are databases whose registry entries are gone but that may still
+    be running. `leader_healthy_until` is when this proxy last saw a healthy leader, or
+    None if it never did. `overloaded_alone_since` is since when the leader has been
+    overloaded while no replica could serve reads. `lost_log_covered_by` is a position
+    that covers all that was acknowledged before the last loss of a log, or None while
+    none is known. `former_leaders` are replicas that were primary in the newest term.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -101,9 +100,10 @@
     databases that answer at the addresses of others that have ended, by the names of
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
-    fenced before this round, except departed ones that do not answer. `fenced_at` is
-    when the fence commands of this round were sent. `is_unopposed` is True if a change
-    was announced and no proxy has objected.
+    fenced before this round, except departed ones that do not answer, and
+    `was_any_fenced` if one of them had been, in whichever term. `fenced_at` is when the
+    fence commands of this round were sent. `is_unopposed` is True if a change was
+    announced and no proxy has objected.
     """
 
     service: str
@@ -113,6 +113,7 @@
     ended: frozenset[str] = frozenset()
     replacements: Mapping[str, DatabaseStatus] = field(default_factory=dict)
     were_already_fenced: bool = False
+    was_any_fenced: bool = False
     fenced_at: float = 0.0
     is_unopposed: bool = False
 
@@ -315,11 +316,12 @@
     which the claim, with fencing token `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
-    fenced. `announced` is the change that was announced, and `announced_version` the
-    announcement's version, or 0 while it is not confirmed. `promotion_may_take_effect`
-    is True once a promotion was requested and not
-    refused; `earlier_may_take_effect` tells the same of the promotions before the last
-    one.
+    fenced. `has_fenced` is True after the first round, and `confirm_not_before` the
+    time until which the promotion of an earlier claim may take effect. `announced` is
+    the change that was announced, and `announced_version` the announcement's version,
+    or 0 while it is not confirmed. `promotion_may_take_effect` is True once a promotion
+    was requested and not refused; `earlier_may_take_effect` tells the same of the
+    promotions before the last one.
     """
 
     service: str
@@ -337,6 +339,8 @@
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
     unknown_replacements: frozenset[str] = frozenset()
+    has_fenced: bool = False
+    confirm_not_before: float = 0.0
     announced: PrimaryChange | None = None
     announced_version: int = 0
     promotion_may_take_effect: bool = False
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -281,6 +281,33 @@
             driver.observe(FAILING, policy.RETRY_SECONDS)
         self.assertEqual(actions, ())
 
+    def test_no_other_database_is_promoted_while_one_may_take_over(self) -> None:
+        """Guards against commits of a database whose promotion was not answered."""
+        driver = Driver()
+        driver.claim()
+        statuses = {"a": status(5), "b": status(6)}
+        driver.report_fences(statuses)
+        driver.confirm(statuses)
+        driver.handle(PromotionResult("s", False, False))
+        driver.observe(FAILING, policy.RETRY_SECONDS)
+        longer = {"a": status(7), "b": status(6)}
+        actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
+        self.assertEqual((actions, driver.state.successions), ((), {}))
+
+    def test_confirmation_waits_for_the_promotion_of_an_earlier_claim(self) -> None:
+        """Guards against two promotions, of which the first acknowledges commits."""
+        statuses = {"a": status(5), "b": status(6)}
+        for was_any_fenced, wait in (
+            (True, policy.LIFT_SECONDS),
+            (False, PROMOTION_HOLD_SECONDS),
+        ):
+            with self.subTest(was_any_fenced=was_any_fenced):
+                driver = Driver()
+                driver.claim()
+                first = FenceResults("s", statuses, was_any_fenced=was_any_fenced)
+                actions = driver.handle(first)
+                self.assertEqual(actions[-1], ObserveAfter(wait))
+
     def test_refused_successor_is_not_chosen_again(self) -> None:
         driver = Driver()
         driver.claim()
