Turn every failure to decode outside data into one error

A row or message with lists nested 2,000 deep, in a field that nobody reads, raised RecursionError where only msgspec's errors were caught. One such entry hid all databases at each change of the table, the configuration row ended the adoption of the others, a claim row made each claim of the promotion duty fail, and the settings file ended a start with a traceback. A refused configuration document whose end is malformed raised JSONDecodeError or IndexError, and a port of thousands of digits in it ValueError.

core.decoding decodes at all borders and raises DecodingError, whose text is short, for any failure.

--- a/src/beryltiller/adapters/endpoints.py
+++ b/src/beryltiller/adapters/endpoints.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
@@ -235,6 +236,6 @@
     @staticmethod
     def _decode(reply: transport.Reply, model: type[_T]) -> _T:
         try:
-            return msgspec.json.decode(reply.body, type=model)
-        except msgspec.MsgspecError as error:
+            return decode_json(reply.body, model)
+        except DecodingError as error:
             raise LostAnswerError(f"answer has an unreadable body: {error}") from error
--- a/src/beryltiller/adapters/platform_client.py
+++ b/src/beryltiller/adapters/platform_client.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import (
     Host,
     HostKind,
@@ -64,8 +65,8 @@
 
 def _decode(body: bytes, model: type[_T]) -> _T:
     try:
-        return msgspec.json.decode(body, type=model)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, model)
+    except DecodingError as error:
         raise LostAnswerError(f"answer has an unreadable body: {error}") from error
 
 
--- a/src/beryltiller/adapters/transport.py
+++ b/src/beryltiller/adapters/transport.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import LostAnswerError, RefusedError
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -40,8 +41,8 @@
     Raise `LostAnswerError` if the body holds no refusal.
     """
     try:
-        model = msgspec.json.decode(reply.body, type=RefusalModel)
-    except msgspec.MsgspecError as error:
+        model = decode_json(reply.body, RefusalModel)
+    except DecodingError as error:
         raise LostAnswerError(
             f"answer with status {reply.status} has no refusal code"
         ) from error
--- a/src/beryltiller/commands/operator_client.py
+++ b/src/beryltiller/commands/operator_client.py
@@ -10,6 +10,7 @@
 
 from beryltiller.commands.command_errors import CommandError, ExitCode
 from beryltiller.core.addresses import Address
+from beryltiller.core.decoding import DecodingError, decode_json
 
 _Model = TypeVar("_Model")
 
@@ -94,13 +95,13 @@
 
     def _refusal_error(self, method: str, status: int, body: bytes) -> CommandError:
         try:
-            error_answer = msgspec.json.decode(body, type=ReasonModel)
+            error_answer = decode_json(body, ReasonModel)
             reason = (
                 f"{error_answer.field}: {error_answer.reason}"
                 if error_answer.field
                 else error_answer.reason
             )
-        except msgspec.MsgspecError:
+        except DecodingError:
             reason = body[:_MAX_SHOWN_CHARACTERS].decode("utf-8", "replace")
         cause = f"{self.address} refused with {status}: {reason or 'no reason given'}"
         if method == "POST" and status >= _FIRST_SERVER_ERROR_STATUS:
@@ -110,8 +111,8 @@
 
     def _decode(self, body: bytes, model: type[_Model]) -> _Model:
         try:
-            return msgspec.json.decode(body, type=model)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, model)
+        except DecodingError as error:
             cause = f"{self.address} sent an answer that cannot be decoded ({error})"
             remedy = "check that it is the operator port of a proxy of this release"
             raise CommandError(ExitCode.FAILED, cause, remedy) from error
--- a/src/beryltiller/configuration/tables.py
+++ b/src/beryltiller/configuration/tables.py
@@ -11,7 +11,6 @@
 """
 
 import ipaddress
-import json
 import re
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
@@ -20,6 +19,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from beryltiller.core.decoding import Count, DecodingError, decode_json, shorten
 from beryltiller.core.outcome import Kind, Refusal
 from beryltiller.core.ports import Row, Write
 
@@ -34,13 +34,13 @@
 MAX_ROWS = 10_000
 
 _NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"
+_MAX_PORT_DIGITS = 5
 _ROW_PATH = re.compile(r"(\w+)\[(\d+)\]\.?")
 
 _Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 _MaxAge = Annotated[int, msgspec.Meta(ge=1, le=MAX_AGE_MS)]
 _ConnectionCap = Annotated[int, msgspec.Meta(ge=1, le=MAX_CONNECTION_CAP)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-_Version = Annotated[int, msgspec.Meta(ge=0)]
 _GroupNames = Annotated[list[_Name], msgspec.Meta(min_length=1)]
 _Rows = msgspec.Meta(max_length=MAX_ROWS)
 
@@ -148,7 +148,7 @@
 
 
 class _ConfigurationModel(msgspec.Struct, forbid_unknown_fields=True):
-    version: _Version = 0
+    version: Count = 0
     routes: Annotated[list[_RouteModel], _Rows] = []
     pools: Annotated[list[_PoolModel], _Rows] = []
     groups: Annotated[list[_GroupModel], _Rows] = []
@@ -165,11 +165,9 @@
         reason = f"larger than {MAX_DOCUMENT_BYTES} bytes"
         return _invalid(Refusal(reason, "document"))
     try:
-        model = msgspec.json.decode(document, type=_ConfigurationModel)
-    except msgspec.ValidationError as error:
+        model = decode_json(document, _ConfigurationModel)
+    except DecodingError as error:
         return _invalid(_refusal_from_error(str(error), document))
-    except msgspec.DecodeError as error:
-        return _invalid(Refusal(str(error), "document"))
     return validate(msgspec.convert(model, Configuration, from_attributes=True))
 
 
@@ -200,8 +198,8 @@
     """
     document = encode(configuration)
     try:
-        msgspec.json.decode(document, type=_ConfigurationModel)
-    except msgspec.ValidationError as error:
+        decode_json(document, _ConfigurationModel)
+    except DecodingError as error:
         return _invalid(_refusal_from_error(str(error), document))
     refusals = tuple(_find_faults(configuration))
     return _invalid(*refusals) if refusals else Success(configuration)
@@ -218,13 +216,20 @@
     if found is None:
         return Refusal(reason, path or "document")
     table, index = found.group(1), int(found.group(2))
-    name = _row_name(json.loads(document), table, index)
+    name = _row_name(document, table, index)
     return Refusal(reason, _field_path(table, index, name, path[found.end() :]))
 
 
-def _row_name(document: Any, table: str, index: int) -> str:
-    row = document[table][index]
-    return str(row.get("name", "")) if isinstance(row, dict) else ""
+def _row_name(document: bytes, table: str, index: int) -> str:
+    """Return the name in a row, or an empty text if the row cannot be found.
+
+    The rest of the document may be malformed, as the first fault ended its decoding.
+    """
+    try:
+        row = decode_json(document, dict[str, Any])[table][index]
+    except (DecodingError, LookupError, TypeError):
+        return ""
+    return shorten(str(row.get("name", ""))) if isinstance(row, dict) else ""
 
 
 def _field_path(table: str, index: int, name: str, field: str) -> str:
@@ -308,4 +313,5 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    return is_number and 0 < int(port) < 65536
--- a/src/beryltiller/consistency/tokens.py
+++ b/src/beryltiller/consistency/tokens.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from beryltiller.core.decoding import DecodingError, decode_with
 from beryltiller.core.outcome import Refusal
 from beryltiller.core.position import ORIGIN, Position
 
@@ -194,8 +195,8 @@
 def _read_payload(data: bytes) -> Result[Session, TokenFault]:
     """Return the session in a payload whose signature has been verified."""
     try:
-        payload = _DECODER.decode(data)
-    except msgspec.DecodeError:
+        payload = decode_with(_DECODER.decode, data)
+    except DecodingError:
         return Failure(TokenFault.MALFORMED)
     if payload.format != _FORMAT:
         return Failure(TokenFault.MALFORMED)
--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -17,6 +17,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from beryltiller.core.decoding import DecodingError, decode_with
+
 MAX_MESSAGE_BYTES = 2_097_152
 MAX_MEMBERS_IN_MESSAGE = 4_096
 UNKNOWN_AGE_MS = -1
@@ -294,6 +296,6 @@
     if len(data) > MAX_MESSAGE_BYTES:
         return Failure(BadMessage("too-large"))
     try:
-        return Success(_decoder.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Success(decode_with(_decoder.decode, data))
+    except DecodingError:
         return Failure(BadMessage("malformed"))
--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import PortError, RefusedError, Row, Write
 from beryltiller.platform.store import StoreClient, raise_for_status
 from beryltiller.sessions.succession.runner import DutyClaim
@@ -132,8 +133,8 @@
     if row is None:
         return DutyHolder("", 0, 0)
     try:
-        model = msgspec.json.decode(row.value, type=ClaimModel)
-    except msgspec.MsgspecError:
+        model = decode_json(row.value, ClaimModel)
+    except DecodingError:
         # Only proxies write this row, so an unreadable row does not block a claim.
         return DutyHolder("", 0, row.version)
     return DutyHolder(model.holder, model.until_ms, row.version)
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from beryltiller.core.addresses import Address
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import Row
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import (
@@ -172,6 +173,6 @@
 
 def _decode(row: Row, model: type[_T]) -> _T:
     try:
-        return msgspec.json.decode(row.value, type=model)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(row.value, model)
+    except DecodingError as error:
         raise RecordError(f"row {row.key}: {error}") from error
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from beryltiller.core.addresses import Address
+from beryltiller.core.decoding import DecodingError, decode_json
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 
@@ -88,10 +89,10 @@
             f"${SETTINGS_VARIABLE} is not set and no settings file is given"
         )
     try:
-        model = msgspec.json.decode(Path(path).read_bytes(), type=FileModel)
+        model = decode_json(Path(path).read_bytes(), FileModel)
     except OSError as error:
         raise SettingsFileError(f"{path}: {error.strerror}") from error
-    except msgspec.MsgspecError as error:
+    except DecodingError as error:
         raise SettingsFileError(f"{path}: {error}") from error
     return PlatformSettings(
         host_name=model.node_name,
--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.ports import (
     Changes,
     HistoryLostError,
@@ -212,8 +213,8 @@
 
 def _decode(body: bytes, model: type[_T]) -> _T:
     try:
-        return msgspec.json.decode(body, type=model)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, model)
+    except DecodingError as error:
         raise LostAnswerError(f"the answer cannot be decoded: {error}") from error
 
 
--- a/src/beryltiller/primaries/term_rows.py
+++ b/src/beryltiller/primaries/term_rows.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.core.outcome import Refusal
 from beryltiller.core.ports import Row, Write
 
@@ -64,14 +65,11 @@
     promoter: str
 
 
-_DECODER = msgspec.json.Decoder(_RowModel)
-
-
 def parse_row(row: Row) -> Result[TermRow, Refusal]:
     """Return the validated row, or a refusal with the invalid field and the reason."""
     try:
-        model = _DECODER.decode(row.value)
-    except msgspec.DecodeError as error:
+        model = decode_json(row.value, _RowModel)
+    except DecodingError as error:
         return Failure(Refusal(str(error), field=f"{TABLE}/{row.key}"))
     if model.state is TermState.INVALID:
         return Failure(
--- a/src/beryltiller/process/operators.py
+++ b/src/beryltiller/process/operators.py
@@ -9,6 +9,7 @@
 
 from beryltiller.admission.explanations import explain
 from beryltiller.admission.records import AdmissionRecords
+from beryltiller.core.decoding import DecodingError, decode_json
 from beryltiller.dispatching.databases import Databases
 from beryltiller.dispatching.term_board import TermBoard
 from beryltiller.membership.members import Members
@@ -155,8 +156,8 @@
         group = request.match_info["group"]
         body = await request.read()
         try:
-            parsed = msgspec.json.decode(body or b"{}", type=FailoverRequestModel)
-        except msgspec.MsgspecError as error:
+            parsed = decode_json(body or b"{}", FailoverRequestModel)
+        except DecodingError as error:
             return _json({"reason": str(error), "field": "body"}, 400)
         row = self._sources.board.evidence.row(group)
         if group not in self._sources.databases.groups or row is None:
--- a/src/beryltiller/sessions/tables/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from beryltiller.core.decoding import DecodingError, decode_json, decode_with
 from beryltiller.core.ports import Row
 from beryltiller.sessions.tables.relay import (
     Announcement,
@@ -43,8 +44,8 @@
 def decode(data: bytes) -> Packet:
     """Decode a message; raise `RelayMessageError` if it is malformed."""
     try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+        return decode_with(_DECODER.decode, data)
+    except DecodingError as error:
         raise RelayMessageError(str(error)) from error
 
 
@@ -63,10 +64,8 @@
     if row is None:
         return FeederLease(key)
     try:
-        return FeederLease(
-            key, row.version, msgspec.json.decode(row.value, type=Feeder)
-        )
-    except msgspec.MsgspecError:
+        return FeederLease(key, row.version, decode_json(row.value, Feeder))
+    except DecodingError:
         return FeederLease(key, row.version)
 
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,214 @@
+"""Tests that odd data of other writers ends no work and hides no other data."""
+
+import doctest
+import json
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from beryltiller.adapters import transport
+from beryltiller.configuration import tables
+from beryltiller.core import decoding
+from beryltiller.core.ports import LostAnswerError, PortError, Row
+from beryltiller.membership import messages
+from beryltiller.platform import records
+from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
+from beryltiller.platform.settings import SettingsFileError, read_settings_file
+from beryltiller.platform.store import StoreClient
+from beryltiller.primaries import term_rows
+from beryltiller.sessions.tables import relay_messages
+from tests.fake_store import FakeStore
+from tests.test_platform_node import CONFIGURATION
+from tests.test_platform_records import ENTRY, entry
+from tests.test_platform_settings import SETTINGS
+
+DEEP = b"[" * 2000 + b"]" * 2000
+GOOD = entry("good")
+KEYS = ("z/1", "z/2")
+TERM_ROW = {"term": 3, "primary": "d", "state": "open", "promoter": "p"}
+FEEDER = {"name": "a", "address": "127.0.0.1:5"}
+CLAIM = {"holder": "other", "service": "s", "until_ms": 51_000}
+DOCUMENT = {
+    "routes": [{"name": "r", "kind": "read", "pool": "p"}],
+    "pools": [{"name": "p", "groups": ["g"]}],
+    "groups": [{"name": "g", "databases": []}],
+}
+
+derandomized = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+
+
+def with_deep_field(value: dict[str, Any]) -> bytes:
+    """Return an object as JSON, with a further field that is deeply nested."""
+    return json.dumps(value)[:-1].encode() + b', "odd": ' + DEEP + b"}"
+
+
+def read_entries(data: bytes) -> None:
+    """Decode an entry beside a good one, which must still be found."""
+    found = records.decode_databases([Row("odd", 1, data), GOOD])
+    assert "good" in [each.identifier for each in found], found
+
+
+def read_configuration(data: bytes) -> None:
+    """Decode a configuration row, which may be refused."""
+    try:
+        records.decode_configuration(Row("config", 1, data))
+    except records.RecordError:
+        return
+
+
+def read_relay_message(data: bytes) -> None:
+    """Decode a message of the relay, which may be refused."""
+    try:
+        relay_messages.decode(data)
+    except relay_messages.RelayMessageError:
+        return
+
+
+def read_lease(data: bytes) -> None:
+    """Decode a feeder lease beside a good one, which must still be found."""
+    rows = (Row(KEYS[0], 1, data), Row(KEYS[1], 2, json.dumps(FEEDER).encode()))
+    leases = relay_messages.decode_leases(KEYS, rows)
+    assert leases[1].holder is not None, leases
+
+
+def read_settings(data: bytes) -> None:
+    """Read a settings file, which may be refused."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "local.json")
+        path.write_bytes(data)
+        try:
+            read_settings_file(str(path))
+        except SettingsFileError:
+            return
+
+
+def read_refusal(data: bytes) -> None:
+    """Read an HTTP refusal, which always raises an error of the port."""
+    try:
+        transport.raise_refusal(transport.Reply(400, {}, data))
+    except PortError:
+        return
+
+
+def read_term_row(data: bytes) -> None:
+    """Decode a row of the terms table, which becomes an invalid one if it is odd."""
+    term_rows.decode_row(Row("g", 1, data))
+
+
+READERS: tuple[tuple[Callable[[bytes], object], dict[str, Any]], ...] = (
+    (read_entries, ENTRY),
+    (read_configuration, CONFIGURATION),
+    (read_lease, FEEDER),
+    (read_settings, SETTINGS),
+    (read_refusal, {"code": "conflict"}),
+    (read_term_row, TERM_ROW),
+    (tables.decode, DOCUMENT),
+    (read_relay_message, {}),
+    (messages.decode, {}),
+)
+
+numbers = st.one_of(
+    st.integers(),
+    st.floats(),
+    st.sampled_from((2**62, 2**63, 2**64, 2**70, 10**4000, -(2**63) - 1, 1e308)),
+)
+values = st.recursive(
+    st.none() | st.booleans() | numbers | st.text() | st.text("a\r\n %é", max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@st.composite
+def odd_json(draw: st.DrawFn) -> bytes:
+    """Draw a JSON text, whose nesting may exceed the limit on recursion."""
+    depth = draw(st.sampled_from((0, 0, 1, 500, 2000, 100_000)))
+    text = json.dumps(draw(values)).encode()
+    return b"[" * depth + text + b"]" * depth
+
+
+@st.composite
+def changed(draw: st.DrawFn, value: dict[str, Any]) -> bytes:
+    """Draw an object with one field replaced, removed or added, as JSON."""
+    name = draw(st.sampled_from([*value, "odd"]))
+    rest = {key: item for key, item in value.items() if key != name}
+    if draw(st.booleans()):
+        rest[name] = draw(values)
+        return json.dumps(rest).encode()
+    text = json.dumps(rest)[:-1] + (", " if rest else "")
+    return text.encode() + json.dumps(name).encode() + b": " + draw(odd_json()) + b"}"
+
+
+class OddDataTest(unittest.TestCase):
+    """Whatever bytes arrive, a border raises its own error or uses the rest."""
+
+    def test_nesting_beyond_the_limit_on_recursion_is_refused(self) -> None:
+        for read, value in READERS:
+            with self.subTest(read.__name__):
+                read(with_deep_field(value))
+
+    @derandomized
+    @given(st.data(), st.sampled_from(READERS))
+    def test_only_typed_errors_are_raised(
+        self, data: st.DataObject, reader: tuple[Callable[[bytes], object], Any]
+    ) -> None:
+        read, value = reader
+        read(data.draw(st.one_of(st.binary(), odd_json(), changed(value))))
+
+    @derandomized
+    @given(values)
+    def test_messages_of_proxies_with_odd_fields_are_refused(self, value: Any) -> None:
+        try:
+            data = msgspec.msgpack.encode(value)
+        except OverflowError:
+            return
+        read_relay_message(data)
+        messages.decode(data)
+
+    def test_refused_document_names_its_row_even_if_its_end_is_malformed(self) -> None:
+        for rest in (b"", b'], "routes": []}', b'], "x": ' + DEEP + b"}"):
+            with self.subTest(rest=rest[:20]):
+                refused = tables.decode(b'{"routes": [{"name": 5}' + rest).failure()
+                self.assertIn("routes[0]", str(refused))
+
+    def test_examples(self) -> None:
+        found = doctest.testmod(decoding, optionflags=doctest.ELLIPSIS)
+        self.assertEqual(found.failed, 0)
+
+
+class OddStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """An answer of the store that cannot be decoded is a failed request."""
+
+    async def asyncSetUp(self) -> None:
+        self.fake = FakeStore()
+        runner, self.address = await self.fake.start()
+        self.addAsyncCleanup(runner.cleanup)
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        self.store = StoreClient(self.session, self.address)
+
+    async def test_answer_nested_beyond_the_limit_is_a_lost_answer(self) -> None:
+        rows = {"rows": [], "row_version": 1}
+        body = with_deep_field(rows)
+        self.enterContext(
+            mock.patch.object(self.fake, "answer", lambda **_: web.Response(body=body))
+        )
+        with self.assertRaises(LostAnswerError):
+            await self.store.read_all("t")
+        with self.assertRaises(LostAnswerError):
+            await self.store.read_changes("t", 0, 0.0)
+
+    async def test_odd_claim_does_not_block_the_duty(self) -> None:
+        self.fake.put(DUTY_TABLE, DUTY_KEY, with_deep_field(CLAIM))
+        duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
+        claim = await duty.claim("s", 4.0)
+        self.assertEqual(claim.token, self.fake.version)
