Bound the fields of entries, the configuration and the settings file

An entry was used although its port was 0, its address one of several hosts or of an interface elsewhere, its key or service empty, or its service a text with blanks or a line end, which would add lines to the start of a session. With an empty key no identifier is expected, so any database would be taken for it. A long IPv6 zone made the resolver raise UnicodeError, which no user of a connection catches. A configuration's connection cap of 400 digits could not be multiplied by a share, and its times could be negative.

Address.parse_remote, and limits with names and units on the border models, refuse these. Texts of addresses and keys in reasons are shortened. connect turns every ValueError into a failed connection.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -185,16 +185,16 @@
     `WRONG_DATABASE` if no database answers at the address.
     """
     loop = asyncio.get_running_loop()
-    address = Address.parse(database.address)
     connection = LineConnection()
     try:
+        address = Address.parse(database.address)
         async with asyncio.timeout(timeout_seconds):
             transport, _ = await loop.create_connection(
                 lambda: connection, address.ip, address.port, local_addr=(source_ip, 0)
             )
             enable_peer_timeout(transport)
             await connection.start(database)
-    except (OSError, TimeoutError, BrokenError) as error:
+    except (OSError, ValueError, TimeoutError, BrokenError) as error:
         connection.close()
         reason = f"{type(error).__name__}: {error}"
         raise NotSentError(Code.WRONG_DATABASE, reason) from error
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -1,12 +1,12 @@
 """Decoding of the store's rows: the configuration and the databases' entries."""
 
 from collections.abc import Iterable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from beryltiller.core.addresses import Address
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import Count, DecodingError, decode_json, shorten
 from beryltiller.core.ports import Row
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import (
@@ -21,6 +21,19 @@
 CONFIGURATION_KEY = "config"
 DATABASES_TABLE = "servers"
 
+# A longer name in a database's entry is refused. The store's own limit on texts is 200.
+MAX_NAME_CHARACTERS = 1_000
+MAX_SLOTS = 10_000
+# The end of the year 9999.
+MAX_UNIX_MS = 253_402_300_799_999
+# Longer than any process runs, and short enough for exact arithmetic in seconds.
+MAX_DURATION_MS = 10**15
+
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+_DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+
 _T = TypeVar("_T")
 _KINDS = {
     "primary": RouteKind.PRIMARY,
@@ -45,10 +58,10 @@
     database_name: str
     service: str
     route_kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000
-    priority: int = 1
-    max_staleness_ms: float = 0
+    timeout_ms: _DurationMs
+    target_latency_ms: _DurationMs = 1000
+    priority: Count = 1
+    max_staleness_ms: _DurationMs = 0
 
 
 class ServiceModel(msgspec.Struct, frozen=True):
@@ -58,14 +71,14 @@
     """
 
     name: str
-    max_connections: int = 20
-    sync_replicas: int = 0
+    max_connections: Count = 20
+    sync_replicas: Count = 0
 
 
 class LimitsModel(msgspec.Struct, frozen=True):
     """Limits that apply to all routes."""
 
-    transaction_idle_ms: float = 3000
+    transaction_idle_ms: _DurationMs = 3000
 
 
 class ConfigurationModel(msgspec.Struct, frozen=True):
@@ -74,7 +87,7 @@
     `config_version` is the version of the configuration, not that of the row.
     """
 
-    config_version: int
+    config_version: Count
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
     limits: LimitsModel = LimitsModel()
@@ -90,16 +103,16 @@
     time, and `born` the Unix time of its start in milliseconds.
     """
 
-    service: str
-    address: str
-    zone: str
-    config_version: str | int
-    slots: int
-    state: str
+    service: _Name
+    address: _Name
+    zone: _Name
+    config_version: _Name | int
+    slots: _Slots
+    state: _Name
     cold_remaining_ms: float
-    sequence: int
-    database_role: str
-    born: int = 0
+    sequence: Count
+    database_role: _Name
+    born: _UnixMs = 0
 
 
 def decode_configuration(row: Row) -> Configuration:
@@ -119,20 +132,16 @@
 def decode_database(row: Row) -> Database:
     """Decode a database's entry, or raise `RecordError`."""
     model = _decode(row, DatabaseModel)
-    if not row.key.isprintable() or " " in row.key:
-        raise RecordError(
-            f"key: {row.key[:40]!r} contains blanks or unprintable characters"
-        )
+    _check_word("key", row.key)
+    _check_word("service", model.service)
     if model.database_role not in _IS_PRIMARY_BY_ROLE:
         raise RecordError(f"database_role: unknown {model.database_role[:40]!r}")
     if model.state not in _IS_DRAINING_BY_STATE:
         raise RecordError(f"state: unknown {model.state[:40]!r}")
     try:
-        Address.parse(model.address)
+        Address.parse_remote(model.address)
     except ValueError as error:
         raise RecordError(f"address: {error}") from error
-    if not 0 < model.slots <= 10_000:
-        raise RecordError(f"slots: {model.slots} is not between 1 and 10000")
     return Database(
         identifier=row.key,
         service=model.service,
@@ -156,6 +165,16 @@
     return databases
 
 
+def _check_word(field: str, text: str) -> None:
+    """Raise `RecordError` unless a text can be one field of the line protocol."""
+    is_word = text.isprintable() and " " not in text
+    if not 0 < len(text) <= MAX_NAME_CHARACTERS or not is_word:
+        raise RecordError(
+            f"{field}: {text[:40]!r} is empty, too long, or contains blanks or"
+            " unprintable characters"
+        )
+
+
 def _decode_route(model: RouteModel) -> Route:
     kind = _KINDS.get(model.route_kind)
     if kind is None:
@@ -175,4 +194,4 @@
     try:
         return decode_json(row.value, model)
     except DecodingError as error:
-        raise RecordError(f"row {row.key}: {error}") from error
+        raise RecordError(f"row {shorten(row.key)}: {error}") from error
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -1,8 +1,10 @@
 """The part of the platform's settings file that the proxy uses."""
 
 import os
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +12,10 @@
 from beryltiller.core.decoding import DecodingError, decode_json
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
+MAX_DURATION_SECONDS = 86_400
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
 
 
 class SettingsFileError(Exception):
@@ -38,8 +44,8 @@
 class BoundsModel(msgspec.Struct, frozen=True):
     """A stopping proxy's grace period, and a draining database's drain period."""
 
-    grace_period_s: float = 6.0
-    drain_timeout_ms: float = 7000.0
+    grace_period_s: _Seconds = 6.0
+    drain_timeout_ms: _Milliseconds = 7000.0
 
 
 class FileModel(msgspec.Struct, frozen=True):
@@ -104,8 +110,8 @@
         readiness_address=_parse_address(
             "listen_addresses.ready", model.listen_addresses.ready
         ),
-        store_address=_parse_address("platform.address", model.platform.address),
-        duty_address=_parse_address("cloud_api.address", model.cloud_api.address),
+        store_address=_parse_remote("platform.address", model.platform.address),
+        duty_address=_parse_remote("cloud_api.address", model.cloud_api.address),
         grace_seconds=model.bounds.grace_period_s,
         drain_seconds=model.bounds.drain_timeout_ms / 1000,
         relay_address=_relay_address(model),
@@ -143,7 +149,15 @@
 
 
 def _parse_address(field: str, text: str) -> Address:
+    return _parse(field, text, Address.parse)
+
+
+def _parse_remote(field: str, text: str) -> Address:
+    return _parse(field, text, Address.parse_remote)
+
+
+def _parse(field: str, text: str, parse: Callable[[str], Address]) -> Address:
     try:
-        return Address.parse(text)
+        return parse(text)
     except ValueError as error:
         raise SettingsFileError(f"{field}: {error}") from error
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Tests that odd data of other writers ends no work and hides no other data."""
 
+import dataclasses
 import doctest
 import json
 import tempfile
@@ -20,11 +21,12 @@
 from beryltiller.core import decoding
 from beryltiller.core.ports import LostAnswerError, PortError, Row
 from beryltiller.membership import messages
-from beryltiller.platform import records
+from beryltiller.platform import databases, records
 from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
 from beryltiller.platform.settings import SettingsFileError, read_settings_file
 from beryltiller.platform.store import StoreClient
 from beryltiller.primaries import term_rows
+from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.tables import relay_messages
 from tests.fake_store import FakeStore
 from tests.test_platform_node import CONFIGURATION
@@ -186,6 +188,89 @@
         self.assertEqual(found.failed, 0)
 
 
+class OddFieldTest(unittest.IsolatedAsyncioTestCase):
+    """Values that can be decoded but not used are refused, with a short reason."""
+
+    def test_entry_with_a_value_that_cannot_be_used_is_refused(self) -> None:
+        """Guard against an entry whose later use fails, or hides another database.
+
+        An empty key is no expected identifier, so any database would answer to it. A
+        service with a line end adds a line of its own to the start of a session.
+        """
+        cases: dict[str, tuple[object, ...]] = {
+            "service": ("", "s t", "s\r\nQUERY - STEPDOWN 9", "x" * 1_000_000),
+            "zone": ("x" * 1_000_000,),
+            "born": (-5, 2**70, 1.5, True),
+            "slots": (True, 2**70, 10_001, 0),
+            "sequence": (-1, 2**70),
+            "address": (
+                "127.0.0.1:0",
+                "127.0.0.1:70000",
+                "127.0.0.1:" + "9" * 5_000,
+                "224.0.0.1:5",
+                "255.255.255.255:5",
+                "0.0.0.0:5",
+                "[fe80::1%eth0]:5",
+                f"[fe80::1%{'x' * 100}]:5",
+                "x" * 1_000_000,
+            ),
+        }
+        rows = [
+            entry("odd", **{field: value})
+            for field, odd_values in cases.items()
+            for value in odd_values
+        ]
+        rows += [entry(key) for key in ("", "x" * 1_000_000, "a b", "a\r\nb")]
+        for row in rows:
+            with self.subTest(row=row.value[:80], key=row.key[:9]):
+                with self.assertRaises(records.RecordError) as caught:
+                    records.decode_database(row)
+                self.assertLess(len(str(caught.exception)), 1_000)
+
+    def test_configuration_with_a_number_out_of_range_is_refused(self) -> None:
+        (route,) = json.loads(json.dumps(CONFIGURATION["routes"]))
+        changes: tuple[dict[str, object], ...] = (
+            {"routes": [{**route, "timeout_ms": 1e305}]},
+            {"routes": [{**route, "timeout_ms": -1}]},
+            {"routes": [{**route, "priority": 2**70}]},
+            {"routes": [{**route, "max_staleness_ms": -1}]},
+            {"services": [{"name": "s", "max_connections": 10**400}]},
+            {"services": [{"name": "s", "max_connections": -1}]},
+            {"limits": {"transaction_idle_ms": 1e308}},
+            {"config_version": 2**70},
+            {"config_version": -1},
+        )
+        for change in changes:
+            value = json.dumps({**CONFIGURATION, **change}).encode()
+            refused = self.assertRaises(records.RecordError)
+            with self.subTest(change=str(change)[:80]), refused:
+                records.decode_configuration(Row("config", 1, value))
+
+    async def test_address_that_the_resolver_refuses_is_a_failed_connection(
+        self,
+    ) -> None:
+        """Guard against an error that the users of a connection do not catch."""
+        for address in (f"[fe80::1%{'x' * 100}]:5", "[fe80::1%\0]:5", "nowhere"):
+            good = records.decode_database(GOOD)
+            odd = dataclasses.replace(good, address=address)
+            with self.subTest(address[:20]), self.assertRaises(NotSentError):
+                await databases.connect(odd, "127.0.0.1")
+
+    def test_settings_that_cannot_be_used_are_refused(self) -> None:
+        cases: tuple[dict[str, object], ...] = (
+            {"platform": {"address": "127.0.0.1:0"}},
+            {"bounds": {"grace_period_s": -1}},
+            {"bounds": {"drain_timeout_ms": 1e308}},
+            {"internal_port_range": [70_000, 70_010]},
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "local.json")
+            for change in cases:
+                path.write_text(json.dumps({**SETTINGS, **change}))
+                with self.subTest(change), self.assertRaises(SettingsFileError):
+                    read_settings_file(str(path))
+
+
 class OddStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
     """An answer of the store that cannot be decoded is a failed request."""
 
