Log a refused row once, in a line of bounded length

A row that stays refused was logged again after each change of its table, which is several times a second on a site of hundreds of databases, and its key and reason were logged in full, up to the size of a row.

The refusal log has the rows that were refused the last time, and logs only others. All texts of log messages are shortened to 4,000 characters.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -14,6 +14,10 @@
 
 import eliot
 
+from beryltiller.core.decoding import shorten
+
+MAX_FIELD_CHARACTERS = 4_000
+
 _PREFIX = "beryltiller:"
 _WORD_START = re.compile(r"(?<=[a-z])(?=[A-Z])")
 
@@ -348,8 +352,16 @@
 
 
 def log(event: Event) -> None:
-    """Write an event to the streams set by `log_to`."""
-    eliot.log_message(message_type=message_type(type(event)), **asdict(event))
+    """Write an event to the streams set by `log_to`.
+
+    Texts of over `MAX_FIELD_CHARACTERS` are shortened, as some are those of others.
+    """
+    values = {name: _shortened(value) for name, value in asdict(event).items()}
+    eliot.log_message(message_type=message_type(type(event)), **values)
+
+
+def _shortened(value: object) -> object:
+    return shorten(value, MAX_FIELD_CHARACTERS) if isinstance(value, str) else value
 
 
 def message_type(kind: type[Event]) -> str:
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from beryltiller.adapters.broadcast import Broadcast, BroadcastError
+from beryltiller.core.ports import Row
 from beryltiller.observability import logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.duty import Duty
@@ -62,6 +63,8 @@
         self._on_drained = on_drained
         self._rng = random.Random()
         self._registry = Registry()
+        self._entries_refused = records.RefusalLog()
+        self._configuration_refused: Row | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_draining = False
         self._monitor = IsolationMonitor()
@@ -206,13 +209,15 @@
         try:
             configuration = records.decode_configuration(row)
         except records.RecordError as error:
-            logs.log(logs.ConfigurationRefused(row.version, str(error)))
+            if row != self._configuration_refused:
+                logs.log(logs.ConfigurationRefused(row.version, str(error)))
+            self._configuration_refused = row
             return
         if self._fleet.adopt(configuration):
             logs.log(logs.ConfigurationInForce(configuration.version, "store"))
 
     def _update_registry(self, rows: Rows) -> None:
-        found = records.decode_databases(rows.values())
+        found = records.decode_databases(rows.values(), self._entries_refused)
         self._registry.replace(found, boot_clock())
         self._update_directory()
 
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -1,6 +1,6 @@
 """Decoding of the store's rows: the configuration and the databases' entries."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -154,14 +154,39 @@
     )
 
 
-def decode_databases(rows: Iterable[Row]) -> list[Database]:
-    """Decode the databases' entries; log and skip those that cannot be used."""
+class RefusalLog:
+    """A log of refused rows, which has each version of a row once.
+
+    A table is decoded again after each change of any of its rows.
+    """
+
+    def __init__(self) -> None:
+        """Create a log without rows."""
+        self._refused: Mapping[str, Row] = {}
+
+    def record(self, refused: Sequence[tuple[Row, str]]) -> None:
+        """Log the rows, each with the reason, that were not refused the last time."""
+        for row, reason in refused:
+            if self._refused.get(row.key) != row:
+                logs.log(logs.EntryRefused(shorten(row.key), reason))
+        self._refused = {row.key: row for row, _ in refused}
+
+
+def decode_databases(
+    rows: Iterable[Row], refusal_log: RefusalLog | None = None
+) -> list[Database]:
+    """Decode the databases' entries; log and skip those that cannot be used.
+
+    Pass the same `refusal_log` for each reading of a table.
+    """
     databases = []
+    refused = []
     for row in rows:
         try:
             databases.append(decode_database(row))
         except RecordError as error:
-            logs.log(logs.EntryRefused(row.key, str(error)))
+            refused.append((row, str(error)))
+    (refusal_log or RefusalLog()).record(refused)
     return databases
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,8 +1,10 @@
 """Tests that odd data of other writers ends no work and hides no other data."""
 
+import asyncio
 import dataclasses
 import doctest
 import json
+import random
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -11,6 +13,7 @@
 from unittest import mock
 
 import aiohttp
+import eliot
 import msgspec
 from aiohttp import web
 from hypothesis import given, settings
@@ -19,19 +22,23 @@
 from beryltiller.adapters import transport
 from beryltiller.configuration import tables
 from beryltiller.core import decoding
-from beryltiller.core.ports import LostAnswerError, PortError, Row
+from beryltiller.core.ports import Changes, LostAnswerError, PortError, Row, TableRows
 from beryltiller.membership import messages
+from beryltiller.observability import logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
 from beryltiller.platform.settings import SettingsFileError, read_settings_file
 from beryltiller.platform.store import StoreClient
 from beryltiller.primaries import term_rows
+from beryltiller.process import periodic
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.tables import relay_messages
+from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 from tests.fake_store import FakeStore
 from tests.test_platform_node import CONFIGURATION
 from tests.test_platform_records import ENTRY, entry
 from tests.test_platform_settings import SETTINGS
+from tests.virtual_loop import run_virtual
 
 DEEP = b"[" * 2000 + b"]" * 2000
 GOOD = entry("good")
@@ -271,6 +278,96 @@
                     read_settings_file(str(path))
 
 
+class RefusalLogTest(unittest.TestCase):
+    """A refused row is logged once, however often its table is read."""
+
+    def setUp(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+        eliot.add_destinations(self.lines.append)
+        # The first destination also gets the messages logged before it was added.
+        self.lines.clear()
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+
+    def logged_keys(self) -> list[str]:
+        """Return the keys of the entries that were logged as refused."""
+        kind = logs.message_type(logs.EntryRefused)
+        return [line["key"] for line in self.lines if line["message_type"] == kind]
+
+    def test_each_version_of_a_refused_row_is_logged_once(self) -> None:
+        refusal_log = records.RefusalLog()
+        odd = Row("odd", 5, b"{")
+        for rows in ((odd, GOOD), (GOOD, odd), (odd,)):
+            records.decode_databases(rows, refusal_log)
+        self.assertEqual(self.logged_keys(), ["odd"])
+        records.decode_databases((dataclasses.replace(odd, version=6),), refusal_log)
+        self.assertEqual(self.logged_keys(), ["odd", "odd"])
+
+    def test_line_is_short_whatever_the_row_holds(self) -> None:
+        long = "x" * 1_000_000
+        rows = (Row(long, 1, b"{"), entry("a", state=long), entry("b", address=long))
+        records.decode_databases(rows, records.RefusalLog())
+        logs.log(logs.WorkFailed("work", long))
+        self.assertEqual(len(self.lines), 4)
+        for line in self.lines:
+            self.assertLess(len(json.dumps(line)), 5_000)
+
+
+class ChangingTable:
+    """A table of the store, with an odd entry from the first reading on."""
+
+    def __init__(self, odd: bytes) -> None:
+        self.rows = [Row("odd", 1, odd), entry("first")]
+        self.reads = 0
+
+    async def read_all(self, table: str) -> TableRows:
+        self.reads += 1
+        return TableRows(len(self.rows), tuple(self.rows))
+
+    async def read_changes(
+        self, table: str, after: int, wait_seconds: float
+    ) -> Changes:
+        await asyncio.sleep(wait_seconds)
+        self.rows.append(entry(f"later-{len(self.rows)}"))
+        return Changes(len(self.rows), tuple(self.rows[after:]))
+
+
+class FollowedTableTest(unittest.TestCase):
+    """A table with an odd entry is followed, and its other entries are used."""
+
+    def follow(self, odd: bytes) -> tuple[ChangingTable, list[list[str]]]:
+        """Follow a table with an odd entry for a while; return what was found."""
+        table = ChangingTable(odd)
+        found: list[list[str]] = []
+
+        def on_rows(rows: Rows) -> None:
+            databases = records.decode_databases(rows.values())
+            found.append([each.identifier for each in databases])
+
+        async def work() -> None:
+            rng = random.Random(1)
+            follower = TableFollower(table, "servers", on_rows, rng)
+            task = asyncio.create_task(periodic.run_forever(follower.run))
+            await asyncio.sleep(10.0)
+            task.cancel()
+
+        run_virtual(work())
+        return table, found
+
+    def test_later_entries_are_found_beside_one_that_is_nested_too_deep(self) -> None:
+        """Guard against machines that stop following the list of databases."""
+        table, found = self.follow(with_deep_field(ENTRY))
+        self.assertEqual(
+            found, [["first"], ["first", "later-2"], ["first", "later-2", "later-3"]]
+        )
+        self.assertEqual(table.reads, 1)
+
+    @derandomized
+    @given(st.one_of(st.binary(), odd_json(), changed({**ENTRY, "service": "s"})))
+    def test_later_entries_are_found_beside_any_odd_one(self, odd: bytes) -> None:
+        _, found = self.follow(odd)
+        self.assertLessEqual({"first", "later-2", "later-3"}, set(found[-1]))
+
+
 class OddStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
     """An answer of the store that cannot be decoded is a failed request."""
 
