Leave rows of other parts of a table out of its changes

A read of a table names the part without a name, but the feed returns the changes of all parts. A row that another writer put or removed under the key of a database, in a part of its own, replaced or removed that database's entry here until the table was read as a whole.

read_changes keeps only rows of the part without a name. The new test fails on the former code: the row has the value of the other part.

--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -132,7 +132,7 @@
             "wait_ms": str(round(wait_seconds * 1000)),
         }
         model = await self._get("rows-feed", query, RowsModel, wait_seconds)
-        newest: dict[str, RowModel] = {row.key: row for row in model.rows}
+        newest = {row.key: row for row in model.rows if not row.part}
         kept = (row for row in newest.values() if not row.deleted)
         removed = (row.key for row in newest.values() if row.deleted)
         return Changes(model.row_version, tuple(map(_decode_row, kept)), tuple(removed))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -378,17 +378,32 @@
         self.session = await self.enterAsyncContext(aiohttp.ClientSession())
         self.store = StoreClient(self.session, self.address)
 
-    async def test_answer_nested_beyond_the_limit_is_a_lost_answer(self) -> None:
-        rows = {"rows": [], "row_version": 1}
-        body = with_deep_field(rows)
-        self.enterContext(
-            mock.patch.object(self.fake, "answer", lambda **_: web.Response(body=body))
+    def answer_with(self, body: bytes) -> None:
+        """Answer every later request to the store with `body`."""
+        answer = mock.patch.object(
+            self.fake, "answer", lambda **_: web.Response(body=body)
         )
+        self.enterContext(answer)
+
+    async def test_answer_nested_beyond_the_limit_is_a_lost_answer(self) -> None:
+        self.answer_with(with_deep_field({"rows": [], "row_version": 1}))
         with self.assertRaises(LostAnswerError):
             await self.store.read_all("t")
         with self.assertRaises(LostAnswerError):
             await self.store.read_changes("t", 0, 0.0)
 
+    async def test_rows_of_another_part_replace_and_remove_nothing(self) -> None:
+        """Guard against entries of other writers that have a part of their own."""
+        rows = [
+            {"key": "a", "value": "dg==", "row_version": 7, "part": ""},
+            {"key": "a", "value": "eA==", "row_version": 8, "part": "other"},
+            {"key": "b", "row_version": 9, "part": "other", "deleted": True},
+        ]
+        self.answer_with(json.dumps({"rows": rows, "row_version": 9}).encode())
+        changes = await self.store.read_changes("t", 1, 0.0)
+        self.assertEqual([(row.key, row.value) for row in changes.rows], [("a", b"v")])
+        self.assertEqual(changes.removed, ())
+
     async def test_odd_claim_does_not_block_the_duty(self) -> None:
         self.fake.put(DUTY_TABLE, DUTY_KEY, with_deep_field(CLAIM))
         duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
