Decode the rows of a store's answer one by one

One row with a key, version or value of another type, or with a version beyond 64 bits, made the whole answer unreadable, so that all rows of the table were hidden. A page that names no later key than the one before was read again without end.

Each row is decoded by itself. An odd one keeps its key, and has no value, which its decoder refuses, so that an earlier value is not used instead. Pages that do not go on, and numbers out of range, are a lost answer, which is retried with backoff.

--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -17,7 +17,13 @@
 import msgspec
 
 from beryltiller.adapters import transport
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import (
+    Count,
+    DecodingError,
+    decode_items,
+    decode_json,
+    shorten,
+)
 from beryltiller.core.ports import (
     Changes,
     HistoryLostError,
@@ -43,22 +49,29 @@
     """A row in an answer; `value` is base64, and `deleted` marks a deleted row."""
 
     key: str
-    row_version: int = 0
+    row_version: Count = 0
     value: str = ""
     part: str = ""
     deleted: bool = False
 
 
+class KeyModel(msgspec.Struct, frozen=True):
+    """The key and part of a row whose other fields cannot be read."""
+
+    key: str
+    part: str = ""
+
+
 class RowsModel(msgspec.Struct, frozen=True):
     """An answer with rows of a table; `row_version` is the store's newest version.
 
     `current_time_ms` is by the store's monotonic clock. With `has_more` the answer is
-    one page, and further rows follow it.
+    one page, and further rows follow it. Rows are decoded one by one.
     """
 
-    rows: tuple[RowModel, ...]
-    row_version: int
-    current_time_ms: int = 0
+    rows: tuple[msgspec.Raw, ...]
+    row_version: Count
+    current_time_ms: Count = 0
     has_more: bool = False
 
 
@@ -69,8 +82,8 @@
     `current_time_ms` is by the store's monotonic clock.
     """
 
-    row_version: int
-    current_time_ms: int = 0
+    row_version: Count
+    current_time_ms: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +106,8 @@
         """Return all rows of the table, each as of the result's revision or later.
 
         The revision is that of the first page. A change between two pages is returned
-        again by `read_changes` after that revision.
+        again by `read_changes` after that revision. Raise `LostAnswerError` if a page
+        does not go on after the previous one.
         """
         rows: list[Row] = []
         start = ""
@@ -103,11 +117,17 @@
             if start:
                 query["start_key"] = start
             model = await self._get("rows-get", query, RowsModel)
-            rows.extend(map(_decode_row, model.rows))
+            page = tuple(map(_decode_row, _own_rows(model)))
+            rows.extend(page)
             revision = model.row_version if revision is None else revision
             if not model.has_more or not model.rows:
                 return TableRows(revision, tuple(rows))
-            start = model.rows[-1].key + "\0"
+            last = max((row.key for row in page), default="")
+            if last < start or not page:
+                raise LostAnswerError(
+                    f"the page from {shorten(start)!r} has no later key"
+                )
+            start = last + "\0"
 
     async def read(self, table: str, key: str) -> DatedRow:
         """Return one row with the store's time of the read."""
@@ -119,7 +139,7 @@
             "result_limit": "1",
         }
         model = await self._get("rows-get", query, RowsModel)
-        rows = [_decode_row(row) for row in model.rows if row.key == key]
+        rows = [_decode_row(row) for row in _own_rows(model) if row.key == key]
         return DatedRow(rows[0] if rows else None, model.current_time_ms)
 
     async def read_changes(
@@ -132,7 +152,7 @@
             "wait_ms": str(round(wait_seconds * 1000)),
         }
         model = await self._get("rows-feed", query, RowsModel, wait_seconds)
-        newest = {row.key: row for row in model.rows if not row.part}
+        newest: dict[str, RowModel] = {row.key: row for row in _own_rows(model)}
         kept = (row for row in newest.values() if not row.deleted)
         removed = (row.key for row in newest.values() if row.deleted)
         return Changes(model.row_version, tuple(map(_decode_row, kept)), tuple(removed))
@@ -218,6 +238,25 @@
         raise LostAnswerError(f"the answer cannot be decoded: {error}") from error
 
 
+def _own_rows(model: RowsModel) -> list[RowModel]:
+    """Return the rows of the part without a name; other parts may have the same keys.
+
+    A row without a readable key is left out.
+    """
+    rows = filter(None, map(_decode_row_model, model.rows))
+    return [row for row in rows if not row.part]
+
+
+def _decode_row_model(raw: msgspec.Raw) -> RowModel | None:
+    """Return a row of an answer, without its value if some field cannot be read."""
+    try:
+        return decode_json(bytes(raw), RowModel)
+    except DecodingError:
+        # The row's decoder refuses an empty value, and other rows are not affected.
+        models, _ = decode_items((raw,), KeyModel)
+    return RowModel(models[0].key, part=models[0].part) if models else None
+
+
 def _decode_row(model: RowModel) -> Row:
     try:
         value = base64.b64decode(model.value, validate=True)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -392,6 +392,28 @@
         with self.assertRaises(LostAnswerError):
             await self.store.read_changes("t", 0, 0.0)
 
+    async def test_odd_row_of_an_answer_does_not_hide_the_others(self) -> None:
+        """Its key is kept, so that an earlier value of the row is not used."""
+        good = {"key": "good", "value": "dg==", "row_version": 7}
+        odd_rows: tuple[object, ...] = (
+            {"key": "odd", "value": "%", "row_version": 7},
+            {"key": "odd", "value": 5, "row_version": 7},
+            {"key": "odd", "value": "dg==", "row_version": "x"},
+            {"key": "odd", "value": "dg==", "row_version": 2**70},
+            {"key": "odd", "value": "dg==", "row_version": -1},
+            {"key": "odd", "value": "dg==", "deleted": "yes"},
+        )
+        for odd in odd_rows:
+            rows = [odd, 5, {"key": ["odd"]}, {"value": "dg=="}, good]
+            self.answer_with(json.dumps({"rows": rows, "row_version": 9}).encode())
+            for read in (
+                await self.store.read_all("t"),
+                await self.store.read_changes("t", 1, 0.0),
+            ):
+                with self.subTest(odd=odd, read=type(read).__name__):
+                    values = {row.key: row.value for row in read.rows}
+                    self.assertEqual(values, {"odd": b"", "good": b"v"})
+
     async def test_rows_of_another_part_replace_and_remove_nothing(self) -> None:
         """Guard against entries of other writers that have a part of their own."""
         rows = [
@@ -404,6 +426,20 @@
         self.assertEqual([(row.key, row.value) for row in changes.rows], [("a", b"v")])
         self.assertEqual(changes.removed, ())
 
+    async def test_pages_that_do_not_go_on_are_a_lost_answer(self) -> None:
+        """Guard against a read that never ends."""
+        row = {"key": "a", "value": "dg==", "row_version": 7}
+        answer = {"rows": [row], "row_version": 9, "has_more": True}
+        self.answer_with(json.dumps(answer).encode())
+        with self.assertRaises(LostAnswerError):
+            await asyncio.wait_for(self.store.read_all("t"), 5.0)
+
+    async def test_number_of_an_answer_out_of_range_is_a_lost_answer(self) -> None:
+        for version in (2**70, -1, 1.5, "x"):
+            self.answer_with(json.dumps({"rows": [], "row_version": version}).encode())
+            with self.subTest(version), self.assertRaises(LostAnswerError):
+                await self.store.read_all("t")
+
     async def test_odd_claim_does_not_block_the_duty(self) -> None:
         self.fake.put(DUTY_TABLE, DUTY_KEY, with_deep_field(CLAIM))
         duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
