Read a table again if its revision is above the store's

A relayed change with a revision that the store never had set the follower's revision to it: no later change was found, and none from other feeders was applied, as both are below.

If the store answers with a lower revision than was asked for, the table is read as a whole, after a pause. The new test fails on the former code: the table is read once, and entries that are added later are not found.

--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -161,6 +161,10 @@
         changes = await self._feed.read_changes(
             self._table, since, self._poll_wait_seconds()
         )
+        if changes.revision < since == self._revision:
+            # The revision is not one of the store's, so its changes would not be found.
+            await asyncio.sleep(RELAY_CHECK_SECONDS)
+            raise HistoryLostError("the store is at an earlier revision")
         if changes.revision <= since and self._relay.has_live_feeder(self._table):
             # A feeder knows of a change that the store's reply does not include yet.
             await asyncio.sleep(RELAY_CHECK_SECONDS)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -33,6 +33,7 @@
 from beryltiller.process import periodic
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.tables import relay_messages
+from beryltiller.sessions.tables.relay import TableChange
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 from tests.fake_store import FakeStore
 from tests.test_platform_node import CONFIGURATION
@@ -361,6 +362,28 @@
         )
         self.assertEqual(table.reads, 1)
 
+    def test_table_is_read_again_after_a_relayed_revision_that_is_too_high(
+        self,
+    ) -> None:
+        """Guard against a table that is not followed after an odd message."""
+
+        async def work() -> tuple[int, list[str]]:
+            table = ChangingTable(b"{")
+            keys: list[str] = []
+            follower = TableFollower(
+                table, "servers", lambda rows: keys.extend(rows), random.Random(1)
+            )
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            follower.apply_relayed(TableChange("servers", 0, 10**9, ()))
+            await asyncio.sleep(20.0)
+            task.cancel()
+            return table.reads, keys
+
+        reads, keys = run_virtual(work())
+        self.assertEqual(reads, 2)
+        self.assertIn("later-4", keys)
+
     @derandomized
     @given(st.one_of(st.binary(), odd_json(), changed({**ENTRY, "service": "s"})))
     def test_later_entries_are_found_beside_any_odd_one(self, odd: bytes) -> None:
