Let no claim of the promotion duty block it for over a minute

A claim row whose end lies far ahead, from another writer or from before a restart of the store's clock, was respected until then: no primary was replaced.

Proxies claim for 4 s, so a claim that ends more than 60 s after its reading is treated as a row that cannot be read. It keeps its version, so a claim that another proxy makes at the same time still conflicts. The test's new cases fail on the former code with "held".

--- a/src/beryltiller/core/decoding.py
+++ b/src/beryltiller/core/decoding.py
@@ -21,9 +21,12 @@
 # Numbers from outside are at most this large: the next one still fits in 64 bits, as
 # the encoders require.
 MAX_NUMBER = 2**62
+# The longest name accepted from outside; the store's own limit on texts is 200 bytes.
+MAX_NAME_CHARACTERS = 1_000
 MAX_REASON_CHARACTERS = 200
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 
 _MAX_DIGITS = len(str(MAX_NUMBER))
 _GAP = "..."
--- a/src/beryltiller/platform/duty.py
+++ b/src/beryltiller/platform/duty.py
@@ -14,15 +14,17 @@
 import msgspec
 
 from beryltiller.adapters import transport
-from beryltiller.core.decoding import DecodingError, decode_json
-from beryltiller.core.ports import PortError, RefusedError, Row, Write
-from beryltiller.platform.store import StoreClient, raise_for_status
+from beryltiller.core.decoding import Count, DecodingError, Name, decode_json
+from beryltiller.core.ports import PortError, RefusedError, Write
+from beryltiller.platform.store import DatedRow, StoreClient, raise_for_status
 from beryltiller.sessions.succession.runner import DutyClaim
 
 DUTY_TABLE = "succession"
 DUTY_KEY = "duty"
 PROMOTE_TIMEOUT_SECONDS = 1.0
 REACHABILITY_TIMEOUT_SECONDS = 0.4
+# A claim that ends later than this after it is read is not one of a proxy.
+MAX_CLAIM_MS = 60_000
 # A claim is used for further successions for this long after it was requested.
 CLAIM_REUSE_SECONDS = 1.0
 
@@ -32,9 +34,9 @@
 class ClaimModel(msgspec.Struct, frozen=True):
     """The duty row of the store; `until_ms` is by the store's monotonic clock."""
 
-    holder: str
-    service: str
-    until_ms: int
+    holder: Name
+    service: Name
+    until_ms: Count
 
 
 class DutyHolder(NamedTuple):
@@ -87,7 +89,7 @@
     async def _claim(self, service: str, seconds: float) -> DutyClaim:
         asked_at = self._clock()
         dated = await self._store.read(DUTY_TABLE, DUTY_KEY)
-        current = _decode_holder(dated.row)
+        current = _decode_holder(dated)
         if current.holder != self._holder and dated.now_ms < current.until_ms:
             raise RefusedError("held", f"by {current.holder}")
         until_ms = dated.now_ms + round(seconds * 1000)
@@ -129,12 +131,15 @@
         raise_for_status(reply)
 
 
-def _decode_holder(row: Row | None) -> DutyHolder:
+def _decode_holder(dated: DatedRow) -> DutyHolder:
+    row = dated.row
     if row is None:
         return DutyHolder("", 0, 0)
     try:
         model = decode_json(row.value, ClaimModel)
     except DecodingError:
-        # Only proxies write this row, so an unreadable row does not block a claim.
+        # Only proxies write this row, so an odd row does not block a claim.
+        return DutyHolder("", 0, row.version)
+    if model.until_ms > dated.now_ms + MAX_CLAIM_MS:
         return DutyHolder("", 0, row.version)
     return DutyHolder(model.holder, model.until_ms, row.version)
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from beryltiller.core.addresses import Address
-from beryltiller.core.decoding import Count, DecodingError, decode_json, shorten
+from beryltiller.core.decoding import (
+    MAX_NAME_CHARACTERS,
+    Count,
+    DecodingError,
+    Name,
+    decode_json,
+    shorten,
+)
 from beryltiller.core.ports import Row
 from beryltiller.observability import logs
 from beryltiller.sessions.databases.catalog import (
@@ -21,15 +28,12 @@
 CONFIGURATION_KEY = "config"
 DATABASES_TABLE = "servers"
 
-# A longer name in a database's entry is refused. The store's own limit on texts is 200.
-MAX_NAME_CHARACTERS = 1_000
 MAX_SLOTS = 10_000
 # The end of the year 9999.
 MAX_UNIX_MS = 253_402_300_799_999
 # Longer than any process runs, and short enough for exact arithmetic in seconds.
 MAX_DURATION_MS = 10**15
 
-_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 _UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 _DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
@@ -103,15 +107,15 @@
     time, and `born` the Unix time of its start in milliseconds.
     """
 
-    service: _Name
-    address: _Name
-    zone: _Name
-    config_version: _Name | int
+    service: Name
+    address: Name
+    zone: Name
+    config_version: Name | int
     slots: _Slots
-    state: _Name
+    state: Name
     cold_remaining_ms: float
     sequence: Count
-    database_role: _Name
+    database_role: Name
     born: _UnixMs = 0
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -464,7 +464,15 @@
                 await self.store.read_all("t")
 
     async def test_odd_claim_does_not_block_the_duty(self) -> None:
-        self.fake.put(DUTY_TABLE, DUTY_KEY, with_deep_field(CLAIM))
-        duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
-        claim = await duty.claim("s", 4.0)
-        self.assertEqual(claim.token, self.fake.version)
+        far = self.fake.now_ms + 10**9
+        odd_claims = (
+            with_deep_field(CLAIM),
+            json.dumps({**CLAIM, "until_ms": far}).encode(),
+            json.dumps({**CLAIM, "until_ms": 2**70}).encode(),
+        )
+        for odd in odd_claims:
+            self.fake.put(DUTY_TABLE, DUTY_KEY, odd)
+            duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
+            with self.subTest(odd=odd[:60]):
+                claim = await duty.claim("s", 4.0)
+                self.assertEqual(claim.token, self.fake.version)
