Free a feeder lease whose address cannot be connected to

A lease row with an address such as "a b:5" made the socket raise, which ended the work that maintains the leases each time it was restarted, and later calls failed at the addresses that were left. A host name would be resolved by the thread that serves all sockets. Each odd message of a feeder was logged.

The holder's address must be that of one process, otherwise its lease is free. One address that fails keeps no other from being subscribed to. Refused messages are logged once a minute. Revisions in messages are bounded.

--- a/src/beryltiller/adapters/broadcast.py
+++ b/src/beryltiller/adapters/broadcast.py
@@ -76,13 +76,21 @@
         self._publisher.send(data, zmq.DONTWAIT)
 
     def subscribe(self, addresses: Iterable[str]) -> None:
-        """Receive messages from exactly the proxies at these addresses."""
+        """Receive messages from exactly the proxies at these addresses.
+
+        An address that cannot be connected to is logged, and tried again next time.
+        """
         wanted = set(addresses)
         for address in self._subscribed - wanted:
+            self._subscribed.remove(address)
             self._subscriber.disconnect(self._zmq_address(address))
         for address in wanted - self._subscribed:
-            self._subscriber.connect(self._zmq_address(address))
-        self._subscribed = wanted
+            try:
+                self._subscriber.connect(self._zmq_address(address))
+            except (zmq.ZMQError, UnicodeError) as error:
+                logs.log(logs.WorkFailed("subscribe", str(error)))
+            else:
+                self._subscribed.add(address)
 
     def _zmq_address(self, address: str) -> str:
         """Return the ZeroMQ address of a peer, with this proxy's IP as the source."""
--- a/src/beryltiller/core/ports.py
+++ b/src/beryltiller/core/ports.py
@@ -14,6 +14,7 @@
 from enum import Enum, unique
 from typing import Protocol
 
+from beryltiller.core.decoding import Count
 from beryltiller.core.outcome import Kind
 from beryltiller.core.position import ORIGIN, History, Position
 
@@ -46,7 +47,7 @@
     """A row of the table service; `version` rises with every write to the row."""
 
     key: str
-    version: int
+    version: Count
     value: bytes
 
 
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -145,7 +145,7 @@
     if model.internal_port_range is None:
         return None
     port, _ = model.internal_port_range
-    return _parse_address("internal_port_range", f"{model.ip_address}:{port}")
+    return _parse_remote("internal_port_range", f"{model.ip_address}:{port}")
 
 
 def _parse_address(field: str, text: str) -> Address:
--- a/src/beryltiller/sessions/tables/relay.py
+++ b/src/beryltiller/sessions/tables/relay.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from beryltiller.core.decoding import Count, Name
 from beryltiller.core.ports import Row
 
 FEEDERS_PER_ZONE = 2
@@ -27,8 +28,8 @@
 class Feeder:
     """A proxy that relays changes of the store; others subscribe at `address`."""
 
-    name: str
-    address: str
+    name: Name
+    address: Name
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +53,8 @@
     """
 
     table: str
-    since: int
-    until: int
+    since: Count
+    until: Count
     rows: tuple[Row, ...] = ()
     removed: tuple[str, ...] = ()
     is_whole: bool = False
@@ -66,7 +67,7 @@
     `is_reachable` is True while the feeder reaches the store.
     """
 
-    changed_at: int
+    changed_at: Count
     is_reachable: bool
 
 
--- a/src/beryltiller/sessions/tables/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from beryltiller.core.addresses import Address
 from beryltiller.core.decoding import DecodingError, decode_json, decode_with
 from beryltiller.core.ports import Row
 from beryltiller.sessions.tables.relay import (
@@ -55,7 +56,10 @@
 
 
 def decode_leases(keys: Sequence[str], rows: Sequence[Row]) -> tuple[FeederLease, ...]:
-    """Return a lease for each key; it is free if its row is missing or malformed."""
+    """Return a lease for each key; it is free if its row is missing or malformed.
+
+    That includes a row whose address is not that of one process.
+    """
     found = {row.key: row for row in rows}
     return tuple(_decode_lease(key, found.get(key)) for key in keys)
 
@@ -64,9 +68,11 @@
     if row is None:
         return FeederLease(key)
     try:
-        return FeederLease(key, row.version, decode_json(row.value, Feeder))
-    except DecodingError:
+        holder = decode_json(row.value, Feeder)
+        Address.parse_remote(holder.address)
+    except (DecodingError, ValueError):
         return FeederLease(key, row.version)
+    return FeederLease(key, row.version, holder)
 
 
 def _value_bytes(rows: Sequence[Row]) -> int:
--- a/src/beryltiller/sessions/tables/relay_runner.py
+++ b/src/beryltiller/sessions/tables/relay_runner.py
@@ -18,6 +18,8 @@
 # Proxies that start together in a zone first read the leases after a random delay of
 # up to this long; the first ones take the leases.
 MAX_FIRST_POLL_DELAY_SECONDS = 1.5
+# The minimum time between two log messages about refused relay messages.
+REFUSAL_LOG_SECONDS = 60.0
 # The longest time between two polls of the leases.
 LEASE_POLL_SECONDS = 60.0
 # The poll interval while a lease may be taken or the leases could not be read.
@@ -75,6 +77,7 @@
         self._relay = Relay(own)
         self._followers: dict[str, TableFollower] = {}
         self._broadcast: BroadcastPort | None = None
+        self._next_refusal_log = float("-inf")
 
     def connect(self, broadcast: BroadcastPort) -> None:
         """Set the transport used to send and receive messages."""
@@ -104,11 +107,14 @@
         self._broadcast.publish(relay_messages.encode(packet))
 
     def receive(self, data: bytes) -> None:
-        """Handle a message of another proxy; log and drop a malformed one."""
+        """Handle a message of another proxy; drop a malformed one.
+
+        That is logged now and then, as there may be many.
+        """
         try:
             packet = relay_messages.decode(data)
         except RelayMessageError as error:
-            logs.log(logs.RelayMessageRefused(str(error)))
+            self._log_refusal(str(error))
             return
         change = packet.change
         if change is not None and change.table in self._followers:
@@ -117,6 +123,12 @@
         for follower in self._followers.values():
             follower.wake()
 
+    def _log_refusal(self, reason: str) -> None:
+        now = self._clock()
+        if now >= self._next_refusal_log:
+            self._next_refusal_log = now + REFUSAL_LOG_SECONDS
+            logs.log(logs.RelayMessageRefused(reason))
+
     async def announce(self) -> None:
         """Announce this proxy as a feeder, if it is one.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -20,6 +21,7 @@
 from hypothesis import strategies as st
 
 from beryltiller.adapters import transport
+from beryltiller.adapters.broadcast import Broadcast
 from beryltiller.configuration import tables
 from beryltiller.core import decoding
 from beryltiller.core.ports import Changes, LostAnswerError, PortError, Row, TableRows
@@ -33,9 +35,18 @@
 from beryltiller.process import periodic
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.tables import relay_messages
-from beryltiller.sessions.tables.relay import TableChange
+from beryltiller.sessions.tables.relay import (
+    Announcement,
+    Feeder,
+    FeederLease,
+    TableChange,
+    TableState,
+)
+from beryltiller.sessions.tables.relay_messages import Packet
+from beryltiller.sessions.tables.relay_runner import FeederLeaseStore, RelayRunner
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 from tests.fake_store import FakeStore
+from tests.servers import until
 from tests.test_platform_node import CONFIGURATION
 from tests.test_platform_records import ENTRY, entry
 from tests.test_platform_settings import SETTINGS
@@ -391,6 +402,63 @@
         self.assertLessEqual({"first", "later-2", "later-3"}, set(found[-1]))
 
 
+class OddRelayTest(unittest.IsolatedAsyncioTestCase):
+    """Odd leases and messages of feeders end no work and do not fill the log."""
+
+    def test_lease_with_an_address_that_cannot_be_connected_to_is_free(self) -> None:
+        """Guard against leases that stop the polls of leases again and again."""
+        for address in ("127.0.0.1:70000", "127.0.0.1:0", "nowhere:5", "a b:5", ""):
+            row = Row(KEYS[0], 7, json.dumps({**FEEDER, "address": address}).encode())
+            with self.subTest(address):
+                leases = relay_messages.decode_leases(KEYS, (row,))
+                self.assertEqual(leases[0], FeederLease(KEYS[0], 7))
+
+    async def test_one_odd_address_does_not_keep_others_from_being_subscribed_to(
+        self,
+    ) -> None:
+        received: list[bytes] = []
+        async with AsyncExitStack() as stack:
+            sender = Broadcast("127.0.0.1:0", received.append)
+            receiver = Broadcast("127.0.0.1:0", received.append)
+            sender.open(stack)
+            receiver.open(stack)
+            for odd in ("a b:5", "127.0.0.1:5\r\n", "c d:5"):
+                receiver.subscribe((odd, sender.address))
+
+            async def has_arrived() -> bool:
+                sender.publish(b"x")
+                return bool(received)
+
+            await until(has_arrived)
+            receiver.subscribe(())
+
+    def test_many_odd_messages_are_logged_once(self) -> None:
+        lines: list[dict[str, Any]] = []
+        eliot.add_destinations(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        lines.clear()
+        own = Feeder("a", "127.0.0.1:1")
+        store = mock.create_autospec(FeederLeaseStore)
+        runner = RelayRunner(own, KEYS, store, random.Random(1), lambda: 5.0)
+        for number in range(200):
+            runner.receive(bytes([number]))
+        self.assertEqual(len(lines), 1)
+
+    def test_message_with_a_number_out_of_range_is_refused(self) -> None:
+        feeder = Feeder("a", "127.0.0.1:1")
+        announcement = Announcement(feeder, {"t": TableState(1, True)})
+        changes = (
+            TableChange("t", 1, 2**64 - 1),
+            TableChange("t", -1, 5),
+            TableChange("t", 1, 5, (Row("k", -1, b""),)),
+        )
+        for change in changes:
+            data = relay_messages.encode(Packet(announcement, change))
+            refused = self.assertRaises(relay_messages.RelayMessageError)
+            with self.subTest(change), refused:
+                relay_messages.decode(data)
+
+
 class OddStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
     """An answer of the store that cannot be decoded is a failed request."""
 
