Bound terms, positions, versions and ages from outside

A term, incarnation or index near 2**64 was accepted from a row, a peer or a database, and the next one could not be encoded: the claim of the next term or the refutation of a suspicion raised OverflowError. Positions could be negative in the line protocol, and be written with signs, blanks, underscores and digits of other scripts everywhere.

Numbers from outside are at most 2**62, in the models and in texts, and texts are ASCII digits only.

--- a/src/beryltiller/adapters/endpoints.py
+++ b/src/beryltiller/adapters/endpoints.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import DecodingError, decode_json, parse_count
 from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
@@ -41,7 +41,7 @@
     """
     if not text:
         return Load()
-    return Load(*map(int, text.split(",")))
+    return Load(*map(parse_count, text.split(",")))
 
 
 def format_load(load: Load) -> str:
--- a/src/beryltiller/core/ports.py
+++ b/src/beryltiller/core/ports.py
@@ -191,11 +191,11 @@
     `connection_cap` connections.
     """
 
-    slots: int = 0
-    executing: int = 0
-    waiting: int = 0
-    connections: int = 0
-    connection_cap: int = 0
+    slots: Count = 0
+    executing: Count = 0
+    waiting: Count = 0
+    connections: Count = 0
+    connection_cap: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +208,7 @@
     """
 
     database: str
-    term: int
+    term: Count
     role: Role
     last: Position = ORIGIN
     history: History = field(default_factory=History)
--- a/src/beryltiller/core/position.py
+++ b/src/beryltiller/core/position.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from beryltiller.core.decoding import Count, parse_count
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Position:
@@ -19,8 +21,8 @@
     True
     """
 
-    term: int
-    index: int
+    term: Count
+    index: Count
 
     def __str__(self) -> str:
         """Return the text form that is used in headers, such as `2:4`."""
@@ -30,10 +32,7 @@
     def parse(cls, text: str) -> "Position":
         """Parse `term:index`, or raise ValueError."""
         term, _, index = text.partition(":")
-        position = cls(int(term), int(index))
-        if position.term < 0 or position.index < 0:
-            raise ValueError(f"negative position {text!r}")
-        return position
+        return cls(parse_count(term), parse_count(index))
 
 
 # The position of an empty log, before the first entry; every log contains it.
@@ -44,8 +43,8 @@
 class TermStart:
     """The index of the first log entry that a term wrote."""
 
-    term: int
-    first_index: int
+    term: Count
+    first_index: Count
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/dispatching/forwarded_transactions.py
+++ b/src/beryltiller/dispatching/forwarded_transactions.py
@@ -12,6 +12,7 @@
 from beryltiller.adapters.peers import Peers
 from beryltiller.admission.tickets import Ticket
 from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.core.decoding import parse_count
 from beryltiller.core.outcome import Kind, Refusal
 from beryltiller.core.ports import EndpointAnswer, Statement
 from beryltiller.core.position import ORIGIN
@@ -143,10 +144,10 @@
     ticket = Ticket(headers["request"], headers["caller"], kind, now + seconds)
     match message.verb:
         case "begin":
-            identifier = await runner.begin(ticket, int(headers["term"]))
+            identifier = await runner.begin(ticket, parse_count(headers["term"]))
             return EndpointAnswer(identifier.encode(), ORIGIN)
         case "run":
-            term = int(headers["term"])
+            term = parse_count(headers["term"])
             statement = Statement(
                 Kind.WRITE, message.body, term, timeout_seconds=seconds
             )
--- a/src/beryltiller/dispatching/forwarding.py
+++ b/src/beryltiller/dispatching/forwarding.py
@@ -17,6 +17,7 @@
 from beryltiller.adapters.peers import Peers
 from beryltiller.admission.tickets import Ticket
 from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
+from beryltiller.core.decoding import parse_count
 from beryltiller.core.outcome import Kind, Outcome
 from beryltiller.core.ports import EndpointAnswer, Statement
 from beryltiller.core.position import Position
@@ -73,7 +74,7 @@
     statement = Statement(
         kind,
         message.body,
-        int(headers["term"]),
+        parse_count(headers["term"]),
         Position.parse(headers["at-least"]),
         headers["key"],
         headers["traceparent"],
--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -17,15 +17,17 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.core.decoding import DecodingError, decode_with
+from beryltiller.core.decoding import MAX_NUMBER, Count, DecodingError, decode_with
 
 MAX_MESSAGE_BYTES = 2_097_152
 MAX_MEMBERS_IN_MESSAGE = 4_096
 UNKNOWN_AGE_MS = -1
+# The least version of a configuration, which stands for none.
+MIN_VERSION = -1
 
 _Text = Annotated[str, msgspec.Meta(max_length=256)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_Age = Annotated[int, msgspec.Meta(ge=UNKNOWN_AGE_MS)]
+_Age = Annotated[int, msgspec.Meta(ge=UNKNOWN_AGE_MS, le=MAX_NUMBER)]
+_Version = Annotated[int, msgspec.Meta(ge=MIN_VERSION, le=MAX_NUMBER)]
 _State = Annotated[int, msgspec.Meta(ge=0, le=3)]
 _MaxMembers = msgspec.Meta(max_length=MAX_MEMBERS_IN_MESSAGE)
 
@@ -44,8 +46,8 @@
     address: _Text
     name: _Text
     availability_zone: _Text
-    incarnation: _Count
-    revision: _Count
+    incarnation: Count
+    revision: Count
     state: _State
     is_draining: bool = False
 
@@ -57,9 +59,9 @@
     be the newest, or `UNKNOWN_AGE_MS`.
     """
 
-    configuration_version: int = -1
+    configuration_version: _Version = MIN_VERSION
     configuration_age_ms: _Age = UNKNOWN_AGE_MS
-    terms_revision: _Count = 0
+    terms_revision: Count = 0
     terms_age_ms: _Age = UNKNOWN_AGE_MS
 
 
@@ -68,7 +70,7 @@
 
     name: _Text
     is_leaving: bool
-    age_ms: _Count
+    age_ms: Count
     is_listed: bool = False
 
 
@@ -122,7 +124,7 @@
 class ConfigurationRequest(_Message, frozen=True, array_like=True):
     """A request for the configuration if it is newer than `above` (-1: any)."""
 
-    above: int
+    above: _Version
 
 
 class ConfigurationReply(_Message, frozen=True, array_like=True):
@@ -132,8 +134,8 @@
     number that the sender knows of, in force there or not.
     """
 
-    version: int
-    known_version: int
+    version: _Version
+    known_version: _Version
     age_ms: _Age = UNKNOWN_AGE_MS
     document: bytes = b""
 
@@ -142,7 +144,7 @@
     """A row of the `terms` table."""
 
     key: _Text
-    version: _Count
+    version: Count
     value: bytes
 
 
@@ -153,7 +155,7 @@
     without newer evidence may delay its answer until it has some.
     """
 
-    since: _Count
+    since: Count
     age_ms: _Age = UNKNOWN_AGE_MS
 
 
@@ -164,7 +166,7 @@
     store was read after that.
     """
 
-    revision: _Count
+    revision: Count
     age_ms: int
     rows: tuple[TermRow, ...] = ()
 
@@ -188,7 +190,7 @@
     database: _Text
     headers: dict[str, str]
     body: bytes
-    timeout_ms: _Count
+    timeout_ms: Count
 
 
 class ForwardTransaction(_Message, frozen=True, array_like=True):
@@ -202,7 +204,7 @@
     identifier: _Text
     headers: dict[str, str]
     body: bytes
-    timeout_ms: _Count
+    timeout_ms: Count
 
 
 class ForwardReply(_Message, frozen=True, array_like=True):
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from beryltiller.core.decoding import parse_count, shorten
 from beryltiller.core.position import Position
 from beryltiller.sessions.statements import (
     NO_POSITION,
@@ -241,7 +242,7 @@
         return None
     term, _, index = text.partition(".")
     try:
-        return Position(int(term), int(index))
+        return Position(parse_count(term), parse_count(index))
     except ValueError as error:
         raise WireError(f"malformed position: {text[:40]!r}") from error
 
@@ -259,13 +260,13 @@
             try:
                 return DatabaseStatus(
                     role == "primary",
-                    int(term),
+                    parse_count(term),
                     position,
-                    int(fenced_term) if fenced_term != NO_VALUE else 0,
+                    parse_count(fenced_term) if fenced_term != NO_VALUE else 0,
                 )
             except ValueError as error:
                 raise WireError(f"malformed status row: {rows[0][:80]!r}") from error
-    raise WireError(f"status row lacks fields: {rows!r}")
+    raise WireError(f"status row lacks fields: {shorten(repr(rows[:1]))}")
 
 
 class ReplyDecoder:
--- a/src/beryltiller/primaries/term_rows.py
+++ b/src/beryltiller/primaries/term_rows.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import MAX_NUMBER, DecodingError, Name, decode_json
 from beryltiller.core.outcome import Refusal
 from beryltiller.core.ports import Row, Write
 
@@ -59,10 +59,10 @@
 
 
 class _RowModel(msgspec.Struct, forbid_unknown_fields=True):
-    term: Annotated[int, msgspec.Meta(ge=1)]
-    primary: str
+    term: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+    primary: Name
     state: TermState
-    promoter: str
+    promoter: Name
 
 
 def parse_row(row: Row) -> Result[TermRow, Refusal]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,14 +20,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beryltiller.adapters import transport
+from beryltiller.adapters import endpoints, transport
 from beryltiller.adapters.broadcast import Broadcast
 from beryltiller.configuration import tables
 from beryltiller.core import decoding
-from beryltiller.core.ports import Changes, LostAnswerError, PortError, Row, TableRows
+from beryltiller.core.ports import (
+    Changes,
+    LostAnswerError,
+    PortError,
+    Row,
+    TableRows,
+)
+from beryltiller.core.position import Position
 from beryltiller.membership import messages
 from beryltiller.observability import logs
-from beryltiller.platform import databases, records
+from beryltiller.platform import databases, records, wire
 from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
 from beryltiller.platform.settings import SettingsFileError, read_settings_file
 from beryltiller.platform.store import StoreClient
@@ -290,6 +297,46 @@
                     read_settings_file(str(path))
 
 
+class OddNumberTest(unittest.TestCase):
+    """Numbers from outside leave room for the next one, and are plain digits."""
+
+    ODD = ("-1", "+1", " 1", "1_0", "\u0663", "", "x", "9" * 19, "9" * 5_000)
+
+    def test_position_and_status_of_a_database(self) -> None:
+        for odd in self.ODD:
+            status = (f"replica 3 3.{odd} 0 12 2 17", f"replica {odd} 3.9 0 12 2 17")
+            with self.subTest(odd=odd[:20]):
+                with self.assertRaises(wire.WireError):
+                    wire.decode_position(f"3.{odd}")
+                for row in status:
+                    with self.assertRaises(wire.WireError) as caught:
+                        wire.decode_status((row,))
+                    self.assertLess(len(str(caught.exception)), 300)
+                with self.assertRaises(ValueError):
+                    Position.parse(f"{odd}:1")
+                with self.assertRaises(ValueError):
+                    endpoints.parse_load(f"3,1,0,7,{odd}")
+
+    def test_term_above_which_none_can_be_written_is_invalid(self) -> None:
+        """Guard against a promotion whose row cannot be encoded."""
+        for term in (2**62 + 1, 2**64 - 1, 2**70, 0):
+            value = json.dumps({**TERM_ROW, "term": term}).encode()
+            row = term_rows.decode_row(Row("g", 1, value))
+            with self.subTest(term):
+                self.assertIs(row.state, term_rows.TermState.INVALID)
+        highest = json.dumps({**TERM_ROW, "term": 2**62}).encode()
+        found = term_rows.decode_row(Row("g", 1, highest))
+        term_rows.encode_write(dataclasses.replace(found, term=found.term + 1))
+
+    def test_member_above_whose_incarnation_there_is_none_is_refused(self) -> None:
+        """Guard against a refutation that cannot be encoded."""
+        for incarnation in (2**64 - 1, 2**62 + 1):
+            member = messages.MemberEntry("127.0.0.1:1", "a", "z", incarnation, 1, 0)
+            data = messages.encode(messages.Ping(messages.Gossip(member)))
+            with self.subTest(incarnation):
+                self.assertEqual(messages.decode(data).failure().reason, "malformed")
+
+
 class RefusalLogTest(unittest.TestCase):
     """A refused row is logged once, however often its table is read."""
 
