Use the rest of a platform answer with an odd row or host

A row whose value is not base64 raised binascii.Error, which no user of the table service catches, and one host of an unknown kind made the list of hosts unreadable. A commit answered with another number of versions than of writes ended the claim of a term with ValueError.

Such a value is empty, which its decoder refuses; such a host is left out and logged while the reasons change; such a commit is a lost answer. The new tests fail on the former code.

--- a/src/beryltiller/adapters/platform_client.py
+++ b/src/beryltiller/adapters/platform_client.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import Count, DecodingError, decode_items, decode_json
 from beryltiller.core.ports import (
     Host,
     HostKind,
@@ -20,6 +20,7 @@
     TableRows,
     Write,
 )
+from beryltiller.observability import logs
 
 _T = TypeVar("_T")
 
@@ -30,21 +31,21 @@
     """A row as the table service sends it; `value` is base64."""
 
     key: str
-    version: int
+    version: Count
     value: str
 
 
 class ScanModel(msgspec.Struct, frozen=True):
     """The rows of a scan as the table service sends them."""
 
-    revision: int
+    revision: Count
     rows: tuple[RowModel, ...]
 
 
 class VersionsModel(msgspec.Struct, frozen=True):
     """The answer to a commit, with the rows' new versions."""
 
-    versions: tuple[int, ...]
+    versions: tuple[Count, ...]
 
 
 class HostModel(msgspec.Struct, frozen=True):
@@ -58,9 +59,9 @@
 
 
 class HostsModel(msgspec.Struct, frozen=True):
-    """The platform's host list."""
+    """The platform's host list; hosts are decoded one by one."""
 
-    hosts: tuple[HostModel, ...]
+    hosts: tuple[msgspec.Raw, ...]
 
 
 def _decode(body: bytes, model: type[_T]) -> _T:
@@ -71,7 +72,12 @@
 
 
 def _to_row(model: RowModel) -> Row:
-    return Row(model.key, model.version, base64.b64decode(model.value))
+    try:
+        value = base64.b64decode(model.value, validate=True)
+    except ValueError:
+        # The row's decoder refuses an empty value, and other rows are not affected.
+        value = b""
+    return Row(model.key, model.version, value)
 
 
 def _encode_write(write: Write) -> dict[str, object]:
@@ -94,6 +100,7 @@
         """Send every request through `session`."""
         self._session = session
         self._url = f"http://{address}"
+        self._refused_hosts: list[str] = []
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return the row, or None if it does not exist."""
@@ -114,7 +121,10 @@
             {"writes": [_encode_write(write) for write in writes]}
         )
         reply = await self._send("POST", "/transactions", body)
-        return _decode(reply.body, VersionsModel).versions
+        versions = _decode(reply.body, VersionsModel).versions
+        if len(versions) != len(writes):
+            raise LostAnswerError(f"{len(versions)} versions of {len(writes)} writes")
+        return versions
 
     async def get(self, name: str) -> bytes | None:
         """Return the object, or None if it does not exist."""
@@ -126,9 +136,17 @@
         await self._send("PUT", f"/objects/{name}", data)
 
     async def hosts(self) -> tuple[Host, ...]:
-        """Return the hosts in the platform's list, which may be some seconds old."""
+        """Return the hosts in the platform's list, which may be some seconds old.
+
+        A host that cannot be decoded, for example one of another kind, is left out.
+        """
         reply = await self._send("GET", "/hosts")
-        models = _decode(reply.body, HostsModel).hosts
+        items = _decode(reply.body, HostsModel).hosts
+        models, reasons = decode_items(items, HostModel)
+        if reasons != self._refused_hosts:
+            self._refused_hosts = reasons
+            for reason in reasons:
+                logs.log(logs.EntryRefused("hosts", reason))
         return tuple(
             Host(
                 each.name,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
 
 from beryltiller.adapters import endpoints, transport
 from beryltiller.adapters.broadcast import Broadcast
+from beryltiller.adapters.platform_client import PlatformClient
 from beryltiller.configuration import tables
 from beryltiller.core import decoding
 from beryltiller.core.ports import (
@@ -30,6 +31,7 @@
     PortError,
     Row,
     TableRows,
+    Write,
 )
 from beryltiller.core.position import Position
 from beryltiller.membership import messages
@@ -52,6 +54,7 @@
 from beryltiller.sessions.tables.relay_messages import Packet
 from beryltiller.sessions.tables.relay_runner import FeederLeaseStore, RelayRunner
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
+from tests import servers
 from tests.fake_store import FakeStore
 from tests.servers import until
 from tests.test_platform_node import CONFIGURATION
@@ -337,6 +340,41 @@
                 self.assertEqual(messages.decode(data).failure().reason, "malformed")
 
 
+class OddPlatformAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """One odd row or host in an answer of the platform does not hide the others."""
+
+    async def answer_with(self, body: object) -> PlatformClient:
+        """Return a client of a platform that answers every request with `body`."""
+
+        async def answer(_: web.Request) -> web.Response:
+            return web.json_response(body)
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", answer)
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        address = await servers.start(stack, app)
+        return PlatformClient(await servers.client(stack), address)
+
+    async def test_value_that_is_not_base64_is_an_empty_one(self) -> None:
+        odd = {"key": "a", "version": 3, "value": "x"}
+        good = {"key": "b", "version": 4, "value": "dg=="}
+        platform = await self.answer_with({"revision": 4, "rows": [odd, good]})
+        scan = await platform.scan("terms")
+        self.assertEqual([row.value for row in scan.rows], [b"", b"v"])
+
+    async def test_host_of_an_unknown_kind_is_left_out(self) -> None:
+        host = {"address": "127.0.0.1:1", "availability_zone": "z"}
+        odd = {**host, "name": "a", "kind": "vault"}
+        good = {**host, "name": "b", "kind": "entry"}
+        platform = await self.answer_with({"hosts": [odd, 5, good]})
+        self.assertEqual([each.name for each in await platform.hosts()], ["b"])
+
+    async def test_commit_answered_with_another_number_of_versions(self) -> None:
+        platform = await self.answer_with({"versions": [1, 2]})
+        with self.assertRaises(LostAnswerError):
+            await platform.commit((Write("t", "k", 0, b""),))
+
+
 class RefusalLogTest(unittest.TestCase):
     """A refused row is logged once, however often its table is read."""
 
