Test a proxy beside odd rows in all tables, and describe what it does

The test opens a proxy whose store has odd entries, leases and a claim, and then an odd configuration. It must be ready, find a later entry, take a lease, log each row once, and no work may fail.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -175,14 +175,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayMessageRefused:
-    """A relayed message of another proxy cannot be decoded and is dropped."""
+    """A relayed message cannot be decoded and is dropped; logged once a minute."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class EntryRefused:
-    """A row of the store is invalid and is left out; the other rows are used."""
+    """A row or host is invalid and left out; each version of a row is logged once."""
 
     key: str
     reason: str
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that odd data of other writers ends no work and hides no other data."""
 
 import asyncio
+import contextlib
 import dataclasses
 import doctest
 import json
@@ -180,6 +181,19 @@
     return text.encode() + json.dumps(name).encode() + b": " + draw(odd_json()) + b"}"
 
 
+line_parts = st.lists(
+    st.sampled_from(
+        (
+            *("DATAROW", "COMPLETE", "ERROR", "READY", "STARTUP", "QUERY", "BUSY"),
+            *("I", "T", "-", "3.1", "-1.5", "replica", "BEGIN", "PREPARE", "s1"),
+            "9" * 5_000,
+        )
+    )
+    | st.text(max_size=3),
+    max_size=8,
+)
+
+
 class OddDataTest(unittest.TestCase):
     """Whatever bytes arrive, a border raises its own error or uses the rest."""
 
@@ -320,6 +334,19 @@
                 with self.assertRaises(ValueError):
                     endpoints.parse_load(f"3,1,0,7,{odd}")
 
+    @derandomized
+    @given(st.lists(line_parts.map(" ".join), max_size=6))
+    def test_any_lines_of_a_database_or_caller(self, texts: list[str]) -> None:
+        decoder = wire.ReplyDecoder()
+        for text in texts:
+            for line in (text.encode(), text.encode("utf-16")):
+                with contextlib.suppress(wire.WireError):
+                    decoder.feed(line)
+                with contextlib.suppress(wire.WireError):
+                    wire.decode_message(line)
+        with contextlib.suppress(wire.WireError):
+            wire.decode_status(tuple(texts))
+
     def test_term_above_which_none_can_be_written_is_invalid(self) -> None:
         """Guard against a promotion whose row cannot be encoded."""
         for term in (2**62 + 1, 2**64 - 1, 2**70, 0):
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -3,7 +3,9 @@
 import socket
 import unittest
 from contextlib import AsyncExitStack
+from typing import Any
 
+import eliot
 import msgspec
 
 from beryltiller.core.addresses import Address
@@ -98,3 +100,37 @@
         await node.open(self.stack)
         await self.wait_until_ready(node)
         self.assertNotIn(("feeders", "a/1"), self.fake.rows)
+
+    async def test_odd_rows_in_all_tables_hide_no_database_and_end_no_work(
+        self,
+    ) -> None:
+        """Guard against one row of another writer that stops the feed of a table."""
+        lines: list[dict[str, Any]] = []
+        eliot.add_destinations(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        lines.clear()
+        deep = b'{"odd": ' + b"[" * 2000 + b"]" * 2000 + b"}"
+        odd_lease = b'{"name": "x", "address": "a b:70000"}'
+        self.fake.put("feeders", "a/1", odd_lease)
+        self.fake.put("feeders", "a/2", deep)
+        self.fake.put("succession", "duty", deep)
+        for number, odd in enumerate((deep, b"\xff", b"", b"[]", b"9" * 9_999)):
+            self.fake.put(records.DATABASES_TABLE, f"odd-{number}", odd)
+        node = self.create_node(Address(IP, 0))
+        await node.open(self.stack)
+        await self.wait_until_ready(node)
+        self.fake.put(records.OPERATOR_TABLE, "odd", deep)
+        self.fake.put(records.OPERATOR_TABLE, records.CONFIGURATION_KEY, deep)
+        entry = msgspec.json.encode(ENTRY)
+        self.fake.put(records.DATABASES_TABLE, "i-2", entry)
+
+        async def is_followed() -> bool:
+            is_refused = any("configuration_refused" in str(line) for line in lines)
+            is_taken = self.fake.rows["feeders", "a/1"][1] != odd_lease
+            found = node.fleet.directory.databases.keys()
+            return is_refused and is_taken and found == {"i-1", "i-2"}
+
+        await until(is_followed)
+        kinds = [line["message_type"] for line in lines]
+        self.assertEqual(kinds.count("beryltiller:entry_refused"), 5)
+        self.assertEqual(kinds.count("beryltiller:work_failed"), 0)
