Judge no claim of the duty without the time of the store

An answer without the store's time was read as the time 0. Since claims that end too long after their reading do not count, each claim would have seemed free then. Such an answer is a lost one now, when a single row is read; tables do not need the time. The new test failed before: the proxy sent a claim of its own.

--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -71,7 +71,7 @@
 
     rows: tuple[msgspec.Raw, ...]
     row_version: Count
-    current_time_ms: Count = 0
+    current_time_ms: Count | None = None
     has_more: bool = False
 
 
@@ -130,7 +130,10 @@
             start = last + "\0"
 
     async def read(self, table: str, key: str) -> DatedRow:
-        """Return one row with the store's time of the read."""
+        """Return one row with the store's time of the read.
+
+        Raise `LostAnswerError` if the answer lacks the time.
+        """
         query = {
             "table_name": table,
             "part": "",
@@ -139,6 +142,8 @@
             "result_limit": "1",
         }
         model = await self._get("rows-get", query, RowsModel)
+        if model.current_time_ms is None:
+            raise LostAnswerError("the answer lacks the store's time")
         rows = [_decode_row(row) for row in _own_rows(model) if row.key == key]
         return DatedRow(rows[0] if rows else None, model.current_time_ms)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that odd data of other writers ends no work and hides no other data."""
 
 import asyncio
+import base64
 import contextlib
 import dataclasses
 import doctest
@@ -643,6 +644,18 @@
             with self.subTest(version), self.assertRaises(LostAnswerError):
                 await self.store.read_all("t")
 
+    async def test_claim_read_without_the_time_of_the_store_is_not_replaced(
+        self,
+    ) -> None:
+        """Guard against a valid claim that seems to end too late."""
+        claim = json.dumps({**CLAIM, "until_ms": 10**9}).encode()
+        value = base64.b64encode(claim).decode()
+        row = {"key": DUTY_KEY, "value": value, "row_version": 7}
+        self.answer_with(json.dumps({"rows": [row], "row_version": 9}).encode())
+        duty = Duty(self.session, self.store, self.address, "one", lambda: 0.0)
+        with self.assertRaises(LostAnswerError):
+            await duty.claim("s", 4.0)
+
     async def test_odd_claim_does_not_block_the_duty(self) -> None:
         far = self.fake.now_ms + 10**9
         odd_claims = (
