Count keys in the size of a relayed change

Only values counted towards the size above which a change is announced but not sent. Thousands of rows or removals with long keys, which any writer can make, gave a message over the size at which its receivers drop the connection.

The keys count too. The new test fails on the former code, where the message has over 1 MiB.

--- a/src/beryltiller/sessions/tables/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -37,7 +37,7 @@
 def encode(packet: Packet) -> bytes:
     """Encode a message, leaving out a change of over `MAX_CHANGE_BYTES`."""
     change = packet.change
-    if change is not None and _value_bytes(change.rows) > MAX_CHANGE_BYTES:
+    if change is not None and _size_bytes(change) > MAX_CHANGE_BYTES:
         packet = Packet(packet.announcement)
     return _ENCODER.encode(packet)
 
@@ -75,5 +75,8 @@
     return FeederLease(key, row.version, holder)
 
 
-def _value_bytes(rows: Sequence[Row]) -> int:
-    return sum(len(row.value) for row in rows)
+def _size_bytes(change: TableChange) -> int:
+    """Return the size of a change's values and keys, which others write."""
+    keys = (*(row.key for row in change.rows), *change.removed)
+    values = sum(len(row.value) for row in change.rows)
+    return values + sum(len(key.encode()) for key in keys)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -557,6 +557,20 @@
             runner.receive(bytes([number]))
         self.assertEqual(len(lines), 1)
 
+    def test_change_with_many_keys_is_only_announced(self) -> None:
+        """Guard against a message over the size at which receivers disconnect."""
+        feeder = Feeder("a", "127.0.0.1:1")
+        announcement = Announcement(feeder, {"t": TableState(1, True)})
+        keys = tuple(f"{number:0200}" for number in range(6_000))
+        changes = (
+            TableChange("t", 1, 5, tuple(Row(key, 2, b"") for key in keys)),
+            TableChange("t", 1, 5, (), keys),
+        )
+        for change in changes:
+            data = relay_messages.encode(Packet(announcement, change))
+            self.assertLess(len(data), relay_messages.MAX_MESSAGE_BYTES)
+            self.assertIsNone(relay_messages.decode(data).change)
+
     def test_message_with_a_number_out_of_range_is_refused(self) -> None:
         feeder = Feeder("a", "127.0.0.1:1")
         announcement = Announcement(feeder, {"t": TableState(1, True)})
