--- a/src/beryltiller/adapters/endpoints.py
+++ b/src/beryltiller/adapters/endpoints.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.decoding import DecodingError, decode_json, parse_count
 from beryltiller.core.ports import (
     EndpointAnswer,
     EndpointStatus,
@@ -40,7 +41,7 @@
     """
     if not text:
         return Load()
-    return Load(*map(int, text.split(",")))
+    return Load(*map(parse_count, text.split(",")))
 
 
 def format_load(load: Load) -> str:
@@ -235,6 +236,6 @@
     @staticmethod
     def _decode(reply: transport.Reply, model: type[_T]) -> _T:
         try:
-            return msgspec.json.decode(reply.body, type=model)
-        except msgspec.MsgspecError as error:
+            return decode_json(reply.body, model)
+        except DecodingError as error:
             raise LostAnswerError(f"answer has an unreadable body: {error}") from error
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -14,6 +14,10 @@
 
 import eliot
 
+from beryltiller.core.decoding import shorten
+
+MAX_FIELD_CHARACTERS = 4_000
+
 _PREFIX = "beryltiller:"
 _WORD_START = re.compile(r"(?<=[a-z])(?=[A-Z])")
 
@@ -171,14 +175,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayMessageRefused:
-    """A relayed message of another proxy cannot be decoded and is dropped."""
+    """A relayed message cannot be decoded and is dropped; logged once a minute."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class EntryRefused:
-    """A row of the store is invalid and is left out; the other rows are used."""
+    """A row or host is invalid and left out; each version of a row is logged once."""
 
     key: str
     reason: str
@@ -400,8 +404,16 @@
 
 
 def log(event: Event) -> None:
-    """Write an event to the streams set by `log_to`."""
-    eliot.log_message(message_type=message_type(type(event)), **asdict(event))
+    """Write an event to the streams set by `log_to`.
+
+    Texts of over `MAX_FIELD_CHARACTERS` are shortened, as some are those of others.
+    """
+    values = {name: _shortened(value) for name, value in asdict(event).items()}
+    eliot.log_message(message_type=message_type(type(event)), **values)
+
+
+def _shortened(value: object) -> object:
+    return shorten(value, MAX_FIELD_CHARACTERS) if isinstance(value, str) else value
 
 
 def message_type(kind: type[Event]) -> str:
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -1,14 +1,21 @@
 """The part of the platform's settings file that the proxy uses."""
 
 import os
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from beryltiller.core.addresses import Address
+from beryltiller.core.decoding import DecodingError, decode_json
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
+MAX_DURATION_SECONDS = 86_400
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
 
 
 class SettingsFileError(Exception):
@@ -37,8 +44,8 @@
 class BoundsModel(msgspec.Struct, frozen=True):
     """A stopping proxy's grace period, and a draining database's drain period."""
 
-    grace_period_s: float = 6.0
-    drain_timeout_ms: float = 7000.0
+    grace_period_s: _Seconds = 6.0
+    drain_timeout_ms: _Milliseconds = 7000.0
 
 
 class FileModel(msgspec.Struct, frozen=True):
@@ -88,10 +95,10 @@
             f"${SETTINGS_VARIABLE} is not set and no settings file is given"
         )
     try:
-        model = msgspec.json.decode(Path(path).read_bytes(), type=FileModel)
+        model = decode_json(Path(path).read_bytes(), FileModel)
     except OSError as error:
         raise SettingsFileError(f"{path}: {error.strerror}") from error
-    except msgspec.MsgspecError as error:
+    except DecodingError as error:
         raise SettingsFileError(f"{path}: {error}") from error
     return PlatformSettings(
         host_name=model.node_name,
@@ -103,8 +110,8 @@
         readiness_address=_parse_address(
             "listen_addresses.ready", model.listen_addresses.ready
         ),
-        store_address=_parse_address("platform.address", model.platform.address),
-        duty_address=_parse_address("cloud_api.address", model.cloud_api.address),
+        store_address=_parse_remote("platform.address", model.platform.address),
+        duty_address=_parse_remote("cloud_api.address", model.cloud_api.address),
         grace_seconds=model.bounds.grace_period_s,
         drain_seconds=model.bounds.drain_timeout_ms / 1000,
         relay_address=_relay_address(model),
@@ -138,11 +145,19 @@
     if model.internal_port_range is None:
         return None
     port, _ = model.internal_port_range
-    return _parse_address("internal_port_range", f"{model.ip_address}:{port}")
+    return _parse_remote("internal_port_range", f"{model.ip_address}:{port}")
 
 
 def _parse_address(field: str, text: str) -> Address:
+    return _parse(field, text, Address.parse)
+
+
+def _parse_remote(field: str, text: str) -> Address:
+    return _parse(field, text, Address.parse_remote)
+
+
+def _parse(field: str, text: str, parse: Callable[[str], Address]) -> Address:
     try:
-        return Address.parse(text)
+        return parse(text)
     except ValueError as error:
         raise SettingsFileError(f"{field}: {error}") from error
--- a/src/beryltiller/sessions/tables/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from beryltiller.core.addresses import Address
+from beryltiller.core.decoding import DecodingError, decode_json, decode_with
 from beryltiller.core.ports import Row
 from beryltiller.sessions.tables.relay import (
     Announcement,
@@ -35,7 +37,7 @@
 def encode(packet: Packet) -> bytes:
     """Encode a message, leaving out a change of over `MAX_CHANGE_BYTES`."""
     change = packet.change
-    if change is not None and _value_bytes(change.rows) > MAX_CHANGE_BYTES:
+    if change is not None and _size_bytes(change) > MAX_CHANGE_BYTES:
         packet = Packet(packet.announcement)
     return _ENCODER.encode(packet)
 
@@ -43,8 +45,8 @@
 def decode(data: bytes) -> Packet:
     """Decode a message; raise `RelayMessageError` if it is malformed."""
     try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+        return decode_with(_DECODER.decode, data)
+    except DecodingError as error:
         raise RelayMessageError(str(error)) from error
 
 
@@ -54,7 +56,10 @@
 
 
 def decode_leases(keys: Sequence[str], rows: Sequence[Row]) -> tuple[FeederLease, ...]:
-    """Return a lease for each key; it is free if its row is missing or malformed."""
+    """Return a lease for each key; it is free if its row is missing or malformed.
+
+    That includes a row whose address is not that of one process.
+    """
     found = {row.key: row for row in rows}
     return tuple(_decode_lease(key, found.get(key)) for key in keys)
 
@@ -63,12 +68,15 @@
     if row is None:
         return FeederLease(key)
     try:
-        return FeederLease(
-            key, row.version, msgspec.json.decode(row.value, type=Feeder)
-        )
-    except msgspec.MsgspecError:
+        holder = decode_json(row.value, Feeder)
+        Address.parse_remote(holder.address)
+    except (DecodingError, ValueError):
         return FeederLease(key, row.version)
+    return FeederLease(key, row.version, holder)
 
 
-def _value_bytes(rows: Sequence[Row]) -> int:
-    return sum(len(row.value) for row in rows)
+def _size_bytes(change: TableChange) -> int:
+    """Return the size of a change's values and keys, which others write."""
+    keys = (*(row.key for row in change.rows), *change.removed)
+    values = sum(len(row.value) for row in change.rows)
+    return values + sum(len(key.encode()) for key in keys)
