Decode announced changes like other rows, and each version once

An odd row in the table of announced changes must stop neither the table nor a promotion, whatever it holds; a decoder of its own caught two kinds of errors only, and a row that stays was decoded, and its error logged, at each change of another row. It goes through the shared decoder now, with bounded numbers, once for each version.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
+from beryltiller.core.decoding import Count, DecodingError, decode_json
 from beryltiller.core.ports import Row, Write
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.observability import logs
 from beryltiller.platform.store import StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.succession.announcer import Announcement
-from beryltiller.sessions.tables.table_follower import Rows
 
 CHANGES_TABLE = "primary-changes"
 
@@ -20,13 +20,13 @@
     promoter's claim.
     """
 
-    token: int
-    replaced_term: int
-    log_end_term: int
-    log_end_index: int
+    token: Count
+    replaced_term: Count
+    log_end_term: Count
+    log_end_index: Count
     is_withdrawn: bool = False
-    objection_term: int = 0
-    objection_index: int = 0
+    objection_term: Count = 0
+    objection_index: Count = 0
 
 
 class StoredAnnouncements:
@@ -65,8 +65,8 @@
     Only proxies write these rows, so an unreadable row does not stop a promotion.
     """
     try:
-        model = msgspec.json.decode(row.value, type=AnnouncementModel)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        model = decode_json(row.value, AnnouncementModel)
+    except DecodingError as error:
         logs.log(logs.AnnouncementFailed(row.key, str(error)))
         model = AnnouncementModel(0, 0, 0, 0, is_withdrawn=True)
     log_end = Position(model.log_end_term, model.log_end_index)
@@ -79,8 +79,3 @@
         objection if objection != ORIGIN else None,
         row.version,
     )
-
-
-def decode_announcements(rows: Rows) -> tuple[Announcement, ...]:
-    """Decode all rows of the table."""
-    return tuple(map(decode_announcement, rows.values()))
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -20,7 +20,7 @@
 from beryltiller.platform.announcements import (
     CHANGES_TABLE,
     StoredAnnouncements,
-    decode_announcements,
+    decode_announcement,
 )
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
@@ -233,7 +233,10 @@
         self._update_directory()
 
     def _observe_announcements(self, rows: Rows) -> None:
-        for announcement in decode_announcements(rows):
+        for row in rows.values():
+            if not self._announcer.is_new(row.key, row.version):
+                continue
+            announcement = decode_announcement(row)
             if self._announcer.apply(announcement):
                 self._spawn(self._announcer.object_to(announcement))
 
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -90,13 +90,17 @@
         if present is not None and not present.is_withdrawn:
             await self._amend(present, lambda each: replace(each, is_withdrawn=True))
 
+    def is_new(self, service: str, version: int) -> bool:
+        """Return True if no announcement of that version has been applied yet."""
+        return version > self._applied.get(service, 0)
+
     def apply(self, announcement: Announcement) -> bool:
         """Apply an announcement that was read; return True to object to it.
 
         One that was applied before has no effect.
         """
         service, change = announcement.service, announcement.change
-        if announcement.version <= self._applied.get(service, 0):
+        if not self.is_new(service, announcement.version):
             return False
         self._applied[service] = announcement.version
         changes = self._fleet.group(service).changes
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -10,7 +10,6 @@
     CHANGES_TABLE,
     StoredAnnouncements,
     decode_announcement,
-    decode_announcements,
 )
 from beryltiller.platform.store import DatedRow, StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
@@ -55,14 +54,10 @@
         written = Announcement("s", ANNOUNCED.change, 12, False, Position(3, 8), 5)
         self.assertEqual((before, found, other), (None, written, None))
 
-    def test_odd_row_stops_no_promotion_and_hides_no_other(self) -> None:
-        rows = {
-            key: Row(key, 4, value)
-            for key, value in (("a", b"{"), ("b", b"[]"), ("c", b'{"token": 1e999}'))
-        }
-        for announcement in decode_announcements(rows):
-            with self.subTest(announcement.service):
-                self.assertTrue(announcement.is_withdrawn)
+    def test_odd_row_stops_no_promotion(self) -> None:
+        for value in (b"", b"{", b"\xff", b'{"token": 1e999}', b"[" * 2000):
+            with self.subTest(value[:20]):
+                self.assertTrue(decode_announcement(Row("s", 4, value)).is_withdrawn)
 
     def test_row_without_an_objection(self) -> None:
         value = b'{"token":1,"replaced_term":2,"log_end_term":2,"log_end_index":9}'
