Test promotions and reads with unknown databases beyond a partition

A successor at a departed replica's address that is cut off together with the primary receives commits that a promotion loses, and the replaced primary goes on to acknowledge commits through it. Reads by a survey lack commits that an unknown joining replica received.

--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -144,6 +144,29 @@
         )
         self.assertEqual(findings.lost, [])
 
+    def test_promotion_keeps_commits_that_a_successor_beyond_a_partition_received(
+        self,
+    ) -> None:
+        findings = run(
+            0,
+            Fault(FaultKind.LATE_ENTRY, 2.0, 12.0, 0.8),
+            Fault(FaultKind.LATE_START, 2.0, 10.0, 0.5),
+            Fault(FaultKind.DRAIN_REPLICA, 3.0, 1.0, 0.1),
+            Fault(FaultKind.CUT_HALF, 12.2, 3.5, 0.4),
+        )
+        self.assertEqual(findings.lost, [])
+        self.assertEqual(findings.replaced_commits, [])
+
+    def test_reads_include_commits_that_an_unknown_joining_database_received(
+        self,
+    ) -> None:
+        findings = run(
+            1,
+            Fault(FaultKind.JOIN, 3.0, 3.0, 0.9),
+            Fault(FaultKind.CUT_HALF, 4.5, 4.0, 0.8),
+        )
+        self.assertEqual(findings.stale_answers, [])
+
     def test_promoted_log_is_not_shorter_than_that_of_the_primary_that_stepped_down(
         self,
     ) -> None:
