Take an answer from an empty log for no proof of what a term wrote

No caller is known to have seen it.

Cause: before its first commit in a term, a primary's log ends with an entry of an earlier term. One that stated its term with an empty log, and then restarted empty, answered just as it had before, and nothing that a read carries tells the two apart.

An answer at no position now proves nothing. A database that never wrote states an index of 0 in its first term, so reads of a new group are served as before.

--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, replace
 
-from beryltiller.core.position import Position
+from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.catalog import Database
 
 NEVER = float("-inf")
@@ -50,10 +50,13 @@
         """Return True if the primary of this term may have answered with `position`.
 
         Before its first commit in the term, its log ends with an entry of an earlier
-        one. A shorter log is that of a replica, or of a process that lost its log.
+        one. A shorter log is that of a replica, or of a process that lost its log. An
+        empty one may be that of a process that lost what it wrote in the term.
         """
         if position.term == self.term:
             return True
+        if position == ORIGIN:
+            return False
         return position.term < self.term and position >= self.log_end
 
 
