Move the succession policy's times and state changes into modules

The times move to succession/times.py; storing, scheduling and ending a succession, what it records of events, and delays of claims move to succession/transitions.py; since when the primary may have been cut off moves to the causes. The policy keeps the decisions. The two new modules are in the list of those that do no I/O.

No behaviour changed.

--- a/src/beryltiller/sessions/succession/causes.py
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -1,6 +1,10 @@
-"""The reasons to claim the promotion duty, and how long each must have lasted."""
+"""The reasons to claim the promotion duty, and how long each must have lasted.
+
+Each also tells since when the primary may have been cut off.
+"""
 
 from beryltiller.sessions.succession.state import Cause, GroupView
+from beryltiller.sessions.succession.times import MAX_ENTRY_SILENCE_SECONDS
 
 # A primary is replaced once it has been failing for this long.
 FAILING_SECONDS = 0.3
@@ -49,5 +53,17 @@
     return None
 
 
+def possible_partition_start(view: GroupView, cause: Cause, now: float) -> float:
+    """Return the earliest time at which a partition may have cut off the primary."""
+    match cause:
+        case Cause.LEAVING | Cause.REPLICAS_LAG:
+            return now
+        case Cause.NO_PRIMARY if view.leader_healthy_until is None:
+            since = now if view.primaryless_since is None else view.primaryless_since
+            return since - MAX_ENTRY_SILENCE_SECONDS
+    times = (view.failing_since, view.stalled_since, view.leader_healthy_until)
+    return min((since for since in times if since is not None), default=now)
+
+
 def _has_lasted(since: float | None, now: float, seconds: float) -> bool:
     return since is not None and now - since >= seconds
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -15,7 +15,10 @@
 
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.databases.primary_change import PrimaryChange
-from beryltiller.sessions.succession.causes import cause_of_claim
+from beryltiller.sessions.succession.causes import (
+    cause_of_claim,
+    possible_partition_start,
+)
 from beryltiller.sessions.succession.comparison import (
     Comparison,
     compare,
@@ -34,7 +37,6 @@
     FenceResults,
     GroupsObserved,
     GroupView,
-    ObserveAfter,
     Phase,
     PrimarySteppedDown,
     Promote,
@@ -46,39 +48,29 @@
     UnfenceReplicas,
     WithdrawChange,
 )
-
-# How long a claim of the promotion duty is valid, which excludes other claims.
-DUTY_SECONDS = 4.0
-# The holder stops using a claim this long before it expires, so that its last commands
-# and its promotion request have arrived before another proxy holds the duty.
-DUTY_MARGIN_SECONDS = 1.2
-# No replicas are fenced this long before the claim's deadline, except to confirm: the
-# rest of the succession would not fit, and the replicas must be unfenced in time.
-FENCING_MARGIN_SECONDS = 0.8
-# Each proxy delays its claim by a random time up to this long, so that proxies that
-# detect a failure at the same time do not claim the duty simultaneously.
-MAX_CLAIM_DELAY_SECONDS = 0.15
-# The same for lifting fences, which is less urgent and noticed by more proxies.
-MAX_LIFT_DELAY_SECONDS = 1.0
-# Delay before replicas are fenced again, or a promotion without a result is repeated.
-RETRY_SECONDS = 0.2
-# Replicas are unfenced at the earliest this long after the claim: a promotion that an
-# earlier holder requested last has taken effect by then.
-LIFT_SECONDS = 1.0
-# A promotion is requested at most this long after the fence commands that confirmed it
-# were sent, as a replica that restarts is no longer fenced.
-CONFIRMATION_SECONDS = 0.5
-# Proxies have heard of an announced change and objected to it by then.
-OBJECTION_WAIT_SECONDS = 0.2
-# How long a primary may have been silent before the proxy stops using its entry.
-MAX_ENTRY_SILENCE_SECONDS = 8.0
-# Delay before the next claim after a succession ended, whether it succeeded or not.
-COOLDOWN_SECONDS = 1.5
-# How long to wait for an accepted promotion to show in the group.
-TAKEOVER_SECONDS = 4.0
-
-
-Decision = tuple[State, tuple[Action, ...]]
+from beryltiller.sessions.succession.times import (
+    CONFIRMATION_SECONDS,
+    COOLDOWN_SECONDS,
+    DUTY_MARGIN_SECONDS,
+    DUTY_SECONDS,
+    FENCING_MARGIN_SECONDS,
+    LIFT_SECONDS,
+    MAX_CLAIM_DELAY_SECONDS,
+    MAX_LIFT_DELAY_SECONDS,
+    OBJECTION_WAIT_SECONDS,
+    RETRY_SECONDS,
+    TAKEOVER_SECONDS,
+)
+from beryltiller.sessions.succession.transitions import (
+    Decision,
+    clear_claim_delay,
+    delay_claim,
+    end_succession,
+    record_first_round,
+    record_step_down,
+    schedule_step,
+    store_succession,
+)
 
 
 class SuccessionPolicy:
@@ -100,9 +92,9 @@
             case ClaimAccepted(service):
                 return self._handle_claim_accepted(state, event, service, now)
             case ClaimFailed(service):
-                return _end_succession(state, service, now + COOLDOWN_SECONDS), ()
+                return end_succession(state, service, now + COOLDOWN_SECONDS), ()
             case PrimarySteppedDown(service):
-                return _record_step_down(state, event, service), ()
+                return record_step_down(state, event, service), ()
             case FenceResults(service):
                 return self._handle_fence_results(state, event, service, now)
             case ChangeAnnounced(service):
@@ -133,18 +125,18 @@
         claim_not_before = state.claim_not_before.get(service)
         if cause is None:
             if claim_not_before is not None and now > claim_not_before:
-                state = _clear_claim_delay(state, service)
+                state = clear_claim_delay(state, service)
             return state, ()
         if claim_not_before is None:
             is_lift = cause is Cause.FENCES_LEFT
             max_delay = MAX_LIFT_DELAY_SECONDS if is_lift else MAX_CLAIM_DELAY_SECONDS
             delay = self._rng.uniform(0.0, max_delay)
-            return _delay_claim(state, service, now + delay), ()
+            return delay_claim(state, service, now + delay), ()
         if now < claim_not_before:
             return state, ()
-        since = _possible_partition_start(view, cause, now)
+        since = possible_partition_start(view, cause, now)
         succession = Succession(service, cause, Phase.CLAIMING, view.leader, now, since)
-        return _store_succession(state, succession), (ClaimDuty(service, cause),)
+        return store_succession(state, succession), (ClaimDuty(service, cause),)
 
     def _handle_claim_accepted(
         self, state: State, event: ClaimAccepted, service: str, now: float
@@ -203,7 +195,7 @@
             former_primary,
             succession.announced_version,
         )
-        return _store_succession(state, succession), (fence,)
+        return store_succession(state, succession), (fence,)
 
     def _handle_fence_results(
         self, state: State, event: FenceResults, service: str, now: float
@@ -217,7 +209,7 @@
         replacements = frozenset(event.replacements)
         succession = replace(succession, unknown_replacements=replacements)
         if not succession.has_fenced:
-            succession = _record_first_round(succession, event)
+            succession = record_first_round(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
@@ -253,9 +245,9 @@
             return self._finish(state, held, now)
         change = _change_by(found)
         if found.is_former_log_reached or change == succession.announced:
-            return _schedule_step(state, held, now, wait)
+            return schedule_step(state, held, now, wait)
         announcing = replace(held, announced=change, announced_version=0)
-        state, actions = _schedule_step(state, announcing, now, wait)
+        state, actions = schedule_step(state, announcing, now, wait)
         announce = AnnounceChange(succession.service, change, succession.token)
         return state, (announce, *actions)
 
@@ -267,12 +259,12 @@
         if succession is None:
             return state, ()
         if not event.version:
-            return _store_succession(state, replace(succession, announced=None)), ()
+            return store_succession(state, replace(succession, announced=None)), ()
         succession = replace(succession, announced_version=event.version)
         if succession.phase is not Phase.HOLDING:
-            return _store_succession(state, succession), ()
+            return store_succession(state, succession), ()
         wait = max(succession.next_step_at - now, OBJECTION_WAIT_SECONDS)
-        return _schedule_step(state, succession, now, wait)
+        return schedule_step(state, succession, now, wait)
 
     def _retry_fencing(
         self, state: State, succession: Succession, found: Comparison, now: float
@@ -284,7 +276,7 @@
         retry = replace(succession, phase=Phase.FENCING, term=term)
         if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
             return self._finish(state, retry, now)
-        state, actions = _schedule_step(state, retry, now, RETRY_SECONDS)
+        state, actions = schedule_step(state, retry, now, RETRY_SECONDS)
         # A primary of an older term was replaced and has not noticed yet.
         replaced = tuple(
             StepDownPrimary(succession.service, term, name) for name in found.primaries
@@ -299,7 +291,7 @@
         match succession.phase:
             case Phase.CLAIMING if now > succession.waiting_since + DUTY_SECONDS:
                 return (
-                    _end_succession(state, succession.service, now + COOLDOWN_SECONDS),
+                    end_succession(state, succession.service, now + COOLDOWN_SECONDS),
                     (),
                 )
             case Phase.FENCING if now >= succession.next_step_at:
@@ -340,7 +332,7 @@
             min(succession.deadline, confirmed_until),
             basis,
         )
-        return _store_succession(state, promoting), (action,)
+        return store_succession(state, promoting), (action,)
 
     def _handle_promotion_result(
         self, state: State, event: PromotionResult, service: str, now: float
@@ -350,7 +342,7 @@
             return state, ()
         if event.is_accepted:
             awaiting = replace(succession, phase=Phase.AWAITING, waiting_since=now)
-            return _store_succession(state, awaiting), ()
+            return store_succession(state, awaiting), ()
         if now > succession.deadline:
             return self._finish(state, succession, now)
         if event.is_refused:
@@ -362,7 +354,7 @@
             )
             return self._step_down_and_fence(state, retry, now)
         retry = replace(succession, phase=Phase.HOLDING)
-        return _schedule_step(state, retry, now, RETRY_SECONDS)
+        return schedule_step(state, retry, now, RETRY_SECONDS)
 
     def _finish(self, state: State, succession: Succession, now: float) -> Decision:
         """End a succession, whether it succeeded or not, and unfence its replicas.
@@ -378,8 +370,8 @@
         wait = succession.claimed_at + LIFT_SECONDS - now
         if wait > 0 and not may_take_effect and not is_done:
             lifting = replace(succession, phase=Phase.LIFTING)
-            return _schedule_step(state, lifting, now, wait)
-        state = _end_succession(state, succession.service, now + COOLDOWN_SECONDS)
+            return schedule_step(state, lifting, now, wait)
+        state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         if may_take_effect or now > succession.deadline:
             return state, ()
         known = view.replicas if view else ()
@@ -394,16 +386,6 @@
         return state, (unfence,)
 
 
-def _record_first_round(succession: Succession, event: FenceResults) -> Succession:
-    """Record whether an earlier promoter had fenced databases.
-
-    The promotion that it may have requested has then taken effect before this one is
-    confirmed, or will not.
-    """
-    not_before = succession.claimed_at + LIFT_SECONDS if event.was_any_fenced else 0.0
-    return replace(succession, has_fenced=True, confirm_not_before=not_before)
-
-
 def _change_by(found: Comparison) -> PrimaryChange:
     return PrimaryChange(found.newest_term, found.longest)
 
@@ -413,60 +395,3 @@
     if phase is Phase.CONFIRMING:
         return succession.deadline
     return succession.deadline - FENCING_MARGIN_SECONDS
-
-
-def _possible_partition_start(view: GroupView, cause: Cause, now: float) -> float:
-    """Return the earliest time at which a partition may have cut off the primary."""
-    match cause:
-        case Cause.LEAVING | Cause.REPLICAS_LAG:
-            return now
-        case Cause.NO_PRIMARY if view.leader_healthy_until is None:
-            since = now if view.primaryless_since is None else view.primaryless_since
-            return since - MAX_ENTRY_SILENCE_SECONDS
-    times = (view.failing_since, view.stalled_since, view.leader_healthy_until)
-    return min((since for since in times if since is not None), default=now)
-
-
-def _record_step_down(state: State, event: PrimarySteppedDown, service: str) -> State:
-    succession = state.successions.get(service)
-    if succession is None or succession.former_primary != event.identifier:
-        return state
-    stepped_down = replace(
-        succession, former_log_end=event.received, former_term=event.term
-    )
-    return _store_succession(state, stepped_down)
-
-
-def _store_succession(state: State, succession: Succession) -> State:
-    successions = {**state.successions, succession.service: succession}
-    return replace(state, successions=successions)
-
-
-def _schedule_step(
-    state: State, succession: Succession, now: float, seconds: float
-) -> Decision:
-    """Schedule the succession's next step to be due in `seconds`."""
-    waiting = replace(succession, next_step_at=now + seconds)
-    return _store_succession(state, waiting), (ObserveAfter(seconds),)
-
-
-def _end_succession(state: State, service: str, claim_not_before: float) -> State:
-    successions = {
-        name: item for name, item in state.successions.items() if name != service
-    }
-    return _delay_claim(
-        replace(state, successions=successions), service, claim_not_before
-    )
-
-
-def _clear_claim_delay(state: State, service: str) -> State:
-    delays = {
-        name: moment
-        for name, moment in state.claim_not_before.items()
-        if name != service
-    }
-    return replace(state, claim_not_before=delays)
-
-
-def _delay_claim(state: State, service: str, moment: float) -> State:
-    return replace(state, claim_not_before={**state.claim_not_before, service: moment})
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -24,11 +24,12 @@
     StepDown,
     Unfence,
 )
-from beryltiller.sessions.succession import lag_relief, policy
+from beryltiller.sessions.succession import lag_relief, times
 from beryltiller.sessions.succession import state as succession_state
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
+from beryltiller.sessions.succession.policy import SuccessionPolicy
 
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
@@ -94,7 +95,7 @@
         self._fleet = fleet
         self._duty = duty
         self._is_store_reachable = is_store_reachable
-        self._policy = policy.SuccessionPolicy(rng)
+        self._policy = SuccessionPolicy(rng)
         self._rng = rng
         self._next_fence_check: dict[str, float] = {}
         self._clock = clock
@@ -262,7 +263,7 @@
             if not group.fenced_replicas:
                 return succession_state.ClaimFailed(action.service)
         try:
-            claim = await self._duty.claim(action.service, policy.DUTY_SECONDS)
+            claim = await self._duty.claim(action.service, times.DUTY_SECONDS)
         except PortError as error:
             logs.log(logs.ClaimRefused(action.service, str(error)))
             return succession_state.ClaimFailed(action.service)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -36,6 +36,8 @@
     "succession.lag_relief",
     "succession.policy",
     "succession.state",
+    "succession.times",
+    "succession.transitions",
 )
 _IO = frozenset(
     {
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -9,7 +9,7 @@
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession import policy
+from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.causes import cause_of_claim, replacement_cause
 from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
 from beryltiller.sessions.succession.policy import SuccessionPolicy
@@ -167,13 +167,13 @@
         driver = Driver()
         driver.claim()
         (wait,) = driver.report_fences({"a": status(5), "b": None})
-        self.assertEqual(wait, ObserveAfter(policy.RETRY_SECONDS))
-        driver.observe(FAILING, policy.RETRY_SECONDS)
+        self.assertEqual(wait, ObserveAfter(times.RETRY_SECONDS))
+        driver.observe(FAILING, times.RETRY_SECONDS)
         statuses = {"a": status(5), "b": status(6)}
         driver.report_fences(statuses)
         driver.confirm(statuses)
         (wait,) = driver.handle(PromotionResult("s", False, False))
-        self.assertEqual(wait, ObserveAfter(policy.RETRY_SECONDS))
+        self.assertEqual(wait, ObserveAfter(times.RETRY_SECONDS))
 
     def test_no_database_is_stepped_down_without_a_former_primary(self) -> None:
         driver = Driver()
@@ -195,7 +195,7 @@
         driver.observe(FAILING, 0.5)
         driver.handle(ClaimFailed("s"))
         self.assertEqual(driver.observe(FAILING, 0.5), ())
-        claims = driver.observe(FAILING, policy.COOLDOWN_SECONDS)
+        claims = driver.observe(FAILING, times.COOLDOWN_SECONDS)
         self.assertEqual(claims, (ClaimDuty("s", Cause.FAILING),))
 
     def test_no_promotion_before_the_hold_is_over(self) -> None:
@@ -238,10 +238,10 @@
         driver.claim()
         statuses = {"a": status(5, is_primary=True), "b": status(6)}
         self.assertEqual(
-            driver.report_fences(statuses), (ObserveAfter(policy.LIFT_SECONDS),)
+            driver.report_fences(statuses), (ObserveAfter(times.LIFT_SECONDS),)
         )
         self.assertEqual(driver.wait_out_hold(), ())
-        (unfence,) = driver.observe(FAILING, policy.LIFT_SECONDS)
+        (unfence,) = driver.observe(FAILING, times.LIFT_SECONDS)
         self.assertIsInstance(unfence, UnfenceReplicas)
         self.assertEqual(driver.state.successions, {})
 
@@ -252,7 +252,7 @@
         driver.report_fences(statuses)
         driver.confirm(statuses)
         driver.handle(PromotionResult("s", False, False))
-        actions = driver.observe(FAILING, policy.DUTY_SECONDS)
+        actions = driver.observe(FAILING, times.DUTY_SECONDS)
         self.assertEqual(actions, ())
         self.assertEqual(driver.state.successions, {})
 
@@ -264,7 +264,7 @@
         driver.report_fences(statuses)
         driver.confirm(statuses)
         driver.handle(PromotionResult("s", False, False))
-        driver.observe(FAILING, policy.RETRY_SECONDS)
+        driver.observe(FAILING, times.RETRY_SECONDS)
         confirmed = FenceResults(
             "s",
             statuses,
@@ -278,7 +278,7 @@
         actions: tuple[Action, ...] = ()
         while driver.state.successions:
             actions = driver.report_fences({"a": status(5), "b": None})
-            driver.observe(FAILING, policy.RETRY_SECONDS)
+            driver.observe(FAILING, times.RETRY_SECONDS)
         self.assertEqual(actions, ())
 
     def test_no_other_database_is_promoted_while_one_may_take_over(self) -> None:
@@ -289,7 +289,7 @@
         driver.report_fences(statuses)
         driver.confirm(statuses)
         driver.handle(PromotionResult("s", False, False))
-        driver.observe(FAILING, policy.RETRY_SECONDS)
+        driver.observe(FAILING, times.RETRY_SECONDS)
         longer = {"a": status(7), "b": status(6)}
         actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
         self.assertEqual((actions, driver.state.successions), ((), {}))
@@ -298,7 +298,7 @@
         """Guards against two promotions, of which the first acknowledges commits."""
         statuses = {"a": status(5), "b": status(6)}
         for was_any_fenced, wait in (
-            (True, policy.LIFT_SECONDS),
+            (True, times.LIFT_SECONDS),
             (False, PROMOTION_HOLD_SECONDS),
         ):
             with self.subTest(was_any_fenced=was_any_fenced):
@@ -327,7 +327,7 @@
         driver = Driver()
         driver.claim()
         driver.report_fences({"a": status(5), "b": status(6)})
-        self.assertEqual(driver.observe(FAILING, policy.DUTY_SECONDS), ())
+        self.assertEqual(driver.observe(FAILING, times.DUTY_SECONDS), ())
         self.assertEqual(driver.state.successions, {})
 
     def test_replicas_are_unfenced_before_the_claim_ends(self) -> None:
@@ -337,19 +337,19 @@
         claimed_at = driver.now
         actions: tuple[Action, ...] = ()
         while driver.state.successions:
-            actions = driver.observe(FAILING, policy.RETRY_SECONDS)
+            actions = driver.observe(FAILING, times.RETRY_SECONDS)
             if any(isinstance(each, FenceReplicas) for each in actions):
                 driver.now += 2 * COMMAND_TIMEOUT_SECONDS
             if driver.state.successions:
                 actions = driver.report_fences({"a": status(5), "b": None})
-        deadline = claimed_at + policy.DUTY_SECONDS - policy.DUTY_MARGIN_SECONDS
+        deadline = claimed_at + times.DUTY_SECONDS - times.DUTY_MARGIN_SECONDS
         self.assertEqual(actions, (UnfenceReplicas("s", ("a", "b"), deadline),))
         self.assertLessEqual(driver.now, deadline)
 
     def test_other_primary_found_after_the_deadline_unfences_nothing(self) -> None:
         driver = Driver()
         driver.claim()
-        driver.now += policy.DUTY_SECONDS
+        driver.now += times.DUTY_SECONDS
         statuses = {"a": status(5, is_primary=True), "b": status(6)}
         self.assertEqual(driver.report_fences(statuses), ())
         self.assertEqual(driver.state.successions, {})
@@ -389,7 +389,7 @@
         driver.claim()
         driver.report_fences(self.FENCED)
         actions = driver.confirm(
-            self.FENCED, confirm_after=policy.CONFIRMATION_SECONDS + 0.01
+            self.FENCED, confirm_after=times.CONFIRMATION_SECONDS + 0.01
         )
         again = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old", 1)
         self.assertEqual(actions, (again,))
@@ -400,7 +400,7 @@
         driver.report_fences(self.FENCED)
         (promotion,) = driver.confirm(self.FENCED, confirm_after=0.1)
         assert isinstance(promotion, Promote)
-        confirmed_until = driver.now - 0.1 + policy.CONFIRMATION_SECONDS
+        confirmed_until = driver.now - 0.1 + times.CONFIRMATION_SECONDS
         self.assertAlmostEqual(promotion.deadline, confirmed_until)
 
     def test_replica_that_registered_during_the_hold_is_fenced(self) -> None:
@@ -426,7 +426,7 @@
         back = replace(HEALTHY, leader="new", replicas=("a", "b", "old"))
         (wait,) = driver.wait_out_hold(back)
         self.assertIsInstance(wait, ObserveAfter)
-        withdraw, unfence = driver.observe(back, policy.LIFT_SECONDS)
+        withdraw, unfence = driver.observe(back, times.LIFT_SECONDS)
         self.assertIsInstance(withdraw, WithdrawChange)
         self.assertIsInstance(unfence, UnfenceReplicas)
         self.assertEqual(driver.state.successions, {})
@@ -477,7 +477,7 @@
         driver.report_fences(self.STATUSES)
         late = PROMOTION_HOLD_SECONDS - 0.01
         (wait,) = driver.handle(ChangeAnnounced("s", 4), late)
-        self.assertEqual(wait, ObserveAfter(policy.OBJECTION_WAIT_SECONDS))
+        self.assertEqual(wait, ObserveAfter(times.OBJECTION_WAIT_SECONDS))
         self.assertEqual(driver.observe(FAILING, 0.02), ())
 
 
@@ -489,7 +489,7 @@
     def claimed(self) -> Driver:
         driver = Driver()
         driver.observe(self.LEFT)
-        claimed = driver.observe(self.LEFT, policy.MAX_LIFT_DELAY_SECONDS)
+        claimed = driver.observe(self.LEFT, times.MAX_LIFT_DELAY_SECONDS)
         self.assertEqual(claimed, (ClaimDuty("s", Cause.FENCES_LEFT),))
         return driver
 
@@ -508,9 +508,9 @@
     def test_fences_are_lifted_while_the_primary_stays(self) -> None:
         driver = self.claimed()
         wait = driver.handle(ClaimAccepted("s", 7, driver.now))
-        self.assertEqual(wait, (ObserveAfter(policy.LIFT_SECONDS),))
+        self.assertEqual(wait, (ObserveAfter(times.LIFT_SECONDS),))
         deadline = driver.state.successions["s"].deadline
-        actions = driver.observe(self.LEFT, policy.LIFT_SECONDS + 0.01)
+        actions = driver.observe(self.LEFT, times.LIFT_SECONDS + 0.01)
         unfence = UnfenceReplicas("s", ("a", "b"), deadline)
         self.assertEqual(actions, (WithdrawChange("s"), unfence))
         self.assertEqual(driver.state.successions, {})
@@ -521,13 +521,13 @@
         """Guards against commits that the promoted database lacks."""
         driver = self.claimed()
         driver.handle(ClaimAccepted("s", 7, driver.now))
-        actions = driver.observe(self.LEFT, policy.LIFT_SECONDS - 0.01)
+        actions = driver.observe(self.LEFT, times.LIFT_SECONDS - 0.01)
         self.assertEqual(actions, ())
 
     def test_no_fence_is_lifted_after_the_deadline(self) -> None:
         driver = self.claimed()
         driver.handle(ClaimAccepted("s", 7, driver.now))
-        self.assertEqual(driver.observe(self.LEFT, policy.DUTY_SECONDS), ())
+        self.assertEqual(driver.observe(self.LEFT, times.DUTY_SECONDS), ())
         self.assertEqual(driver.state.successions, {})
 
 
@@ -541,7 +541,7 @@
         replaced = status(7, fenced_term=0, is_primary=True)
         follower = replace(status(6), term=3, fenced_term=4)
         actions = driver.report_fences({"a": replaced, "b": follower})
-        wait = ObserveAfter(policy.RETRY_SECONDS)
+        wait = ObserveAfter(times.RETRY_SECONDS)
         self.assertEqual(actions, (StepDownPrimary("s", 4, "a"), wait))
 
 
@@ -681,7 +681,7 @@
 
     def test_start_of_a_possible_partition(self) -> None:
         primaryless = replace(HEALTHY, leader=None, primaryless_since=4.0)
-        silence = policy.MAX_ENTRY_SILENCE_SECONDS
+        silence = times.MAX_ENTRY_SILENCE_SECONDS
         cases = (
             ("failing", replace(FAILING, leader_healthy_until=0.0), 0.0),
             (
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -8,9 +8,9 @@
 from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import Code, Fence, Unfence
-from beryltiller.sessions.succession.policy import DUTY_SECONDS
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
+from beryltiller.sessions.succession.times import DUTY_SECONDS
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.fake_promoters import EFFECT_SECONDS, FakeDuty, FakePlatform, Promoter
 from tests.virtual_loop import run_virtual, virtual_now
