Part the tests of the succession policy by subject

The driver of the policy moves to tests/succession_driver.py; the tests of causes, of the confirmation and the announcement, of the lifting of fences, and of the comparison of logs to files of their own. No test was changed.

--- /dev/null
+++ b/tests/test_succession_confirmation.py
@@ -0,0 +1,148 @@
+"""Tests of what precedes a promotion: the hold, its confirmation, the announcement."""
+
+import unittest
+from collections.abc import Mapping
+from dataclasses import replace
+
+from beryltiller.core.position import Position
+from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.primary_change import PrimaryChange
+from beryltiller.sessions.statements import DatabaseStatus
+from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession.state import (
+    AnnounceChange,
+    ChangeAnnounced,
+    FenceReplicas,
+    FenceResults,
+    ObserveAfter,
+    Promote,
+    UnfenceReplicas,
+    WithdrawChange,
+)
+from tests.succession_driver import FAILING, HEALTHY, Driver, status
+
+
+class ConfirmationTest(unittest.TestCase):
+    """The check right before a promotion that no replica has changed meanwhile."""
+
+    FENCED: Mapping[str, DatabaseStatus | None] = {"a": status(5), "b": status(6)}
+
+    def driver_after_hold(self) -> Driver:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        (fence_action,) = driver.wait_out_hold()
+        self.assertIsInstance(fence_action, FenceReplicas)
+        return driver
+
+    def test_hold_restarts_if_a_replica_lost_its_fence(self) -> None:
+        """A restarted replica loses its fence, and may have received commits since."""
+        driver = self.driver_after_hold()
+        wait = driver.handle(FenceResults("s", self.FENCED, were_already_fenced=False))
+        self.assertEqual(wait, (ObserveAfter(PROMOTION_HOLD_SECONDS),))
+
+    def test_replica_with_a_longer_log_is_chosen_after_another_hold(self) -> None:
+        driver = self.driver_after_hold()
+        longer = {"a": status(9), "b": status(6)}
+        actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
+        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 9)), 7)
+        self.assertEqual(actions, (announce, ObserveAfter(PROMOTION_HOLD_SECONDS)))
+        (promotion,) = driver.confirm(longer)
+        assert isinstance(promotion, Promote)
+        self.assertEqual(promotion.successor, "a")
+
+    def test_late_confirmation_is_repeated(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        actions = driver.confirm(
+            self.FENCED, confirm_after=times.CONFIRMATION_SECONDS + 0.01
+        )
+        again = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old", 1)
+        self.assertEqual(actions, (again,))
+
+    def test_promotion_is_not_requested_long_after_the_confirmation(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        (promotion,) = driver.confirm(self.FENCED, confirm_after=0.1)
+        assert isinstance(promotion, Promote)
+        confirmed_until = driver.now - 0.1 + times.CONFIRMATION_SECONDS
+        self.assertAlmostEqual(promotion.deadline, confirmed_until)
+
+    def test_replica_that_registered_during_the_hold_is_fenced(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        (fence_action,) = driver.wait_out_hold(
+            replace(FAILING, replicas=("a", "b", "c"))
+        )
+        self.assertEqual(
+            fence_action, FenceReplicas("s", 2, ("a", "b", "c"), (), 0.0, "old")
+        )
+
+    def test_succession_ends_if_a_primary_appears_during_the_hold(self) -> None:
+        """Guards against losing commits of a primary that returned renamed.
+
+        It returned under another name, and acknowledged commits that the
+        successor's log lacked.
+        """
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        back = replace(HEALTHY, leader="new", replicas=("a", "b", "old"))
+        (wait,) = driver.wait_out_hold(back)
+        self.assertIsInstance(wait, ObserveAfter)
+        withdraw, unfence = driver.observe(back, times.LIFT_SECONDS)
+        self.assertIsInstance(withdraw, WithdrawChange)
+        self.assertIsInstance(unfence, UnfenceReplicas)
+        self.assertEqual(driver.state.successions, {})
+
+
+class AnnouncementTest(unittest.TestCase):
+    """The announcement of a change of primary, without which none is promoted."""
+
+    STATUSES = {"a": status(5), "b": status(6)}
+
+    def confirm(self, *events: ChangeAnnounced, is_unopposed: bool) -> tuple[str, ...]:
+        """Return the kinds of actions after a confirmation.
+
+        `events` are handled before it.
+        """
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        for event in events:
+            driver.handle(event)
+        driver.wait_out_hold()
+        confirmed = FenceResults(
+            "s",
+            self.STATUSES,
+            were_already_fenced=True,
+            fenced_at=driver.now,
+            is_unopposed=is_unopposed,
+        )
+        return tuple(type(each).__name__ for each in driver.handle(confirmed))
+
+    def test_promotion_waits_until_no_proxy_objects(self) -> None:
+        """Guards against dropping commits that other proxies reported as done."""
+        announced = ChangeAnnounced("s", 4)
+        self.assertEqual(self.confirm(announced, is_unopposed=False), ("ObserveAfter",))
+        self.assertEqual(self.confirm(announced, is_unopposed=True), ("Promote",))
+
+    def test_failed_announcement_is_repeated(self) -> None:
+        failed = ChangeAnnounced("s", 0)
+        actions = self.confirm(failed, is_unopposed=False)
+        self.assertEqual(actions, ("AnnounceChange", "ObserveAfter"))
+
+    def test_late_announcement_is_waited_for(self) -> None:
+        self.assertEqual(self.confirm(is_unopposed=False), ("ObserveAfter",))
+
+    def test_proxies_have_time_to_object(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        late = PROMOTION_HOLD_SECONDS - 0.01
+        (wait,) = driver.handle(ChangeAnnounced("s", 4), late)
+        self.assertEqual(wait, ObserveAfter(times.OBJECTION_WAIT_SECONDS))
+        self.assertEqual(driver.observe(FAILING, 0.02), ())
