Report no commit that a promotion dropped once its successor is known

A review showed by a test: a write's answer that arrives at a proxy after it has learned of the new term was reported as done, although the promotion had dropped the commit.

Cause: whether a commit is reported was asked of the change under way, and none is under way once a later term is known. The announcement now counts for commits of the ended term for its 5 s, whoever leads by then; only the refusal of new writes ends with the new term.

--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -32,15 +32,13 @@
     replaced_term: int
     log_end: Position
 
-    def drops(self, position: Position | None) -> bool:
+    def drops(self, position: Position) -> bool:
         """Return True if the promotion may drop a commit at a position.
 
         >>> change = PrimaryChange(2, Position(2, 7))
         >>> change.drops(Position(2, 8)), change.drops(Position(3, 8))
         (True, False)
         """
-        if position is None:
-            return True
         return position.term <= self.replaced_term and position > self.log_end
 
 
@@ -97,6 +95,17 @@
             return None
         return change
 
+    def drops(self, position: Position | None, term: int, now: float) -> bool:
+        """Return True if an announced promotion may drop a commit at a position.
+
+        That holds also once its successor leads. Without a position, it holds while a
+        change is under way; `term` is the newest term known.
+        """
+        if position is None:
+            return self.under_way(term, now) is not None
+        change = self._change
+        return change is not None and now <= self._until and change.drops(position)
+
     def objects_to(self, change: PrimaryChange, now: float) -> bool:
         """Return True if a commit that the promotion drops was reported as done."""
         is_recent = now <= self._reported_at + OBJECTION_SECONDS
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -234,8 +234,7 @@
     ) -> None:
         """Raise `BrokenError` if a change of primary under way may drop a commit."""
         now = self._clock()
-        change = group.change_under_way(now)
-        if change is not None and change.drops(reply.position):
+        if group.changes.drops(reply.position, group.term, now):
             acquired.pool.discard(acquired.connection)
             raise BrokenError("a change of primary may drop the commit")
         if reply.position is not None:
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -107,6 +107,15 @@
         self.assertIs(unknown.code, Code.UNKNOWN_OUTCOME)
         self.assertIsNone(done.code)
 
+    def test_dropped_commit_is_not_reported_once_the_successor_is_known(self) -> None:
+        """Guards against a late answer of the former primary."""
+        tracker = ChangeTracker()
+        tracker.announce(CHANGE, 1.0)
+        for position, expected in ((Position(1, 11), True), (Position(2, 11), False)):
+            with self.subTest(position):
+                self.assertEqual(tracker.drops(position, 2, 2.0), expected)
+        self.assertFalse(tracker.drops(None, 2, 2.0))
+
     def test_write_is_refused_at_once_while_the_primary_changes(self) -> None:
         async def work() -> tuple[Code | None, float, int]:
             fixture = GroupFixture()
