End announcements of changes that happened or were given up

A review showed by tests how writes at a primary that works could be refused for seconds: a proxy that starts reads the row of a change long past and takes it for one under way; an announcement whose write is done late, after its promoter gave up, is read by all; one that failed stays in force at its own proxy; and a promoter that ends late withdrew the announcement of a later one.

A promoter now marks its announcement as over once the new primary leads: proxies that know of it go on applying it, and those that start do not begin to. One that gives up writes the row in any case, so that writes on their way find another version, and leaves rows of later claims alone.

Also shown by the review: fences of an earlier promoter were looked for in the first round only, in which their database may be silent. Each database counts when it first answers.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -25,6 +25,7 @@
     log_end_term: Count
     log_end_index: Count
     is_withdrawn: bool = False
+    is_over: bool = False
     objection_term: Count = 0
     objection_index: Count = 0
 
@@ -51,6 +52,7 @@
             change.log_end.term,
             change.log_end.index,
             announcement.is_withdrawn,
+            announcement.is_over,
             objection.term,
             objection.index,
         )
@@ -76,6 +78,7 @@
         PrimaryChange(model.replaced_term, log_end),
         model.token,
         model.is_withdrawn,
+        model.is_over,
         objection if objection != ORIGIN else None,
         row.version,
     )
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -28,13 +28,15 @@
     """The announced change of a service's primary, as of row version `version`.
 
     `token` is the fencing token of the promoter's claim. `objection` is the position of
-    a commit that some proxy has reported, and that the promotion would drop.
+    a commit that some proxy has reported, and that the promotion would drop. Once the
+    change has happened it `is_over`.
     """
 
     service: str
     change: PrimaryChange
     token: int
     is_withdrawn: bool = False
+    is_over: bool = False
     objection: Position | None = None
     version: int = 0
 
@@ -65,12 +67,14 @@
         self._port = port
         self._clock = clock
         self._applied: dict[str, int] = {}
+        self._announced: dict[str, Announcement] = {}
 
     async def announce(self, service: str, change: PrimaryChange, token: int) -> int:
         """Announce a change; return the announcement's version, or 0 if that failed."""
         self._fleet.group(service).changes.announce(change, self._clock())
         version = self._applied.get(service, 0)
         announced = Announcement(service, change, token, version=version)
+        self._announced[service] = announced
         return await self._write(
             announced, lambda present: replace(announced, version=present.version)
         )
@@ -83,12 +87,26 @@
         changes = self._fleet.group(service).changes
         return not changes.objects_to(present.change, self._clock())
 
-    async def withdraw(self, service: str) -> None:
-        """Withdraw a service's announcement, if there is one."""
-        self._fleet.group(service).changes.withdraw()
-        present = await self._read(service)
-        if present is not None and not present.is_withdrawn:
-            await self._amend(present, lambda each: replace(each, is_withdrawn=True))
+    async def withdraw(self, service: str, token: int, is_over: bool = False) -> None:
+        """Withdraw the announcement of a claim or of an earlier one.
+
+        With `is_over` the change has happened: proxies that know of it go on applying
+        it, and others need not begin to. What this proxy announced is withdrawn also
+        while its writes have no answer, as they may still be done.
+        """
+        if not is_over:
+            self._fleet.group(service).changes.withdraw()
+        announced = self._announced.get(service)
+        is_own = announced is not None and announced.token == token
+        present = await self._read(service) or announced
+        if present is None or present.token > token:
+            return
+        ended = _ended(present, is_over)
+        if ended != present or is_own:
+            await self._write(
+                ended,
+                lambda each: _ended(each, is_over) if each.token <= token else None,
+            )
 
     def is_new(self, service: str, version: int) -> bool:
         """Return True if no announcement of that version has been applied yet."""
@@ -108,6 +126,7 @@
             changes.record_objection(announcement.objection)
         if announcement.is_withdrawn:
             changes.withdraw()
+        if announcement.is_withdrawn or announcement.is_over:
             return False
         now = self._clock()
         changes.announce(change, now)
@@ -196,3 +215,10 @@
         except PortError as error:
             logs.log(logs.AnnouncementFailed(announcement.service, f"{error!r}"))
             return 0
+
+
+def _ended(announcement: Announcement, is_over: bool) -> Announcement:
+    """Return an announcement of a change that has happened, or will not."""
+    if is_over:
+        return replace(announcement, is_over=True)
+    return replace(announcement, is_withdrawn=True)
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -47,7 +47,7 @@
             service, names, AskStatus(), former_primary
         )
         if any(_is_primary(outcome) for outcome in reported.values()):
-            return _results(action, reported)
+            return _results(action, reported, found_fenced=_fenced(reported))
         fenced_at = self._clock()
         answering = [name for name, each in reported.items() if status_of(each)]
         fenced, is_unopposed = await asyncio.gather(
@@ -66,11 +66,7 @@
                 _was_fenced(action, name, reported[name], outcomes[name])
                 for name in names
             ),
-            was_any_fenced=any(
-                status.fenced_term
-                for outcome in reported.values()
-                if (status := status_of(outcome)) is not None
-            ),
+            found_fenced=_fenced(reported),
             fenced_at=fenced_at,
             is_unopposed=is_unopposed,
         )
@@ -121,7 +117,7 @@
     outcomes: Outcomes,
     gone: frozenset[str] = frozenset(),
     were_already_fenced: bool = False,
-    was_any_fenced: bool = False,
+    found_fenced: frozenset[str] = frozenset(),
     fenced_at: float = 0.0,
     is_unopposed: bool = False,
 ) -> FenceResults:
@@ -142,7 +138,7 @@
         _names_of(outcomes, Ended),
         replacements,
         were_already_fenced,
-        was_any_fenced,
+        found_fenced,
         fenced_at,
         is_unopposed,
     )
@@ -152,6 +148,14 @@
     return frozenset(name for name, each in outcomes.items() if isinstance(each, kind))
 
 
+def _fenced(outcomes: Outcomes) -> frozenset[str]:
+    return frozenset(
+        name
+        for name, outcome in outcomes.items()
+        if (status := status_of(outcome)) is not None and status.fenced_term
+    )
+
+
 def _is_primary(outcome: Outcome) -> bool:
     status = status_of(outcome)
     return status is not None and status.is_primary
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -66,7 +66,7 @@
     clear_claim_delay,
     delay_claim,
     end_succession,
-    record_first_round,
+    record_found_fences,
     record_step_down,
     schedule_step,
     store_succession,
@@ -208,8 +208,7 @@
         found = compare(state.groups[service], succession, event)
         replacements = frozenset(event.replacements)
         succession = replace(succession, unknown_replacements=replacements)
-        if not succession.has_fenced:
-            succession = record_first_round(succession, event)
+        succession = record_found_fences(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
@@ -246,7 +245,9 @@
         change = _change_by(found)
         if found.is_former_log_reached or change == succession.announced:
             return schedule_step(state, held, now, wait)
-        announcing = replace(held, announced=change, announced_version=0)
+        announcing = replace(
+            held, announced=change, announced_version=0, has_announced=True
+        )
         state, actions = schedule_step(state, announcing, now, wait)
         announce = AnnounceChange(succession.service, change, succession.token)
         return state, (announce, *actions)
@@ -372,18 +373,21 @@
             lifting = replace(succession, phase=Phase.LIFTING)
             return schedule_step(state, lifting, now, wait)
         state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
-        if may_take_effect or now > succession.deadline:
+        if may_take_effect:
             return state, ()
+        withdraw = WithdrawChange(succession.service, succession.token, is_done)
+        own = (withdraw,) if succession.has_announced else ()
+        if now > succession.deadline:
+            return state, own
         known = view.replicas if view else ()
         replicas = tuple(name for name in known if name != succession.successor)
         others = tuple(sorted(succession.unknown_replacements - set(known)))
         unfence = UnfenceReplicas(
             succession.service, (*replicas, *others), succession.deadline
         )
-        has_announced = succession.announced or succession.cause is Cause.FENCES_LEFT
-        if has_announced and not is_done:
-            return state, (WithdrawChange(succession.service), unfence)
-        return state, (unfence,)
+        if succession.cause is Cause.FENCES_LEFT:
+            return state, (withdraw, unfence)
+        return state, (*own, unfence)
 
 
 def _change_by(found: Comparison) -> PrimaryChange:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -211,8 +211,8 @@
             case succession_state.AnnounceChange(service, change, token):
                 version = await self._announcer.announce(service, change, token)
                 return succession_state.ChangeAnnounced(service, version)
-            case succession_state.WithdrawChange(service):
-                await self._announcer.withdraw(service)
+            case succession_state.WithdrawChange(service, token, is_over):
+                await self._announcer.withdraw(service, token, is_over)
                 return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -101,7 +101,7 @@
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
     fenced before this round, except departed ones that do not answer, and
-    `was_any_fenced` if one of them had been, in whichever term. `fenced_at` is when the
+    `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
     announced and no proxy has objected.
     """
@@ -113,7 +113,7 @@
     ended: frozenset[str] = frozenset()
     replacements: Mapping[str, DatabaseStatus] = field(default_factory=dict)
     were_already_fenced: bool = False
-    was_any_fenced: bool = False
+    found_fenced: frozenset[str] = frozenset()
     fenced_at: float = 0.0
     is_unopposed: bool = False
 
@@ -215,9 +215,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawChange:
-    """A request to tell all proxies that an announced change will not happen."""
+    """A request to tell all proxies that a change announced so far will not happen.
+
+    With `is_over` it has happened, so that proxies which start now need not apply it.
+    `token` is the fencing token of this proxy's claim: later ones stay.
+    """
 
     service: str
+    token: int
+    is_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,9 +322,10 @@
     which the claim, with fencing token `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
-    fenced. `has_fenced` is True after the first round, and `confirm_not_before` the
-    time until which the promotion of an earlier claim may take effect. `announced` is
-    the change that was announced, and `announced_version` the announcement's version,
+    fenced. `fenced_here` are those that this proxy has fenced, and
+    `confirm_not_before` is the time until which the promotion of an earlier claim may
+    take effect. `announced` is the change that was announced, `has_announced` is True
+    if any was, and `announced_version` the announcement's version,
     or 0 while it is not confirmed. `promotion_may_take_effect` is True once a promotion
     was requested and not refused; `earlier_may_take_effect` tells the same of the
     promotions before the last one.
@@ -339,10 +346,11 @@
     successor: str = ""
     refused_successors: frozenset[str] = frozenset()
     unknown_replacements: frozenset[str] = frozenset()
-    has_fenced: bool = False
+    fenced_here: frozenset[str] = frozenset()
     confirm_not_before: float = 0.0
     announced: PrimaryChange | None = None
     announced_version: int = 0
+    has_announced: bool = False
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
--- a/src/beryltiller/sessions/succession/transitions.py
+++ b/src/beryltiller/sessions/succession/transitions.py
@@ -18,14 +18,20 @@
 Decision = tuple[State, tuple[Action, ...]]
 
 
-def record_first_round(succession: Succession, event: FenceResults) -> Succession:
+def record_found_fences(succession: Succession, event: FenceResults) -> Succession:
     """Record whether an earlier promoter had fenced databases.
 
     The promotion that it may have requested has then taken effect before this one is
     confirmed, or will not.
     """
-    not_before = succession.claimed_at + LIFT_SECONDS if event.was_any_fenced else 0.0
-    return replace(succession, has_fenced=True, confirm_not_before=not_before)
+    not_before = succession.confirm_not_before
+    if event.found_fenced - succession.fenced_here:
+        not_before = succession.claimed_at + LIFT_SECONDS
+    answered = {name for name, status in event.statuses.items() if status is not None}
+    fenced_here = succession.fenced_here
+    if event.fenced_at:
+        fenced_here |= answered | event.replacements.keys()
+    return replace(succession, confirm_not_before=not_before, fenced_here=fenced_here)
 
 
 def record_step_down(state: State, event: PrimarySteppedDown, service: str) -> State:
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -213,8 +213,48 @@
             self._proxy()
             others = self._newest_group.changes
             await promoter.announce("s", CHANGE, 7)
-            await promoter.withdraw("s")
+            await promoter.withdraw("s", 7)
             await pass_time(2 * FEED_SECONDS)
             return [each.under_way(1, virtual_now()) for each in (own, others)]
 
         self.assertEqual(run_virtual(work()), [None, None])
+
+    def test_change_that_is_over_is_applied_by_no_proxy_that_starts(self) -> None:
+        """Guards against refusing writes after each start of a process."""
+
+        async def work() -> list[bool]:
+            promoter = self._proxy()
+            early = self._newest_group
+            self._proxy()
+            await promoter.announce("s", CHANGE, 7)
+            await promoter.withdraw("s", 7, is_over=True)
+            late = self._proxy()
+            late.apply(self.announcements.rows["s"])
+            groups = (early, self._newest_group)
+            now = virtual_now()
+            return [each.changes.under_way(1, now) is not None for each in groups]
+
+        self.assertEqual(run_virtual(work()), [True, False])
+
+    def test_later_announcement_is_not_withdrawn(self) -> None:
+        async def work() -> Announcement:
+            first, second = self._proxy(), self._proxy()
+            await first.announce("s", CHANGE, 7)
+            await second.announce("s", PrimaryChange(2, Position(2, 20)), 8)
+            await first.withdraw("s", 7)
+            return self.announcements.rows["s"]
+
+        self.assertFalse(run_virtual(work()).is_withdrawn)
+
+    def test_announcement_that_is_done_late_is_withdrawn_before(self) -> None:
+        """Guards against refusing writes after the promoter has given up."""
+
+        async def work() -> tuple[int, bool]:
+            promoter = self._proxy()
+            self.announcements.hanging_writes = 100
+            version = await promoter.announce("s", CHANGE, 7)
+            self.announcements.hanging_writes = 0
+            await promoter.withdraw("s", 7)
+            return version, self.announcements.rows["s"].is_withdrawn
+
+        self.assertEqual(run_virtual(work()), (0, True))
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import cast
 
 from beryltiller.core.ports import Row, Write
@@ -51,7 +52,7 @@
             return before, await port.read("s"), await port.read("other")
 
         before, found, other = run_virtual(work())
-        written = Announcement("s", ANNOUNCED.change, 12, False, Position(3, 8), 5)
+        written = replace(ANNOUNCED, version=5)
         self.assertEqual((before, found, other), (None, written, None))
 
     def test_odd_row_stops_no_promotion(self) -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -21,6 +21,7 @@
     PromotionResult,
     StepDownPrimary,
     UnfenceReplicas,
+    WithdrawChange,
 )
 from tests.succession_driver import FAILING, HEALTHY, Driver, status
 
@@ -42,7 +43,8 @@
         led = replace(HEALTHY, leader="b", replicas=("a", "old"))
         deadline = driver.state.successions["s"].deadline
         unfence = UnfenceReplicas("s", ("a", "old"), deadline)
-        self.assertEqual(driver.observe(led, 0.3), (unfence,))
+        over = WithdrawChange("s", 7, is_over=True)
+        self.assertEqual(driver.observe(led, 0.3), (over, unfence))
 
     def test_group_is_observed_when_the_next_step_is_due(self) -> None:
         """Guards against steps that only ticks trigger, up to one tick late."""
@@ -178,17 +180,39 @@
 
     def test_confirmation_waits_for_the_promotion_of_an_earlier_claim(self) -> None:
         """Guards against two promotions, of which the first acknowledges commits."""
-        statuses = {"a": status(5), "b": status(6)}
-        for was_any_fenced, wait in (
-            (True, times.LIFT_SECONDS),
-            (False, PROMOTION_HOLD_SECONDS),
-        ):
-            with self.subTest(was_any_fenced=was_any_fenced):
+        own = {"a": status(5), "b": status(6)}
+        silent = {"a": None, "b": status(6)}
+        found = frozenset("a")
+        cases: tuple[tuple[str, FenceResults, FenceResults, bool], ...] = (
+            (
+                "fenced by an earlier promoter",
+                FenceResults("s", own, found_fenced=found, fenced_at=10.0),
+                FenceResults("s", own, fenced_at=10.0),
+                True,
+            ),
+            (
+                "which answers later",
+                FenceResults("s", silent, fenced_at=10.0),
+                FenceResults("s", own, found_fenced=found, fenced_at=10.0),
+                True,
+            ),
+            (
+                "by this one",
+                FenceResults("s", own, fenced_at=10.0),
+                FenceResults("s", own, found_fenced=found, fenced_at=10.0),
+                False,
+            ),
+        )
+        for name, first, second, is_later in cases:
+            with self.subTest(name):
                 driver = Driver()
                 driver.claim()
-                first = FenceResults("s", statuses, was_any_fenced=was_any_fenced)
-                actions = driver.handle(first)
-                self.assertEqual(actions[-1], ObserveAfter(wait))
+                driver.handle(first)
+                driver.observe(FAILING, PROMOTION_HOLD_SECONDS + 0.01)
+                driver.handle(second)
+                succession = driver.state.successions["s"]
+                earliest = succession.claimed_at + times.LIFT_SECONDS
+                self.assertEqual(succession.next_step_at >= earliest, is_later)
 
     def test_refused_successor_is_not_chosen_again(self) -> None:
         driver = Driver()
@@ -209,7 +233,8 @@
         driver = Driver()
         driver.claim()
         driver.report_fences({"a": status(5), "b": status(6)})
-        self.assertEqual(driver.observe(FAILING, times.DUTY_SECONDS), ())
+        actions = driver.observe(FAILING, times.DUTY_SECONDS)
+        self.assertEqual(actions, (WithdrawChange("s", 7),))
         self.assertEqual(driver.state.successions, {})
 
     def test_replicas_are_unfenced_before_the_claim_ends(self) -> None:
--- a/tests/test_succession_lifting.py
+++ b/tests/test_succession_lifting.py
@@ -47,7 +47,7 @@
         deadline = driver.state.successions["s"].deadline
         actions = driver.observe(self.LEFT, times.LIFT_SECONDS + 0.01)
         unfence = UnfenceReplicas("s", ("a", "b"), deadline)
-        self.assertEqual(actions, (WithdrawChange("s"), unfence))
+        self.assertEqual(actions, (WithdrawChange("s", 7), unfence))
         self.assertEqual(driver.state.successions, {})
 
     def test_no_fence_is_lifted_while_an_earlier_promotion_may_take_effect(
