Move the choice of a group's leader into a module

Which databases claim to lead, which claims are credible, the serials of changes of the primary and the newest term move from the group to `Leadership` in databases/leadership.py. The new module is in the list of those that do no I/O.

No behaviour changed. Run: the tests of sessions and of successions, documents and imports.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -31,6 +31,10 @@
     Sample,
     TermProofs,
 )
+from beryltiller.sessions.databases.leadership import (
+    UNCONFIRMED_SERIAL,
+    Leadership,
+)
 from beryltiller.sessions.databases.member import Lead, Member
 from beryltiller.sessions.databases.primary_change import (
     ChangeTracker,
@@ -38,11 +42,6 @@
 )
 from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
 
-# `Member.primary_serial` of a database that was first seen when the group already had
-# databases. If it claims to be primary, it is not the leader before it has confirmed
-# this when asked for its status.
-UNCONFIRMED_SERIAL = -1
-
 
 class Group:
     """One service's databases, their leader, and the evidence that they have given."""
@@ -51,9 +50,7 @@
         """Create a group without databases."""
         self.service = service
         self.members: dict[str, Member] = {}
-        self._leader: str | None = None
-        self._term = 0
-        self._newest_primary_serial = 0
+        self._leadership = Leadership()
         self._proofs = TermProofs()
         self._covers = CommitCovers(self._proofs)
         self._changes = ChangeTracker()
@@ -65,17 +62,17 @@
 
     def change_under_way(self, now: float) -> PrimaryChange | None:
         """Return the announced change of the primary in force, or None."""
-        return self._changes.under_way(self._term, now)
+        return self._changes.under_way(self._leadership.term, now)
 
     @property
     def leader(self) -> Member | None:
         """Return the database that is believed to be the primary, or None."""
-        return self.members.get(self._leader) if self._leader else None
+        return self._leadership.leader_in(self.members)
 
     @property
     def term(self) -> int:
         """Return the newest term known, or 0."""
-        return self._term
+        return self._leadership.term
 
     @property
     def newest_proof(self) -> Evidence | None:
@@ -97,7 +94,7 @@
         return tuple(
             member
             for identifier, member in self.members.items()
-            if identifier != self._leader
+            if identifier != self._leadership.identifier
         )
 
     @property
@@ -123,13 +120,7 @@
             if member is None or not is_same:
                 member = Member(database)
                 member.primary_serial = UNCONFIRMED_SERIAL if previous else 0
-            if database.is_primary != member.database.is_primary:
-                member.has_denied_lead = False
-                member.has_reported_lead = False
-                member.primary_serial = (
-                    self._next_primary_serial() if database.is_primary else 0
-                )
-                member.lead = None
+            self._leadership.record_entry(member, database)
             member.database = database
             if not database.is_draining:
                 member.draining_since = None
@@ -160,7 +151,7 @@
         if position is None:
             return
         member.record_position_asked(asked_at)
-        if position.term > self._term:
+        if position.term > self._leadership.term:
             self._enter_term(position.term)
         if member is not self.leader:
             self._record_replica_position(member, position)
@@ -221,7 +212,7 @@
         member.record_answer(None)
         member.record_fence(bool(status.fenced_term), asked_at)
         member.term = max(member.term, status.term)
-        is_newer = status.term > self._term
+        is_newer = status.term > self._leadership.term
         if is_newer:
             self._enter_term(status.term)
         if status.is_primary:
@@ -246,11 +237,11 @@
         leader = self.leader
         is_new = leader is None or (member is not leader and is_newer)
         member.record_lead(status.term, status.received)
-        if status.term >= self._term:
+        if status.term >= self._leadership.term:
             member.has_denied_lead = False
             member.has_reported_lead = True
-        if is_new and status.term >= self._term:
-            member.primary_serial = self._next_primary_serial()
+        if is_new and status.term >= self._leadership.term:
+            member.primary_serial = self._leadership.next_primary_serial()
         self._choose_leader()
 
     def record_lead(self, member: Member, asked_at: float) -> None:
@@ -390,39 +381,13 @@
         self._covers.cover_lost_log()
 
     def _enter_term(self, term: int) -> None:
-        self._term = term
+        self._leadership.term = term
         self._choose_leader()
 
-    def _next_primary_serial(self) -> int:
-        self._newest_primary_serial += 1
-        return self._newest_primary_serial
-
-    def _is_credible_leader(self, member: Member) -> bool:
-        """Return True if a member's claim to be primary is credible.
-
-        A member that was asked must be primary in the newest known term. One that was
-        not asked must be the last one observed to become primary, or have been
-        primary when this proxy first learned of the group.
-        """
-        if not member.claims_lead or member.has_denied_lead:
-            return False
-        if member.reported_primary_term:
-            return member.reported_primary_term >= self._term
-        return member.primary_serial >= self._newest_primary_serial
-
     def _choose_leader(self) -> None:
-        candidates = [
-            each for each in self.members.values() if self._is_credible_leader(each)
-        ]
-        leader = max(candidates, key=_leader_rank, default=None)
-        self._leader = leader.database.identifier if leader else None
+        self._leadership.choose(self.members.values())
 
 
 def _newest_term_first(answer: tuple[Member, DatabaseStatus]) -> int:
     _, status = answer
     return -status.term
-
-
-def _leader_rank(member: Member) -> tuple[int, int, str]:
-    """Rank by the latest change to primary, then by the newest term."""
-    return member.primary_serial, member.term, member.database.identifier
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -24,6 +24,7 @@
     "databases.catalog",
     "databases.evidence",
     "databases.groups",
+    "databases.leadership",
     "shutdown",
     "connections.connection_limits",
     "databases.member",
