Join the status queries that stood twice

Three queries of a status recorded a failure in the same way, and two acquired a connection in the same way: `_answer_or_none` and `_query` do it now.

No behaviour changed.

--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
 
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
-from beryltiller.sessions.connections.pooled_queries import run_command, run_query
+from beryltiller.sessions.connections.pooled_connection import PooledConnection
+from beryltiller.sessions.connections.pooled_queries import run_query
 from beryltiller.sessions.databases.catalog import Database, Directory
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
@@ -37,6 +39,8 @@
 # its term.
 CONFIRM_INTERVAL_SECONDS = 0.4
 
+_Answer = TypeVar("_Answer")
+
 
 class StatusQueries:
     """The status queries of one proxy, over the connection pools that it has.
@@ -68,10 +72,7 @@
 
         Raise `NoCapacityError` if callers' statements use all connections.
         """
-        pool = self._connection_pool(member.database)
-        async with asyncio.timeout(2 * STATUS_TIMEOUT_SECONDS):
-            connection = await pool.acquire({}, STATUS_TIMEOUT_SECONDS)
-            return await run_command(pool, connection, AskStatus())
+        return await self._query(member, lambda each: each.command(AskStatus()))
 
     async def prove_term(
         self, group: Group, moment: float, wait_seconds: float
@@ -176,10 +177,8 @@
 
     async def _confirm(self, group: Group, member: Member) -> None:
         asked_at = self._clock()
-        try:
-            status = await self.ask_status(member)
-        except (SessionError, TimeoutError) as error:
-            self.record_failure(member, error)
+        status = await self._answer_or_none(member)
+        if status is None:
             return
         member.record_probe_answer(self._clock())
         group.record_status(member, status, asked_at, NO_PROOF_SECONDS)
@@ -201,11 +200,8 @@
         asked_at = self._clock()
         if leader is None or group.is_lead_shown(asked_at):
             return
-        pool = self._connection_pool(leader.database)
         try:
-            async with asyncio.timeout(2 * STATUS_TIMEOUT_SECONDS):
-                connection = await pool.acquire({}, STATUS_TIMEOUT_SECONDS)
-                is_primary = await run_query(pool, connection, connection.is_primary())
+            is_primary = await self._query(leader, lambda each: each.is_primary())
         except (SessionError, TimeoutError) as error:
             self.record_failure(leader, error)
             return
@@ -277,6 +273,10 @@
         """Return a database's status, or None if it is unavailable or fails."""
         if not member.is_available(self._clock()):
             return None
+        return await self._answer_or_none(member)
+
+    async def _answer_or_none(self, member: Member) -> DatabaseStatus | None:
+        """Return a database's status, or None if the query fails."""
         try:
             return await self.ask_status(member)
         except (SessionError, TimeoutError) as error:
@@ -290,15 +290,22 @@
         counts as leader.
         """
         asked_at = self._clock()
-        try:
-            status = await self.ask_status(leader)
-        except (SessionError, TimeoutError) as error:
-            self.record_failure(leader, error)
+        status = await self._answer_or_none(leader)
+        if status is None:
             return
         group.record_status(leader, status, asked_at, NO_PROOF_SECONDS)
         if not status.is_primary or status.term < term:
             group.record_lead_denied(leader)
 
+    async def _query(
+        self, member: Member, query: Callable[[PooledConnection], Awaitable[_Answer]]
+    ) -> _Answer:
+        """Run a query at a database over a pooled connection."""
+        pool = self._connection_pool(member.database)
+        async with asyncio.timeout(2 * STATUS_TIMEOUT_SECONDS):
+            connection = await pool.acquire({}, STATUS_TIMEOUT_SECONDS)
+            return await run_query(pool, connection, query(connection))
+
     def _available_replicas(self, group: Group) -> list[Member]:
         now = self._clock()
         return [each for each in group.replicas if each.is_available(now)]
