Let a survey wait for who may have replaced a database that just ended

Cause: a database that announced its end counts as ended once its entry has gone, and the one that takes its address and log is known only by an entry that comes later.

For 8 s after its entry has gone, such a database counts as one that may receive, unless a registered one has its address; also for a change of primary, if its address is silent.

--- a/src/beryltiller/sessions/databases/catalog.py
+++ b/src/beryltiller/sessions/databases/catalog.py
@@ -10,6 +10,9 @@
 
 # The identifier of whichever database of a service answers at an address.
 ANY_DATABASE = ""
+# The entry of a database that replaces another one at its address may come this long
+# after the other one's entry has gone.
+REPLACEMENT_ENTRY_SECONDS = 8.0
 # An entry that went missing up to this long before a possible partition counts as
 # lost in it.
 PARTITION_MARGIN_SECONDS = 1.0
@@ -129,16 +132,25 @@
         )
 
     def possibly_receiving_of(
-        self, service: str, possible_partition_since: float
+        self, service: str, possible_partition_since: float, now: float
     ) -> tuple[Departed, ...]:
         """Return the departed databases that may still receive a primary's commits.
 
         Besides those of `possibly_partitioned_of` these are all that did not announce
-        that they would end: one that only lost the store runs on without its entry.
+        that they would end: one that only lost the store runs on without its entry. At
+        the address of one that ended recently, another may run that is not known yet.
         """
         partitioned = self.possibly_partitioned_of(service, possible_partition_since)
         return tuple(
             each
             for each in self.departed_of(service)
-            if each in partitioned or not each.database.is_draining
+            if each in partitioned
+            or not each.database.is_draining
+            or self._may_be_replaced_unknown(each, now)
         )
+
+    def _may_be_replaced_unknown(self, departed: Departed, now: float) -> bool:
+        if now > departed.missing_since + REPLACEMENT_ENTRY_SECONDS:
+            return False
+        address = departed.database.address
+        return all(each.address != address for each in self.databases.values())
--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -245,7 +245,7 @@
             asked_at = self._clock()
             members = tuple(group.members.values())
             departed = self._directory().possibly_receiving_of(
-                group.service, _failing_since(group)
+                group.service, _failing_since(group), asked_at
             )
             applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(*map(self._status_or_none, members))
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -86,7 +86,7 @@
         """
         directory, since = self._fleet.directory, action.possible_partition_since
         service = action.service
-        receiving = directory.possibly_receiving_of(service, since)
+        receiving = directory.possibly_receiving_of(service, since, self._clock())
         partitioned = directory.possibly_partitioned_of(service, since)
         may_run = {
             Silent: {each.database.identifier for each in receiving},
