Bound the delay of retries to a database that never answers

An entry of another writer whose address never answers broke the proxy's periodic work: after 1,024 failures, about 17 minutes, each further one raised OverflowError.

Cause: the delay doubles with each failure, and its power of two is a float that overflows, before it is limited to 1 s. It does not double more than eight times now. The test, 2,000 failures in a row, fails without that.

--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -22,6 +22,8 @@
 # failure, up to the maximum.
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.0
+# The delay does not grow after this many failures, since 2**1024 overflows a float.
+MAX_DOUBLINGS = 8
 # How long a database counts as lagging after it refused a read for that reason.
 LAG_REFUSAL_VALIDITY_SECONDS = 0.15
 # A database counts as overloaded for this long after it refused a statement for lack of
@@ -221,7 +223,8 @@
             self._failing_since = (
                 now if self._unanswered_since is None else self._unanswered_since
             )
-        delay = min(FIRST_RETRY_SECONDS * 2**self._failures, MAX_RETRY_SECONDS)
+        doublings = min(self._failures, MAX_DOUBLINGS)
+        delay = min(FIRST_RETRY_SECONDS * 2**doublings, MAX_RETRY_SECONDS)
         self._failures += 1
         self._retry_at = now + delay
 
--- a/tests/test_session_members.py
+++ b/tests/test_session_members.py
@@ -6,7 +6,10 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Route, RouteKind
 from beryltiller.sessions.databases.evidence import SAMPLE_RETENTION_SECONDS
-from beryltiller.sessions.databases.member import STALL_MEMORY_SECONDS
+from beryltiller.sessions.databases.member import (
+    MAX_RETRY_SECONDS,
+    STALL_MEMORY_SECONDS,
+)
 from beryltiller.sessions.succession.lag_relief import (
     MIN_LEAD_SECONDS,
     min_staleness_seconds,
@@ -53,6 +56,17 @@
 class FailureTest(unittest.TestCase):
     """Detection of a database that has failed."""
 
+    def test_failure_is_recorded_however_many_came_before(self) -> None:
+        """Guards against an entry whose database never answers.
+
+        After 1,024 failures, about 17 minutes, each further one raised OverflowError.
+        """
+        member = make_group().members["p"]
+        for number in range(2_000):
+            member.record_failure(float(number))
+        self.assertFalse(member.is_available(1_999.0 + MAX_RETRY_SECONDS / 2))
+        self.assertTrue(member.is_available(1_999.0 + MAX_RETRY_SECONDS))
+
     def test_lost_answer_counts_unless_others_were_answered_since(self) -> None:
         for is_answered, failing_since in ((False, 1.0), (True, None)):
             with self.subTest(is_answered=is_answered):
