Join what tests of successions and lost commits set up twice

A driver whose request for a promotion was not answered, fencing with a departed database, and the faults of a successor that enters the store late stood in several tests. No check was changed.

--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -48,6 +48,12 @@
     FaultKind.LATE_WRITES,
     FaultKind.LATE_PROMOTION,
 )
+# A replica ends, and what succeeds it starts late and enters the store late.
+UNKNOWN_SUCCESSOR = (
+    Fault(FaultKind.LATE_ENTRY, 2.0, 12.0, 0.8),
+    Fault(FaultKind.LATE_START, 2.0, 10.0, 0.5),
+    Fault(FaultKind.DRAIN_REPLICA, 3.0, 1.0, 0.1),
+)
 SECONDS = 18.0
 SEEDS = range(1000, 1010)
 PROMOTE_SECONDS = (0.3, 1.0)
@@ -126,9 +132,7 @@
     ) -> None:
         findings = run(
             3,
-            Fault(FaultKind.LATE_ENTRY, 2.0, 12.0, 0.8),
-            Fault(FaultKind.LATE_START, 2.0, 10.0, 0.5),
-            Fault(FaultKind.DRAIN_REPLICA, 3.0, 1.0, 0.1),
+            *UNKNOWN_SUCCESSOR,
             Fault(FaultKind.CUT_PROXIES, 11.1, 3.5, 0.4),
             promote_seconds=1.0,
         )
@@ -149,9 +153,7 @@
     ) -> None:
         findings = run(
             0,
-            Fault(FaultKind.LATE_ENTRY, 2.0, 12.0, 0.8),
-            Fault(FaultKind.LATE_START, 2.0, 10.0, 0.5),
-            Fault(FaultKind.DRAIN_REPLICA, 3.0, 1.0, 0.1),
+            *UNKNOWN_SUCCESSOR,
             Fault(FaultKind.CUT_HALF, 12.2, 3.5, 0.4),
         )
         self.assertEqual(findings.lost, [])
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -28,6 +28,17 @@
 class SuccessionTest(unittest.TestCase):
     """The steps of a succession: claim, fence, choose, hold, confirm, promote."""
 
+    FENCED = {"a": status(5), "b": status(6)}
+
+    def driver_without_answer(self) -> Driver:
+        """Return a driver whose request for a promotion was not answered."""
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.FENCED)
+        driver.confirm(self.FENCED)
+        driver.handle(PromotionResult("s", False, False))
+        return driver
+
     def test_complete_succession(self) -> None:
         driver = Driver()
         fence_action = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old")
@@ -128,28 +139,18 @@
         self.assertEqual(driver.state.successions, {})
 
     def test_replicas_stay_fenced_while_a_promotion_may_take_effect(self) -> None:
-        driver = Driver()
-        driver.claim()
-        statuses = {"a": status(5), "b": status(6)}
-        driver.report_fences(statuses)
-        driver.confirm(statuses)
-        driver.handle(PromotionResult("s", False, False))
+        driver = self.driver_without_answer()
         actions = driver.observe(FAILING, times.DUTY_SECONDS)
         self.assertEqual(actions, ())
         self.assertEqual(driver.state.successions, {})
 
     def test_refusal_does_not_answer_for_an_earlier_promotion(self) -> None:
         """Guards against unfencing while an unanswered request may take effect."""
-        driver = Driver()
-        driver.claim()
-        statuses = {"a": status(5), "b": status(6)}
-        driver.report_fences(statuses)
-        driver.confirm(statuses)
-        driver.handle(PromotionResult("s", False, False))
+        driver = self.driver_without_answer()
         driver.observe(FAILING, times.RETRY_SECONDS)
         confirmed = FenceResults(
             "s",
-            statuses,
+            self.FENCED,
             were_already_fenced=True,
             fenced_at=driver.now,
             is_unopposed=True,
@@ -165,12 +166,7 @@
 
     def test_no_other_database_is_promoted_while_one_may_take_over(self) -> None:
         """Guards against commits of a database whose promotion was not answered."""
-        driver = Driver()
-        driver.claim()
-        statuses = {"a": status(5), "b": status(6)}
-        driver.report_fences(statuses)
-        driver.confirm(statuses)
-        driver.handle(PromotionResult("s", False, False))
+        driver = self.driver_without_answer()
         driver.observe(FAILING, times.RETRY_SECONDS)
         longer = {"a": status(7), "b": status(6)}
         actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -61,6 +61,18 @@
     )
 
 
+async def fence_with_departed(
+    fixture: GroupFixture, departed: Departed
+) -> FenceResults:
+    """Return the results of fencing the replicas and departed database `d`."""
+    entries = fixture.fleet.directory.databases
+    fixture.fleet.register(Directory(entries, (departed,)))
+    action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
+    results = await make_runner(fixture).part().perform(action)
+    assert isinstance(results, FenceResults)
+    return results
+
+
 class DepartedTest(unittest.TestCase):
     """Departed databases, which are gone if they departed before the primary failed."""
 
@@ -76,12 +88,7 @@
             )
             entry = fixture.databases["d"].entry()
             departed = Departed(replace(entry, is_draining=is_draining), missing_since)
-            entries = fixture.fleet.directory.databases
-            fixture.fleet.register(Directory(entries, (departed,)))
-            action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
-            results = await make_runner(fixture).part().perform(action)
-            assert isinstance(results, FenceResults)
-            return results
+            return await fence_with_departed(fixture, departed)
 
         return "d" in run_virtual(work()).gone
 
@@ -296,12 +303,7 @@
             fixture.databases["d"] = FakeDatabase("d", is_unreachable=True)
             entry = replace(fixture.far.entry(), identifier="d", is_draining=True)
             departed = Departed(entry, -30.0)
-            entries = fixture.fleet.directory.databases
-            fixture.fleet.register(Directory(entries, (departed,)))
-            action = FenceReplicas("s", 2, ("near", "far"), ("d",), virtual_now())
-            results = await make_runner(fixture).part().perform(action)
-            assert isinstance(results, FenceResults)
-            return results
+            return await fence_with_departed(fixture, departed)
 
         results = run_virtual(work())
         self.assertTrue(results.were_already_fenced)
