Share the simulated call to the store, and the case with a fake store

The duty and the announcements of simulated proxies take the same time for a call and fail beyond the same partitions; `call_store` does it for both. The case with a fake store and its client moves to tests/store_test_case.py, which the tests of odd answers use too. No check was changed.

--- a/tests/simulated_announcements.py
+++ b/tests/simulated_announcements.py
@@ -12,6 +12,7 @@
     UNANSWERED_SECONDS,
     UNANSWERED_SHARE,
     Surroundings,
+    call_store,
 )
 
 LOST_SHARE = 0.05
@@ -25,11 +26,11 @@
         self._proxy = proxy
 
     async def read(self, service: str) -> Announcement | None:
-        await self._call()
+        await call_store(self._simulation, self._proxy)
         return self._simulation.store.announcements.get(service)
 
     async def write(self, announcement: Announcement) -> int:
-        await self._call()
+        await call_store(self._simulation, self._proxy)
         simulation = self._simulation
         if simulation.lateness.writes and simulation.rng.random() < UNANSWERED_SHARE:
             simulation.group.spawn(self._write_late(announcement))
@@ -53,10 +54,3 @@
         await asyncio.sleep(self._simulation.rng.uniform(*LATE_SECONDS))
         with suppress(RefusedError):
             self._write(announcement)
-
-    async def _call(self) -> None:
-        await self._proxy.pass_gate()
-        await asyncio.sleep(self._simulation.rng.uniform(0.005, 0.04))
-        await self._proxy.pass_gate()
-        if not self._simulation.reaches_store(self._proxy.name):
-            raise RefusedError("unreachable")
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -118,6 +118,15 @@
         ...
 
 
+async def call_store(simulation: Surroundings, proxy: Caller) -> None:
+    """Take the time of a proxy's call to the store, which fails beyond a partition."""
+    await proxy.pass_gate()
+    await asyncio.sleep(simulation.rng.uniform(0.005, 0.04))
+    await proxy.pass_gate()
+    if not simulation.reaches_store(proxy.name):
+        raise RefusedError("unreachable")
+
+
 class DutyStore:
     """One proxy's calls to the store for the promotion duty."""
 
@@ -126,11 +135,11 @@
         self._proxy = proxy
 
     async def read(self, table: str, key: str) -> DatedRow:
-        await self._call()
+        await call_store(self._simulation, self._proxy)
         return DatedRow(self._simulation.store.duty, round(virtual_now() * 1000))
 
     async def commit(self, writes: tuple[Write, ...]) -> int:
-        await self._call()
+        await call_store(self._simulation, self._proxy)
         simulation, write = self._simulation, writes[0]
         if simulation.lateness.writes and simulation.rng.random() < UNANSWERED_SHARE:
             simulation.group.spawn(self._write_late(write))
@@ -164,13 +173,6 @@
             f"{self._proxy.name}'s claim is written late, version {version}"
         )
 
-    async def _call(self) -> None:
-        await self._proxy.pass_gate()
-        await asyncio.sleep(self._simulation.rng.uniform(0.005, 0.04))
-        await self._proxy.pass_gate()
-        if not self._simulation.reaches_store(self._proxy.name):
-            raise RefusedError("unreachable")
-
 
 class SimulatedDuty(Duty):
     """The promotion duty with the real claim and a simulated promotion call."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,6 @@
 from typing import Any
 from unittest import mock
 
-import aiohttp
 import eliot
 import msgspec
 from aiohttp import web
@@ -41,7 +40,6 @@
 from beryltiller.platform import databases, records, wire
 from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
 from beryltiller.platform.settings import SettingsFileError, read_settings_file
-from beryltiller.platform.store import StoreClient
 from beryltiller.primaries import term_rows
 from beryltiller.process import periodic
 from beryltiller.sessions.errors import NotSentError
@@ -57,8 +55,8 @@
 from beryltiller.sessions.tables.relay_runner import FeederLeaseStore, RelayRunner
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 from tests import servers
-from tests.fake_store import FakeStore
 from tests.servers import until
+from tests.store_test_case import StoreTestCase
 from tests.test_platform_node import CONFIGURATION
 from tests.test_platform_records import ENTRY, entry
 from tests.test_platform_settings import SETTINGS
@@ -586,16 +584,9 @@
                 relay_messages.decode(data)
 
 
-class OddStoreAnswerTest(unittest.IsolatedAsyncioTestCase):
+class OddStoreAnswerTest(StoreTestCase):
     """An answer of the store that cannot be decoded is a failed request."""
 
-    async def asyncSetUp(self) -> None:
-        self.fake = FakeStore()
-        runner, self.address = await self.fake.start()
-        self.addAsyncCleanup(runner.cleanup)
-        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
-        self.store = StoreClient(self.session, self.address)
-
     def answer_with(self, body: bytes) -> None:
         """Answer every later request to the store with `body`."""
         answer = mock.patch.object(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,11 +1,8 @@
 """Tests of the store's client and of the promotion duty, with a fake store."""
 
-import time
-import unittest
 from typing import Any
 from unittest import mock
 
-import aiohttp
 from aiohttp import web
 
 from beryltiller.core.ports import (
@@ -14,24 +11,9 @@
     RefusedError,
     Write,
 )
-from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
+from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE
 from beryltiller.platform.store import StoreClient
-from tests.fake_store import FakeStore
-
-
-class StoreTestCase(unittest.IsolatedAsyncioTestCase):
-    """A fake store and a client of it."""
-
-    async def asyncSetUp(self) -> None:
-        self.fake = FakeStore()
-        runner, self.address = await self.fake.start()
-        self.addAsyncCleanup(runner.cleanup)
-        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
-        self.store = StoreClient(self.session, self.address)
-
-    def duty(self, holder: str) -> Duty:
-        """Return the duty as the proxy on host `holder` uses it."""
-        return Duty(self.session, self.store, self.address, holder, time.monotonic)
+from tests.store_test_case import StoreTestCase
 
 
 class StoreTest(StoreTestCase):
