Part the comparison of logs into steps that read one by one

The reason for which a silent database is left out was chosen in one expression; it is a loop now, and the change of primary that a comparison stands for is a property of it. No behaviour changed: the tests of successions pass as they were.

--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -9,6 +9,7 @@
 from enum import Enum, unique
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession.state import (
     FenceResults,
@@ -58,6 +59,11 @@
     is_former_log_reached: bool
     successor: str
 
+    @property
+    def change(self) -> PrimaryChange:
+        """Return the change of primary that promotes the successor."""
+        return PrimaryChange(self.newest_term, self.longest)
+
     @property
     def is_conclusive(self) -> bool:
         """Return True if all that may hold commits are fenced and one can succeed."""
@@ -84,22 +90,19 @@
         and succession.former_term >= newest_term
         and longest >= succession.former_log_end
     )
-    has_former_leader = any(
-        name in view.former_leaders and each.term >= newest_term
+    former_leaders = [
+        name
         for name, each in answers.items()
-    )
-    left_out = {
-        name: reason
-        for name in silent
-        if (
-            reason := (
-                LeftOut.FORMER_LOG_REACHED
-                if is_former_log_reached
-                or (has_former_leader and name in view.departed)
-                else _left_out(name, view, results, longest)
-            )
-        )
-    }
+        if name in view.former_leaders and each.term >= newest_term
+    ]
+    left_out: dict[str, LeftOut] = {}
+    for name in silent:
+        is_departed_beside_leader = bool(former_leaders) and name in view.departed
+        reason = _left_out(name, view, results, longest)
+        if is_former_log_reached or is_departed_beside_leader:
+            reason = LeftOut.FORMER_LOG_REACHED
+        if reason is not None:
+            left_out[name] = reason
     term = succession.term
     return Comparison(
         primaries={name: each for name, each in everyone.items() if each.is_primary},
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -14,7 +14,6 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
-from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.succession.causes import (
     cause_of_claim,
     possible_partition_start,
@@ -225,7 +224,7 @@
         )
         if not is_confirmed:
             return self._hold(state, succession, found, now)
-        is_announced = succession.announced == _change_by(found)
+        is_announced = succession.announced == found.change
         # A primary that has stepped down acknowledges nothing that the log lacks.
         if found.is_former_log_reached or (is_announced and event.is_unopposed):
             basis = promotion_basis(state.groups[service], succession, event, found)
@@ -242,7 +241,7 @@
         wait = max(PROMOTION_HOLD_SECONDS, succession.confirm_not_before - now)
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
-        change = _change_by(found)
+        change = found.change
         if found.is_former_log_reached or change == succession.announced:
             return schedule_step(state, held, now, wait)
         announcing = replace(
@@ -390,10 +389,6 @@
         return state, (*own, unfence)
 
 
-def _change_by(found: Comparison) -> PrimaryChange:
-    return PrimaryChange(found.newest_term, found.longest)
-
-
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
     if phase is Phase.CONFIRMING:
