Keep what a change of primary dropped for good once it has happened

A review showed by a test: the commit of an open transaction at a primary that was replaced, which had not noticed and has a new replica, was reported as done if its answer came more than 5 s after the announcement, or at a proxy that started after the change.

Cause: the announcement counted for 5 s only, and a proxy that first read it when it was over did not apply it at all. Once the change has happened there is nothing to wait for: commits of the ended term beyond the successor's log are dropped, and every proxy keeps that. The test checks it 5 s later.

--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -14,7 +14,8 @@
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.member import NEVER
 
-# An announced promotion has taken effect by then, or will not be requested any more.
+# A promotion is requested up to 2.8 s after the claim, which comes before the
+# announcement; it has taken effect by then.
 CHANGE_SECONDS = 5.0
 # The entry of a database that joined is known to all proxies after this time. It is no
 # reason to object for longer: a position that was answered with may include a commit
@@ -55,6 +56,7 @@
         """Create a tracker without a change or a commit."""
         self._change: PrimaryChange | None = None
         self._until = NEVER
+        self._over: PrimaryChange | None = None
         self._reported_anywhere = ORIGIN
         self._reported = ORIGIN
         self._reported_at = NEVER
@@ -74,6 +76,10 @@
         self._change = change
         self._until = now + CHANGE_SECONDS
 
+    def record_over(self, change: PrimaryChange) -> None:
+        """Record that a change has happened: what it drops is dropped for good."""
+        self._over = change
+
     def record_objection(self, reported: Position) -> None:
         """Record that a proxy objected, as it has reported a commit at a position."""
         self._reported_anywhere = max(self._reported_anywhere, reported)
@@ -98,13 +104,14 @@
     def drops(self, position: Position | None, term: int, now: float) -> bool:
         """Return True if an announced promotion may drop a commit at a position.
 
-        That holds also once its successor leads. Without a position, it holds while a
-        change is under way; `term` is the newest term known.
+        That holds also once its successor leads, and for good once that is known to.
+        Without a position, it holds while a change is under way; `term` is the newest
+        term known.
         """
         if position is None:
             return self.under_way(term, now) is not None
-        change = self._change
-        return change is not None and now <= self._until and change.drops(position)
+        changes = [self._over, self._change if now <= self._until else None]
+        return any(change.drops(position) for change in changes if change)
 
     def objects_to(self, change: PrimaryChange, now: float) -> bool:
         """Return True if a commit that the promotion drops was reported as done."""
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -126,6 +126,8 @@
             changes.record_objection(announcement.objection)
         if announcement.is_withdrawn:
             changes.withdraw()
+        if announcement.is_over:
+            changes.record_over(change)
         if announcement.is_withdrawn or announcement.is_over:
             return False
         now = self._clock()
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -115,6 +115,10 @@
             with self.subTest(position):
                 self.assertEqual(tracker.drops(position, 2, 2.0), expected)
         self.assertFalse(tracker.drops(None, 2, 2.0))
+        late = 1.1 + CHANGE_SECONDS
+        self.assertFalse(tracker.drops(Position(1, 11), 2, late))
+        tracker.record_over(CHANGE)
+        self.assertTrue(tracker.drops(Position(1, 11), 2, late))
 
     def test_write_is_refused_at_once_while_the_primary_changes(self) -> None:
         async def work() -> tuple[Code | None, float, int]:
