Wait for the entry of a primary that a process has not seen yet

A process that had just started knew one database, took its group for one without a primary, and promoted it after 4 s; the primary, with the other replica, went on acknowledging through a proxy that had not restarted.

The 4 s counted from the start of the process, also while nothing was known of the group, so that the first entry to come back was promoted at once.

A process that has seen no primary of a group now counts the 4 s anew whenever an entry appears, and waits 20 s before it promotes a single replica. What the policy is told of the groups is in a module of its own now, without other changes. After 20 s a single replica is promoted as before, as the others may be lost.

--- a/src/beryltiller/sessions/succession/causes.py
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -16,6 +16,9 @@
 # A replica is promoted in a service without a primary after this time. Registry entries
 # that lapsed by mistake have returned by then, also for a process that just started.
 PRIMARYLESS_SECONDS = 4.0
+# A single replica is promoted after this time by a process that has seen no primary of
+# its group: the primary and another replica may have lost no more than their entries.
+LONE_REPLICA_SECONDS = 20.0
 # Fences of a primary that works are lifted once they have been seen for this long. That
 # is more than a succession takes.
 FENCED_SECONDS = 2.0
@@ -35,11 +38,10 @@
     if not view.replicas:
         return None
     if view.leader is None:
-        return (
-            Cause.NO_PRIMARY
-            if _has_lasted(view.primaryless_since, now, PRIMARYLESS_SECONDS)
-            else None
-        )
+        is_lone = view.leader_healthy_until is None and len(view.replicas) == 1
+        seconds = LONE_REPLICA_SECONDS if is_lone else PRIMARYLESS_SECONDS
+        is_due = _has_lasted(view.primaryless_since, now, seconds)
+        return Cause.NO_PRIMARY if is_due else None
     if _has_lasted(view.failing_since, now, FAILING_SECONDS):
         return Cause.FAILING
     if _has_lasted(view.stalled_since, now, STALLED_SECONDS):
--- /dev/null
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -0,0 +1,104 @@
+"""Observation of the groups: what the succession policy is told of each one."""
+
+from collections.abc import Callable
+
+from beryltiller.observability import logs
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.succession import lag_relief
+from beryltiller.sessions.succession.state import GroupsObserved, GroupView
+
+
+class GroupObserver:
+    """Observes a fleet's groups, and remembers since when a condition has held."""
+
+    def __init__(self, fleet: Fleet, is_store_reachable: Callable[[], bool]) -> None:
+        """Observe the groups of `fleet`."""
+        self._fleet = fleet
+        self._is_store_reachable = is_store_reachable
+        self._primaryless_since: dict[str, float] = {}
+        self._known: dict[str, frozenset[str]] = {}
+        self._leader_healthy_until: dict[str, float] = {}
+        self._overloaded_alone_since: dict[str, float] = {}
+        self._leader_since: dict[str, float] = {}
+        self._logged_leaders: dict[str, str] = {}
+
+    def observe(self, now: float) -> GroupsObserved:
+        """Return an observation of all groups at `now`."""
+        views = tuple(self._view(group, now) for group in tuple(self._fleet.groups()))
+        return GroupsObserved(views, self._is_store_reachable())
+
+    def _view(self, group: Group, now: float) -> GroupView:
+        leader = group.leader
+        service = group.service
+        if leader is not None:
+            self._primaryless_since.pop(service, None)
+            failing_since = leader.failing_since
+            self._leader_healthy_until[service] = (
+                now if failing_since is None else failing_since
+            )
+        else:
+            self._record_primaryless(group, now)
+        self._record_leader_change(group, leader, now)
+        self._record_relief_needed(group, now)
+        departed = self._fleet.directory.departed_of(service)
+        fenced = (member.fenced_since for member in group.fenced_replicas)
+        return GroupView(
+            service,
+            leader.database.identifier if leader else None,
+            leader.database.is_draining if leader else False,
+            group.term,
+            tuple(member.database.identifier for member in group.replicas),
+            frozenset(
+                member.database.identifier
+                for member in group.replicas
+                if member.database.is_draining
+            ),
+            tuple(each.database.identifier for each in departed),
+            leader.failing_since if leader else None,
+            leader.stalled_since(now) if leader else None,
+            self._primaryless_since.get(service),
+            self._overloaded_alone_since.get(service),
+            self._leader_healthy_until.get(service),
+            group.lost_log_covered_by,
+            min((each for each in fenced if each is not None), default=None),
+            frozenset(
+                member.database.identifier
+                for member in group.replicas
+                if member.led_term and member.led_term == group.term
+            ),
+        )
+
+    def _record_primaryless(self, group: Group, now: float) -> None:
+        """Record since when a group has had no primary.
+
+        A process that has seen none yet counts anew when an entry appears: after an
+        outage of the store the primary's may be among the last ones.
+        """
+        service, known = group.service, frozenset(group.members)
+        is_returning = known > self._known.get(service, frozenset())
+        self._known[service] = known
+        if is_returning and service not in self._leader_healthy_until:
+            self._primaryless_since[service] = now
+        self._primaryless_since.setdefault(service, now)
+
+    def _record_relief_needed(self, group: Group, now: float) -> None:
+        """Record since when the leader is overloaded and no replica can help it."""
+        configuration = self._fleet.configuration
+        routes = configuration.routes.values() if configuration else ()
+        staleness = lag_relief.min_staleness_seconds(routes, group.service)
+        leader_since = self._leader_since.get(group.service, now)
+        if lag_relief.needs_relief(group, staleness, leader_since, now):
+            self._overloaded_alone_since.setdefault(group.service, now)
+        else:
+            self._overloaded_alone_since.pop(group.service, None)
+
+    def _record_leader_change(
+        self, group: Group, leader: Member | None, now: float
+    ) -> None:
+        name = leader.database.identifier if leader else ""
+        if self._logged_leaders.get(group.service, "") != name:
+            self._logged_leaders[group.service] = name
+            self._leader_since[group.service] = now
+            logs.log(logs.LeaderChanged(group.service, name, group.term))
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -24,11 +24,12 @@
     StepDown,
     Unfence,
 )
-from beryltiller.sessions.succession import lag_relief, times
 from beryltiller.sessions.succession import state as succession_state
+from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
+from beryltiller.sessions.succession.observer import GroupObserver
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
 PART_NAME = "succession"
@@ -94,19 +95,14 @@
         """
         self._fleet = fleet
         self._duty = duty
-        self._is_store_reachable = is_store_reachable
+        self._observer = GroupObserver(fleet, is_store_reachable)
         self._policy = SuccessionPolicy(rng)
         self._rng = rng
         self._next_fence_check: dict[str, float] = {}
         self._clock = clock
-        self._primaryless_since: dict[str, float] = {}
-        self._leader_healthy_until: dict[str, float] = {}
-        self._overloaded_alone_since: dict[str, float] = {}
-        self._leader_since: dict[str, float] = {}
         self._commands = GroupCommands(fleet, clock)
         self._announcer = announcer
         self._fencer = Fencer(fleet, self._commands, announcer, clock)
-        self._logged_leaders: dict[str, str] = {}
         self._newest_token = 0
 
     def part(
@@ -133,75 +129,10 @@
             return state, (ObserveGroups(),)
         return self._policy.decide(state, event, self._clock())
 
-    def _observe(self, now: float) -> succession_state.GroupsObserved:
-        views = tuple(self._view(group, now) for group in tuple(self._fleet.groups()))
-        return succession_state.GroupsObserved(views, self._is_store_reachable())
-
-    def _view(self, group: Group, now: float) -> succession_state.GroupView:
-        leader = group.leader
-        service = group.service
-        if leader is not None:
-            self._primaryless_since.pop(service, None)
-            failing_since = leader.failing_since
-            self._leader_healthy_until[service] = (
-                now if failing_since is None else failing_since
-            )
-        else:
-            self._primaryless_since.setdefault(service, now)
-        self._record_leader_change(group, leader, now)
-        self._record_relief_needed(group, now)
-        departed = self._fleet.directory.departed_of(service)
-        fenced = (member.fenced_since for member in group.fenced_replicas)
-        return succession_state.GroupView(
-            service,
-            leader.database.identifier if leader else None,
-            leader.database.is_draining if leader else False,
-            group.term,
-            tuple(member.database.identifier for member in group.replicas),
-            frozenset(
-                member.database.identifier
-                for member in group.replicas
-                if member.database.is_draining
-            ),
-            tuple(each.database.identifier for each in departed),
-            leader.failing_since if leader else None,
-            leader.stalled_since(now) if leader else None,
-            self._primaryless_since.get(service),
-            self._overloaded_alone_since.get(service),
-            self._leader_healthy_until.get(service),
-            group.lost_log_covered_by,
-            min((each for each in fenced if each is not None), default=None),
-            frozenset(
-                member.database.identifier
-                for member in group.replicas
-                if member.led_term and member.led_term == group.term
-            ),
-        )
-
-    def _record_relief_needed(self, group: Group, now: float) -> None:
-        """Record since when the leader is overloaded and no replica can help it."""
-        configuration = self._fleet.configuration
-        routes = configuration.routes.values() if configuration else ()
-        staleness = lag_relief.min_staleness_seconds(routes, group.service)
-        leader_since = self._leader_since.get(group.service, now)
-        if lag_relief.needs_relief(group, staleness, leader_since, now):
-            self._overloaded_alone_since.setdefault(group.service, now)
-        else:
-            self._overloaded_alone_since.pop(group.service, None)
-
-    def _record_leader_change(
-        self, group: Group, leader: Member | None, now: float
-    ) -> None:
-        name = leader.database.identifier if leader else ""
-        if self._logged_leaders.get(group.service, "") != name:
-            self._logged_leaders[group.service] = name
-            self._leader_since[group.service] = now
-            logs.log(logs.LeaderChanged(group.service, name, group.term))
-
     async def _perform(self, action: Action) -> succession_state.Event | None:
         match action:
             case ObserveGroups():
-                return self._observe(self._clock())
+                return self._observer.observe(self._clock())
             case succession_state.ClaimDuty():
                 return await self._claim(action)
             case succession_state.StepDownPrimary():
@@ -216,7 +147,7 @@
                 return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
-                return self._observe(self._clock())
+                return self._observer.observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
             case succession_state.UnfenceReplicas(service, replicas, deadline):
