Let time pass in the fake of announcements without a sleep

The fake store's calls took their time by a sleep of the event loop, which on the virtual clock waits for nothing but reads like a real one. The tests that use the fake pass as they were.

--- a/tests/fake_announcements.py
+++ b/tests/fake_announcements.py
@@ -6,10 +6,12 @@
 from beryltiller.core.ports import LostAnswerError, RefusedError
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.succession.announcer import Announcement, Announcer
-from tests.virtual_loop import virtual_now
+from tests.virtual_loop import pass_time, virtual_now
 
 # How long after a write the proxies have read it.
 FEED_SECONDS = 0.02
+# How long the store takes to answer.
+CALL_SECONDS = 0.005
 
 
 @dataclass
@@ -58,7 +60,7 @@
         return self.version
 
     async def _call(self) -> None:
-        await asyncio.sleep(0.005)
+        await pass_time(CALL_SECONDS)
         if self.is_down:
             raise RefusedError("status 503")
 
