Show by a test that commits reported beyond a cut are lost

A primary, a database whose entry has not reached the store and a proxy are cut off together from the rest. The primary acknowledges commits once the unknown database has them, the proxy reports them, and a promoter beyond the cut fences and compares only the databases that it knows. The proxy hears of no announcement and cannot object.

--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -159,6 +159,21 @@
         self.assertEqual(findings.lost, [])
         self.assertEqual(findings.replaced_commits, [])
 
+    def test_commits_reported_beyond_a_cut_from_the_promoter_and_the_store_are_kept(
+        self,
+    ) -> None:
+        broken = {}
+        for seed, choice in ((0, 0.76), (23, 0.95), (104, 0.87)):
+            findings = run(
+                seed,
+                Fault(FaultKind.LATE_ENTRY, 2.0, 8.0, 0.9),
+                Fault(FaultKind.JOIN, 3.0, 3.0, 0.9),
+                Fault(FaultKind.CUT_HALF, 5.5, 4.0, choice),
+            )
+            if findings.lost or findings.replaced_commits:
+                broken[seed] = len(findings.lost), len(findings.replaced_commits)
+        self.assertEqual(broken, {})
+
     def test_reads_include_commits_that_an_unknown_joining_database_received(
         self,
     ) -> None:
