Report a commit once a registered replica is shown to have it

With one synchronous copy a primary acknowledges a commit once some database has received it, and does not say which. A promoter fences and compares registered databases only, and a proxy beyond a cut hears of no announcement, so that it cannot object.

A proxy now reports a commit only once a registered replica has shown that its log reaches it. That replica is fenced and compared by any promoter, and counted by surveys. While the registered databases have not changed for 10 s, the store is followed and a replica was shown to receive the primary's commits within the last second, no question is asked. Writes are refused at once while an earlier one has waited for its receipt for 0.25 s, and where no replica can be asked.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -20,6 +20,7 @@
 )
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.receipt_queries import ReceiptQueries
 from beryltiller.sessions.databases.status_queries import (
     STATUS_TIMEOUT_SECONDS,
     StatusQueries,
@@ -80,12 +81,25 @@
             self.connection_pool, lambda: self._directory, clock
         )
         self._follows_store = False
+        self._receipts = ReceiptQueries(
+            self._status_queries.ask_status, self.is_local, clock
+        )
 
     @property
     def configuration(self) -> Configuration | None:
         """Return the active configuration, or None before the first one."""
         return self._configuration
 
+    @property
+    def follows_store(self) -> bool:
+        """Return True while changes of the databases' entries arrive from the store."""
+        return self._follows_store
+
+    @property
+    def receipts(self) -> ReceiptQueries:
+        """Return the queries that show whether replicas have received commits."""
+        return self._receipts
+
     @property
     def directory(self) -> Directory:
         """Return the databases registered at present."""
@@ -286,6 +300,7 @@
     def close(self) -> None:
         """Cancel status queries and close all connection pools."""
         self._status_queries.close()
+        self._receipts.close()
         for pool in self._connection_pools.values():
             pool.close()
 
--- /dev/null
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -0,0 +1,133 @@
+"""Status queries that show whether a registered replica has received a commit.
+
+All commits of a group that wait share the queries under way. Use this on a single event
+loop.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from beryltiller.core.position import Position
+from beryltiller.sessions.databases import receipts
+from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.errors import SessionError
+from beryltiller.sessions.statements import DatabaseStatus
+
+# How long one replica is waited for before another one is asked too.
+HEDGE_SECONDS = 0.02
+# The time between two rounds in which all replicas are asked.
+ROUND_PAUSE_SECONDS = 0.01
+# New writes are refused while a commit has waited for its receipt for this long.
+MAX_WAIT_SECONDS = 0.25
+
+AskStatus = Callable[[Member], Awaitable[DatabaseStatus]]
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _WaitingCommit:
+    """A commit that `source` acknowledged, and since when its receipt is awaited."""
+
+    source: Member
+    position: Position
+    since: float
+    received: asyncio.Future[None]
+
+
+class ReceiptQueries:
+    """Waits until replicas show that they have received commits."""
+
+    def __init__(
+        self,
+        ask_status: AskStatus,
+        is_local: Callable[[Member], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        """Query replicas by `ask_status`, those for which `is_local` holds first."""
+        self._ask_status = ask_status
+        self._is_local = is_local
+        self._clock = clock
+        self._waiting: dict[str, list[_WaitingCommit]] = {}
+        self._rounds: dict[str, asyncio.Task[None]] = {}
+        self._queries: set[asyncio.Task[None]] = set()
+
+    def is_overdue(self, service: str) -> bool:
+        """Return True if a commit has waited for its receipt for long.
+
+        Further writes would wait as long, and their outcomes would be unknown too.
+        """
+        latest = self._clock() - MAX_WAIT_SECONDS
+        return any(each.since < latest for each in self._waiting.get(service, ()))
+
+    async def wait(
+        self, group: Group, source: Member, position: Position, deadline: float
+    ) -> bool:
+        """Wait until a replica has a commit of `source`; return False at `deadline`."""
+        if receipts.is_received(group, source, position):
+            return True
+        received = asyncio.get_running_loop().create_future()
+        commit = _WaitingCommit(source, position, self._clock(), received)
+        waiting = self._waiting.setdefault(group.service, [])
+        waiting.append(commit)
+        self._start_rounds(group)
+        try:
+            await asyncio.wait((received,), timeout=max(0.0, deadline - commit.since))
+            return received.done()
+        finally:
+            waiting.remove(commit)
+
+    def close(self) -> None:
+        """Cancel all queries under way."""
+        for task in (*self._rounds.values(), *self._queries):
+            task.cancel()
+
+    def _start_rounds(self, group: Group) -> None:
+        rounds = self._rounds.get(group.service)
+        if rounds is None or rounds.done():
+            self._rounds[group.service] = asyncio.create_task(self._ask(group))
+
+    async def _ask(self, group: Group) -> None:
+        """Ask the replicas in rounds until no commit waits for its receipt."""
+        while self._is_waiting(group):
+            for replica in self._by_preference(group):
+                query = asyncio.create_task(self._ask_replica(group, replica))
+                self._queries.add(query)
+                query.add_done_callback(self._queries.discard)
+                await asyncio.wait((query,), timeout=HEDGE_SECONDS)
+                if not self._is_waiting(group):
+                    return
+            await asyncio.sleep(ROUND_PAUSE_SECONDS)
+
+    def _is_waiting(self, group: Group) -> bool:
+        """Return True if a commit waits, once those that were received are told."""
+        waiting = [
+            each for each in self._waiting[group.service] if not each.received.done()
+        ]
+        for each in waiting:
+            if receipts.is_received(group, each.source, each.position):
+                each.received.set_result(None)
+        return not all(each.received.done() for each in waiting)
+
+    def _by_preference(self, group: Group) -> list[Member]:
+        """Return the replicas to ask; the log of a draining one may soon be gone."""
+        now = self._clock()
+        replicas = [each for each in group.replicas if each.is_available(now)]
+        return sorted(
+            replicas,
+            key=lambda each: (
+                each.database.is_draining,
+                not self._is_local(each),
+                each.expected_latency_seconds(),
+            ),
+        )
+
+    async def _ask_replica(self, group: Group, replica: Member) -> None:
+        asked_at = self._clock()
+        try:
+            status = await self._ask_status(replica)
+        except (SessionError, TimeoutError):
+            # Another replica, or a later round, may show the receipt.
+            return
+        group.record_status(replica, status, asked_at, NO_PROOF_SECONDS)
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -9,6 +9,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
+from beryltiller.sessions.databases import receipts
 from beryltiller.sessions.databases.catalog import Configuration, Route
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
@@ -94,6 +95,8 @@
         """Place a statement at the leader; search for one if none is usable."""
         if group.change_under_way(self._clock()) is not None:
             return None
+        if self._needs_receipt(group) and not self._may_show_receipt(group):
+            return None
         placement = self._placer.place_leader(group, self._clock(), tried)
         if placement is not None:
             return placement
@@ -225,14 +228,17 @@
         finally:
             member.record_end(self._clock(), is_answered)
         if reply.code is None and _is_commit_of_write(session, request):
-            self._check_commit(group, acquired, reply)
+            await self._check_commit(group, acquired, reply, deadline)
         self._record_reply(session, group, acquired.placement, request, reply, asked_at)
         return reply
 
-    def _check_commit(
-        self, group: Group, acquired: AcquiredConnection, reply: Reply
+    async def _check_commit(
+        self, group: Group, acquired: AcquiredConnection, reply: Reply, deadline: float
     ) -> None:
-        """Raise `BrokenError` if a change of primary under way may drop a commit."""
+        """Raise `BrokenError` if a change of primary may drop a commit."""
+        if not await self._is_kept(group, acquired.placement.member, reply, deadline):
+            acquired.pool.discard(acquired.connection)
+            raise BrokenError("no registered replica is known to have the commit")
         now = self._clock()
         if group.changes.drops(reply.position, group.term, now):
             acquired.pool.discard(acquired.connection)
@@ -240,6 +246,33 @@
         if reply.position is not None:
             group.changes.record_reported(reply.position, now)
 
+    async def _is_kept(
+        self, group: Group, member: Member, reply: Reply, deadline: float
+    ) -> bool:
+        """Return True if a registered replica has a commit, as far as that matters.
+
+        Wait until one shows it, if need be.
+        """
+        if reply.position is None or not self._needs_receipt(group):
+            return True
+        return await self._fleet.receipts.wait(group, member, reply.position, deadline)
+
+    def _needs_receipt(self, group: Group) -> bool:
+        """Return True if commits are reported only once a replica shows them."""
+        configuration = self._fleet.configuration
+        services = configuration.services if configuration else {}
+        service = services.get(group.service)
+        if service is None or not service.sync_replicas:
+            return False
+        return receipts.needs_receipt(group, self._fleet.follows_store, self._clock())
+
+    def _may_show_receipt(self, group: Group) -> bool:
+        """Return False if it is known that a commit's receipt would not be shown."""
+        if self._fleet.receipts.is_overdue(group.service):
+            return False
+        now = self._clock()
+        return any(each.is_available(now) for each in group.replicas)
+
     async def run_in_transaction(
         self,
         session: Session,
