Wait for the receipt of every commit

A commit was reported without a question while a registered replica had shown within the last second that it receives the primary's commits. The exhaustive specification finds what that loses: the replica shows its log, an unknown database receives the next commit, the proxy reports it, and a cut begins before the replica has received it. No wait of the promoter closes this, as the proxy is behind the cut.

So the receipt is always asked for. A question that no replica answers is asked again after 10 ms, and after up to 0.16 s later on: with replicas that refuse all statements questions would otherwise add to their load.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -90,11 +90,6 @@
         """Return the active configuration, or None before the first one."""
         return self._configuration
 
-    @property
-    def follows_store(self) -> bool:
-        """Return True while changes of the databases' entries arrive from the store."""
-        return self._follows_store
-
     @property
     def receipts(self) -> ReceiptQueries:
         """Return the queries that show whether replicas have received commits."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -16,7 +16,7 @@
 describe any moment since then.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
@@ -35,7 +35,7 @@
     UNCONFIRMED_SERIAL,
     Leadership,
 )
-from beryltiller.sessions.databases.member import NEVER, Lead, Member
+from beryltiller.sessions.databases.member import Lead, Member
 from beryltiller.sessions.databases.primary_change import (
     ChangeTracker,
     PrimaryChange,
@@ -54,12 +54,6 @@
         self._proofs = TermProofs()
         self._covers = CommitCovers(self._proofs)
         self._changes = ChangeTracker()
-        self._changed_at = NEVER
-
-    @property
-    def changed_at(self) -> float:
-        """Return when the registered databases or their states last changed."""
-        return self._changed_at
 
     @property
     def changes(self) -> ChangeTracker:
@@ -115,9 +109,6 @@
         The log of one that restarted or is gone is lost.
         """
         previous = self.members
-        registered = {each.identifier: each for each in databases}
-        if registered != {name: each.database for name, each in previous.items()}:
-            self._changed_at = now
         self.members = {}
         for database in databases:
             member = previous.get(database.identifier)
@@ -161,7 +152,7 @@
             return
         member.record_position_asked(asked_at)
         if member is not self.leader:
-            member.record_shown(position, asked_at)
+            member.record_shown(position)
         if position.term > self._leadership.term:
             self._enter_term(position.term)
         if member is not self.leader:
@@ -230,7 +221,7 @@
             self._record_primary(member, status, is_newer)
             self.record_lead(member, asked_at)
         elif status.received != NO_POSITION:
-            member.record_shown(status.received, asked_at)
+            member.record_shown(status.received)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
@@ -326,10 +317,6 @@
         """
         return self._covers.cover(moment, self._changes.reported_anywhere)
 
-    def newest_samples(self) -> Iterator[Sample]:
-        """Yield the samples of the leader's position, the newest first."""
-        yield from self._covers.newest_samples()
-
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
 
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -71,7 +71,7 @@
     be the primary. `primary_serial` is higher the later this proxy observed that it
     became primary. `lead` is the newest term in which it is known to be primary, or
     None if it was not asked and has acknowledged no commit. `shown` is the newest
-    position that it was shown to have as a replica, and `shown_at` when it was asked.
+    position that its log was shown to reach as a replica.
     """
 
     def __init__(self, database: Database) -> None:
@@ -101,7 +101,6 @@
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
         self.shown: Position | None = None
-        self.shown_at = NEVER
         self._fenced_since: float | None = None
 
     @property
@@ -217,13 +216,10 @@
         """Record that a position was answered to a statement sent at `asked_at`."""
         self._position_asked_at = max(self._position_asked_at, asked_at)
 
-    def record_shown(self, position: Position, asked_at: float) -> None:
-        """Record that its log reached a position when it was asked as a replica."""
+    def record_shown(self, position: Position) -> None:
+        """Record that its log was shown to reach a position as a replica."""
         if self.shown is None or position > self.shown:
             self.shown = position
-            self.shown_at = asked_at
-        elif position == self.shown:
-            self.shown_at = max(self.shown_at, asked_at)
 
     def record_failure(self, now: float) -> None:
         """Record that the database could not be reached or that a connection broke.
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -18,8 +18,10 @@
 
 # How long one replica is waited for before another one is asked too.
 HEDGE_SECONDS = 0.02
-# The time between two rounds in which all replicas are asked.
-ROUND_PAUSE_SECONDS = 0.01
+# The time between two rounds in which all replicas are asked. It doubles up to the
+# maximum while none shows the receipt.
+FIRST_PAUSE_SECONDS = 0.01
+MAX_PAUSE_SECONDS = 0.16
 # New writes are refused while a commit has waited for its receipt for this long.
 MAX_WAIT_SECONDS = 0.25
 
@@ -90,6 +92,7 @@
 
     async def _ask(self, group: Group) -> None:
         """Ask the replicas in rounds until no commit waits for its receipt."""
+        pause = FIRST_PAUSE_SECONDS
         while self._is_waiting(group):
             for replica in self._by_preference(group):
                 query = asyncio.create_task(self._ask_replica(group, replica))
@@ -98,7 +101,8 @@
                 await asyncio.wait((query,), timeout=HEDGE_SECONDS)
                 if not self._is_waiting(group):
                     return
-            await asyncio.sleep(ROUND_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MAX_PAUSE_SECONDS)
 
     def _is_waiting(self, group: Group) -> bool:
         """Return True if a commit waits, once those that were received are told."""
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -9,7 +9,6 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
-from beryltiller.sessions.databases import receipts
 from beryltiller.sessions.databases.catalog import Configuration, Route
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
@@ -262,9 +261,7 @@
         configuration = self._fleet.configuration
         services = configuration.services if configuration else {}
         service = services.get(group.service)
-        if service is None or not service.sync_replicas:
-            return False
-        return receipts.needs_receipt(group, self._fleet.follows_store, self._clock())
+        return service is not None and service.sync_replicas > 0
 
     def _may_show_receipt(self, group: Group) -> bool:
         """Return False if it is known that a commit's receipt would not be shown."""
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -13,8 +13,6 @@
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
-SETTLED = receipts.SETTLING_SECONDS + 1.0
-
 
 def create_group() -> Group:
     """Return a group of a primary in term 2 and two replicas, known since 0.0."""
@@ -76,47 +74,6 @@
             self.assertFalse(receipts.is_received(group, source, Position(2, 7)))
 
 
-class NeedsReceiptTest(unittest.TestCase):
-    """When a commit may be reported without having been shown at a replica."""
-
-    def create_replicating(self, now: float) -> Group:
-        """Return a group whose replica showed the leader's position just before."""
-        group = create_group()
-        group.record_position(group.members["p"], Position(2, 6), now - 0.4)
-        group.record_position(group.members["q"], Position(2, 6), now - 0.2)
-        return group
-
-    def test_settled_group_with_a_replica_that_receives_needs_none(self) -> None:
-        group = self.create_replicating(SETTLED)
-        self.assertFalse(receipts.needs_receipt(group, True, SETTLED))
-
-    def test_each_sign_that_an_unknown_database_may_acknowledge_demands_one(
-        self,
-    ) -> None:
-        cases: dict[str, tuple[bool, float]] = {
-            "store not followed": (False, SETTLED),
-            "replica not heard of": (True, SETTLED + 1.0),
-        }
-        for name, (follows_store, now) in cases.items():
-            with self.subTest(name):
-                group = self.create_replicating(SETTLED)
-                self.assertTrue(receipts.needs_receipt(group, follows_store, now))
-
-    def test_change_of_the_registered_databases_demands_one_for_a_while(self) -> None:
-        group = self.create_replicating(SETTLED)
-        databases = [each.database for each in group.members.values()]
-        joined = FakeDatabase("new").entry()
-        group.update((*databases, joined), SETTLED)
-        self.assertTrue(receipts.needs_receipt(group, True, SETTLED + 0.1))
-
-    def test_answer_of_a_replica_that_lags_is_no_sign(self) -> None:
-        group = self.create_replicating(SETTLED)
-        now = SETTLED + 2.0
-        group.record_position(group.members["p"], Position(2, 9), now - 0.5)
-        group.record_position(group.members["q"], Position(2, 8), now - 0.1)
-        self.assertTrue(receipts.needs_receipt(group, True, now))
-
-
 class ReportTest(unittest.TestCase):
     """What callers are told of commits that a registered replica may not have."""
 
