Count a replica only once the announcements before its entry are known

A promoter announces a change, reads the entries once more and confirms. A proxy that has read the entry of a database which is newer than that, but not the announcement, would report commits that only this database has received, and the promotion drops them.

Entries and announcements are rows of one store with one counter of versions. So a replica counts once this proxy has read the announcements up to the version of its entry. Feeders tell until which version they have read, and read at once when a database appears.

test_replica_counts_once_announcements_before_its_entry_are_known and test_commit_that_only_a_newcomer_received_waits_for_the_announcements fail without the comparison in receipts.is_received (tried).

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -143,7 +143,8 @@
         self._databases_follower = self._follow(
             records.DATABASES_TABLE, self._update_registry
         )
-        self._follow(CHANGES_TABLE, self._observe_announcements)
+        self._announcements = self._follow(CHANGES_TABLE, self._observe_announcements)
+        self._fleet.follow_announcements(lambda: self._announcements.known_until)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
         )
@@ -232,6 +233,9 @@
         found = records.decode_databases(rows.values(), self._entries_refused)
         self._registry.replace(found, boot_clock())
         self._update_directory()
+        newest = self._fleet.newest_registration()
+        if self._announcements.known_until < newest:
+            self._spawn(self._announcements.catch_up(newest))
 
     def _observe_announcements(self, rows: Rows) -> None:
         for row in rows.values():
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -157,6 +157,7 @@
         is_draining=_IS_DRAINING_BY_STATE[model.state],
         incarnation=model.born,
         sequence=model.sequence,
+        revision=row.version,
     )
 
 
--- a/src/beryltiller/sessions/databases/catalog.py
+++ b/src/beryltiller/sessions/databases/catalog.py
@@ -76,6 +76,7 @@
     `incarnation` is the Unix time of its start in milliseconds, or 0 if not given. It
     tells a database apart from an earlier one with the same identifier, whose state was
     lost in the restart. `sequence` counts the states that it has reported since then.
+    `revision` is the store's at which the entry was written, and 0 if not known.
     """
 
     identifier: str
@@ -87,6 +88,7 @@
     is_draining: bool
     incarnation: int = 0
     sequence: int = field(default=0, compare=False)
+    revision: int = field(default=0, compare=False)
 
     def is_later_than(self, other: "Database") -> bool:
         """Return True if the same process reported this entry after the other one.
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -1,6 +1,7 @@
 """The databases that one proxy uses: groups, connection pools and commands."""
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
 
@@ -81,8 +82,12 @@
             self.connection_pool, lambda: self._directory, clock
         )
         self._follows_store = False
+        self._announced_until: Callable[[], int] = lambda: sys.maxsize
         self._receipts = ReceiptQueries(
-            self._status_queries.ask_status, self.is_local, clock
+            self._status_queries.ask_status,
+            self.is_local,
+            lambda: self._announced_until(),
+            clock,
         )
 
     @property
@@ -126,6 +131,23 @@
         """
         self._follows_store = is_followed
 
+    def follow_announcements(self, known_until: Callable[[], int]) -> None:
+        """Count replicas only from when announcements before their entries are known.
+
+        `known_until` returns the revision of the store up to which they are. Without
+        this call all count.
+        """
+        self._announced_until = known_until
+
+    def newest_registration(self) -> int:
+        """Return the newest revision at which a database's entry was first read."""
+        members = (
+            member
+            for group in self._groups.values()
+            for member in group.members.values()
+        )
+        return max((each.registered_at for each in members), default=0)
+
     def group(self, service: str) -> Group:
         """Return a service's group of databases, creating it if necessary."""
         group = self._groups.get(service)
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -45,11 +45,17 @@
         self,
         ask_status: AskStatus,
         is_local: Callable[[Member], bool],
+        announced_until: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
-        """Query replicas by `ask_status`, those for which `is_local` holds first."""
+        """Query replicas by `ask_status`, those for which `is_local` holds first.
+
+        `announced_until` returns the revision of the store up to which announced
+        changes of primary are known.
+        """
         self._ask_status = ask_status
         self._is_local = is_local
+        self._announced_until = announced_until
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
@@ -67,7 +73,7 @@
         self, group: Group, source: Member, position: Position, deadline: float
     ) -> bool:
         """Wait until a replica has a commit of `source`; return False at `deadline`."""
-        if receipts.is_received(group, source, position):
+        if self._is_received(group, source, position):
             return True
         received = asyncio.get_running_loop().create_future()
         commit = _WaitingCommit(source, position, self._clock(), received)
@@ -110,10 +116,13 @@
             each for each in self._waiting[group.service] if not each.received.done()
         ]
         for each in waiting:
-            if receipts.is_received(group, each.source, each.position):
+            if self._is_received(group, each.source, each.position):
                 each.received.set_result(None)
         return not all(each.received.done() for each in waiting)
 
+    def _is_received(self, group: Group, source: Member, position: Position) -> bool:
+        return receipts.is_received(group, source, position, self._announced_until())
+
     def _by_preference(self, group: Group) -> list[Member]:
         """Return the replicas to ask; the log of a draining one may soon be gone."""
         now = self._clock()
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -5,6 +5,11 @@
 it or compare its log, as it knows registered databases only. So a commit is reported to
 its caller once a registered replica is shown to have it.
 
+A promoter announces a change before it reads the entries for the last time. A proxy
+that read a database's entry, but not the announcements made before it was written, may
+count on a database that the promoter does not know. So a replica counts once this proxy
+knows the announcements up to the revision of its entry.
+
 The functions are pure.
 """
 
@@ -13,9 +18,12 @@
 from beryltiller.sessions.databases.member import Member
 
 
-def is_received(group: Group, source: Member, position: Position) -> bool:
+def is_received(
+    group: Group, source: Member, position: Position, announced_until: int
+) -> bool:
     """Return True if a registered replica has a commit that `source` acknowledged.
 
+    Announced changes of primary are known up to the revision `announced_until`.
     A replica that follows a later primary may have rolled the commit back, and one that
     was primary in the commit's term itself does not hold a copy.
     """
@@ -23,6 +31,7 @@
         replica.shown.term == position.term and replica.shown >= position
         for replica in group.replicas
         if replica.shown is not None
+        and replica.registered_at <= announced_until
         and replica is not source
         and replica.led_term != position.term
     )
--- a/src/beryltiller/sessions/tables/relay.py
+++ b/src/beryltiller/sessions/tables/relay.py
@@ -66,12 +66,14 @@
     """The revision of the last change that a feeder knows of in one table.
 
     `is_reachable` is True while the feeder reaches the store, and `is_changing` while
-    it receives a change that is too large to be passed on.
+    it receives a change that is too large to be passed on. Up to the revision
+    `read_until` it has read all changes; it is 0 in messages of releases without it.
     """
 
     changed_at: Count
     is_reachable: bool
     is_changing: bool = False
+    read_until: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +176,20 @@
         is_of_era = revisions.era_of(newest) == revisions.era_of(revision)
         return is_of_era and newest <= revision
 
+    def known_until(self, table: str, revision: int, now: float) -> int:
+        """Return up to which revision a proxy with all changes before one knows all.
+
+        A live feeder that has read until a later one, and found none, tells of that.
+        """
+        if not self.is_current(table, revision, now):
+            return revision
+        read = (
+            state.read_until
+            for state in self._live_states(table, now)
+            if state.changed_at <= revision
+        )
+        return max(revision, max(read, default=0))
+
     def _is_available(self, lease: FeederLease, now: float) -> bool:
         if lease.holder is None:
             return True
--- a/src/beryltiller/sessions/tables/relay_runner.py
+++ b/src/beryltiller/sessions/tables/relay_runner.py
@@ -100,6 +100,10 @@
         """Return True if no live feeder knows of changes after a revision."""
         return self._relay.is_current(table, revision, self._clock())
 
+    def known_until(self, table: str, revision: int) -> int:
+        """Return up to which revision a proxy with all changes before one knows all."""
+        return self._relay.known_until(table, revision, self._clock())
+
     def publish(self, change: TableChange | None) -> None:
         """Send others the state of the tables, with a change if there is one.
 
--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -27,6 +27,8 @@
 FEED_WAIT_SECONDS = 1.5
 # How often a proxy with a live feeder checks that it still has one.
 RELAY_CHECK_SECONDS = 0.5
+# By then a live feeder has announced what it has read.
+RELAY_WAIT_SECONDS = 1.0
 _BACKOFF = BackoffPolicy(max_seconds=1.0)
 
 Rows = Mapping[str, Row]
@@ -43,6 +45,10 @@
         """Return True if no live feeder knows of changes after a revision."""
         ...
 
+    def known_until(self, table: str, revision: int) -> int:
+        """Return up to which revision a proxy with all changes before one knows all."""
+        ...
+
     def publish(self, change: TableChange | None) -> None:
         """Send others the state of the tables, with a change if there is one."""
         ...
@@ -59,6 +65,10 @@
         """Return True: no feeder can know of a newer change."""
         return True
 
+    def known_until(self, table: str, revision: int) -> int:
+        """Return the revision: nobody else reads the store."""
+        return revision
+
     def publish(self, change: TableChange | None) -> None:
         """Do nothing: there is nobody to send changes to."""
 
@@ -118,7 +128,19 @@
         It reaches the store if its own last poll did.
         """
         is_reachable = self._revision is not None and not self._failures
-        return TableState(self._changed_at, is_reachable, self._is_receiving_large)
+        return TableState(
+            self._changed_at,
+            is_reachable,
+            self._is_receiving_large,
+            self._revision or 0,
+        )
+
+    @property
+    def known_until(self) -> int:
+        """Return the revision of the store up to which all changes are known."""
+        if self._revision is None:
+            return 0
+        return self._relay.known_until(self._table, self._revision)
 
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
@@ -160,6 +182,35 @@
         except TimeoutError:
             return
 
+    async def catch_up(self, revision: int) -> None:
+        """Learn of the changes up to a revision soon, from a feeder or from the store.
+
+        A feeder of a release that does not tell until when it has read is no help.
+        """
+        if self.known_until < revision and self._relay.has_live_feeder(self._table):
+            await asyncio.sleep(RELAY_WAIT_SECONDS)
+        if self.known_until < revision:
+            await self.refresh()
+
+    async def refresh(self) -> bool:
+        """Read at once what has changed, and tell others; return False if that fails.
+
+        What the store had when this was called is known afterwards.
+        """
+        since = self._revision
+        if since is None:
+            return False
+        try:
+            changes = await self._feed.read_changes(self._table, since, 0.0)
+        except PortError:
+            # The poll that goes on meanwhile reports and retries it.
+            return False
+        if changes.revision < since:
+            return False
+        self._take_changes(since, changes)
+        self._relay.publish(None)
+        return True
+
     async def _poll_store(self) -> None:
         since = self._revision
         if since is None:
@@ -177,6 +228,10 @@
         if changes.revision <= since and self._relay.has_live_feeder(self._table):
             # A feeder knows of a change that the store's reply does not include yet.
             await asyncio.sleep(RELAY_CHECK_SECONDS)
+        self._take_changes(since, changes)
+
+    def _take_changes(self, since: int, changes: Changes) -> None:
+        """Apply the changes after `since`, and pass them on to others."""
         if self._revision is None or changes.revision < self._revision:
             # A feeder sent newer changes in the meantime.
             return
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases import receipts
@@ -60,7 +61,21 @@
                 for replica, received in reports:
                     report(group, replica, received, 1.0)
                 source = group.members["p"]
-                found = receipts.is_received(group, source, Position(2, 7))
+                found = receipts.is_received(group, source, Position(2, 7), 0)
+                self.assertEqual(found, expected)
+
+    def test_replica_counts_once_announcements_before_its_entry_are_known(self) -> None:
+        group = create_group()
+        joined = replace(FakeDatabase("new").entry(), revision=9)
+        databases = [each.database for each in group.members.values()]
+        group.update((*databases, joined), 1.0)
+        report(group, "new", Position(2, 7), 1.0)
+        source = group.members["p"]
+        for announced_until, expected in ((8, False), (9, True)):
+            with self.subTest(announced_until):
+                found = receipts.is_received(
+                    group, source, Position(2, 7), announced_until
+                )
                 self.assertEqual(found, expected)
 
     def test_primary_that_is_no_longer_taken_for_the_leader_shows_no_receipt(
@@ -71,7 +86,7 @@
         group.record_lead_denied(primary)
         group.record_position(primary, Position(2, 7), 1.0)
         for source in (primary, group.members["q"]):
-            self.assertFalse(receipts.is_received(group, source, Position(2, 7)))
+            self.assertFalse(receipts.is_received(group, source, Position(2, 7), 0))
 
 
 class ReportTest(unittest.TestCase):
@@ -122,6 +137,23 @@
 
         run_with_fixture(work)
 
+    def test_commit_that_only_a_newcomer_received_waits_for_the_announcements(
+        self,
+    ) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            announced_until = 5
+            fixture.fleet.follow_announcements(lambda: announced_until)
+            entries = {each.identifier: each.entry() for each in (fixture.leader,)}
+            entries["far"] = replace(fixture.far.entry(), incarnation=2, revision=7)
+            fixture.fleet.register(Directory(entries))
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+            announced_until = 7
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertTrue(reply.is_success)
+
+        run_with_fixture(work)
+
     def test_write_is_not_sent_without_a_replica_that_could_show_it(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.fleet.register(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -75,6 +75,23 @@
         self.announce(B, 1.0, revisions.join(2, 40))
         self.assertTrue(self.relay.is_current(TABLE, own, 1.0))
 
+    def test_feeder_that_has_read_later_shows_that_nothing_was_missed(self) -> None:
+        cases = {
+            "read later": (TableState(7, True, read_until=20), 20),
+            "has read less": (TableState(7, True, read_until=8), 9),
+            "knows of a change": (TableState(10, True, read_until=20), 9),
+            "receives a change": (TableState(7, True, True, read_until=20), 9),
+            "does not reach the store": (TableState(7, False, read_until=20), 9),
+            "tells nothing": (TableState(7, True), 9),
+        }
+        for name, (state, expected) in cases.items():
+            with self.subTest(name):
+                announcement = FeederAnnouncement(A, {TABLE: state})
+                self.relay.record_announcement(announcement, 1.0)
+                self.assertEqual(self.relay.known_until(TABLE, 9, 1.0), expected)
+        silent_at = 1.1 + MAX_ANNOUNCEMENT_AGE_SECONDS
+        self.assertEqual(self.relay.known_until(TABLE, 9, silent_at), 9)
+
     def test_lease_of_a_silent_holder_is_available(self) -> None:
         self.announce(B, FEEDER_TIMEOUT_SECONDS)
         self.assertIsNone(self.relay.lease_to_take(FEEDER_TIMEOUT_SECONDS))
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -36,6 +36,9 @@
     def is_current(self, table: str, revision: int) -> bool:
         return self.is_up_to_date
 
+    def known_until(self, table: str, revision: int) -> int:
+        return revision
+
     def publish(self, change: TableChange | None) -> None:
         self.published.append(change)
 
@@ -66,6 +69,49 @@
         return answer
 
 
+class RefreshFeed(ScriptedFeed):
+    """A feed that answers only polls which do not wait for a change."""
+
+    async def read_changes(
+        self,
+        table: str,
+        after: int,
+        wait_seconds: float,
+        on_large: Callable[[], None] = ignore_large,
+    ) -> Changes:
+        if wait_seconds:
+            await asyncio.Event().wait()
+        return await super().read_changes(table, after, wait_seconds)
+
+
+class RefreshTest(unittest.TestCase):
+    """A copy that is asked for what the store has now."""
+
+    def refresh(self, answer: Changes | Exception) -> tuple[bool, int]:
+        """Return the result of a refresh, and the revision known afterwards."""
+
+        async def work() -> tuple[bool, int]:
+            feed = RefreshFeed()
+            feed.answers.put_nowait(answer)
+            follower = TableFollower(feed, TABLE, lambda rows: None, random.Random(1))
+            run = asyncio.create_task(follower.run())
+            while not follower.known_until:
+                await asyncio.sleep(0)
+            is_done = await follower.refresh()
+            run.cancel()
+            return is_done, follower.known_until
+
+        return run_virtual(work())
+
+    def test_revision_of_an_answer_without_changes_is_known(self) -> None:
+        self.assertEqual(self.refresh(Changes(14, (), ())), (True, 14))
+
+    def test_failure_and_an_earlier_revision_are_told(self) -> None:
+        for answer in (LostAnswerError("lost"), Changes(9, (), ())):
+            with self.subTest(answer):
+                self.assertEqual(self.refresh(answer), (False, 10))
+
+
 class FollowerTest(unittest.TestCase):
     """Changes from feeders and from the store are applied in order."""
 
