Take a former leader's log for all there is only while it has it

A database that starts again under its identifier holds nothing of before. While its new `born` is not known, what its former process was known to have led in made its answer count as a former leader's: departed databases that were silent were left out, and what only they still had was dropped. In the same way the shorter log of a process that started again counted as the end of the log of the primary that stepped down.

The log of a primary never gets shorter in its term, unless its process ends. So an answer counts only if it reaches what that database is known to have reached: the newest position that it answered with, and the end of its log when it became known to lead. One of which no position is known proves nothing.

Both tests failed before: "Items in the first set but not the second: 'far'" and "PrimarySteppedDown(service='s', identifier='leader', term=1, received=Position(term=1, index=10)) is not None".

The test of former leaders states now with which log each has led; its cases are kept, and one of a log that has become shorter is added.

--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -93,7 +93,7 @@
     former_leaders = [
         name
         for name, each in answers.items()
-        if name in view.former_leaders and each.term >= newest_term
+        if each.term >= newest_term and _still_has_led_log(name, view, each)
     ]
     left_out: dict[str, LeftOut] = {}
     for name in silent:
@@ -119,6 +119,15 @@
     )
 
 
+def _still_has_led_log(name: str, view: GroupView, answer: DatabaseStatus) -> bool:
+    """Return True if a former leader's log reaches what it is known to have reached.
+
+    A process that has started again holds nothing of before.
+    """
+    reached = view.former_leaders.get(name)
+    return reached is not None and answer.received >= reached
+
+
 def _left_out(
     name: str,
     view: GroupView,
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from beryltiller.core.position import Position
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
@@ -63,11 +64,7 @@
             self._leader_healthy_until.get(service),
             group.lost_log_covered_by,
             min((each for each in fenced if each is not None), default=None),
-            frozenset(
-                member.database.identifier
-                for member in group.replicas
-                if member.led_term and member.led_term == group.term
-            ),
+            _former_leaders(group),
         )
 
     def _record_primaryless(self, group: Group, now: float) -> None:
@@ -102,3 +99,24 @@
             self._logged_leaders[group.service] = name
             self._leader_since[group.service] = now
             logs.log(session_events.LeaderChanged(group.service, name, group.term))
+
+
+def known_log(member: Member) -> Position | None:
+    """Return the newest position that a database's log is known to have reached.
+
+    Return None if none is known.
+    """
+    log_end = member.lead.log_end if member.lead else None
+    known = [each for each in (member.applied, log_end) if each is not None]
+    return max(known, default=None)
+
+
+def _former_leaders(group: Group) -> dict[str, Position]:
+    """Return the replicas that were primary in the newest term, with their logs."""
+    return {
+        member.database.identifier: reached
+        for member in group.replicas
+        if member.led_term
+        and member.led_term == group.term
+        and (reached := known_log(member)) is not None
+    }
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -29,7 +29,7 @@
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
-from beryltiller.sessions.succession.observer import GroupObserver
+from beryltiller.sessions.succession.observer import GroupObserver, known_log
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
 PART_NAME = "succession"
@@ -179,7 +179,9 @@
                 service, name, action.term, received, led_term
             )
         )
-        if led_term != status.term:
+        member = self._fleet.group(service).members.get(name)
+        reached = known_log(member) if member else None
+        if led_term != status.term or (reached and status.received < reached):
             return None
         return succession_state.PrimarySteppedDown(
             service, name, led_term, status.received
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -40,7 +40,8 @@
     None if it never did. `overloaded_alone_since` is since when the leader has been
     overloaded while no replica could serve reads. `lost_log_covered_by` is a position
     that covers all that was acknowledged before the last loss of a log, or None while
-    none is known. `former_leaders` are replicas that were primary in the newest term.
+    none is known. `former_leaders` are replicas that were primary in the newest term,
+    each with the newest position that its log is known to have reached.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -58,7 +59,7 @@
     leader_healthy_until: float | None = None
     lost_log_covered_by: Position | None = None
     fenced_since: float | None = None
-    former_leaders: frozenset[str] = frozenset()
+    former_leaders: Mapping[str, Position] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_succession_comparison.py
+++ b/tests/test_succession_comparison.py
@@ -4,16 +4,24 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession.comparison import compare
+from beryltiller.sessions.succession.observer import GroupObserver
 from beryltiller.sessions.succession.state import (
+    Cause,
     FenceReplicas,
     FenceResults,
     GroupView,
+    Phase,
     PrimarySteppedDown,
+    Succession,
     UnfenceReplicas,
 )
+from tests.fake_group import GroupFixture
 from tests.succession_driver import FAILING, HEALTHY, Driver, status
+from tests.virtual_loop import run_virtual, virtual_now
 
 
 class DispensableTest(unittest.TestCase):
@@ -53,14 +61,19 @@
             leader=None,
             primaryless_since=0.0,
             departed=("b",),
-            former_leaders=frozenset("a"),
+            former_leaders={"a": Position(1, 7)},
         )
         newer = replace(led, term=2)
         cases = (
             ("departed", led, False),
             ("registered", replace(led, departed=()), True),
             ("of an older term", newer, True),
-            ("not known to have led", replace(led, former_leaders=frozenset()), True),
+            ("not known to have led", replace(led, former_leaders={}), True),
+            (
+                "its process has lost the log",
+                replace(led, former_leaders={"a": Position(1, 8)}),
+                True,
+            ),
         )
         for name, view, expected in cases:
             with self.subTest(name):
@@ -121,6 +134,48 @@
         self.assertEqual(driver.state.successions["s"].successor, "a")
 
 
+class FormerLeaderTest(unittest.TestCase):
+    """A former leader whose log is taken to hold all commits of its term."""
+
+    def left_out(self, received: Position) -> set[str]:
+        """Return who is left out once the leader has become a replica.
+
+        Its log now ends at `received`; `far` has departed and is silent.
+        """
+
+        async def work() -> set[str]:
+            fixture = GroupFixture()
+            group = fixture.fleet.group("s")
+            await fixture.fleet.confirm_leaders()
+            leader = group.members["leader"]
+            group.record_position(leader, Position(1, 12), virtual_now())
+            fixture.leader.is_primary = False
+            entries = {
+                each.identifier: each.entry() for each in (fixture.leader, fixture.near)
+            }
+            departed = Departed(fixture.far.entry(), virtual_now())
+            fixture.fleet.register(Directory(entries, (departed,)))
+            observer = GroupObserver(fixture.fleet, lambda: True)
+            (view,) = observer.observe(virtual_now()).groups
+            answers = {
+                "leader": DatabaseStatus(False, 1, received, 2),
+                "near": DatabaseStatus(False, 1, Position(1, 9), 2),
+                "far": None,
+            }
+            succession = Succession(
+                "s", Cause.NO_PRIMARY, Phase.FENCING, None, 0.0, term=2
+            )
+            found = compare(view, succession, FenceResults("s", answers))
+            return set(found.left_out)
+
+        return run_virtual(work())
+
+    def test_process_that_started_again_without_its_log_proves_nothing(self) -> None:
+        """Guards against leaving out databases with what its former process wrote."""
+        self.assertEqual(self.left_out(Position(1, 12)), {"far"})
+        self.assertEqual(self.left_out(Position(1, 9)), set())
+
+
 class UnknownReplacementTest(unittest.TestCase):
     """An unknown database that has the address and log of one that has ended."""
 
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -369,6 +369,19 @@
         with self.subTest("a replica's log may end before others"):
             self.assertIsNone(run_virtual(work(False, was_primary=False)))
 
+    def test_shorter_log_of_a_stepped_down_primary_is_not_its_end(self) -> None:
+        """Guards against the log of a process that has started again with nothing."""
+
+        async def work() -> object:
+            fixture = GroupFixture()
+            await fixture.fleet.confirm_leaders()
+            leader = fixture.fleet.group("s").members["leader"]
+            leader.record_answer(Position(1, 11))
+            action = StepDownPrimary("s", 2, "leader")
+            return await make_runner(fixture).part().perform(action)
+
+        self.assertIsNone(run_virtual(work()))
+
 
 class ReplacedDatabaseTest(unittest.TestCase):
     """Databases that have ended and at whose address another one answers."""
