Do not leave out silent databases by the log of an ended term

Callers saw rule LOST: the log of a promoted database lacked what a primary of a later term had acknowledged. A proxy that knows of no term after T took the log of T's primary for all there is, and did not wait for silent databases. One of them may lead already: another proxy may have had it promoted, and this one has not heard of it.

Whoever promotes announces the change in the service's row first. So the row carries now the newest term that a promotion announced before may have begun: that of an announced change, unless its own promoter has withdrawn it. It is carried over into each later announcement, and kept when a later claim withdraws it. The row is written only under its version, so that a promoter which wrote it knows of every one announced before; no further call of the store is needed. A former leader's log, and a former primary's that stepped down, count only if they are of that term or a later one.

Proxies take the announced change to replace that term too: they do not report commits of a primary that they hear of meanwhile. If that term never began, the successor itself leads in it; so the row states the successor's term once the change is over, and what it commits is reported from then on. Until then, which is one write of the store after the promoter sees the new primary, writes are refused; that concerns a change after one that was announced and not withdrawn only.

Rows without the new fields are decoded as before; their change counts.

With the rule taken out of `compare`, the test of the former leader fails ("True != False": promoted); with it taken out of the announcer, 10 cases of which term may have begun fail ("(0, 8) != (2, 8)"). On the code before, the fields do not exist. The tests of announcements read the version from the announcement that `announce` returns now.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -17,7 +17,7 @@
     """The row of a service; `..._term` and `..._index` are log positions.
 
     Without an objection its position is 0:0. `token` is the fencing token of the
-    promoter's claim.
+    promoter's claim. Earlier releases write no `begun_term` and `successor_term`.
     """
 
     token: Count
@@ -28,6 +28,8 @@
     is_over: bool = False
     objection_term: Count = 0
     objection_index: Count = 0
+    begun_term: Count = 0
+    successor_term: Count = 0
 
 
 class StoredAnnouncements:
@@ -55,6 +57,8 @@
             announcement.is_over,
             objection.term,
             objection.index,
+            announcement.begun_term,
+            announcement.successor_term,
         )
         value = msgspec.json.encode(model)
         write = Write(CHANGES_TABLE, announcement.service, announcement.version, value)
@@ -80,5 +84,7 @@
         model.is_withdrawn,
         model.is_over,
         objection if objection != ORIGIN else None,
+        model.begun_term,
+        model.successor_term,
         row.version,
     )
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -77,8 +77,13 @@
         self._until = now + CHANGE_SECONDS
 
     def record_over(self, change: PrimaryChange) -> None:
-        """Record that a change has happened: what it drops is dropped for good."""
+        """Record that a change has happened: what it drops is dropped for good.
+
+        The term of its successor is known by now, which it may have been taken to drop.
+        """
         self._over = change
+        if self._change is not None and self._change.log_end == change.log_end:
+            self._change = change
 
     def record_objection(self, reported: Position) -> None:
         """Record that a proxy objected, as it has reported a commit at a position."""
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -29,7 +29,9 @@
 
     `token` is the fencing token of the promoter's claim. `objection` is the position of
     a commit that some proxy has reported, and that the promotion would drop. Once the
-    change has happened it `is_over`.
+    change has happened it `is_over`, and its successor leads in `successor_term`, or in
+    a term that was not known then if that is 0. `begun_term` is the newest term that a
+    promotion announced before may have begun.
     """
 
     service: str
@@ -38,6 +40,8 @@
     is_withdrawn: bool = False
     is_over: bool = False
     objection: Position | None = None
+    begun_term: int = 0
+    successor_term: int = 0
     version: int = 0
 
     @property
@@ -45,6 +49,32 @@
         """Return True if the change has happened, or will not."""
         return self.is_withdrawn or self.is_over
 
+    @property
+    def covering(self) -> PrimaryChange:
+        """Return the change as one that replaces all terms that may have begun."""
+        replaced_term = max(self.change.replaced_term, self.begun_term)
+        return PrimaryChange(replaced_term, self.change.log_end)
+
+    @property
+    def happened(self) -> PrimaryChange:
+        """Return the change as one that replaces the terms before its successor's."""
+        replaced_term = max(self.change.replaced_term, self.successor_term - 1)
+        return PrimaryChange(replaced_term, self.change.log_end)
+
+    @property
+    def may_have_begun(self) -> int:
+        """Return the newest term that this change or an earlier one may have begun.
+
+        >>> announced = Announcement("s", PrimaryChange(5, Position(5, 7)), token=12)
+        >>> announced.may_have_begun
+        6
+        >>> replace(announced, is_withdrawn=True, begun_term=4).may_have_begun
+        4
+        """
+        if self.is_over:
+            return max(self.begun_term, self.happened.replaced_term + 1)
+        return self.begun_term if self.is_withdrawn else self.covering.replaced_term + 1
+
     def follows(self, other: "Announcement") -> bool:
         """Return True if this is a later state of the service's row than `other`.
 
@@ -88,19 +118,29 @@
         self._fleet = fleet
         self._port = port
         self._clock = clock
-        self._applied_versions: dict[str, int] = {}
+        self._applied: dict[str, Announcement] = {}
         self._newest: dict[str, Announcement] = {}
         self._announced: dict[str, Announcement] = {}
 
-    async def announce(self, service: str, change: PrimaryChange, token: int) -> int:
-        """Announce a change; return the announcement's version, or 0 if that failed."""
-        self._fleet.group(service).changes.announce(change, self._clock())
-        version = self._applied_versions.get(service, 0)
-        announced = Announcement(service, change, token, version=version)
-        self._announced[service] = announced
-        return await self._write(
-            announced, lambda present: replace(announced, version=present.version)
-        )
+    async def announce(
+        self, service: str, change: PrimaryChange, token: int
+    ) -> Announcement | None:
+        """Announce a change; return what was written, or None if that failed.
+
+        It is written only over the row that it takes `begun_term` from, so it knows of
+        every promotion that was announced before.
+        """
+        announced = Announcement(service, change, token)
+
+        def following(present: Announcement | None) -> Announcement:
+            begun_term = _begun_before(present, token)
+            version = present.version if present else 0
+            return replace(announced, begun_term=begun_term, version=version)
+
+        first = following(self._applied.get(service))
+        self._fleet.group(service).changes.announce(first.covering, self._clock())
+        self._announced[service] = first
+        return await self._write(first, following)
 
     async def is_unopposed(self, service: str, version: int) -> bool:
         """Return True if no proxy has objected to the announcement of that version."""
@@ -108,15 +148,27 @@
         if present is None or present.version != version:
             return False
         changes = self._fleet.group(service).changes
-        return not changes.objects_to(present.change, self._clock())
+        return not changes.objects_to(present.covering, self._clock())
 
-    async def withdraw(self, service: str, token: int, is_over: bool = False) -> None:
+    async def withdraw(
+        self, service: str, token: int, is_over: bool = False, successor_term: int = 0
+    ) -> None:
         """Withdraw the announcement of a claim or of an earlier one.
 
-        With `is_over` the change has happened: proxies that know of it go on applying
-        it, and others need not begin to. What this proxy announced is withdrawn also
-        while its writes have no answer, as they may still be done.
+        With `is_over` the change has happened, and its successor leads in
+        `successor_term`, or 0 if that is not known: proxies that know of it go on
+        applying it, and others need not begin to. What this proxy announced is
+        withdrawn also while its writes have no answer, as they may still be done.
         """
+
+        def ended(present: Announcement) -> Announcement:
+            if is_over and present.token == token:
+                return replace(present, is_over=True, successor_term=successor_term)
+            # Only the promoter of an announced change knows that it did not happen.
+            is_own = present.token == token
+            begun_term = present.begun_term if is_own else present.may_have_begun
+            return replace(present, is_withdrawn=True, begun_term=begun_term)
+
         if not is_over:
             self._fleet.group(service).changes.withdraw()
         announced = self._announced.get(service)
@@ -124,16 +176,16 @@
         present = await self._read(service) or announced
         if present is None or present.token > token:
             return
-        ended = _ended(present, is_over)
-        if ended != present or is_own:
+        if ended(present) != present or is_own:
             await self._write(
-                ended,
-                lambda each: _ended(each, is_over) if each.token <= token else None,
+                ended(present),
+                lambda each: ended(each) if each.token <= token else None,
             )
 
     def is_new(self, service: str, version: int) -> bool:
         """Return True if no announcement of that version has been applied yet."""
-        return version > self._applied_versions.get(service, 0)
+        applied = self._applied.get(service)
+        return version > (applied.version if applied else 0)
 
     def apply(self, announcement: Announcement) -> bool:
         """Apply an announcement that was read; return True to object to it.
@@ -141,10 +193,10 @@
         One that was applied before has no effect. Neither has an earlier one whose row
         has come back with an older copy of the store, but for the objection in it.
         """
-        service, change = announcement.service, announcement.change
+        service = announcement.service
         if not self.is_new(service, announcement.version):
             return False
-        self._applied_versions[service] = announcement.version
+        self._applied[service] = announcement
         changes = self._fleet.group(service).changes
         if announcement.objection is not None:
             changes.record_objection(announcement.objection)
@@ -155,12 +207,13 @@
         if announcement.is_withdrawn:
             changes.withdraw()
         if announcement.is_over:
-            changes.record_over(change)
+            changes.record_over(announcement.happened)
         if announcement.is_ended:
             return False
         now = self._clock()
-        changes.announce(change, now)
-        return announcement.objection is None and changes.objects_to(change, now)
+        covering = announcement.covering
+        changes.announce(covering, now)
+        return announcement.objection is None and changes.objects_to(covering, now)
 
     async def object_to(self, announcement: Announcement) -> None:
         """Object to a change that drops a commit which this proxy has reported."""
@@ -199,24 +252,24 @@
         self,
         announcement: Announcement,
         instead_of: Callable[[Announcement], Announcement | None],
-    ) -> int:
-        """Write an announcement until that is answered; return its version, or 0.
+    ) -> Announcement | None:
+        """Write an announcement until that is answered; return it as written, or None.
 
         A write whose answer is late is sent again meanwhile: all have the same
         condition, so that only one of them has an effect. If the row turns out to have
         another version, what `instead_of` returns for that is written, if anything.
         """
         until = self._clock() + WRITE_SECONDS
-        writes: set[asyncio.Task[int]] = set()
+        writes: set[asyncio.Task[Announcement | None]] = set()
         try:
             while self._clock() < until:
                 writes.add(asyncio.create_task(self._write_once(announcement)))
                 done, writes = await asyncio.wait(
                     writes, timeout=HEDGE_SECONDS, return_when=asyncio.FIRST_COMPLETED
                 )
-                version = max((write.result() for write in done), default=0)
-                if version:
-                    return version
+                for write in done:
+                    if (written := write.result()) is not None:
+                        return written
                 present = await self._read(announcement.service) if done else None
                 if present is None:
                     continue
@@ -225,17 +278,18 @@
                     break
                 if following == present:
                     # An earlier write had an effect, and its answer was lost.
-                    return present.version
+                    return present
                 announcement = following
-            return 0
+            return None
         finally:
             for write in writes:
                 write.cancel()
 
-    async def _write_once(self, announcement: Announcement) -> int:
-        """Write an announcement; return its version, or 0 if that failed."""
+    async def _write_once(self, announcement: Announcement) -> Announcement | None:
+        """Write an announcement; return it as written, or None if that failed."""
         try:
-            return await self._port.write(announcement)
+            version = await self._port.write(announcement)
+            return replace(announcement, version=version)
         except RefusedError as error:
             logs.log(
                 session_events.AnnouncementFailed(announcement.service, f"{error!r}")
@@ -243,16 +297,21 @@
             if error.code != "conflict":
                 # The store refuses all calls for now.
                 await asyncio.sleep(HEDGE_SECONDS)
-            return 0
+            return None
         except PortError as error:
             logs.log(
                 session_events.AnnouncementFailed(announcement.service, f"{error!r}")
             )
-            return 0
+            return None
 
 
-def _ended(announcement: Announcement, is_over: bool) -> Announcement:
-    """Return an announcement of a change that has happened, or will not."""
-    if is_over:
-        return replace(announcement, is_over=True)
-    return replace(announcement, is_withdrawn=True)
+def _begun_before(present: Announcement | None, token: int) -> int:
+    """Return the newest term that promotions announced before a claim may have begun.
+
+    `present` is the service's row. What the claim itself announced counts for nothing:
+    its promoter promotes no other database once it has requested a promotion.
+    """
+    if present is None:
+        return 0
+    is_own = present.token == token and not present.is_ended
+    return present.begun_term if is_own else present.may_have_begun
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -23,8 +23,9 @@
 class LeftOut(Enum):
     """Why a database that does not answer is not waited for.
 
-    FORMER_LOG_REACHED: the primary of the newest term has stepped down, and a log
-    reaches the end of its log; or it answers itself, and the database has departed.
+    FORMER_LOG_REACHED: the primary of the newest term that may have begun has stepped
+    down, and a log reaches the end of its log; or it answers itself, and the database
+    has departed.
     GONE: its registry entry was removed before the trouble began. REPLACED: it has
     ended, and a database that answered has its address and log. ENDED: a database of
     another service answers at its address.
@@ -41,16 +42,19 @@
     """What the answers of a group's databases show.
 
     `primaries` are the databases that report to be primary. `newest_term` is the newest
-    one that a database or this proxy knows of. `not_fenced` are those that answered and
-    are not fenced in the succession's term, `silent` those that did not answer and must
-    be waited for, and `left_out` those that need not be. `longest` is the end of
-    the most advanced log, and `successor` a replica that has it, or "" if none of those
-    whose names are known has it. With `is_former_log_reached` the primary of the newest
-    term has stepped down, and that log reaches the end of its log.
+    one that a database or this proxy knows of, and `begun_term` the newest one that may
+    have begun, also by a promotion that another proxy has announced. `not_fenced` are
+    those that answered and are not fenced in the succession's term, `silent` those that
+    did not answer and must be waited for, and `left_out` those that need not be.
+    `longest` is the end of the most advanced log, and `successor` a replica that has
+    it, or "" if none of those whose names are known has it. With
+    `is_former_log_reached` the primary of the newest term that may have begun has
+    stepped down, and that log reaches the end of its log.
     """
 
     primaries: Mapping[str, DatabaseStatus]
     newest_term: int
+    begun_term: int
     newest_fence: int
     not_fenced: frozenset[str]
     silent: frozenset[str]
@@ -85,15 +89,17 @@
     longest = max((each.received for each in everyone.values()), default=Position(0, 0))
     terms = [each.term for each in everyone.values()]
     newest_term = max([view.term, *terms])
+    # A silent database may lead in a term of which this proxy has not heard.
+    begun_term = max(newest_term, succession.begun_term)
     is_former_log_reached = (
         succession.former_log_end is not None
-        and succession.former_term >= newest_term
+        and succession.former_term >= begun_term
         and longest >= succession.former_log_end
     )
     former_leaders = [
         name
         for name, each in answers.items()
-        if each.term >= newest_term and _still_has_led_log(name, view, each)
+        if each.term >= begun_term and _still_has_led_log(name, view, each)
     ]
     left_out: dict[str, LeftOut] = {}
     for name in silent:
@@ -107,6 +113,7 @@
     return Comparison(
         primaries={name: each for name, each in everyone.items() if each.is_primary},
         newest_term=newest_term,
+        begun_term=begun_term,
         newest_fence=max((each.fenced_term for each in everyone.values()), default=0),
         not_fenced=frozenset(
             name for name, each in everyone.items() if each.fenced_term < term
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -65,6 +65,7 @@
             group.lost_log_covered_by,
             min((each for each in fenced if each is not None), default=None),
             _former_leaders(group),
+            leader.reported_primary_term if leader else 0,
         )
 
     def _record_primaryless(self, group: Group, now: float) -> None:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -260,7 +260,11 @@
             return state, ()
         if not event.version:
             return store_succession(state, replace(succession, announced=None)), ()
-        succession = replace(succession, announced_version=event.version)
+        succession = replace(
+            succession,
+            announced_version=event.version,
+            begun_term=max(succession.begun_term, event.begun_term),
+        )
         if succession.phase is not Phase.HOLDING:
             return store_succession(state, succession), ()
         wait = max(succession.next_step_at - now, OBJECTION_WAIT_SECONDS)
@@ -374,7 +378,10 @@
         state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         if may_take_effect:
             return state, ()
-        withdraw = WithdrawChange(succession.service, succession.token, is_done)
+        successor_term = view.leader_term if view and is_done else 0
+        withdraw = WithdrawChange(
+            succession.service, succession.token, is_done, successor_term
+        )
         own = (withdraw,) if succession.has_announced else ()
         if now > succession.deadline:
             return state, own
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -17,6 +17,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -140,10 +141,9 @@
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
             case succession_state.AnnounceChange(service, change, token):
-                version = await self._announcer.announce(service, change, token)
-                return succession_state.ChangeAnnounced(service, version)
-            case succession_state.WithdrawChange(service, token, is_over):
-                await self._announcer.withdraw(service, token, is_over)
+                return await self._announce(service, change, token)
+            case succession_state.WithdrawChange(service, token, is_over, led_term):
+                await self._announcer.withdraw(service, token, is_over, led_term)
                 return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
@@ -187,6 +187,16 @@
             service, name, led_term, status.received
         )
 
+    async def _announce(
+        self, service: str, change: PrimaryChange, token: int
+    ) -> succession_state.Event:
+        written = await self._announcer.announce(service, change, token)
+        if written is None:
+            return succession_state.ChangeAnnounced(service, 0)
+        return succession_state.ChangeAnnounced(
+            service, written.version, written.begun_term
+        )
+
     async def _claim(
         self, action: succession_state.ClaimDuty
     ) -> succession_state.Event:
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -41,7 +41,8 @@
     overloaded while no replica could serve reads. `lost_log_covered_by` is a position
     that covers all that was acknowledged before the last loss of a log, or None while
     none is known. `former_leaders` are replicas that were primary in the newest term,
-    each with the newest position that its log is known to have reached.
+    each with the newest position that its log is known to have reached. `leader_term`
+    is the term in which the leader has shown that it leads, or 0 before.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -60,6 +61,7 @@
     lost_log_covered_by: Position | None = None
     fenced_since: float | None = None
     former_leaders: Mapping[str, Position] = field(default_factory=dict)
+    leader_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,11 +138,13 @@
 class ChangeAnnounced:
     """The outcome of announcing a change of primary to all proxies.
 
-    `version` is that of the announcement, or 0 if it failed.
+    `version` is that of the announcement, or 0 if it failed. `begun_term` is the newest
+    term that a promotion announced before may have begun.
     """
 
     service: str
     version: int
+    begun_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,13 +222,15 @@
 class WithdrawChange:
     """A request to tell all proxies that a change announced so far will not happen.
 
-    With `is_over` it has happened, so that proxies which start now need not apply it.
+    With `is_over` it has happened, so that proxies which start now need not apply it;
+    its successor leads in `successor_term`, or 0 if that is not known.
     `token` is the fencing token of this proxy's claim: later ones stay.
     """
 
     service: str
     token: int
     is_over: bool = False
+    successor_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,9 +333,10 @@
     `confirm_not_before` is the time until which the promotion of an earlier claim may
     take effect. `announced` is the change that was announced, `has_announced` is True
     if any was, and `announced_version` the announcement's version,
-    or 0 while it is not confirmed. `promotion_may_take_effect` is True once a promotion
-    was requested and not refused; `earlier_may_take_effect` tells the same of the
-    promotions before the last one.
+    or 0 while it is not confirmed. `begun_term` is the newest term that a promotion
+    announced before may have begun, as far as is known. `promotion_may_take_effect` is
+    True once a promotion was requested and not refused; `earlier_may_take_effect` tells
+    the same of the promotions before the last one.
     """
 
     service: str
@@ -352,6 +359,7 @@
     announced: PrimaryChange | None = None
     announced_version: int = 0
     has_announced: bool = False
+    begun_term: int = 0
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -33,6 +33,11 @@
 CHANGE = PrimaryChange(1, Position(1, 10))
 
 
+def version_of(written: Announcement | None) -> int:
+    """Return the version of an announcement, or 0 if it was not written."""
+    return written.version if written else 0
+
+
 class ChangeTrackerTest(unittest.TestCase):
     """When a change is under way, and which commits are a reason to object."""
 
@@ -155,7 +160,7 @@
             changes = self._newest_group.changes
             if reported is not None:
                 changes.record_reported(reported, virtual_now())
-            version = await promoter.announce("s", CHANGE, 7)
+            version = version_of(await promoter.announce("s", CHANGE, 7))
             await pass_time(2 * FEED_SECONDS)
             is_unopposed = await promoter.is_unopposed("s", version)
             is_under_way = changes.under_way(1, virtual_now()) is not None
@@ -182,7 +187,7 @@
             promoter = self._proxy()
             self._proxy()
             self._newest_group.changes.record_reported(Position(1, 11), virtual_now())
-            version = await promoter.announce("s", CHANGE, 7)
+            version = version_of(await promoter.announce("s", CHANGE, 7))
             self.announcements.hanging_writes = 1
             await pass_time(2 * FEED_SECONDS + HEDGE_SECONDS)
             return await promoter.is_unopposed("s", version)
@@ -253,13 +258,86 @@
 
         self.assertFalse(run_virtual(work()).is_withdrawn)
 
+    def test_later_announcement_tells_which_term_may_have_begun(self) -> None:
+        """Guards against a promotion that knows of no other promoter's one."""
+        early = Announcement("s", CHANGE, 7, begun_term=1, version=3)
+        withdrawn = replace(early, is_withdrawn=True)
+        over = replace(early, is_over=True)
+        cases = (
+            ("no row", None, 0),
+            ("under way", early, 2),
+            ("after another one", replace(early, begun_term=4), 5),
+            ("withdrawn", withdrawn, 1),
+            ("over", over, 2),
+            ("over, successor known", replace(over, successor_term=4), 4),
+            ("of this claim", replace(early, token=8), 1),
+            ("of an earlier release", replace(early, begun_term=0), 2),
+        )
+
+        async def work(row: Announcement | None, is_read: bool) -> Announcement | None:
+            self.announcements = FakeAnnouncements()
+            promoter = self._proxy()
+            if row is not None:
+                self.announcements.rows["s"] = row
+                self.announcements.version = row.version
+                if is_read:
+                    promoter.apply(row)
+            self.announcements.lost_answers = 1
+            return await promoter.announce("s", CHANGE, 8)
+
+        for name, row, expected in cases:
+            for is_read in (False, True):
+                with self.subTest(name, is_read=is_read):
+                    found = run_virtual(work(row, is_read))
+                    written = self.announcements.rows["s"]
+                    self.assertEqual((written.begun_term, written.token), (expected, 8))
+                    self.assertEqual(found, written)
+
+    def test_term_that_may_have_begun_stays_when_a_later_claim_withdraws(self) -> None:
+        async def work(token: int) -> int:
+            self.announcements = FakeAnnouncements()
+            proxy = self._proxy()
+            await proxy.announce("s", CHANGE, 7)
+            await proxy.withdraw("s", token)
+            row = self.announcements.rows["s"]
+            self.assertTrue(row.is_withdrawn)
+            return row.may_have_begun
+
+        for token, expected in ((7, 0), (8, 2)):
+            with self.subTest(token=token):
+                self.assertEqual(run_virtual(work(token)), expected)
+
+    def test_commits_of_the_successor_are_reported_once_its_term_is_known(self) -> None:
+        """Guards against refusing them as those of a term that may have begun."""
+        under_way = Announcement("s", CHANGE, 7, begun_term=3, version=1)
+        over = replace(under_way, is_over=True, version=2)
+        known = replace(over, successor_term=3)
+        cases = (
+            ("under way", under_way, [True, True, True], True),
+            ("over", known, [True, True, False], False),
+            ("over, successor's term not known", over, [True, False, False], False),
+        )
+
+        async def work(row: Announcement) -> tuple[list[bool], bool]:
+            proxy = self._proxy()
+            proxy.apply(under_way)
+            proxy.apply(row)
+            changes, now = self._newest_group.changes, virtual_now()
+            positions = (Position(term, 11) for term in (1, 2, 3))
+            drops = [changes.drops(each, 3, now) for each in positions]
+            return drops, changes.under_way(3, now) is not None
+
+        for name, row, drops, is_under_way in cases:
+            with self.subTest(name):
+                self.assertEqual(run_virtual(work(row)), (drops, is_under_way))
+
     def test_announcement_that_is_done_late_is_withdrawn_before(self) -> None:
         """Guards against refusing writes after the promoter has given up."""
 
         async def work() -> tuple[int, bool]:
             promoter = self._proxy()
             self.announcements.hanging_writes = 100
-            version = await promoter.announce("s", CHANGE, 7)
+            version = version_of(await promoter.announce("s", CHANGE, 7))
             self.announcements.hanging_writes = 0
             await promoter.withdraw("s", 7)
             return version, self.announcements.rows["s"].is_withdrawn
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -18,7 +18,12 @@
 from tests.virtual_loop import run_virtual
 
 ANNOUNCED = Announcement(
-    "s", PrimaryChange(3, Position(2, 7)), 12, objection=Position(3, 8)
+    "s",
+    PrimaryChange(3, Position(2, 7)),
+    12,
+    objection=Position(3, 8),
+    begun_term=5,
+    successor_term=6,
 )
 
 
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -138,6 +138,28 @@
     def test_late_announcement_is_waited_for(self) -> None:
         self.assertEqual(self.confirm(is_unopposed=False), ("ObserveAfter",))
 
+    def test_log_of_a_former_leader_proves_nothing_of_a_term_that_may_have_begun(
+        self,
+    ) -> None:
+        """Guards against dropping commits of a silent primary of a later term."""
+        led = replace(
+            HEALTHY,
+            leader=None,
+            primaryless_since=0.0,
+            departed=("c",),
+            former_leaders={"a": Position(1, 7)},
+        )
+        statuses = {"a": status(7), "b": status(6), "c": None}
+        for begun_term, is_promoted in ((1, True), (2, False)):
+            with self.subTest(begun_term=begun_term):
+                driver = Driver()
+                driver.claim(led)
+                driver.report_fences(statuses)
+                driver.handle(ChangeAnnounced("s", 4, begun_term))
+                actions = driver.confirm(statuses, view=led)
+                are = [isinstance(each, Promote) for each in actions]
+                self.assertEqual(are == [True], is_promoted)
+
     def test_proxies_have_time_to_object(self) -> None:
         driver = Driver()
         driver.claim()
