Announce a change of primary also after the former one stepped down

Callers could lose commits at a planned change without any proxy being able to object: once the former primary had stepped down, the promotion was requested without an announcement, "as a primary that has stepped down acknowledges nothing that the log lacks". That is true of that primary. One that had replaced it before, unknown to it and to the promoter, acknowledges more; and without an announcement the promoter did not learn of terms that others had announced.

Every promotion is announced now, and confirmed only if the announcement is unopposed. The end of the former primary's log still tells which silent databases need not be waited for, if no later term may have begun.

The tests failed before with "('Promote',) != ('ObserveAfter',)" and, as nothing was announced, "not enough values to unpack". No existing test expected that no announcement follows a step-down.

The announcement is written while the hold time runs.

--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -47,9 +47,7 @@
     those that answered and are not fenced in the succession's term, `silent` those that
     did not answer and must be waited for, and `left_out` those that need not be.
     `longest` is the end of the most advanced log, and `successor` a replica that has
-    it, or "" if none of those whose names are known has it. With
-    `is_former_log_reached` the primary of the newest term that may have begun has
-    stepped down, and that log reaches the end of its log.
+    it, or "" if none of those whose names are known has it.
     """
 
     primaries: Mapping[str, DatabaseStatus]
@@ -60,7 +58,6 @@
     silent: frozenset[str]
     left_out: Mapping[str, LeftOut]
     longest: Position
-    is_former_log_reached: bool
     successor: str
 
     @property
@@ -121,7 +118,6 @@
         silent=frozenset(silent - left_out.keys()),
         left_out=left_out,
         longest=longest,
-        is_former_log_reached=is_former_log_reached,
         successor=_choose_successor(view, succession, answers, longest),
     )
 
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -225,8 +225,7 @@
         if not is_confirmed:
             return self._hold(state, succession, found, now)
         is_announced = succession.announced == found.change
-        # A primary that has stepped down acknowledges nothing that the log lacks.
-        if found.is_former_log_reached or (is_announced and event.is_unopposed):
+        if is_announced and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
         if is_announced and succession.announced_version:
@@ -242,7 +241,7 @@
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = found.change
-        if found.is_former_log_reached or change == succession.announced:
+        if change == succession.announced:
             return schedule_step(state, held, now, wait)
         announcing = replace(
             held, announced=change, announced_version=0, has_announced=True
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -15,6 +15,7 @@
     FenceReplicas,
     FenceResults,
     ObserveAfter,
+    PrimarySteppedDown,
     Promote,
     UnfenceReplicas,
     WithdrawChange,
@@ -104,13 +105,21 @@
 
     STATUSES = {"a": status(5), "b": status(6)}
 
-    def confirm(self, *events: ChangeAnnounced, is_unopposed: bool) -> tuple[str, ...]:
+    def confirm(
+        self,
+        *events: ChangeAnnounced,
+        is_unopposed: bool,
+        former_log_end: Position | None = None,
+    ) -> tuple[str, ...]:
         """Return the kinds of actions after a confirmation.
 
-        `events` are handled before it.
+        `events` are handled before it. With `former_log_end` the former primary has
+        stepped down, and its log ends there.
         """
         driver = Driver()
         driver.claim()
+        if former_log_end is not None:
+            driver.handle(PrimarySteppedDown("s", "old", 1, former_log_end))
         driver.report_fences(self.STATUSES)
         for event in events:
             driver.handle(event)
@@ -130,6 +139,35 @@
         self.assertEqual(self.confirm(announced, is_unopposed=False), ("ObserveAfter",))
         self.assertEqual(self.confirm(announced, is_unopposed=True), ("Promote",))
 
+    def test_change_after_a_step_down_is_announced_too(self) -> None:
+        """Guards against dropping commits of a primary that replaced it before."""
+        announced = ChangeAnnounced("s", 4)
+        for is_unopposed, expected in ((False, "ObserveAfter"), (True, "Promote")):
+            with self.subTest(is_unopposed=is_unopposed):
+                found = self.confirm(
+                    announced,
+                    is_unopposed=is_unopposed,
+                    former_log_end=Position(1, 6),
+                )
+                self.assertEqual(found, (expected,))
+        not_announced = self.confirm(is_unopposed=False, former_log_end=Position(1, 6))
+        self.assertEqual(not_announced, ("ObserveAfter",))
+
+    def test_step_down_proves_nothing_of_a_term_that_may_have_begun(self) -> None:
+        """Guards against leaving out a silent primary of a later term."""
+        statuses = {"a": status(5), "b": None}
+        for begun_term, is_promoted in ((1, True), (2, False)):
+            with self.subTest(begun_term=begun_term):
+                driver = Driver()
+                driver.claim()
+                driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 5)))
+                announce, _ = driver.report_fences(statuses)
+                self.assertIsInstance(announce, AnnounceChange)
+                driver.handle(ChangeAnnounced("s", 4, begun_term))
+                actions = driver.confirm(statuses)
+                are = [isinstance(each, Promote) for each in actions]
+                self.assertEqual(are == [True], is_promoted)
+
     def test_failed_announcement_is_repeated(self) -> None:
         failed = ChangeAnnounced("s", 0)
         actions = self.confirm(failed, is_unopposed=False)
