Object to a change of primary if a later term has begun

Whoever knows of a later term than the promoter is the witness that is needed.

A proxy now objects to a change if it knows of a later term than those that the change replaces, also if it has reported nothing in it, and writes that term into the row. The promoter takes it as begun: logs of an ended term no longer stand for those of silent databases, and the change is announced anew as one that replaces it. So proxies object to the new announcement only for commits that they have reported, and a term whose databases are all gone blocks no promotion for good.

The term may be the successor's own if a proxy hears of the change late. Its objection is harmless: it is not taken as replaced by that change, so that proxies which know the term neither refuse writes nor drop its commits; a row that says that the change has happened is not amended; and the next promoter counts a term that has indeed begun.

The tests failed before: the witness with "True is not false" (unopposed), the others as the term had no place; with the rule taken out of `compare`, "'Promote' unexpectedly found in ('Promote',)" and no new announcement.

The case "of a later term" of `ChangeTrackerTest`, which expected no objection, was the fault itself; a test of all known terms replaces it. The test that an objection replaces no later announcement reports a commit first, as an objection without a reason is no longer written.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -164,13 +164,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimaryChangeOpposed:
-    """This proxy objects to a promotion that would drop a commit it has reported."""
+    """This proxy objects to a promotion that may drop commits."""
 
     service: str
     # The end of the successor's log.
     log_end: str
-    # The newest position that a commit was reported at.
+    # The newest position that a commit was reported at, or empty if that is no reason.
     reported: str
+    # A term that has begun, later than those that the promotion replaces, or 0.
+    later_term: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -17,7 +17,8 @@
     """The row of a service; `..._term` and `..._index` are log positions.
 
     Without an objection its position is 0:0. `token` is the fencing token of the
-    promoter's claim. Earlier releases write no `begun_term` and `successor_term`.
+    promoter's claim. Earlier releases write no `begun_term`,
+    `later_term` and `successor_term`.
     """
 
     token: Count
@@ -29,6 +30,7 @@
     objection_term: Count = 0
     objection_index: Count = 0
     begun_term: Count = 0
+    later_term: Count = 0
     successor_term: Count = 0
 
 
@@ -58,6 +60,7 @@
             objection.term,
             objection.index,
             announcement.begun_term,
+            announcement.later_term,
             announcement.successor_term,
         )
         value = msgspec.json.encode(model)
@@ -85,6 +88,7 @@
         model.is_over,
         objection if objection != ORIGIN else None,
         model.begun_term,
+        model.later_term,
         model.successor_term,
         row.version,
     )
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -48,7 +48,7 @@
 
     >>> tracker = ChangeTracker()
     >>> tracker.record_reported(Position(2, 8), now=1.0)
-    >>> tracker.objects_to(PrimaryChange(2, Position(2, 7)), now=2.0)
+    >>> tracker.objects_to(PrimaryChange(2, Position(2, 7)), known_term=2, now=2.0)
     True
     """
 
@@ -60,17 +60,22 @@
         self._reported_anywhere = ORIGIN
         self._reported = ORIGIN
         self._reported_at = NEVER
-
-    @property
-    def reported(self) -> Position:
-        """Return the newest position of a commit that was reported as done."""
-        return self._reported
+        self._later_term = 0
 
     @property
     def reported_anywhere(self) -> Position:
         """Return the newest position known of a commit that a proxy has reported."""
         return max(self._reported, self._reported_anywhere)
 
+    @property
+    def later_term(self) -> int:
+        """Return the newest term that a proxy is known to have objected with, or 0."""
+        return self._later_term
+
+    def record_later_term(self, term: int) -> None:
+        """Record that a proxy objected, as it knows of a term that has begun."""
+        self._later_term = max(self._later_term, term)
+
     def announce(self, change: PrimaryChange, now: float) -> None:
         """Record an announced change."""
         self._change = change
@@ -118,7 +123,18 @@
         changes = [self._over, self._change if now <= self._until else None]
         return any(change.drops(position) for change in changes if change)
 
-    def objects_to(self, change: PrimaryChange, now: float) -> bool:
-        """Return True if a commit that the promotion drops was reported as done."""
+    def objects_to(self, change: PrimaryChange, known_term: int, now: float) -> bool:
+        """Return True if the promotion drops a commit that was reported as done.
+
+        Whoever knows of a later term than those replaced objects in any case: the
+        promoter does not, and its successor may lack what was committed in it.
+        """
+        return (
+            known_term > change.replaced_term
+            or self.reported_beyond(change, now) is not None
+        )
+
+    def reported_beyond(self, change: PrimaryChange, now: float) -> Position | None:
+        """Return where a commit beyond the successor's log was reported recently."""
         is_recent = now <= self._reported_at + OBJECTION_SECONDS
-        return is_recent and change.drops(self._reported)
+        return self._reported if is_recent and self._reported > change.log_end else None
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -2,7 +2,8 @@
 
 A promoter writes one row for its service. Each proxy that reads it applies it to its
 group, and objects by writing the row again if it has reported a commit that the
-promotion would drop. The promoter reads the row once more before it confirms.
+promotion would drop, or knows of a later term than the promoter. The promoter reads the
+row once more before it confirms.
 """
 
 import asyncio
@@ -28,10 +29,11 @@
     """The announced change of a service's primary, as of row version `version`.
 
     `token` is the fencing token of the promoter's claim. `objection` is the position of
-    a commit that some proxy has reported, and that the promotion would drop. Once the
-    change has happened it `is_over`, and its successor leads in `successor_term`, or in
-    a term that was not known then if that is 0. `begun_term` is the newest term that a
-    promotion announced before may have begun.
+    a commit that some proxy has reported, and that the promotion would drop, and
+    `later_term` a term that some proxy knows to have begun, later than those that the
+    change replaces. Once the change has happened it `is_over`, and its successor leads
+    in `successor_term`, or in a term that was not known then if that is 0.
+    `begun_term` is the newest term that a promotion announced before may have begun.
     """
 
     service: str
@@ -41,6 +43,7 @@
     is_over: bool = False
     objection: Position | None = None
     begun_term: int = 0
+    later_term: int = 0
     successor_term: int = 0
     version: int = 0
 
@@ -71,9 +74,12 @@
         >>> replace(announced, is_withdrawn=True, begun_term=4).may_have_begun
         4
         """
+        known = max(self.begun_term, self.later_term)
         if self.is_over:
-            return max(self.begun_term, self.happened.replaced_term + 1)
-        return self.begun_term if self.is_withdrawn else self.covering.replaced_term + 1
+            return max(known, self.happened.replaced_term + 1)
+        if self.is_withdrawn:
+            return known
+        return max(known, self.covering.replaced_term + 1)
 
     def follows(self, other: "Announcement") -> bool:
         """Return True if this is a later state of the service's row than `other`.
@@ -131,24 +137,28 @@
         every promotion that was announced before.
         """
         announced = Announcement(service, change, token)
+        changes = self._fleet.group(service).changes
 
         def following(present: Announcement | None) -> Announcement:
-            begun_term = _begun_before(present, token)
+            begun_term = max(_begun_before(present, token), changes.later_term)
             version = present.version if present else 0
             return replace(announced, begun_term=begun_term, version=version)
 
         first = following(self._applied.get(service))
-        self._fleet.group(service).changes.announce(first.covering, self._clock())
+        changes.announce(first.covering, self._clock())
         self._announced[service] = first
         return await self._write(first, following)
 
     async def is_unopposed(self, service: str, version: int) -> bool:
         """Return True if no proxy has objected to the announcement of that version."""
         present = await self._read(service)
-        if present is None or present.version != version:
+        if present is None:
             return False
-        changes = self._fleet.group(service).changes
-        return not changes.objects_to(present.covering, self._clock())
+        group = self._fleet.group(service)
+        group.changes.record_later_term(present.later_term)
+        if present.version != version:
+            return False
+        return not group.changes.objects_to(present.covering, group.term, self._clock())
 
     async def withdraw(
         self, service: str, token: int, is_over: bool = False, successor_term: int = 0
@@ -194,10 +204,12 @@
         has come back with an older copy of the store, but for the objection in it.
         """
         service = announcement.service
+        group = self._fleet.group(service)
         if not self.is_new(service, announcement.version):
             return False
         self._applied[service] = announcement
-        changes = self._fleet.group(service).changes
+        changes = group.changes
+        changes.record_later_term(announcement.later_term)
         if announcement.objection is not None:
             changes.record_objection(announcement.objection)
         newest = self._newest.get(service)
@@ -210,23 +222,44 @@
             changes.record_over(announcement.happened)
         if announcement.is_ended:
             return False
-        now = self._clock()
-        covering = announcement.covering
-        changes.announce(covering, now)
-        return announcement.objection is None and changes.objects_to(covering, now)
+        changes.announce(announcement.covering, self._clock())
+        return self._with_objection(announcement) is not None
 
     async def object_to(self, announcement: Announcement) -> None:
-        """Object to a change that drops a commit which this proxy has reported."""
-        service = announcement.service
-        reported = self._fleet.group(service).changes.reported
-        end = str(announcement.change.log_end)
-        logs.log(session_events.PrimaryChangeOpposed(service, end, str(reported)))
-        await self._amend(
-            announcement,
-            lambda each: replace(
-                each, objection=max(reported, each.objection or reported)
-            ),
+        """Object to a change that drops a commit which this proxy has reported.
+
+        Object also if this proxy knows of a later term than those replaced. That may be
+        the successor's if the announcement comes late: nothing else changes then.
+        """
+        opposed = self._with_objection(announcement)
+        if opposed is None:
+            return
+        logs.log(
+            session_events.PrimaryChangeOpposed(
+                announcement.service,
+                str(announcement.change.log_end),
+                str(opposed.objection or ""),
+                opposed.later_term,
+            )
         )
+        await self._amend(announcement, lambda each: self._with_objection(each) or each)
+
+    def _with_objection(self, announcement: Announcement) -> Announcement | None:
+        """Return an announcement with this proxy's objection, or None if not new.
+
+        Others may have objected with a commit that they have reported, which suffices.
+        """
+        group, now = self._fleet.group(announcement.service), self._clock()
+        covering, objection = announcement.covering, announcement.objection
+        if not group.changes.objects_to(covering, group.term, now):
+            return None
+        later_term = announcement.later_term
+        if group.term > covering.replaced_term:
+            later_term = max(later_term, group.term)
+        if objection is None:
+            objection = group.changes.reported_beyond(covering, now)
+        opposed = replace(announcement, objection=objection, later_term=later_term)
+        return opposed if opposed != announcement else None
 
     async def _read(self, service: str) -> Announcement | None:
         """Return a service's newest announcement, or None also if that failed."""
@@ -240,11 +273,11 @@
     async def _amend(
         self, read: Announcement, change: Callable[[Announcement], Announcement]
     ) -> None:
-        """Write a change of an announcement, unless another one has followed it."""
+        """Change an announcement, unless it has happened or another has followed it."""
 
         def amended(present: Announcement) -> Announcement | None:
             is_same = (present.token, present.change) == (read.token, read.change)
-            return change(present) if is_same else None
+            return change(present) if is_same and not present.is_over else None
 
         await self._write(change(read), amended)
 
@@ -314,4 +347,5 @@
     if present is None:
         return 0
     is_own = present.token == token and not present.is_ended
-    return present.begun_term if is_own else present.may_have_begun
+    known = max(present.begun_term, present.later_term)
+    return known if is_own else present.may_have_begun
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -87,7 +87,7 @@
     terms = [each.term for each in everyone.values()]
     newest_term = max([view.term, *terms])
     # A silent database may lead in a term of which this proxy has not heard.
-    begun_term = max(newest_term, succession.begun_term)
+    begun_term = max(newest_term, succession.begun_term, view.opposing_term)
     is_former_log_reached = (
         succession.former_log_end is not None
         and succession.former_term >= begun_term
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -66,6 +66,7 @@
             min((each for each in fenced if each is not None), default=None),
             _former_leaders(group),
             leader.reported_primary_term if leader else 0,
+            group.changes.later_term,
         )
 
     def _record_primaryless(self, group: Group, now: float) -> None:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -224,7 +224,7 @@
         )
         if not is_confirmed:
             return self._hold(state, succession, found, now)
-        is_announced = succession.announced == found.change
+        is_announced = _is_announced(succession, found)
         if is_announced and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
@@ -241,7 +241,7 @@
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = found.change
-        if change == succession.announced:
+        if _is_announced(succession, found):
             return schedule_step(state, held, now, wait)
         announcing = replace(
             held, announced=change, announced_version=0, has_announced=True
@@ -395,6 +395,12 @@
         return state, (*own, unfence)
 
 
+def _is_announced(succession: Succession, found: Comparison) -> bool:
+    """Return True if a change was announced as one of all terms that may have begun."""
+    covered_term = max(found.newest_term, succession.begun_term)
+    return succession.announced == found.change and covered_term >= found.begun_term
+
+
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
     if phase is Phase.CONFIRMING:
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -42,7 +42,8 @@
     that covers all that was acknowledged before the last loss of a log, or None while
     none is known. `former_leaders` are replicas that were primary in the newest term,
     each with the newest position that its log is known to have reached. `leader_term`
-    is the term in which the leader has shown that it leads, or 0 before.
+    is the term in which the leader has shown that it leads, or 0 before, and
+    `opposing_term` the newest one that a proxy has objected with to a change, or 0.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -62,6 +63,7 @@
     fenced_since: float | None = None
     former_leaders: Mapping[str, Position] = field(default_factory=dict)
     leader_term: int = 0
+    opposing_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -59,18 +59,28 @@
         tracker.withdraw()
         self.assertIsNone(tracker.under_way(1, 0.6))
 
-    def test_objects_only_to_the_loss_of_a_recently_reported_commit(self) -> None:
+    def test_objects_to_the_loss_of_a_recently_reported_commit(self) -> None:
         cases = (
             ("lost", Position(1, 11), 1.0, True),
             ("kept", Position(1, 10), 1.0, False),
-            ("of a later term", Position(2, 11), 1.0, False),
             ("reported long ago", Position(1, 11), 1.1 + OBJECTION_SECONDS, False),
         )
         for name, reported, now, expected in cases:
             with self.subTest(name):
                 tracker = ChangeTracker()
                 tracker.record_reported(reported, 1.0)
-                self.assertEqual(tracker.objects_to(CHANGE, now), expected)
+                self.assertEqual(tracker.objects_to(CHANGE, 1, now), expected)
+
+    def test_objects_if_a_later_term_than_those_replaced_is_known(self) -> None:
+        """Guards against a promotion that drops what a later primary acknowledged."""
+        for reported in (Position(1, 5), Position(2, 11)):
+            for known_term, expected in ((1, False), (2, True), (3, True)):
+                with self.subTest(reported=reported, known_term=known_term):
+                    tracker = ChangeTracker()
+                    tracker.record_reported(reported, 1.0)
+                    long_after = 1.1 + OBJECTION_SECONDS
+                    found = tracker.objects_to(CHANGE, known_term, long_after)
+                    self.assertEqual(found, expected)
 
 
 class SurveyTest(unittest.TestCase):
@@ -180,6 +190,66 @@
         _, is_unopposed, _ = self.announce(Position(1, 11))
         self.assertFalse(is_unopposed)
 
+    def test_other_proxy_objects_if_it_knows_of_a_later_term(self) -> None:
+        """Guards against a promotion beside a primary unknown to the promoter."""
+
+        async def work() -> tuple[bool, Announcement | None]:
+            promoter = self._proxy()
+            own = self._newest_group
+            self._proxy()
+            later = Position(2, 11)
+            group = self._newest_group
+            group.record_position(group.members["near"], later, virtual_now())
+            version = version_of(await promoter.announce("s", CHANGE, 7))
+            await pass_time(2 * FEED_SECONDS)
+            self.assertFalse(await promoter.is_unopposed("s", version))
+            row = self.announcements.rows["s"]
+            self.assertEqual((row.later_term, row.objection), (2, None))
+            self.assertEqual(own.changes.later_term, 2)
+            again = await promoter.announce("s", CHANGE, 7)
+            await pass_time(2 * FEED_SECONDS)
+            return await promoter.is_unopposed("s", version_of(again)), again
+
+        is_unopposed, again = run_virtual(work())
+        self.assertEqual(again and again.begun_term, 2)
+        self.assertTrue(is_unopposed)
+
+    def test_late_objection_leaves_the_successor_alone(self) -> None:
+        """Guards against refusing its writes once proxies know its term."""
+
+        async def work(is_over: bool) -> tuple[Announcement, list[bool]]:
+            self.announcements = FakeAnnouncements()
+            promoter = self._proxy()
+            own = self._newest_group
+            await promoter.announce("s", CHANGE, 7)
+            await pass_time(2 * FEED_SECONDS)
+            late = self._proxy()
+            for group in (own, self._newest_group):
+                position = Position(2, 11)
+                group.record_position(group.members["near"], position, virtual_now())
+                group.changes.record_reported(position, virtual_now())
+            row = self.announcements.rows["s"]
+            if is_over:
+                await promoter.withdraw("s", 7, is_over=True, successor_term=2)
+            self.assertTrue(late.apply(row))
+            await late.object_to(row)
+            await pass_time(2 * FEED_SECONDS)
+            shown = [
+                (each.change_under_way(virtual_now()) is not None)
+                or each.changes.drops(Position(2, 12), 2, virtual_now())
+                for each in (own, self._newest_group)
+            ]
+            if not is_over:
+                self.assertEqual(self.announcements.rows["s"].later_term, 2)
+                await promoter.withdraw("s", 7, is_over=True, successor_term=2)
+            return self.announcements.rows["s"], shown
+
+        for is_over in (False, True):
+            with self.subTest(is_over=is_over):
+                row, shown = run_virtual(work(is_over))
+                self.assertEqual((row.is_over, row.may_have_begun), (True, 2))
+                self.assertEqual(shown, [False, False])
+
     def test_objection_that_is_not_answered_is_sent_again(self) -> None:
         """Guards against a promotion that no objection reaches in time."""
 
@@ -197,6 +267,7 @@
     def test_objection_does_not_replace_a_later_announcement(self) -> None:
         async def work() -> Announcement:
             promoter, other = self._proxy(), self._proxy()
+            self._newest_group.changes.record_reported(Position(1, 11), virtual_now())
             await promoter.announce("s", CHANGE, 7)
             early = self.announcements.rows["s"]
             await promoter.announce("s", PrimaryChange(2, Position(2, 20)), 8)
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -23,6 +23,7 @@
     12,
     objection=Position(3, 8),
     begun_term=5,
+    later_term=4,
     successor_term=6,
 )
 
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -10,6 +10,7 @@
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.state import (
+    Action,
     AnnounceChange,
     ChangeAnnounced,
     FenceReplicas,
@@ -131,7 +132,11 @@
             fenced_at=driver.now,
             is_unopposed=is_unopposed,
         )
-        return tuple(type(each).__name__ for each in driver.handle(confirmed))
+        return self.names(driver.handle(confirmed))
+
+    def names(self, actions: tuple[Action, ...]) -> tuple[str, ...]:
+        """Return the kinds of actions."""
+        return tuple(type(each).__name__ for each in actions)
 
     def test_promotion_waits_until_no_proxy_objects(self) -> None:
         """Guards against dropping commits that other proxies reported as done."""
@@ -168,6 +173,33 @@
                 are = [isinstance(each, Promote) for each in actions]
                 self.assertEqual(are == [True], is_promoted)
 
+    def test_term_of_an_objection_is_announced_as_begun(self) -> None:
+        """Guards against promoting beside a primary that only other proxies know."""
+        opposed = replace(FAILING, opposing_term=2)
+        driver = Driver()
+        driver.claim()
+        announce, _ = driver.report_fences(self.STATUSES)
+        driver.handle(ChangeAnnounced("s", 4))
+        driver.wait_out_hold(opposed)
+        confirmed = FenceResults("s", self.STATUSES, were_already_fenced=True)
+        actions = driver.handle(confirmed)
+        self.assertEqual(actions[0], announce)
+        driver.handle(ChangeAnnounced("s", 6, 2))
+        (promotion,) = driver.confirm(self.STATUSES, view=opposed)
+        self.assertIsInstance(promotion, Promote)
+
+    def test_silent_database_is_waited_for_after_an_objection_of_a_later_term(
+        self,
+    ) -> None:
+        """Guards against dropping what it acknowledged as primary of that term."""
+        opposed = replace(FAILING, opposing_term=2)
+        statuses = {"a": status(5), "b": None}
+        driver = Driver()
+        driver.claim()
+        driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 5)))
+        driver.report_fences(statuses)
+        self.assertNotIn("Promote", self.names(driver.confirm(statuses, view=opposed)))
+
     def test_failed_announcement_is_repeated(self) -> None:
         failed = ChangeAnnounced("s", 0)
         actions = self.confirm(failed, is_unopposed=False)
