Log on which terms and which announcement a promotion is based

`promotion_decided` did not tell whether a promoter knew of the newest term, nor that its change had been announced; both were in question in the incident. It states now the newest term known, the newest one that promotions announced before may have begun, and the version of the announcement.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -138,6 +138,12 @@
     former_log_end: str
     # A position that covers what was acknowledged before the last loss of a log.
     lost_log_covered_by: str
+    # The newest term that this proxy knew, and the newest one that promotions announced
+    # before may have begun, or 0.
+    newest_term: int
+    begun_term: int
+    # The version of the announcement's row, to which no proxy had objected.
+    announced_version: int
     claim_age_seconds: float
     confirmation_age_seconds: float
 
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -184,6 +184,9 @@
         {name: reason.value for name, reason in found.left_out.items()},
         succession.former_log_end,
         view.lost_log_covered_by,
+        found.newest_term,
+        max(succession.begun_term, view.opposing_term),
+        succession.announced_version,
         succession.claimed_at,
         results.fenced_at,
     )
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -270,6 +270,9 @@
                 "; ".join(left_out),
                 str(basis.former_log_end or ""),
                 str(basis.lost_log_covered_by or ""),
+                basis.newest_term,
+                basis.begun_term,
+                basis.announced_version,
                 round(now - basis.claimed_at, 3),
                 round(now - basis.confirmed_at, 3),
             )
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -247,8 +247,10 @@
     """On which knowledge a promotion is requested, for the log.
 
     `left_out` are the databases that did not answer and were not waited for, each with
-    the reason. `claimed_at` is when the duty was claimed, and `confirmed_at` when the
-    fence commands that confirmed the comparison were sent.
+    the reason. `newest_term` is the newest term known, `begun_term` the newest one that
+    promotions announced before may have begun, or 0, and `announced_version` the
+    version of the announcement. `claimed_at` is when the duty was claimed, and
+    `confirmed_at` when the fence commands that confirmed the comparison were sent.
     """
 
     cause: Cause
@@ -259,6 +261,9 @@
     left_out: Mapping[str, str]
     former_log_end: Position | None
     lost_log_covered_by: Position | None
+    newest_term: int
+    begun_term: int
+    announced_version: int
     claimed_at: float
     confirmed_at: float
 
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -200,6 +200,17 @@
         driver.report_fences(statuses)
         self.assertNotIn("Promote", self.names(driver.confirm(statuses, view=opposed)))
 
+    def test_promotion_states_the_terms_that_it_is_based_on(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        driver.handle(ChangeAnnounced("s", 4, 3))
+        (promotion,) = driver.confirm(self.STATUSES)
+        assert isinstance(promotion, Promote)
+        basis = promotion.basis
+        found = basis.newest_term, basis.begun_term, basis.announced_version
+        self.assertEqual(found, (1, 3, 1))
+
     def test_failed_announcement_is_repeated(self) -> None:
         failed = ChangeAnnounced("s", 0)
         actions = self.confirm(failed, is_unopposed=False)
