Announce a change also if a restored store lacks the row

A store that comes back from an older copy may have no announcement of a service. A promoter that had read one went on to write under that row's version, so that each write found another one and no change could be announced: no primary was promoted until the process was started again. Such a promoter now finds that there is no row, and writes one. A failed read still counts as none.

It matters more since every promotion is announced.

--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -189,7 +189,7 @@
         if ended(present) != present or is_own:
             await self._write(
                 ended(present),
-                lambda each: ended(each) if each.token <= token else None,
+                lambda each: ended(each) if each and each.token <= token else None,
             )
 
     def is_new(self, service: str, version: int) -> bool:
@@ -264,18 +264,24 @@
     async def _read(self, service: str) -> Announcement | None:
         """Return a service's newest announcement, or None also if that failed."""
         try:
-            async with asyncio.timeout(CALL_SECONDS):
-                return await self._port.read(service)
+            return await self._read_row(service)
         except (PortError, TimeoutError) as error:
-            logs.log(session_events.AnnouncementFailed(service, f"{error!r}"))
+            self._log_failure(service, error)
             return None
 
+    async def _read_row(self, service: str) -> Announcement | None:
+        """Return a service's newest announcement, or None if there is no row."""
+        async with asyncio.timeout(CALL_SECONDS):
+            return await self._port.read(service)
+
     async def _amend(
         self, read: Announcement, change: Callable[[Announcement], Announcement]
     ) -> None:
         """Change an announcement, unless it has happened or another has followed it."""
 
-        def amended(present: Announcement) -> Announcement | None:
+        def amended(present: Announcement | None) -> Announcement | None:
+            if present is None:
+                return None
             is_same = (present.token, present.change) == (read.token, read.change)
             return change(present) if is_same and not present.is_over else None
 
@@ -284,13 +290,14 @@
     async def _write(
         self,
         announcement: Announcement,
-        instead_of: Callable[[Announcement], Announcement | None],
+        instead_of: Callable[[Announcement | None], Announcement | None],
     ) -> Announcement | None:
         """Write an announcement until that is answered; return it as written, or None.
 
         A write whose answer is late is sent again meanwhile: all have the same
         condition, so that only one of them has an effect. If the row turns out to have
-        another version, what `instead_of` returns for that is written, if anything.
+        another version, or to be missing in a restored store, what `instead_of` returns
+        for that is written, if anything.
         """
         until = self._clock() + WRITE_SECONDS
         writes: set[asyncio.Task[Announcement | None]] = set()
@@ -303,8 +310,12 @@
                 for write in done:
                     if (written := write.result()) is not None:
                         return written
-                present = await self._read(announcement.service) if done else None
-                if present is None:
+                if not done:
+                    continue
+                try:
+                    present = await self._read_row(announcement.service)
+                except (PortError, TimeoutError) as error:
+                    self._log_failure(announcement.service, error)
                     continue
                 following = instead_of(present)
                 if following is None:
@@ -324,19 +335,18 @@
             version = await self._port.write(announcement)
             return replace(announcement, version=version)
         except RefusedError as error:
-            logs.log(
-                session_events.AnnouncementFailed(announcement.service, f"{error!r}")
-            )
+            self._log_failure(announcement.service, error)
             if error.code != "conflict":
                 # The store refuses all calls for now.
                 await asyncio.sleep(HEDGE_SECONDS)
             return None
         except PortError as error:
-            logs.log(
-                session_events.AnnouncementFailed(announcement.service, f"{error!r}")
-            )
+            self._log_failure(announcement.service, error)
             return None
 
+    def _log_failure(self, service: str, error: Exception) -> None:
+        logs.log(session_events.AnnouncementFailed(service, f"{error!r}"))
+
 
 def _begun_before(present: Announcement | None, token: int) -> int:
     """Return the newest term that promotions announced before a claim may have begun.
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -364,6 +364,16 @@
                     self.assertEqual((written.begun_term, written.token), (expected, 8))
                     self.assertEqual(found, written)
 
+    def test_change_is_announced_if_a_restored_store_lacks_the_row(self) -> None:
+        """Guards against a group that never gets a primary after a restoration."""
+
+        async def work() -> int:
+            promoter = self._proxy()
+            promoter.apply(Announcement("s", CHANGE, 7, version=4))
+            return version_of(await promoter.announce("s", CHANGE, 8))
+
+        self.assertEqual(run_virtual(work()), 1)
+
     def test_term_that_may_have_begun_stays_when_a_later_claim_withdraws(self) -> None:
         async def work(token: int) -> int:
             self.announcements = FakeAnnouncements()
