Keep the term that may have begun through a restoration of the store

A row of an older copy of the store may lack the newest announcements. A promoter that has read a newer one counts the term that it may have begun all the same.

The test failed before with "0 != 3".

--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -140,7 +140,8 @@
         changes = self._fleet.group(service).changes
 
         def following(present: Announcement | None) -> Announcement:
-            begun_term = max(_begun_before(present, token), changes.later_term)
+            latest = self._latest(service, present)
+            begun_term = max(_begun_before(latest, token), changes.later_term)
             version = present.version if present else 0
             return replace(announced, begun_term=begun_term, version=version)
 
@@ -261,6 +262,13 @@
         opposed = replace(announcement, objection=objection, later_term=later_term)
         return opposed if opposed != announcement else None
 
+    def _latest(self, service: str, row: Announcement | None) -> Announcement | None:
+        """Return the newest announcement known; the row may be of an older copy."""
+        newest = self._newest.get(service)
+        if newest is not None and (row is None or newest.follows(row)):
+            return newest
+        return row
+
     async def _read(self, service: str) -> Announcement | None:
         """Return a service's newest announcement, or None also if that failed."""
         try:
@@ -351,8 +359,9 @@
 def _begun_before(present: Announcement | None, token: int) -> int:
     """Return the newest term that promotions announced before a claim may have begun.
 
-    `present` is the service's row. What the claim itself announced counts for nothing:
-    its promoter promotes no other database once it has requested a promotion.
+    `present` is the newest announcement known. What the claim itself announced counts
+    for nothing: its promoter promotes no other database once it has requested a
+    promotion.
     """
     if present is None:
         return 0
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -374,6 +374,25 @@
 
         self.assertEqual(run_virtual(work()), 1)
 
+    def test_term_that_may_have_begun_is_known_after_a_restoration(self) -> None:
+        """Guards against forgetting it with a row of an older copy of the store."""
+        older = Announcement("s", CHANGE, 7, is_withdrawn=True, version=3)
+        lost = Announcement("s", PrimaryChange(2, Position(2, 20)), 8, version=4)
+
+        async def work(copy: Announcement | None) -> int:
+            self.announcements = FakeAnnouncements()
+            promoter = self._proxy()
+            promoter.apply(lost)
+            if copy is not None:
+                self.announcements.rows["s"] = replace(copy, version=100)
+                promoter.apply(replace(copy, version=100))
+            written = await promoter.announce("s", CHANGE, 200)
+            return written.begun_term if written else -1
+
+        for copy in (older, None):
+            with self.subTest(copy):
+                self.assertEqual(run_virtual(work(copy)), 3)
+
     def test_term_that_may_have_begun_stays_when_a_later_claim_withdraws(self) -> None:
         async def work(token: int) -> int:
             self.announcements = FakeAnnouncements()
