--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -138,6 +138,12 @@
     former_log_end: str
     # A position that covers what was acknowledged before the last loss of a log.
     lost_log_covered_by: str
+    # The newest term that this proxy knew, and the newest one that promotions announced
+    # before may have begun, or 0.
+    newest_term: int
+    begun_term: int
+    # The version of the announcement's row, to which no proxy had objected.
+    announced_version: int
     claim_age_seconds: float
     confirmation_age_seconds: float
 
@@ -164,13 +170,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimaryChangeOpposed:
-    """This proxy objects to a promotion that would drop a commit it has reported."""
+    """This proxy objects to a promotion that may drop commits."""
 
     service: str
     # The end of the successor's log.
     log_end: str
-    # The newest position that a commit was reported at.
+    # The newest position that a commit was reported at, or empty if that is no reason.
     reported: str
+    # A term that has begun, later than those that the promotion replaces, or 0.
+    later_term: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -224,9 +224,8 @@
         )
         if not is_confirmed:
             return self._hold(state, succession, found, now)
-        is_announced = succession.announced == found.change
-        # A primary that has stepped down acknowledges nothing that the log lacks.
-        if found.is_former_log_reached or (is_announced and event.is_unopposed):
+        is_announced = _is_announced(succession, found)
+        if is_announced and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
         if is_announced and succession.announced_version:
@@ -242,7 +241,7 @@
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = found.change
-        if found.is_former_log_reached or change == succession.announced:
+        if _is_announced(succession, found):
             return schedule_step(state, held, now, wait)
         announcing = replace(
             held, announced=change, announced_version=0, has_announced=True
@@ -260,7 +259,11 @@
             return state, ()
         if not event.version:
             return store_succession(state, replace(succession, announced=None)), ()
-        succession = replace(succession, announced_version=event.version)
+        succession = replace(
+            succession,
+            announced_version=event.version,
+            begun_term=max(succession.begun_term, event.begun_term),
+        )
         if succession.phase is not Phase.HOLDING:
             return store_succession(state, succession), ()
         wait = max(succession.next_step_at - now, OBJECTION_WAIT_SECONDS)
@@ -374,7 +377,10 @@
         state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         if may_take_effect:
             return state, ()
-        withdraw = WithdrawChange(succession.service, succession.token, is_done)
+        successor_term = view.leader_term if view and is_done else 0
+        withdraw = WithdrawChange(
+            succession.service, succession.token, is_done, successor_term
+        )
         own = (withdraw,) if succession.has_announced else ()
         if now > succession.deadline:
             return state, own
@@ -389,6 +395,12 @@
         return state, (*own, unfence)
 
 
+def _is_announced(succession: Succession, found: Comparison) -> bool:
+    """Return True if a change was announced as one of all terms that may have begun."""
+    covered_term = max(found.newest_term, succession.begun_term)
+    return succession.announced == found.change and covered_term >= found.begun_term
+
+
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
     if phase is Phase.CONFIRMING:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -17,6 +17,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -29,7 +30,7 @@
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
-from beryltiller.sessions.succession.observer import GroupObserver
+from beryltiller.sessions.succession.observer import GroupObserver, known_log
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
 PART_NAME = "succession"
@@ -140,10 +141,9 @@
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
             case succession_state.AnnounceChange(service, change, token):
-                version = await self._announcer.announce(service, change, token)
-                return succession_state.ChangeAnnounced(service, version)
-            case succession_state.WithdrawChange(service, token, is_over):
-                await self._announcer.withdraw(service, token, is_over)
+                return await self._announce(service, change, token)
+            case succession_state.WithdrawChange(service, token, is_over, led_term):
+                await self._announcer.withdraw(service, token, is_over, led_term)
                 return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
@@ -179,12 +179,24 @@
                 service, name, action.term, received, led_term
             )
         )
-        if led_term != status.term:
+        member = self._fleet.group(service).members.get(name)
+        reached = known_log(member) if member else None
+        if led_term != status.term or (reached and status.received < reached):
             return None
         return succession_state.PrimarySteppedDown(
             service, name, led_term, status.received
         )
 
+    async def _announce(
+        self, service: str, change: PrimaryChange, token: int
+    ) -> succession_state.Event:
+        written = await self._announcer.announce(service, change, token)
+        if written is None:
+            return succession_state.ChangeAnnounced(service, 0)
+        return succession_state.ChangeAnnounced(
+            service, written.version, written.begun_term
+        )
+
     async def _claim(
         self, action: succession_state.ClaimDuty
     ) -> succession_state.Event:
@@ -258,6 +270,9 @@
                 "; ".join(left_out),
                 str(basis.former_log_end or ""),
                 str(basis.lost_log_covered_by or ""),
+                basis.newest_term,
+                basis.begun_term,
+                basis.announced_version,
                 round(now - basis.claimed_at, 3),
                 round(now - basis.confirmed_at, 3),
             )
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -10,11 +10,13 @@
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.state import (
+    Action,
     AnnounceChange,
     ChangeAnnounced,
     FenceReplicas,
     FenceResults,
     ObserveAfter,
+    PrimarySteppedDown,
     Promote,
     UnfenceReplicas,
     WithdrawChange,
@@ -104,13 +106,21 @@
 
     STATUSES = {"a": status(5), "b": status(6)}
 
-    def confirm(self, *events: ChangeAnnounced, is_unopposed: bool) -> tuple[str, ...]:
+    def confirm(
+        self,
+        *events: ChangeAnnounced,
+        is_unopposed: bool,
+        former_log_end: Position | None = None,
+    ) -> tuple[str, ...]:
         """Return the kinds of actions after a confirmation.
 
-        `events` are handled before it.
+        `events` are handled before it. With `former_log_end` the former primary has
+        stepped down, and its log ends there.
         """
         driver = Driver()
         driver.claim()
+        if former_log_end is not None:
+            driver.handle(PrimarySteppedDown("s", "old", 1, former_log_end))
         driver.report_fences(self.STATUSES)
         for event in events:
             driver.handle(event)
@@ -122,7 +132,11 @@
             fenced_at=driver.now,
             is_unopposed=is_unopposed,
         )
-        return tuple(type(each).__name__ for each in driver.handle(confirmed))
+        return self.names(driver.handle(confirmed))
+
+    def names(self, actions: tuple[Action, ...]) -> tuple[str, ...]:
+        """Return the kinds of actions."""
+        return tuple(type(each).__name__ for each in actions)
 
     def test_promotion_waits_until_no_proxy_objects(self) -> None:
         """Guards against dropping commits that other proxies reported as done."""
@@ -130,6 +144,73 @@
         self.assertEqual(self.confirm(announced, is_unopposed=False), ("ObserveAfter",))
         self.assertEqual(self.confirm(announced, is_unopposed=True), ("Promote",))
 
+    def test_change_after_a_step_down_is_announced_too(self) -> None:
+        """Guards against dropping commits of a primary that replaced it before."""
+        announced = ChangeAnnounced("s", 4)
+        for is_unopposed, expected in ((False, "ObserveAfter"), (True, "Promote")):
+            with self.subTest(is_unopposed=is_unopposed):
+                found = self.confirm(
+                    announced,
+                    is_unopposed=is_unopposed,
+                    former_log_end=Position(1, 6),
+                )
+                self.assertEqual(found, (expected,))
+        not_announced = self.confirm(is_unopposed=False, former_log_end=Position(1, 6))
+        self.assertEqual(not_announced, ("ObserveAfter",))
+
+    def test_step_down_proves_nothing_of_a_term_that_may_have_begun(self) -> None:
+        """Guards against leaving out a silent primary of a later term."""
+        statuses = {"a": status(5), "b": None}
+        for begun_term, is_promoted in ((1, True), (2, False)):
+            with self.subTest(begun_term=begun_term):
+                driver = Driver()
+                driver.claim()
+                driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 5)))
+                announce, _ = driver.report_fences(statuses)
+                self.assertIsInstance(announce, AnnounceChange)
+                driver.handle(ChangeAnnounced("s", 4, begun_term))
+                actions = driver.confirm(statuses)
+                are = [isinstance(each, Promote) for each in actions]
+                self.assertEqual(are == [True], is_promoted)
+
+    def test_term_of_an_objection_is_announced_as_begun(self) -> None:
+        """Guards against promoting beside a primary that only other proxies know."""
+        opposed = replace(FAILING, opposing_term=2)
+        driver = Driver()
+        driver.claim()
+        announce, _ = driver.report_fences(self.STATUSES)
+        driver.handle(ChangeAnnounced("s", 4))
+        driver.wait_out_hold(opposed)
+        confirmed = FenceResults("s", self.STATUSES, were_already_fenced=True)
+        actions = driver.handle(confirmed)
+        self.assertEqual(actions[0], announce)
+        driver.handle(ChangeAnnounced("s", 6, 2))
+        (promotion,) = driver.confirm(self.STATUSES, view=opposed)
+        self.assertIsInstance(promotion, Promote)
+
+    def test_silent_database_is_waited_for_after_an_objection_of_a_later_term(
+        self,
+    ) -> None:
+        """Guards against dropping what it acknowledged as primary of that term."""
+        opposed = replace(FAILING, opposing_term=2)
+        statuses = {"a": status(5), "b": None}
+        driver = Driver()
+        driver.claim()
+        driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 5)))
+        driver.report_fences(statuses)
+        self.assertNotIn("Promote", self.names(driver.confirm(statuses, view=opposed)))
+
+    def test_promotion_states_the_terms_that_it_is_based_on(self) -> None:
+        driver = Driver()
+        driver.claim()
+        driver.report_fences(self.STATUSES)
+        driver.handle(ChangeAnnounced("s", 4, 3))
+        (promotion,) = driver.confirm(self.STATUSES)
+        assert isinstance(promotion, Promote)
+        basis = promotion.basis
+        found = basis.newest_term, basis.begun_term, basis.announced_version
+        self.assertEqual(found, (1, 3, 1))
+
     def test_failed_announcement_is_repeated(self) -> None:
         failed = ChangeAnnounced("s", 0)
         actions = self.confirm(failed, is_unopposed=False)
@@ -138,6 +219,28 @@
     def test_late_announcement_is_waited_for(self) -> None:
         self.assertEqual(self.confirm(is_unopposed=False), ("ObserveAfter",))
 
+    def test_log_of_a_former_leader_proves_nothing_of_a_term_that_may_have_begun(
+        self,
+    ) -> None:
+        """Guards against dropping commits of a silent primary of a later term."""
+        led = replace(
+            HEALTHY,
+            leader=None,
+            primaryless_since=0.0,
+            departed=("c",),
+            former_leaders={"a": Position(1, 7)},
+        )
+        statuses = {"a": status(7), "b": status(6), "c": None}
+        for begun_term, is_promoted in ((1, True), (2, False)):
+            with self.subTest(begun_term=begun_term):
+                driver = Driver()
+                driver.claim(led)
+                driver.report_fences(statuses)
+                driver.handle(ChangeAnnounced("s", 4, begun_term))
+                actions = driver.confirm(statuses, view=led)
+                are = [isinstance(each, Promote) for each in actions]
+                self.assertEqual(are == [True], is_promoted)
+
     def test_proxies_have_time_to_object(self) -> None:
         driver = Driver()
         driver.claim()
