Confirm after the last commands of an earlier claim have acted

Callers lose acknowledged commits if a command to unfence acts between another promoter's confirmation and the moment its promotion takes effect: the unfenced replica acknowledges commits that the successor lacks. The command carries no term, and a held-up connection delivers it up to 3 s later (PROTOCOL.md). The times assumed 1.6 s: a promoter that found fences confirmed 1 s after its claim.

What is sent under a claim is sent by its deadline, 2.8 s after the claim, acts by 5.8 s, and the next claim is accepted after 4 s: so a promoter that finds a fence confirms, and lifts fences, 1.8 s after its claim was accepted, which leaves 1 s until its deadline. The time of the acceptance counts, as a slow call to the store moves the question, not the other claim's end. A fence that is found only by the confirming round makes it hold again. Without a found fence nothing becomes slower.

test_confirmation_waits_for_the_promotion_of_an_earlier_claim asks for the later of both times instead of the earlier one only.

--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -148,6 +148,7 @@
             succession,
             token=event.token,
             claimed_at=event.asked_at,
+            accepted_at=now,
             deadline=deadline,
         )
         if succession.cause is Cause.FENCES_LEFT:
@@ -207,6 +208,7 @@
         found = compare(state.groups[service], succession, event)
         replacements = frozenset(event.replacements)
         succession = replace(succession, unknown_replacements=replacements)
+        awaited_before = succession.confirm_not_before
         succession = record_found_fences(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
@@ -220,6 +222,7 @@
         is_confirmed = (
             succession.phase is Phase.CONFIRMING
             and event.were_already_fenced
+            and succession.confirm_not_before == awaited_before
             and not is_other
         )
         if not is_confirmed:
@@ -367,7 +370,10 @@
         view = state.groups.get(succession.service)
         is_done = view is not None and view.leader == succession.successor
         may_take_effect = succession.promotion_may_take_effect and not is_done
-        wait = succession.claimed_at + LIFT_SECONDS - now
+        lift_at = max(
+            succession.claimed_at + LIFT_SECONDS, succession.confirm_not_before
+        )
+        wait = lift_at - now
         if wait > 0 and not may_take_effect and not is_done:
             lifting = replace(succession, phase=Phase.LIFTING)
             return schedule_step(state, lifting, now, wait)
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -318,14 +318,15 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, and `former_term` the term in which it led, known once it has stepped
-    down. `claimed_at` is when the duty was asked for, and `deadline` the last moment at
-    which the claim, with fencing token `token`, may be used to promote or unfence.
+    down. `claimed_at` is when the duty was asked for, `accepted_at` when the store had
+    granted it, and `deadline` the last moment at which the claim, with fencing token
+    `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
     fenced. `fenced_here` are those that this proxy has fenced, and
-    `confirm_not_before` is the time until which the promotion of an earlier claim may
-    take effect. `announced` is the change that was announced, `has_announced` is True
-    if any was, and `announced_version` the announcement's version,
+    `confirm_not_before` is the time until which the promotion and the commands of an
+    earlier claim may act. `announced` is the change that was announced, `has_announced`
+    is True if any was, and `announced_version` the announcement's version,
     or 0 while it is not confirmed. `promotion_may_take_effect` is True once a promotion
     was requested and not refused; `earlier_may_take_effect` tells the same of the
     promotions before the last one.
@@ -341,6 +342,7 @@
     former_term: int = 0
     token: int = 0
     claimed_at: float = 0.0
+    accepted_at: float = 0.0
     deadline: float = 0.0
     term: int = 0
     successor: str = ""
--- a/src/beryltiller/sessions/succession/times.py
+++ b/src/beryltiller/sessions/succession/times.py
@@ -18,6 +18,12 @@
 # Replicas are unfenced at the earliest this long after the claim: a promotion that an
 # earlier holder requested last has taken effect by then.
 LIFT_SECONDS = 1.0
+# A command acts at most this long after it was sent, if at all: by then a database has
+# dropped the connection of a remote end that it does not reach.
+COMMAND_LIFE_SECONDS = 3.0
+# The last commands under a claim, sent at its deadline, have acted this long after the
+# duty was claimed by another proxy, which is at the claim's end at the earliest.
+SETTLING_SECONDS = COMMAND_LIFE_SECONDS - DUTY_MARGIN_SECONDS
 # A promotion is requested at most this long after the fence commands that confirmed it
 # were sent, as a replica that restarts is no longer fenced.
 CONFIRMATION_SECONDS = 0.5
--- a/src/beryltiller/sessions/succession/transitions.py
+++ b/src/beryltiller/sessions/succession/transitions.py
@@ -13,7 +13,7 @@
     State,
     Succession,
 )
-from beryltiller.sessions.succession.times import LIFT_SECONDS
+from beryltiller.sessions.succession.times import LIFT_SECONDS, SETTLING_SECONDS
 
 Decision = tuple[State, tuple[Action, ...]]
 
@@ -21,12 +21,13 @@
 def record_found_fences(succession: Succession, event: FenceResults) -> Succession:
     """Record whether an earlier promoter had fenced databases.
 
-    The promotion that it may have requested has then taken effect before this one is
-    confirmed, or will not.
+    The promotion that it may have requested, and its commands to unfence, have then
+    acted before this one is confirmed, or will not: the earlier claim had ended when
+    this one was accepted.
     """
     not_before = succession.confirm_not_before
     if event.found_fenced - succession.fenced_here:
-        not_before = succession.claimed_at + LIFT_SECONDS
+        not_before = succession.accepted_at + max(LIFT_SECONDS, SETTLING_SECONDS)
     answered = {name for name, status in event.statuses.items() if status is not None}
     fenced_here = succession.fenced_here
     if event.fenced_at:
--- /dev/null
+++ b/tests/test_late_commands.py
@@ -0,0 +1,95 @@
+"""Tests of commands without an answer that act later, on a virtual clock."""
+
+import asyncio
+import unittest
+
+from beryltiller.sessions.statements import Fence, Unfence
+from beryltiller.sessions.succession.times import DUTY_MARGIN_SECONDS
+from tests.fake_group import GroupFixture
+from tests.fake_promoters import FakePlatform, Promoter
+from tests.test_succession_fences import fail_leader
+from tests.virtual_loop import run_virtual, virtual_now
+
+# How late a command may act that a connection held up.
+LATENESS = tuple(tenths / 10 for tenths in range(2, 31))
+BEFORE_DEADLINE_SECONDS = 0.1
+
+
+class Unfencing:
+    """A succession that another one follows while a command to unfence is on its way.
+
+    The first one ends without a promotion, as a replica does not answer a command.
+    """
+
+    def __init__(self, late_seconds: float) -> None:
+        self.source = GroupFixture()
+        self.platform = FakePlatform(self.source.databases)
+        self.source.far.late[Unfence] = late_seconds
+
+    def promoter(self, name: str, seed: int) -> Promoter:
+        """Return a proxy that finds the leader failing."""
+        promoter = Promoter(self.platform, self.source, name, seed)
+        fail_leader(promoter)
+        return promoter
+
+    async def finish_first(self, promoter: Promoter) -> None:
+        """Perform a succession whose commands to unfence are sent at the last moment.
+
+        It is held up until then.
+        """
+        promoter.start()
+        await promoter.reach("FENCING")
+        await asyncio.sleep(1.0)
+        promoter.freeze()
+        deadline = self.platform.held_until - DUTY_MARGIN_SECONDS
+        await asyncio.sleep(deadline - BEFORE_DEADLINE_SECONDS - virtual_now())
+        promoter.resume()
+        async with asyncio.timeout(3.0):
+            while promoter.phase:
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(BEFORE_DEADLINE_SECONDS)
+        self.source.near.hang.clear()
+
+    async def wait_for_promotion(self) -> None:
+        """Wait until a promotion has taken effect."""
+        async with asyncio.timeout(20.0):
+            while not self.platform.promoted:
+                await asyncio.sleep(0.01)
+
+
+class LateUnfenceTest(unittest.TestCase):
+    """A command to unfence of one succession that acts during the next one."""
+
+    def meanwhile(self, late_seconds: float, is_same: bool) -> list[str]:
+        """Return which replicas a late command has unfenced before a promotion."""
+
+        async def work() -> FakePlatform:
+            unfencing = Unfencing(late_seconds)
+            first = unfencing.promoter("first", 1)
+            unfencing.source.near.hang.add(Fence)
+            await unfencing.finish_first(first)
+            if not is_same:
+                first.freeze()
+                await asyncio.sleep(unfencing.platform.held_until - virtual_now())
+                unfencing.promoter("second", 2).start()
+            await unfencing.wait_for_promotion()
+            return unfencing.platform
+
+        return run_virtual(work()).unfenced_meanwhile
+
+    def unfenced(self, is_same: bool) -> dict[float, list[str]]:
+        """Return the same for each lateness at which a replica was unfenced."""
+        found = {late: self.meanwhile(late, is_same=is_same) for late in LATENESS}
+        return {late: names for late, names in found.items() if names}
+
+    def test_next_holder_awaits_the_command_to_a_replica_that_it_finds_fenced(
+        self,
+    ) -> None:
+        self.assertEqual(self.unfenced(is_same=False), {})
+
+    def test_same_proxy_awaits_its_own_command_to_unfence(self) -> None:
+        self.assertEqual(self.unfenced(is_same=True), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -207,8 +207,12 @@
                 driver.observe(FAILING, PROMOTION_HOLD_SECONDS + 0.01)
                 driver.handle(second)
                 succession = driver.state.successions["s"]
-                earliest = succession.claimed_at + times.LIFT_SECONDS
-                self.assertEqual(succession.next_step_at >= earliest, is_later)
+                settled_at = succession.claimed_at + times.SETTLING_SECONDS
+                for earliest in (
+                    settled_at,
+                    succession.claimed_at + times.LIFT_SECONDS,
+                ):
+                    self.assertEqual(succession.next_step_at >= earliest, is_later)
 
     def test_refused_successor_is_not_chosen_again(self) -> None:
         driver = Driver()
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -9,6 +9,7 @@
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
 from beryltiller.sessions.succession.state import (
     AnnounceChange,
     ChangeAnnounced,
@@ -51,6 +52,30 @@
         assert isinstance(promotion, Promote)
         self.assertEqual(promotion.successor, "a")
 
+    def test_hold_restarts_if_a_fence_of_an_earlier_claim_is_found_late(self) -> None:
+        """Guards against a command to unfence that acts after the confirmation."""
+        driver = self.driver_after_hold()
+        found = FenceResults(
+            "s",
+            self.FENCED,
+            were_already_fenced=True,
+            found_fenced=frozenset("c"),
+            fenced_at=driver.now,
+            is_unopposed=True,
+        )
+        driver.handle(ChangeAnnounced("s", 1))
+        (wait,) = driver.handle(found)
+        assert isinstance(wait, ObserveAfter)
+        settled_at = driver.state.successions["s"].accepted_at + times.SETTLING_SECONDS
+        self.assertAlmostEqual(driver.now + wait.seconds, settled_at)
+
+    def test_confirmation_after_commands_of_an_earlier_claim_fits_the_claim(
+        self,
+    ) -> None:
+        deadline = times.DUTY_SECONDS - times.DUTY_MARGIN_SECONDS
+        slowest = times.SETTLING_SECONDS + COMMAND_TIMEOUT_SECONDS
+        self.assertLess(slowest + PROMOTION_HOLD_SECONDS, deadline)
+
     def test_late_confirmation_is_repeated(self) -> None:
         driver = Driver()
         driver.claim()
