Unfence only replicas that answer that they are fenced

Callers lose acknowledged commits if a command to unfence acts after the next succession's confirmation. A promoter that ends its succession sent it to every replica that it knows, also to one that was silent all the while and that it had never fenced. If such a command is held up, nothing shows it to the next promoter: it finds no fence and does not wait.

Replicas are now asked for their status right before, and only those that are fenced are unfenced. While a command is on its way its fence is there to be found. The former primary's rule is the same: it is asked before it is stepped down. A replica whose fence is set late by a command without an answer keeps it until the search for left fences finds it, 5 to 9 s.

--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -1,11 +1,16 @@
-"""One round of fencing: a group's databases are asked for their status and fenced."""
+"""Fencing and unfencing: a group's databases are asked for their status before."""
 
 import asyncio
 from collections.abc import Callable, Mapping
 
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
-from beryltiller.sessions.statements import AskStatus, DatabaseStatus, Fence
+from beryltiller.sessions.statements import (
+    AskStatus,
+    DatabaseStatus,
+    Fence,
+    Unfence,
+)
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import (
     Answered,
@@ -18,7 +23,11 @@
     Silent,
     status_of,
 )
-from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
+from beryltiller.sessions.succession.state import (
+    FenceReplicas,
+    FenceResults,
+    UnfenceReplicas,
+)
 
 Outcomes = Mapping[str, Outcome]
 
@@ -73,6 +82,22 @@
             is_unopposed=is_unopposed,
         )
 
+    async def lift(self, action: UnfenceReplicas) -> None:
+        """Unfence the databases that answer that they are fenced.
+
+        So as long as a command is on its way, the fence that it will lift is there for
+        other promoters to find.
+        """
+        service, deadline = action.service, action.deadline
+        reported = await self._commands.send_all(
+            service, action.replicas, AskStatus(), deadline=deadline
+        )
+        unfenced = await self._commands.send_all(
+            service, _fenced(reported), Unfence(), deadline=deadline
+        )
+        outcomes = outcomes_text({**reported, **unfenced})
+        logs.log(session_events.ReplicasUnfenced(service, outcomes))
+
     async def _is_unopposed(self, action: FenceReplicas) -> bool:
         version = action.announced_version
         if not version:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -22,13 +22,12 @@
     AskStatus,
     Fence,
     StepDown,
-    Unfence,
 )
 from beryltiller.sessions.succession import state as succession_state
 from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
-from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
+from beryltiller.sessions.succession.fencing import Fencer, status_text
 from beryltiller.sessions.succession.observer import GroupObserver
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
@@ -150,13 +149,8 @@
                 return self._observer.observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
-            case succession_state.UnfenceReplicas(service, replicas, deadline):
-                unfenced = await self._commands.send_all(
-                    service, replicas, Unfence(), deadline=deadline
-                )
-                logs.log(
-                    session_events.ReplicasUnfenced(service, outcomes_text(unfenced))
-                )
+            case succession_state.UnfenceReplicas():
+                await self._fencer.lift(action)
                 return None
 
     async def _step_down(
