Await this proxy's own commands to unfence before a confirmation

Callers lose acknowledged commits if a command to unfence acts between a confirmation and its promotion. A proxy may claim again 1.5 s after its last succession, long before its claim has ended for others, and may reuse a claim that it made up to 1 s before. The time that it waits after finding a fence is derived from the end of another proxy's claim, and does not cover this: the command may be sent up to 1.6 s after the succession's end, as silent databases are asked and connections opened first, and then acts up to 4.6 s after it.

The proxy knows its own commands: while one without an answer may act, no round counts as a confirmation, and the replica is not unfenced again. A second command would be on its way without a fence once the first one had lifted it, and no other promoter would await it.

Two tests of a command without an answer fail on the code before: the round confirmed, and the replica was unfenced again 1.5 s later.

--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -12,8 +12,20 @@
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
-from beryltiller.sessions.errors import NotRunningError, ReplacedError, SessionError
-from beryltiller.sessions.statements import Code, DatabaseStatus, ProxyCommand, StepDown
+from beryltiller.sessions.errors import (
+    NotRunningError,
+    NotSentError,
+    ReplacedError,
+    SessionError,
+)
+from beryltiller.sessions.statements import (
+    Code,
+    DatabaseStatus,
+    ProxyCommand,
+    StepDown,
+    Unfence,
+)
+from beryltiller.sessions.succession.times import COMMAND_LIFE_SECONDS
 
 COMMAND_TIMEOUT_SECONDS = 0.4
 
@@ -77,6 +89,20 @@
         """Send commands to the fleet's databases."""
         self._fleet = fleet
         self._clock = clock
+        self._unfenced_until: dict[tuple[str, str], float] = {}
+
+    def may_be_unfenced(self, service: str, name: str | None = None) -> bool:
+        """Return True if a command to unfence without an answer may still act.
+
+        Without a name this tells of all databases of the service.
+        """
+        now = self._clock()
+        self._unfenced_until = {
+            key: until for key, until in self._unfenced_until.items() if now < until
+        }
+        if name is not None:
+            return (service, name) in self._unfenced_until
+        return any(each == service for each, _ in self._unfenced_until)
 
     async def send(
         self,
@@ -179,6 +205,7 @@
                 database, statement, COMMAND_TIMEOUT_SECONDS, deadline
             )
         except (SessionError, TimeoutError) as error:
+            self._record_failure(database, statement, error)
             _log_failure(name, statement, error)
             return _outcome_of(error)
         group = self._fleet.group(service)
@@ -197,10 +224,23 @@
         except ReplacedError:
             return Ended()
         except (SessionError, TimeoutError) as error:
+            self._record_failure(database, statement, error)
             _log_failure(f"at {database.address}", statement, error)
             return Silent()
         return ReplacementAnswered(status)
 
+    def _record_failure(
+        self, database: Database, statement: ProxyCommand, error: Exception
+    ) -> None:
+        """Record until when a command that may have been sent may act.
+
+        It was sent before it was given up.
+        """
+        may_be_sent = not isinstance(error, NotSentError)
+        if may_be_sent and isinstance(statement, Unfence):
+            key = database.service, database.identifier
+            self._unfenced_until[key] = self._clock() + COMMAND_LIFE_SECONDS
+
 
 def _outcome_of(error: Exception) -> Outcome:
     match error:
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -52,6 +52,7 @@
         """Fence the databases that answer, or none if one of them is primary."""
         service, former_primary = action.service, action.former_primary
         names = (*action.replicas, *action.departed)
+        may_be_unfenced = self._commands.may_be_unfenced(service)
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
@@ -73,7 +74,8 @@
             action,
             outcomes,
             gone=self._gone(action, outcomes),
-            were_already_fenced=all(
+            were_already_fenced=not may_be_unfenced
+            and all(
                 _was_fenced(action, name, reported[name], outcomes[name])
                 for name in names
             ),
@@ -86,11 +88,16 @@
         """Unfence the databases that answer that they are fenced.
 
         So as long as a command is on its way, the fence that it will lift is there for
-        other promoters to find.
+        other promoters to find. No second one is sent that would be on its way without.
         """
         service, deadline = action.service, action.deadline
+        names = [
+            name
+            for name in action.replicas
+            if not self._commands.may_be_unfenced(service, name)
+        ]
         reported = await self._commands.send_all(
-            service, action.replicas, AskStatus(), deadline=deadline
+            service, names, AskStatus(), deadline=deadline
         )
         unfenced = await self._commands.send_all(
             service, _fenced(reported), Unfence(), deadline=deadline
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -100,7 +100,8 @@
     databases that answer at the addresses of others that have ended, by the names of
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
-    fenced before this round, except departed ones that do not answer, and
+    fenced before this round, except departed ones that do not answer, and no command of
+    this proxy may unfence them any more, and
     `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
     announced and no proxy has objected.
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -2,9 +2,15 @@
 
 import asyncio
 import unittest
+from typing import Any
 
+from beryltiller.sessions.databases.fleet import FOREVER
 from beryltiller.sessions.statements import AskStatus, Fence, Unfence
-from beryltiller.sessions.succession.times import DUTY_MARGIN_SECONDS
+from beryltiller.sessions.succession.state import FenceReplicas, UnfenceReplicas
+from beryltiller.sessions.succession.times import (
+    COMMAND_LIFE_SECONDS,
+    DUTY_MARGIN_SECONDS,
+)
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.fake_promoters import FakePlatform, Promoter
 from tests.test_succession_fences import fail_leader
@@ -96,5 +102,46 @@
         self.assertEqual(self.unfenced(Fence, is_same=True), {})
 
 
+class OwnCommandTest(unittest.TestCase):
+    """A command to unfence that this proxy has sent, and that may still act."""
+
+    def after_unanswered(
+        self, pause: float, action: FenceReplicas | UnfenceReplicas
+    ) -> tuple[Any, int]:
+        """Return the result of an action after a pause, and the fence that is left.
+
+        The replica was fenced again after the command had got no answer.
+        """
+
+        async def work() -> tuple[Any, int]:
+            source = GroupFixture()
+            source.near.fenced_term = source.far.fenced_term = 2
+            source.far.late[Unfence] = 60.0
+            promoter = Promoter(FakePlatform(source.databases), source, "first", 1)
+            part = promoter.runner.part()
+            await part.perform(UnfenceReplicas("s", ("far",), FOREVER))
+            source.far.late.clear()
+            await asyncio.sleep(pause)
+            result = await part.perform(action)
+            return result, source.far.fenced_term
+
+        return run_virtual(work())
+
+    def test_fences_are_not_confirmed_while_it_may_act(self) -> None:
+        for pause, is_confirmed in ((1.5, False), (COMMAND_LIFE_SECONDS, True)):
+            with self.subTest(pause=pause):
+                fence = FenceReplicas("s", 2, ("near", "far"))
+                result, _ = self.after_unanswered(pause, fence)
+                self.assertEqual(result.were_already_fenced, is_confirmed)
+
+    def test_replica_is_not_unfenced_again_while_it_may_act(self) -> None:
+        """Guards against a command of which no fence tells: another one lifted it."""
+        for pause, fenced_term in ((1.5, 2), (COMMAND_LIFE_SECONDS, 0)):
+            with self.subTest(pause=pause):
+                unfence = UnfenceReplicas("s", ("near", "far"), FOREVER)
+                _, left = self.after_unanswered(pause, unfence)
+                self.assertEqual(left, fenced_term)
+
+
 if __name__ == "__main__":
     unittest.main()
