--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -1,11 +1,16 @@
-"""One round of fencing: a group's databases are asked for their status and fenced."""
+"""Fencing and unfencing: a group's databases are asked for their status before."""
 
 import asyncio
 from collections.abc import Callable, Mapping
 
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
-from beryltiller.sessions.statements import AskStatus, DatabaseStatus, Fence
+from beryltiller.sessions.statements import (
+    AskStatus,
+    DatabaseStatus,
+    Fence,
+    Unfence,
+)
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import (
     Answered,
@@ -18,7 +23,11 @@
     Silent,
     status_of,
 )
-from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
+from beryltiller.sessions.succession.state import (
+    FenceReplicas,
+    FenceResults,
+    UnfenceReplicas,
+)
 
 Outcomes = Mapping[str, Outcome]
 
@@ -43,6 +52,7 @@
         """Fence the databases that answer, or none if one of them is primary."""
         service, former_primary = action.service, action.former_primary
         names = (*action.replicas, *action.departed)
+        may_be_unfenced = self._commands.may_be_unfenced(service)
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
@@ -64,7 +74,8 @@
             action,
             outcomes,
             gone=self._gone(action, outcomes),
-            were_already_fenced=all(
+            were_already_fenced=not may_be_unfenced
+            and all(
                 _was_fenced(action, name, reported[name], outcomes[name])
                 for name in names
             ),
@@ -73,6 +84,27 @@
             is_unopposed=is_unopposed,
         )
 
+    async def lift(self, action: UnfenceReplicas) -> None:
+        """Unfence the databases that answer that they are fenced.
+
+        So as long as a command is on its way, the fence that it will lift is there for
+        other promoters to find. No second one is sent that would be on its way without.
+        """
+        service, deadline = action.service, action.deadline
+        names = [
+            name
+            for name in action.replicas
+            if not self._commands.may_be_unfenced(service, name)
+        ]
+        reported = await self._commands.send_all(
+            service, names, AskStatus(), deadline=deadline
+        )
+        unfenced = await self._commands.send_all(
+            service, _fenced(reported), Unfence(), deadline=deadline
+        )
+        outcomes = outcomes_text({**reported, **unfenced})
+        logs.log(session_events.ReplicasUnfenced(service, outcomes))
+
     async def _is_unopposed(self, action: FenceReplicas) -> bool:
         version = action.announced_version
         if not version:
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -105,7 +105,8 @@
     databases that answer at the addresses of others that have ended, by the names of
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
-    fenced before this round, except departed ones that do not answer, and
+    fenced before this round, except departed ones that do not answer, and no command of
+    this proxy may unfence them any more, and
     `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
     announced and no proxy has objected.
@@ -332,18 +333,19 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, and `former_term` the term in which it led, known once it has stepped
-    down. `claimed_at` is when the duty was asked for, and `deadline` the last moment at
-    which the claim, with fencing token `token`, may be used to promote or unfence.
+    down. `claimed_at` is when the duty was asked for, `accepted_at` when the store had
+    granted it, and `deadline` the last moment at which the claim, with fencing token
+    `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
     fenced. `fenced_here` are those that this proxy has fenced, and
-    `confirm_not_before` is the time until which the promotion of an earlier claim may
-    take effect. `announced` is the change that was announced, `has_announced` is True
-    if any was, and `announced_version` the announcement's version,
-    or 0 while it is not confirmed. `begun_term` is the newest term that a promotion
-    announced before may have begun, as far as is known. `promotion_may_take_effect` is
-    True once a promotion was requested and not refused; `earlier_may_take_effect` tells
-    the same of the promotions before the last one.
+    `confirm_not_before` is the time until which the promotion and the commands of an
+    earlier claim may act. `announced` is the change that was announced, `has_announced`
+    is True if any was, and `announced_version` the announcement's version, or 0 while
+    it is not confirmed. `begun_term` is the newest term that a promotion announced
+    before may have begun, as far as is known. `promotion_may_take_effect` is True once
+    a promotion was requested and not refused; `earlier_may_take_effect` tells the same
+    of the promotions before the last one.
     """
 
     service: str
@@ -356,6 +358,7 @@
     former_term: int = 0
     token: int = 0
     claimed_at: float = 0.0
+    accepted_at: float = 0.0
     deadline: float = 0.0
     term: int = 0
     successor: str = ""
