Confirm a change of primary with the entries that the store has by then

A promoter used the entries that its feed had brought, which may be older than those of other proxies.

The round that confirms reads the databases' entries from the store, and a change counts as unopposed only if the round has asked all of them. A feed whose history the store has discarded is read anew. This is one call to the store for each promotion, beside the read of the announcement.

test_change_is_not_confirmed_beside_a_database_that_registered_meanwhile fails without the comparison (tried).

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -130,6 +130,7 @@
             self._duty,
             self._announcer,
             self._is_store_reachable,
+            lambda: self._databases_follower.refresh(),
             self._rng,
             boot_clock,
         )
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -1,7 +1,7 @@
 """Fencing and unfencing: a group's databases are asked for their status before."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
@@ -30,6 +30,8 @@
 )
 
 Outcomes = Mapping[str, Outcome]
+# Reads the databases' entries that the store has now; returns False if that failed.
+ReadEntries = Callable[[], Awaitable[bool]]
 
 
 class Fencer:
@@ -40,12 +42,14 @@
         fleet: Fleet,
         commands: GroupCommands,
         announcer: Announcer,
+        read_entries: ReadEntries,
         clock: Callable[[], float],
     ) -> None:
         """Fence the fleet's databases by `commands`."""
         self._fleet = fleet
         self._commands = commands
         self._announcer = announcer
+        self._read_entries = read_entries
         self._clock = clock
 
     async def fence(self, action: FenceReplicas) -> FenceResults:
@@ -106,10 +110,26 @@
         logs.log(session_events.ReplicasUnfenced(service, outcomes))
 
     async def _is_unopposed(self, action: FenceReplicas) -> bool:
+        """Return True if an announced change has neither objections nor new databases.
+
+        A database that registered before the announcement may have shown commits to
+        proxies that had not heard of it.
+        """
         version = action.announced_version
         if not version:
             return False
-        return await self._announcer.is_unopposed(action.service, version)
+        is_unopposed, are_read = await asyncio.gather(
+            self._announcer.is_unopposed(action.service, version), self._read_entries()
+        )
+        return is_unopposed and are_read and self._knows_all(action)
+
+    def _knows_all(self, action: FenceReplicas) -> bool:
+        """Return True if the round asks all databases that are known now."""
+        service = action.service
+        asked = {*action.replicas, *action.departed, action.former_primary}
+        departed = self._fleet.directory.departed_of(service)
+        known = {each.database.identifier for each in departed}
+        return known | self._fleet.group(service).members.keys() <= asked
 
     def _gone(self, action: FenceReplicas, outcomes: Outcomes) -> frozenset[str]:
         """Return the departed databases that are gone for good and do not answer.
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -28,7 +28,11 @@
 from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
-from beryltiller.sessions.succession.fencing import Fencer, status_text
+from beryltiller.sessions.succession.fencing import (
+    Fencer,
+    ReadEntries,
+    status_text,
+)
 from beryltiller.sessions.succession.observer import GroupObserver, known_log
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
@@ -86,11 +90,13 @@
         duty: DutyPort,
         announcer: Announcer,
         is_store_reachable: Callable[[], bool],
+        read_entries: ReadEntries,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         """Create a runner for the fleet's groups.
 
+        `read_entries` updates them to the entries that the store has now.
         `rng` delays claims randomly so that several proxies do not collide.
         """
         self._fleet = fleet
@@ -102,7 +108,7 @@
         self._clock = clock
         self._commands = GroupCommands(fleet, clock)
         self._announcer = announcer
-        self._fencer = Fencer(fleet, self._commands, announcer, clock)
+        self._fencer = Fencer(fleet, self._commands, announcer, read_entries, clock)
         self._newest_token = 0
 
     def part(
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -109,7 +109,8 @@
     this proxy may unfence them any more, and
     `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
-    announced and no proxy has objected.
+    announced, no proxy has objected, and the round asked all databases that were
+    registered since.
     """
 
     service: str
--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -197,18 +197,29 @@
 
         What the store had when this was called is known afterwards.
         """
-        since = self._revision
-        if since is None:
+        if self._revision is None:
             return False
         try:
-            changes = await self._feed.read_changes(self._table, since, 0.0)
+            is_read = await self._read_present(self.known_until)
         except PortError:
             # The poll that goes on meanwhile reports and retries it.
             return False
+        self._relay.publish(None)
+        return is_read
+
+    async def _read_present(self, since: int) -> bool:
+        """Read what the store has now; return False if that is no later state."""
+        try:
+            changes = await self._feed.read_changes(self._table, since, 0.0)
+        except HistoryLostError:
+            scan = await self._feed.read_all(self._table)
+            is_later = self._revision is None or scan.revision >= self._revision
+            if is_later:
+                self._replace(scan.rows, scan.revision)
+            return is_later
         if changes.revision < since:
             return False
         self._take_changes(since, changes)
-        self._relay.publish(None)
         return True
 
     async def _poll_store(self) -> None:
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -297,6 +297,11 @@
         return FakeConnection(fake)
 
 
+async def read_same_entries() -> bool:
+    """Stand for a reading of the store's entries that finds those known."""
+    return True
+
+
 def call_after(seconds: float, function: Callable[[], object]) -> None:
     """Call a function after some virtual time."""
     asyncio.get_running_loop().call_later(seconds, function)
--- a/tests/fake_promoters.py
+++ b/tests/fake_promoters.py
@@ -13,7 +13,11 @@
 from beryltiller.core.ports import RefusedError
 from beryltiller.sessions.succession.runner import DutyClaim, SuccessionRunner
 from tests.fake_announcements import FakeAnnouncements
-from tests.fake_group import FakeDatabase, GroupFixture
+from tests.fake_group import (
+    FakeDatabase,
+    GroupFixture,
+    read_same_entries,
+)
 from tests.virtual_loop import virtual_now
 
 EFFECT_SECONDS = 0.3
@@ -95,6 +99,7 @@
             FakeDuty(platform, name),
             platform.announcements.add_proxy(self.fixture.fleet),
             lambda: True,
+            read_same_entries,
             random.Random(seed),
             virtual_now,
         )
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -35,6 +35,7 @@
     SuccessionRunner,
 )
 from tests.fake_announcements import FakeAnnouncements
+from tests.fake_group import read_same_entries
 from tests.loaded_database import HOP_SECONDS, LoadedConnection, LoadedDatabase
 from tests.virtual_loop import virtual_now
 
@@ -201,6 +202,7 @@
             SharedDuty(self),
             self._announcements.add_proxy(fleet),
             lambda: True,
+            read_same_entries,
             random.Random(self.rng.random()),
             virtual_now,
         )
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+from beryltiller.core.ports import RefusedError
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
@@ -14,7 +15,7 @@
 from beryltiller.sessions.succession.runner import ObserveGroups, SuccessionRunner
 from tests.simulated_announcements import SimulatedAnnouncements
 from tests.simulated_connections import SimulatedConnection, connect
-from tests.simulated_store import SimulatedDuty, Surroundings
+from tests.simulated_store import SimulatedDuty, Surroundings, call_store
 from tests.virtual_loop import virtual_now
 
 
@@ -52,6 +53,7 @@
             self._duty,
             self._announcer,
             lambda: simulation.reaches_store(self.name),
+            self._read_present_entries,
             random.Random(simulation.rng.random()),
             virtual_now,
         )
@@ -109,6 +111,20 @@
                 self._registry.replace(entries, virtual_now())
                 self._register()
 
+    async def _read_present_entries(self) -> bool:
+        simulation = self._simulation
+        try:
+            await call_store(simulation, self)
+        except RefusedError:
+            return False
+        index = simulation.store.index_at(virtual_now())
+        if index > self._index:
+            self._index = index
+            entries = simulation.store.snapshot(index).values()
+            self._registry.replace(entries, virtual_now())
+            self._register()
+        return True
+
     def _register(self) -> None:
         self.fleet.register(self._registry.directory(virtual_now()))
 
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -7,11 +7,16 @@
 
 from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import Code, Fence, Unfence
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
 from beryltiller.sessions.succession.times import DUTY_SECONDS
-from tests.fake_group import FakeDatabase, GroupFixture
+from tests.fake_group import (
+    FakeDatabase,
+    GroupFixture,
+    read_same_entries,
+)
 from tests.fake_promoters import EFFECT_SECONDS, FakeDuty, FakePlatform, Promoter
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -209,6 +214,7 @@
                 duty,
                 platform.announcements.add_proxy(fixture.fleet),
                 lambda: True,
+                read_same_entries,
                 random.Random(1),
                 virtual_now,
             )
@@ -218,3 +224,63 @@
             return results
 
         self.assertFalse(run_virtual(work()).were_already_fenced)
+
+
+class ConfirmedEntriesTest(unittest.TestCase):
+    """The entries that the store has when a change of primary is confirmed."""
+
+    def confirm(self, finds_newcomer: bool, is_read: bool) -> FenceResults:
+        """Return the results of a round after an announcement that stands."""
+
+        async def work() -> FenceResults:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = fixture.far.fenced_term = 2
+            platform = FakePlatform(fixture.databases)
+            announcer = platform.announcements.add_proxy(fixture.fleet)
+            change = PrimaryChange(1, fixture.near.position)
+            written = await announcer.announce("s", change, 7)
+            assert written is not None
+
+            async def read_entries() -> bool:
+                if finds_newcomer:
+                    newcomer = fixture.databases["new"] = FakeDatabase("new")
+                    entries = fixture.fleet.directory.databases
+                    fixture.fleet.register(
+                        Directory({**entries, "new": newcomer.entry()})
+                    )
+                return is_read
+
+            runner = SuccessionRunner(
+                fixture.fleet,
+                FakeDuty(platform, "first"),
+                announcer,
+                lambda: True,
+                read_entries,
+                random.Random(1),
+                virtual_now,
+            )
+            action = FenceReplicas(
+                "s",
+                2,
+                ("near", "far"),
+                former_primary="leader",
+                announced_version=written.version,
+            )
+            results = await runner.part().perform(action)
+            assert isinstance(results, FenceResults)
+            return results
+
+        return run_virtual(work())
+
+    def test_change_is_not_confirmed_beside_a_database_that_registered_meanwhile(
+        self,
+    ) -> None:
+        """Guards against dropping commits that only the newcomer has received."""
+        for finds_newcomer, is_read, expected in (
+            (False, True, True),
+            (True, True, False),
+            (False, False, False),
+        ):
+            with self.subTest(finds_newcomer=finds_newcomer, is_read=is_read):
+                results = self.confirm(finds_newcomer, is_read)
+                self.assertEqual(results.is_unopposed, expected)
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -34,7 +34,12 @@
     UnfenceReplicas,
 )
 from tests.fake_announcements import FakeAnnouncements
-from tests.fake_group import ROUND_TRIP_SECONDS, FakeDatabase, GroupFixture
+from tests.fake_group import (
+    ROUND_TRIP_SECONDS,
+    FakeDatabase,
+    GroupFixture,
+    read_same_entries,
+)
 from tests.virtual_loop import run_virtual, virtual_now
 
 
@@ -56,6 +61,7 @@
         IdleDuty(),
         announcer,
         lambda: True,
+        read_same_entries,
         random.Random(1),
         virtual_now,
     )
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -7,6 +7,7 @@
 
 from beryltiller.core.ports import (
     Changes,
+    HistoryLostError,
     LostAnswerError,
     Row,
     TableRows,
@@ -106,6 +107,9 @@
     def test_revision_of_an_answer_without_changes_is_known(self) -> None:
         self.assertEqual(self.refresh(Changes(14, (), ())), (True, 14))
 
+    def test_table_is_read_anew_if_the_history_is_lost(self) -> None:
+        self.assertEqual(self.refresh(HistoryLostError("lost")), (True, 10))
+
     def test_failure_and_an_earlier_revision_are_told(self) -> None:
         for answer in (LostAnswerError("lost"), Changes(9, (), ())):
             with self.subTest(answer):
