Show with whole proxies that late commands lose no commits

A fault of the simulation holds up commands: half of those sent while it lasts get no answer, and are carried out 0.1 to 3 s later, also if their connection was closed meanwhile.

--- a/tests/simulated_connections.py
+++ b/tests/simulated_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -35,6 +36,9 @@
 from tests.virtual_loop import virtual_now
 
 CONNECT_SECONDS = 0.6
+# When a command that is held up is carried out, and how many are while some are.
+HELD_UP_SECONDS = (0.1, 3.0)
+HELD_UP_SHARE = 0.5
 
 
 class Caller(Protocol):
@@ -77,7 +81,8 @@
         return replies
 
     async def command(self, statement: ProxyCommand) -> DatabaseStatus:
-        status = await self._exchange(lambda: self._run_command(statement))
+        run = self._run_held_up if self._is_held_up(statement) else self._run_command
+        status = await self._exchange(lambda: run(statement))
         assert isinstance(status, DatabaseStatus)
         return status
 
@@ -145,6 +150,27 @@
         )
         return database.status()
 
+    def _is_held_up(self, statement: ProxyCommand) -> bool:
+        if not self._group.network.holds_up_commands:
+            return False
+        is_change = not isinstance(statement, AskStatus)
+        return is_change and self._group.rng.random() < HELD_UP_SHARE
+
+    async def _run_held_up(self, statement: ProxyCommand) -> DatabaseStatus:
+        """Carry out a command late, also if the connection was closed meanwhile."""
+        _, longest = HELD_UP_SECONDS
+        seconds = self._group.rng.uniform(*HELD_UP_SECONDS)
+        self._group.observer.trace(
+            f"{self._caller.name} {statement} {self._database.identifier} is held up"
+            f" for {seconds:.2f} s"
+        )
+        await asyncio.sleep(seconds)
+        if self._generation == self._database.generation:
+            with suppress(SessionError):
+                await self._run_command(statement)
+        await asyncio.sleep(longest)
+        raise BrokenError("no answer")
+
     def _is_busy(self) -> bool:
         database = self._database
         is_overloaded = database.is_overloaded and self._group.rng.random() < 0.6
--- a/tests/simulated_faults.py
+++ b/tests/simulated_faults.py
@@ -50,6 +50,7 @@
     LATE_START = "databases that take the place of others start late"
     LATE_WRITES = "writes to the store get no answer, and are done late"
     LATE_PROMOTION = "promotions get no answer, and are carried out late"
+    LATE_COMMANDS = "commands get no answer, and are carried out late"
     JOIN = "a database joins at a new host, and another one leaves without a successor"
     RESTART_ALL = "all proxies restart"
     RELEASE = "the databases leave one after the other, and others take their places"
@@ -61,6 +62,7 @@
     FaultKind.LATE_START,
     FaultKind.LATE_WRITES,
     FaultKind.LATE_PROMOTION,
+    FaultKind.LATE_COMMANDS,
     FaultKind.JOIN,
     FaultKind.RESTART_ALL,
     FaultKind.RELEASE,
@@ -148,6 +150,7 @@
             FaultKind.LATE_START: self._delay_starts,
             FaultKind.LATE_WRITES: self._delay_writes,
             FaultKind.LATE_PROMOTION: self._delay_promotions,
+            FaultKind.LATE_COMMANDS: self._hold_up_commands,
             FaultKind.JOIN: self._join,
             FaultKind.RESTART_ALL: self._restart_proxies,
             FaultKind.RELEASE: self._release,
@@ -224,6 +227,11 @@
         await asyncio.sleep(self._fault.seconds)
         self._simulation.lateness.promotions = False
 
+    async def _hold_up_commands(self) -> None:
+        self._simulation.network.holds_up_commands = True
+        await asyncio.sleep(self._fault.seconds)
+        self._simulation.network.holds_up_commands = False
+
     async def _join(self) -> None:
         await self._lifecycle.join(self._fault.seconds, self._lateness)
         await self._lifecycle.leave(self._replica(), self._fault.choice)
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -13,13 +13,17 @@
 
 
 class Network:
-    """Links between named nodes, which can be cut, lose answers and be slow."""
+    """Links between named nodes, which can be cut, lose answers and be slow.
+
+    While it `holds_up_commands`, connections deliver some commands late, and no answer.
+    """
 
     def __init__(self, rng: random.Random, late_share: float) -> None:
         self._rng = rng
         self._late_share = late_share
         self._cuts: dict[frozenset[str], int] = {}
         self.is_slow = False
+        self.holds_up_commands = False
 
     def cut(self, one: str, other: str) -> None:
         """Cut a link; each cut must be mended."""
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -13,6 +13,8 @@
 )
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.fake_promoters import FakePlatform, Promoter
+from tests.simulated_faults import Fault, FaultKind
+from tests.simulated_sessions import Simulation
 from tests.test_succession_fences import fail_leader
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -143,5 +145,26 @@
                 self.assertEqual(left, fenced_term)
 
 
+class SimulationTest(unittest.TestCase):
+    """Whole proxies before a group whose commands are held up for a time."""
+
+    def test_promotion_keeps_commits_of_a_replica_that_is_unfenced_late(self) -> None:
+        """Guards against a command to unfence that meets the next succession."""
+        findings = Simulation(
+            11,
+            (
+                Fault(FaultKind.STORE_REFUSES, 3.5, 8.0, 0.48),
+                Fault(FaultKind.CRASH_REPLICA, 3.729, 2.81, 0.63),
+                Fault(FaultKind.CUT_PROXIES, 4.0, 7.931, 0.52),
+                Fault(FaultKind.LATE_COMMANDS, 6.472, 1.339, 0.5),
+            ),
+            seconds=13.0,
+            sessions=9,
+            promote_seconds=1.0,
+        ).run()
+        self.assertGreater(findings.promotions, 0)
+        self.assertEqual((findings.lost, findings.replaced_commits), ([], []))
+
+
 if __name__ == "__main__":
     unittest.main()
