Count databases as reachable whose connections callers use up

Callers of a proxy that does not reach the store were sent to other proxies while it could serve them: the status queries that count reachable databases waited 0.3 s for a connection of the pool, and one that callers' statements had used up counted as a database without an answer. With all connections in use no service had a majority, which is what isolates a proxy at once.

These queries now use an idle connection or open one beyond the limit, as probes of a failing primary do. A database that refuses it for its cap or its load has answered; a cut still shows, now after 0.3 s instead of up to 0.6 s.

The test fails on the code before with 0 of 1 services reachable.

--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -10,7 +10,7 @@
 
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
-from beryltiller.sessions.connections.pooled_queries import run_query
+from beryltiller.sessions.connections.pooled_queries import run_command, run_query
 from beryltiller.sessions.databases.catalog import Database, Directory
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
@@ -135,9 +135,16 @@
         await asyncio.gather(*confirmations)
 
     async def is_responding(self, member: Member) -> bool:
-        """Return True if a database answers, even if only that it is busy."""
+        """Return True if a database answers, even if only that it is busy.
+
+        The query takes no connection that callers' statements use: the lack of one
+        would show nothing.
+        """
+        pool = self._connection_pool(member.database)
         try:
-            await self.ask_status(member)
+            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+                connection = await pool.acquire_for_command()
+                await run_command(pool, connection, AskStatus())
         except (SessionError, TimeoutError) as error:
             return _is_refused_for_load(error)
         return True
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -1,9 +1,11 @@
 """Tests of when a proxy counts as isolated and sends its callers to others."""
 
 import asyncio
+import contextlib
 import unittest
 
 from beryltiller.sessions.databases.fleet import SILENCE_SECONDS, ServiceReachability
+from beryltiller.sessions.errors import NoCapacityError
 from beryltiller.sessions.isolation import (
     MIN_OUTCOMES,
     STORE_CHECK_INTERVAL_SECONDS,
@@ -11,6 +13,7 @@
     IsolationMonitor,
     IsolationWatch,
 )
+from beryltiller.sessions.statements import AskStatus, Code
 from tests.fake_group import GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -100,6 +103,21 @@
         assert passed is not None
         self.assertLess(passed, SILENCE_SECONDS + 0.1 + 0.4 + 0.3 + 0.1)
 
+    def test_databases_whose_connections_callers_use_count_as_reachable(self) -> None:
+        """Guards against taking the lack of an own connection for a partition."""
+
+        async def work() -> ServiceReachability:
+            fixture = GroupFixture()
+            for member in fixture.fleet.group("s").members.values():
+                pool = fixture.fleet.connection_pool(member.database)
+                with contextlib.suppress(NoCapacityError):
+                    while True:
+                        await pool.acquire({}, 0.05)
+            fixture.databases["far"].refuse[AskStatus] = Code.BUSY
+            return await fixture.fleet.count_reachable_services()
+
+        self.assertEqual(run_virtual(work()), ServiceReachability(1, 1))
+
     def test_not_isolated_with_a_majority_or_the_store(self) -> None:
         self.assertIsNone(self.isolated_after(("leader",), store=False))
         self.assertIsNone(self.isolated_after(("leader", "far"), store=True))
