Take commands that were not sent for no evidence about a database

A promoter whose command was not sent, as the idle connection that it took had just been closed or the deadline had passed, took this for the database's own word. A departed database that had announced its end counted as gone, so that a promotion could leave out its log without having asked it. And a former primary counted as one that answers, since the refusal has the code of a busy database's: a command to step down was then sent after all, which arrives late at one that is silent.

Commands that were not sent have an outcome of their own. A database with it is not gone, and a round with it confirms nothing; the next round asks it. A former primary that was not asked is not commanded.

Both tests fail on the code before. Other uses were read: a failed probe counts only if it was sent, and rounds, surveys and proofs take a missing answer for a silent database, which proves less and never more.

--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -13,6 +13,7 @@
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.errors import (
+    NoCapacityError,
     NotRunningError,
     NotSentError,
     ReplacedError,
@@ -67,7 +68,14 @@
     """No answer, or a refusal."""
 
 
-Outcome = Answered | ReplacementAnswered | Replaced | Ended | NotRunning | Silent
+@dataclass(frozen=True, slots=True)
+class NotAsked:
+    """This proxy did not send the command, which shows nothing of the database."""
+
+
+Outcome = (
+    Answered | ReplacementAnswered | Replaced | Ended | NotRunning | Silent | NotAsked
+)
 
 
 def status_of(outcome: Outcome) -> DatabaseStatus | None:
@@ -166,6 +174,8 @@
             )
         except (SessionError, TimeoutError) as error:
             _log_failure(name, StepDown(0), error)
+            if isinstance(error, NoCapacityError):
+                return None
             is_refusal = isinstance(error, SessionError) and error.code is Code.BUSY
             return 0 if is_refusal else None
         return member.reported_primary_term if is_primary else 0
@@ -198,7 +208,7 @@
     ) -> Outcome:
         database = self.database(service, name)
         if database is None:
-            return Silent()
+            return NotAsked()
         asked_at = self._clock()
         try:
             status = await self._fleet.command(
@@ -226,7 +236,7 @@
         except (SessionError, TimeoutError) as error:
             self._record_failure(database, statement, error)
             _log_failure(f"at {database.address}", statement, error)
-            return Silent()
+            return NotAsked() if isinstance(error, NoCapacityError) else Silent()
         return ReplacementAnswered(status)
 
     def _record_failure(
@@ -248,6 +258,8 @@
             return Replaced()
         case NotRunningError():
             return NotRunning()
+        case NoCapacityError():
+            return NotAsked()
     return Silent()
 
 
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -16,6 +16,7 @@
     Answered,
     Ended,
     GroupCommands,
+    NotAsked,
     NotRunning,
     Outcome,
     Replaced,
@@ -209,6 +210,8 @@
             return status.fenced_term >= action.term
         case Silent() | NotRunning():
             return name in action.departed
+        case NotAsked():
+            return False
     return True
 
 
@@ -226,3 +229,5 @@
             return "not running"
         case Silent():
             return "silent"
+        case NotAsked():
+            return "not asked"
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -6,13 +6,14 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 from unittest import mock
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.databases.catalog import Departed, Directory
+from beryltiller.sessions.databases.catalog import Database, Departed, Directory
 from beryltiller.sessions.databases.fleet import SILENCE_SECONDS
 from beryltiller.sessions.databases.member import Member
-from beryltiller.sessions.errors import NotSentError
+from beryltiller.sessions.errors import BrokenError, NoCapacityError, NotSentError
 from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus
 from beryltiller.sessions.succession.causes import FAILING_SECONDS
 from beryltiller.sessions.succession.runner import (
@@ -370,6 +371,52 @@
             self.assertIsNone(run_virtual(work(False, was_primary=False)))
 
 
+class NotAskedTest(unittest.TestCase):
+    """Commands that this proxy did not send: they show nothing of the database."""
+
+    def test_primary_that_was_not_asked_is_not_stepped_down(self) -> None:
+        """Guards against a command that arrives late at a primary that was silent."""
+
+        async def work() -> FakeDatabase:
+            fixture = GroupFixture()
+            error = NoCapacityError(Code.BUSY, "the connection is closed")
+            with mock.patch.object(fixture.fleet, "is_primary", side_effect=error):
+                step_down = StepDownPrimary("s", 2, "leader")
+                await make_runner(fixture).part().perform(step_down)
+            return fixture.leader
+
+        self.assertTrue(run_virtual(work()).is_primary)
+
+    def test_departed_database_that_was_not_asked_is_not_gone(self) -> None:
+        """Guards against commits that it holds, or still receives."""
+
+        async def work(error: Exception) -> FenceResults:
+            fixture = GroupFixture()
+            fixture.near.fenced_term = fixture.far.fenced_term = 2
+            fixture.databases["d"] = FakeDatabase("d")
+            entry = replace(fixture.databases["d"].entry(), is_draining=True)
+            command = fixture.fleet.command
+
+            async def fail(database: Database, *rest: Any) -> DatabaseStatus:
+                if database.identifier == "d":
+                    raise error
+                return await command(database, *rest)
+
+            with mock.patch.object(fixture.fleet, "command", side_effect=fail):
+                return await fence_with_departed(fixture, Departed(entry, -30.0))
+
+        cases = (
+            (NoCapacityError(Code.BUSY, "the connection is closed"), False),
+            (BrokenError("no answer"), True),
+        )
+        for error, is_gone in cases:
+            with self.subTest(error=error):
+                results = run_virtual(work(error))
+                self.assertEqual("d" in results.gone, is_gone)
+                self.assertIsNone(results.statuses["d"])
+                self.assertEqual(results.were_already_fenced, is_gone)
+
+
 class ReplacedDatabaseTest(unittest.TestCase):
     """Databases that have ended and at whose address another one answers."""
 
