Log the leader's own term and why a leader was lost

On call could not tell from the record of the incident which term the database led in that all proxies took for the primary: `leader_changed` stated `term`, the newest term known of the group, which is another database's if the leader has not been asked yet, and is stated without any leader too. Nor could it tell whether a leader was lost by its entry, an answer or a later term.

The line now has `leader_term`, 0 while not known, and `newest_term`; what says that the leader is primary (entry, answer or both); the former leader, and why it does not lead any more. A status and a refusal of a write are not told apart, as the group records both alike.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -65,8 +65,17 @@
     """This proxy now considers another database the primary of a service."""
 
     service: str
+    # Empty without a leader.
     leader: str
-    term: int
+    # The term in which the leader itself has shown to be primary, 0 while not known.
+    leader_term: int
+    # The newest term known of the group, which need not be the leader's.
+    newest_term: int
+    # `entry`, `answer` or both: what says that the leader is primary.
+    taken_by: str
+    # The database that led before, if any, and why it does not lead any more.
+    former: str
+    lost_by: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +109,8 @@
     """This proxy let databases receive log entries again; a succession has ended."""
 
     service: str
-    # The status of each database, `silent` if it did not answer.
+    # The status of each database, `silent` if it did not answer and `not asked` if this
+    # proxy could not send the command. Those that were not fenced are left as they are.
     positions: str
 
 
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import logs
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.succession import lag_relief
+from beryltiller.sessions.succession.leader_changes import leader_change
 from beryltiller.sessions.succession.state import GroupsObserved, GroupView
 
 
@@ -22,7 +23,7 @@
         self._leader_healthy_until: dict[str, float] = {}
         self._overloaded_alone_since: dict[str, float] = {}
         self._leader_since: dict[str, float] = {}
-        self._logged_leaders: dict[str, str] = {}
+        self._logged_leaders: dict[str, Member] = {}
 
     def observe(self, now: float) -> GroupsObserved:
         """Return an observation of all groups at `now`."""
@@ -97,8 +98,18 @@
     def _record_leader_change(
         self, group: Group, leader: Member | None, now: float
     ) -> None:
-        name = leader.database.identifier if leader else ""
-        if self._logged_leaders.get(group.service, "") != name:
-            self._logged_leaders[group.service] = name
-            self._leader_since[group.service] = now
-            logs.log(session_events.LeaderChanged(group.service, name, group.term))
+        former = self._logged_leaders.get(group.service)
+        if _name_of(former) == _name_of(leader):
+            if leader is not None:
+                self._logged_leaders[group.service] = leader
+            return
+        self._leader_since[group.service] = now
+        logs.log(leader_change(group, former))
+        if leader is None:
+            del self._logged_leaders[group.service]
+        else:
+            self._logged_leaders[group.service] = leader
+
+
+def _name_of(member: Member | None) -> str:
+    return member.database.identifier if member else ""
