--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -16,6 +16,7 @@
     Answered,
     Ended,
     GroupCommands,
+    NotAsked,
     NotRunning,
     Outcome,
     Replaced,
@@ -229,6 +230,8 @@
             return status.fenced_term >= action.term
         case Silent() | NotRunning():
             return name in action.departed
+        case NotAsked():
+            return False
     return True
 
 
@@ -246,3 +249,5 @@
             return "not running"
         case Silent():
             return "silent"
+        case NotAsked():
+            return "not asked"
