--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -18,8 +18,10 @@
 
 # How long one replica is waited for before another one is asked too.
 HEDGE_SECONDS = 0.02
-# The time between two rounds in which all replicas are asked.
-ROUND_PAUSE_SECONDS = 0.01
+# The time between two rounds in which all replicas are asked. It doubles up to the
+# maximum while none shows the receipt.
+FIRST_PAUSE_SECONDS = 0.01
+MAX_PAUSE_SECONDS = 0.16
 # New writes are refused while a commit has waited for its receipt for this long.
 MAX_WAIT_SECONDS = 0.25
 
@@ -43,11 +45,17 @@
         self,
         ask_status: AskStatus,
         is_local: Callable[[Member], bool],
+        announced_until: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
-        """Query replicas by `ask_status`, those for which `is_local` holds first."""
+        """Query replicas by `ask_status`, those for which `is_local` holds first.
+
+        `announced_until` returns the revision of the store up to which announced
+        changes of primary are known.
+        """
         self._ask_status = ask_status
         self._is_local = is_local
+        self._announced_until = announced_until
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
@@ -65,7 +73,7 @@
         self, group: Group, source: Member, position: Position, deadline: float
     ) -> bool:
         """Wait until a replica has a commit of `source`; return False at `deadline`."""
-        if receipts.is_received(group, source, position):
+        if self._is_received(group, source, position):
             return True
         received = asyncio.get_running_loop().create_future()
         commit = _WaitingCommit(source, position, self._clock(), received)
@@ -90,6 +98,7 @@
 
     async def _ask(self, group: Group) -> None:
         """Ask the replicas in rounds until no commit waits for its receipt."""
+        pause = FIRST_PAUSE_SECONDS
         while self._is_waiting(group):
             for replica in self._by_preference(group):
                 query = asyncio.create_task(self._ask_replica(group, replica))
@@ -98,7 +107,8 @@
                 await asyncio.wait((query,), timeout=HEDGE_SECONDS)
                 if not self._is_waiting(group):
                     return
-            await asyncio.sleep(ROUND_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MAX_PAUSE_SECONDS)
 
     def _is_waiting(self, group: Group) -> bool:
         """Return True if a commit waits, once those that were received are told."""
@@ -106,10 +116,13 @@
             each for each in self._waiting[group.service] if not each.received.done()
         ]
         for each in waiting:
-            if receipts.is_received(group, each.source, each.position):
+            if self._is_received(group, each.source, each.position):
                 each.received.set_result(None)
         return not all(each.received.done() for each in waiting)
 
+    def _is_received(self, group: Group, source: Member, position: Position) -> bool:
+        return receipts.is_received(group, source, position, self._announced_until())
+
     def _by_preference(self, group: Group) -> list[Member]:
         """Return the replicas to ask; the log of a draining one may soon be gone."""
         now = self._clock()
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -23,8 +23,9 @@
 class LeftOut(Enum):
     """Why a database that does not answer is not waited for.
 
-    FORMER_LOG_REACHED: the primary of the newest term has stepped down, and a log
-    reaches the end of its log; or it answers itself, and the database has departed.
+    FORMER_LOG_REACHED: the primary of the newest term that may have begun has stepped
+    down, and a log reaches the end of its log; or it answers itself, and the database
+    has departed.
     GONE: its registry entry was removed before the trouble began. REPLACED: it has
     ended, and a database that answered has its address and log. ENDED: a database of
     another service answers at its address.
@@ -41,22 +42,22 @@
     """What the answers of a group's databases show.
 
     `primaries` are the databases that report to be primary. `newest_term` is the newest
-    one that a database or this proxy knows of. `not_fenced` are those that answered and
-    are not fenced in the succession's term, `silent` those that did not answer and must
-    be waited for, and `left_out` those that need not be. `longest` is the end of
-    the most advanced log, and `successor` a replica that has it, or "" if none of those
-    whose names are known has it. With `is_former_log_reached` the primary of the newest
-    term has stepped down, and that log reaches the end of its log.
+    one that a database or this proxy knows of, and `begun_term` the newest one that may
+    have begun, also by a promotion that another proxy has announced. `not_fenced` are
+    those that answered and are not fenced in the succession's term, `silent` those that
+    did not answer and must be waited for, and `left_out` those that need not be.
+    `longest` is the end of the most advanced log, and `successor` a replica that has
+    it, or "" if none of those whose names are known has it.
     """
 
     primaries: Mapping[str, DatabaseStatus]
     newest_term: int
+    begun_term: int
     newest_fence: int
     not_fenced: frozenset[str]
     silent: frozenset[str]
     left_out: Mapping[str, LeftOut]
     longest: Position
-    is_former_log_reached: bool
     successor: str
 
     @property
@@ -85,15 +86,17 @@
     longest = max((each.received for each in everyone.values()), default=Position(0, 0))
     terms = [each.term for each in everyone.values()]
     newest_term = max([view.term, *terms])
+    # A silent database may lead in a term of which this proxy has not heard.
+    begun_term = max(newest_term, succession.begun_term, view.opposing_term)
     is_former_log_reached = (
         succession.former_log_end is not None
-        and succession.former_term >= newest_term
+        and succession.former_term >= begun_term
         and longest >= succession.former_log_end
     )
     former_leaders = [
         name
         for name, each in answers.items()
-        if name in view.former_leaders and each.term >= newest_term
+        if each.term >= begun_term and _still_has_led_log(name, view, each)
     ]
     left_out: dict[str, LeftOut] = {}
     for name in silent:
@@ -107,6 +110,7 @@
     return Comparison(
         primaries={name: each for name, each in everyone.items() if each.is_primary},
         newest_term=newest_term,
+        begun_term=begun_term,
         newest_fence=max((each.fenced_term for each in everyone.values()), default=0),
         not_fenced=frozenset(
             name for name, each in everyone.items() if each.fenced_term < term
@@ -114,11 +118,19 @@
         silent=frozenset(silent - left_out.keys()),
         left_out=left_out,
         longest=longest,
-        is_former_log_reached=is_former_log_reached,
         successor=_choose_successor(view, succession, answers, longest),
     )
 
 
+def _still_has_led_log(name: str, view: GroupView, answer: DatabaseStatus) -> bool:
+    """Return True if a former leader's log reaches what it is known to have reached.
+
+    A process that has started again holds nothing of before.
+    """
+    reached = view.former_leaders.get(name)
+    return reached is not None and answer.received >= reached
+
+
 def _left_out(
     name: str,
     view: GroupView,
@@ -172,6 +184,9 @@
         {name: reason.value for name, reason in found.left_out.items()},
         succession.former_log_end,
         view.lost_log_covered_by,
+        found.newest_term,
+        max(succession.begun_term, view.opposing_term),
+        succession.announced_version,
         succession.claimed_at,
         results.fenced_at,
     )
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -1,11 +1,16 @@
-"""One round of fencing: a group's databases are asked for their status and fenced."""
+"""Fencing and unfencing: a group's databases are asked for their status before."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
-from beryltiller.sessions.statements import AskStatus, DatabaseStatus, Fence
+from beryltiller.sessions.statements import (
+    AskStatus,
+    DatabaseStatus,
+    Fence,
+    Unfence,
+)
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import (
     Answered,
@@ -18,9 +23,15 @@
     Silent,
     status_of,
 )
-from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
+from beryltiller.sessions.succession.state import (
+    FenceReplicas,
+    FenceResults,
+    UnfenceReplicas,
+)
 
 Outcomes = Mapping[str, Outcome]
+# Reads the databases' entries that the store has now; returns False if that failed.
+ReadEntries = Callable[[], Awaitable[bool]]
 
 
 class Fencer:
@@ -31,18 +42,21 @@
         fleet: Fleet,
         commands: GroupCommands,
         announcer: Announcer,
+        read_entries: ReadEntries,
         clock: Callable[[], float],
     ) -> None:
         """Fence the fleet's databases by `commands`."""
         self._fleet = fleet
         self._commands = commands
         self._announcer = announcer
+        self._read_entries = read_entries
         self._clock = clock
 
     async def fence(self, action: FenceReplicas) -> FenceResults:
         """Fence the databases that answer, or none if one of them is primary."""
         service, former_primary = action.service, action.former_primary
         names = (*action.replicas, *action.departed)
+        may_be_unfenced = self._commands.may_be_unfenced(service)
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
@@ -64,7 +78,8 @@
             action,
             outcomes,
             gone=self._gone(action, outcomes),
-            were_already_fenced=all(
+            were_already_fenced=not may_be_unfenced
+            and all(
                 _was_fenced(action, name, reported[name], outcomes[name])
                 for name in names
             ),
@@ -73,11 +88,48 @@
             is_unopposed=is_unopposed,
         )
 
+    async def lift(self, action: UnfenceReplicas) -> None:
+        """Unfence the databases that answer that they are fenced.
+
+        So as long as a command is on its way, the fence that it will lift is there for
+        other promoters to find. No second one is sent that would be on its way without.
+        """
+        service, deadline = action.service, action.deadline
+        names = [
+            name
+            for name in action.replicas
+            if not self._commands.may_be_unfenced(service, name)
+        ]
+        reported = await self._commands.send_all(
+            service, names, AskStatus(), deadline=deadline
+        )
+        unfenced = await self._commands.send_all(
+            service, _fenced(reported), Unfence(), deadline=deadline
+        )
+        outcomes = outcomes_text({**reported, **unfenced})
+        logs.log(session_events.ReplicasUnfenced(service, outcomes))
+
     async def _is_unopposed(self, action: FenceReplicas) -> bool:
+        """Return True if an announced change has neither objections nor new databases.
+
+        A database that registered before the announcement may have shown commits to
+        proxies that had not heard of it.
+        """
         version = action.announced_version
         if not version:
             return False
-        return await self._announcer.is_unopposed(action.service, version)
+        is_unopposed, are_read = await asyncio.gather(
+            self._announcer.is_unopposed(action.service, version), self._read_entries()
+        )
+        return is_unopposed and are_read and self._knows_all(action)
+
+    def _knows_all(self, action: FenceReplicas) -> bool:
+        """Return True if the round asks all databases that are known now."""
+        service = action.service
+        asked = {*action.replicas, *action.departed, action.former_primary}
+        departed = self._fleet.directory.departed_of(service)
+        known = {each.database.identifier for each in departed}
+        return known | self._fleet.group(service).members.keys() <= asked
 
     def _gone(self, action: FenceReplicas, outcomes: Outcomes) -> frozenset[str]:
         """Return the departed databases that are gone for good and do not answer.
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -148,6 +148,7 @@
             succession,
             token=event.token,
             claimed_at=event.asked_at,
+            accepted_at=now,
             deadline=deadline,
         )
         if succession.cause is Cause.FENCES_LEFT:
@@ -207,6 +208,7 @@
         found = compare(state.groups[service], succession, event)
         replacements = frozenset(event.replacements)
         succession = replace(succession, unknown_replacements=replacements)
+        awaited_before = succession.confirm_not_before
         succession = record_found_fences(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
@@ -220,13 +222,13 @@
         is_confirmed = (
             succession.phase is Phase.CONFIRMING
             and event.were_already_fenced
+            and succession.confirm_not_before == awaited_before
             and not is_other
         )
         if not is_confirmed:
             return self._hold(state, succession, found, now)
-        is_announced = succession.announced == found.change
-        # A primary that has stepped down acknowledges nothing that the log lacks.
-        if found.is_former_log_reached or (is_announced and event.is_unopposed):
+        is_announced = _is_announced(succession, found)
+        if is_announced and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
         if is_announced and succession.announced_version:
@@ -242,7 +244,7 @@
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = found.change
-        if found.is_former_log_reached or change == succession.announced:
+        if _is_announced(succession, found):
             return schedule_step(state, held, now, wait)
         announcing = replace(
             held, announced=change, announced_version=0, has_announced=True
@@ -260,7 +262,11 @@
             return state, ()
         if not event.version:
             return store_succession(state, replace(succession, announced=None)), ()
-        succession = replace(succession, announced_version=event.version)
+        succession = replace(
+            succession,
+            announced_version=event.version,
+            begun_term=max(succession.begun_term, event.begun_term),
+        )
         if succession.phase is not Phase.HOLDING:
             return store_succession(state, succession), ()
         wait = max(succession.next_step_at - now, OBJECTION_WAIT_SECONDS)
@@ -367,14 +373,20 @@
         view = state.groups.get(succession.service)
         is_done = view is not None and view.leader == succession.successor
         may_take_effect = succession.promotion_may_take_effect and not is_done
-        wait = succession.claimed_at + LIFT_SECONDS - now
+        lift_at = max(
+            succession.claimed_at + LIFT_SECONDS, succession.confirm_not_before
+        )
+        wait = lift_at - now
         if wait > 0 and not may_take_effect and not is_done:
             lifting = replace(succession, phase=Phase.LIFTING)
             return schedule_step(state, lifting, now, wait)
         state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
         if may_take_effect:
             return state, ()
-        withdraw = WithdrawChange(succession.service, succession.token, is_done)
+        successor_term = view.leader_term if view and is_done else 0
+        withdraw = WithdrawChange(
+            succession.service, succession.token, is_done, successor_term
+        )
         own = (withdraw,) if succession.has_announced else ()
         if now > succession.deadline:
             return state, own
@@ -389,6 +401,12 @@
         return state, (*own, unfence)
 
 
+def _is_announced(succession: Succession, found: Comparison) -> bool:
+    """Return True if a change was announced as one of all terms that may have begun."""
+    covered_term = max(found.newest_term, succession.begun_term)
+    return succession.announced == found.change and covered_term >= found.begun_term
+
+
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
     if phase is Phase.CONFIRMING:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -17,19 +17,23 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
     Fence,
     StepDown,
-    Unfence,
 )
 from beryltiller.sessions.succession import state as succession_state
 from beryltiller.sessions.succession import times
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
-from beryltiller.sessions.succession.fencing import Fencer, outcomes_text, status_text
-from beryltiller.sessions.succession.observer import GroupObserver
+from beryltiller.sessions.succession.fencing import (
+    Fencer,
+    ReadEntries,
+    status_text,
+)
+from beryltiller.sessions.succession.observer import GroupObserver, known_log
 from beryltiller.sessions.succession.policy import SuccessionPolicy
 
 PART_NAME = "succession"
@@ -86,11 +90,13 @@
         duty: DutyPort,
         announcer: Announcer,
         is_store_reachable: Callable[[], bool],
+        read_entries: ReadEntries,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         """Create a runner for the fleet's groups.
 
+        `read_entries` updates them to the entries that the store has now.
         `rng` delays claims randomly so that several proxies do not collide.
         """
         self._fleet = fleet
@@ -102,7 +108,7 @@
         self._clock = clock
         self._commands = GroupCommands(fleet, clock)
         self._announcer = announcer
-        self._fencer = Fencer(fleet, self._commands, announcer, clock)
+        self._fencer = Fencer(fleet, self._commands, announcer, read_entries, clock)
         self._newest_token = 0
 
     def part(
@@ -140,23 +146,17 @@
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
             case succession_state.AnnounceChange(service, change, token):
-                version = await self._announcer.announce(service, change, token)
-                return succession_state.ChangeAnnounced(service, version)
-            case succession_state.WithdrawChange(service, token, is_over):
-                await self._announcer.withdraw(service, token, is_over)
+                return await self._announce(service, change, token)
+            case succession_state.WithdrawChange(service, token, is_over, led_term):
+                await self._announcer.withdraw(service, token, is_over, led_term)
                 return None
             case succession_state.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
                 return self._observer.observe(self._clock())
             case succession_state.Promote():
                 return await self._promote(action)
-            case succession_state.UnfenceReplicas(service, replicas, deadline):
-                unfenced = await self._commands.send_all(
-                    service, replicas, Unfence(), deadline=deadline
-                )
-                logs.log(
-                    session_events.ReplicasUnfenced(service, outcomes_text(unfenced))
-                )
+            case succession_state.UnfenceReplicas():
+                await self._fencer.lift(action)
                 return None
 
     async def _step_down(
@@ -179,12 +179,24 @@
                 service, name, action.term, received, led_term
             )
         )
-        if led_term != status.term:
+        member = self._fleet.group(service).members.get(name)
+        reached = known_log(member) if member else None
+        if led_term != status.term or (reached and status.received < reached):
             return None
         return succession_state.PrimarySteppedDown(
             service, name, led_term, status.received
         )
 
+    async def _announce(
+        self, service: str, change: PrimaryChange, token: int
+    ) -> succession_state.Event:
+        written = await self._announcer.announce(service, change, token)
+        if written is None:
+            return succession_state.ChangeAnnounced(service, 0)
+        return succession_state.ChangeAnnounced(
+            service, written.version, written.begun_term
+        )
+
     async def _claim(
         self, action: succession_state.ClaimDuty
     ) -> succession_state.Event:
@@ -258,6 +270,9 @@
                 "; ".join(left_out),
                 str(basis.former_log_end or ""),
                 str(basis.lost_log_covered_by or ""),
+                basis.newest_term,
+                basis.begun_term,
+                basis.announced_version,
                 round(now - basis.claimed_at, 3),
                 round(now - basis.confirmed_at, 3),
             )
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -40,7 +40,10 @@
     None if it never did. `overloaded_alone_since` is since when the leader has been
     overloaded while no replica could serve reads. `lost_log_covered_by` is a position
     that covers all that was acknowledged before the last loss of a log, or None while
-    none is known. `former_leaders` are replicas that were primary in the newest term.
+    none is known. `former_leaders` are replicas that were primary in the newest term,
+    each with the newest position that its log is known to have reached. `leader_term`
+    is the term in which the leader has shown that it leads, or 0 before, and
+    `opposing_term` the newest one that a proxy has objected with to a change, or 0.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
     """
 
@@ -58,7 +61,9 @@
     leader_healthy_until: float | None = None
     lost_log_covered_by: Position | None = None
     fenced_since: float | None = None
-    former_leaders: frozenset[str] = frozenset()
+    former_leaders: Mapping[str, Position] = field(default_factory=dict)
+    leader_term: int = 0
+    opposing_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +105,12 @@
     databases that answer at the addresses of others that have ended, by the names of
     the latter; they have their logs. `ended` are those at whose address a database of
     another service answers. `were_already_fenced` is True if all databases had been
-    fenced before this round, except departed ones that do not answer, and
+    fenced before this round, except departed ones that do not answer, and no command of
+    this proxy may unfence them any more, and
     `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
-    announced and no proxy has objected.
+    announced, no proxy has objected, and the round asked all databases that were
+    registered since.
     """
 
     service: str
@@ -135,11 +142,13 @@
 class ChangeAnnounced:
     """The outcome of announcing a change of primary to all proxies.
 
-    `version` is that of the announcement, or 0 if it failed.
+    `version` is that of the announcement, or 0 if it failed. `begun_term` is the newest
+    term that a promotion announced before may have begun.
     """
 
     service: str
     version: int
+    begun_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,13 +226,15 @@
 class WithdrawChange:
     """A request to tell all proxies that a change announced so far will not happen.
 
-    With `is_over` it has happened, so that proxies which start now need not apply it.
+    With `is_over` it has happened, so that proxies which start now need not apply it;
+    its successor leads in `successor_term`, or 0 if that is not known.
     `token` is the fencing token of this proxy's claim: later ones stay.
     """
 
     service: str
     token: int
     is_over: bool = False
+    successor_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,8 +249,10 @@
     """On which knowledge a promotion is requested, for the log.
 
     `left_out` are the databases that did not answer and were not waited for, each with
-    the reason. `claimed_at` is when the duty was claimed, and `confirmed_at` when the
-    fence commands that confirmed the comparison were sent.
+    the reason. `newest_term` is the newest term known, `begun_term` the newest one that
+    promotions announced before may have begun, or 0, and `announced_version` the
+    version of the announcement. `claimed_at` is when the duty was claimed, and
+    `confirmed_at` when the fence commands that confirmed the comparison were sent.
     """
 
     cause: Cause
@@ -250,6 +263,9 @@
     left_out: Mapping[str, str]
     former_log_end: Position | None
     lost_log_covered_by: Position | None
+    newest_term: int
+    begun_term: int
+    announced_version: int
     claimed_at: float
     confirmed_at: float
 
@@ -318,17 +334,19 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, and `former_term` the term in which it led, known once it has stepped
-    down. `claimed_at` is when the duty was asked for, and `deadline` the last moment at
-    which the claim, with fencing token `token`, may be used to promote or unfence.
+    down. `claimed_at` is when the duty was asked for, `accepted_at` when the store had
+    granted it, and `deadline` the last moment at which the claim, with fencing token
+    `token`, may be used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
     fenced. `fenced_here` are those that this proxy has fenced, and
-    `confirm_not_before` is the time until which the promotion of an earlier claim may
-    take effect. `announced` is the change that was announced, `has_announced` is True
-    if any was, and `announced_version` the announcement's version,
-    or 0 while it is not confirmed. `promotion_may_take_effect` is True once a promotion
-    was requested and not refused; `earlier_may_take_effect` tells the same of the
-    promotions before the last one.
+    `confirm_not_before` is the time until which the promotion and the commands of an
+    earlier claim may act. `announced` is the change that was announced, `has_announced`
+    is True if any was, and `announced_version` the announcement's version, or 0 while
+    it is not confirmed. `begun_term` is the newest term that a promotion announced
+    before may have begun, as far as is known. `promotion_may_take_effect` is True once
+    a promotion was requested and not refused; `earlier_may_take_effect` tells the same
+    of the promotions before the last one.
     """
 
     service: str
@@ -341,6 +359,7 @@
     former_term: int = 0
     token: int = 0
     claimed_at: float = 0.0
+    accepted_at: float = 0.0
     deadline: float = 0.0
     term: int = 0
     successor: str = ""
@@ -351,6 +370,7 @@
     announced: PrimaryChange | None = None
     announced_version: int = 0
     has_announced: bool = False
+    begun_term: int = 0
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
     next_step_at: float = 0.0
