Show with two promoters that a silent successor is waited for

The first announces a change and does not withdraw it; the second knows only the term before, whose leader answers, and a departed database is silent.

--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -26,8 +26,15 @@
     Announcement,
     Announcer,
 )
+from beryltiller.sessions.succession.state import (
+    Action,
+    AnnounceChange,
+    ChangeAnnounced,
+    Promote,
+)
 from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture
+from tests.succession_driver import HEALTHY, Driver, status
 from tests.virtual_loop import pass_time, run_virtual, virtual_now
 
 CHANGE = PrimaryChange(1, Position(1, 10))
@@ -151,6 +158,44 @@
         self.assertLess(passed, 0.1)
 
 
+class SecondPromoterTest(unittest.TestCase):
+    """A promoter that has not heard of what another one's promotion began."""
+
+    def test_silent_successor_of_the_first_one_is_waited_for(self) -> None:
+        """Guards against dropping what it acknowledged as primary of a later term."""
+        led = replace(
+            HEALTHY,
+            leader=None,
+            primaryless_since=0.0,
+            departed=("c",),
+            former_leaders={"a": Position(1, 7)},
+        )
+        statuses = {"a": status(7), "b": status(6), "c": None}
+
+        async def work(is_withdrawn: bool) -> tuple[Action, ...]:
+            announcements = FakeAnnouncements()
+            first, second = (
+                announcements.add_proxy(GroupFixture().fleet) for _ in range(2)
+            )
+            await first.announce("s", CHANGE, 5)
+            if is_withdrawn:
+                await first.withdraw("s", 5)
+            driver = Driver()
+            driver.claim(led)
+            announce, _ = driver.report_fences(statuses)
+            assert isinstance(announce, AnnounceChange)
+            written = await second.announce("s", announce.change, announce.token)
+            assert written is not None
+            driver.handle(ChangeAnnounced("s", written.version, written.begun_term))
+            return driver.confirm(statuses, view=led)
+
+        for is_withdrawn in (False, True):
+            with self.subTest(is_withdrawn=is_withdrawn):
+                actions = run_virtual(work(is_withdrawn))
+                is_promoted = any(isinstance(each, Promote) for each in actions)
+                self.assertEqual(is_promoted, is_withdrawn)
+
+
 class AnnouncerTest(unittest.TestCase):
     """One promoter that announces, and another proxy that hears of it."""
 
