Let commands to unfence outlast the claim in the specification

The specification assumed that no claim is accepted while a command to unfence may still arrive, which is not so. The claim may now end while commands are on their way. Two rules take the place of the assumption: a command is sent only to a replica that is fenced, one at a time, and a promoter that finds a fence awaits the commands on their way before it confirms. A replica that ends ends its connections, and with them what is on its way.

The exhaustive check finds no violation within the same bounds, and both kinds (LOST, STALE) without either rule. The rule OUTLASTING and its case are gone with the assumption; each new rule has a case, so the check is stricter than before.

--- a/tests/spec_succession.py
+++ b/tests/spec_succession.py
@@ -42,8 +42,9 @@
     Every replica is fenced, not just one; the successor has the longest log; HOLD lets
     early evidence lapse before the promotion; CONFIRM repeats the comparison right
     before the request; only a replica that is not fenced gives evidence. A promoter
-    sends commands to unfence only UNDER_CLAIM, and a claim is OUTLASTING: no other one
-    is accepted while such a command may still arrive. Fences are lifted
+    sends commands to unfence only UNDER_CLAIM, and TO_FENCED replicas, one at a time:
+    a fence tells of a command on its way, which may arrive after the claim. A promoter
+    that finds a fence has AWAITED such commands before it confirms. Fences are lifted
     AFTER_PROMOTION, when no promotion can take effect any more.
 
     The promoter fences whichever database answers AT_ADDRESS of an ended replica, and
@@ -57,7 +58,8 @@
     CONFIRM = auto()
     EVIDENCE_OF_UNFENCED = auto()
     UNDER_CLAIM = auto()
-    OUTLASTING = auto()
+    TO_FENCED = auto()
+    AWAITED = auto()
     AFTER_PROMOTION = auto()
     AT_ADDRESS = auto()
     EVIDENCE_OF_ALL = auto()
@@ -97,9 +99,11 @@
     hold time outlasts only evidence taken before all replicas were fenced. With
     `new_commit` the new leader has committed in term 2. While `earlier_claim` holds, an
     earlier promoter holds the duty. `unfencing` tells for each replica whether a
-    command to unfence it is on its way. `unanswered` is the replica that an earlier
-    request without an answer may still promote. With `is_overthrown` a second promotion
-    took the lead from a leader that had committed, with a log that may lack this.
+    command to unfence it is on its way. With `has_found_fence` the promoter found a
+    replica fenced when it first commanded it. `unanswered` is the replica that an
+    earlier request without an answer may still promote. With `is_overthrown` a second
+    promotion took the lead from a leader that had committed, with a log that may lack
+    this.
     """
 
     lengths: tuple[int, int, int] = (0, 0, 0)
@@ -113,6 +117,7 @@
     new_commit: bool = False
     earlier_claim: bool = False
     unfencing: tuple[bool, bool] = (False, False)
+    has_found_fence: bool = False
     place: Place = Place.HELD
     unanswered: int = NO_DATABASE
     is_overthrown: bool = False
@@ -229,12 +234,19 @@
                     index,
                     world.lengths[replica] if answers else 0,
                 )
+                is_first = world.reported_lengths[index] < 0
                 yield "fence", world._replace(
-                    fenced=fenced, reported_lengths=reported_lengths
+                    fenced=fenced,
+                    reported_lengths=reported_lengths,
+                    has_found_fence=world.has_found_fence
+                    or (is_first and world.fenced[index]),
                 )
             if self._may_restart(world) and world.fenced[index]:
-                fenced = with_item(world.fenced, index, False)
-                yield "restart", world._replace(fenced=fenced)
+                # Its connections end with it, and what is on its way over them.
+                yield "restart", world._replace(
+                    fenced=with_item(world.fenced, index, False),
+                    unfencing=with_item(world.unfencing, index, False),
+                )
 
     def _answers(self, world: World, replica: int) -> bool:
         """Return True if the promoter commands a database at a replica's address."""
@@ -251,7 +263,10 @@
         is_covered = world.lengths[first] >= world.lengths[second]
         fenced = with_item(world.fenced, second - 1, False)
         if world.place is Place.HELD and is_covered and is_early:
-            ended = world._replace(place=Place.EMPTY, fenced=fenced)
+            unfencing = with_item(world.unfencing, second - 1, False)
+            ended = world._replace(
+                place=Place.EMPTY, fenced=fenced, unfencing=unfencing
+            )
             if world.successor == second:
                 # Its promotion would be refused.
                 ended = _without_choice(ended)
@@ -285,7 +300,8 @@
             if world.earlier_claim:
                 fenced = with_item(world.fenced, index, True)
                 yield "fence by the earlier promoter", world._replace(fenced=fenced)
-            if may_unfence and not is_arriving:
+            is_told = world.fenced[index] or not self._has(Rule.TO_FENCED)
+            if may_unfence and is_told and not is_arriving:
                 unfencing = with_item(world.unfencing, index, True)
                 yield "send a command to unfence", world._replace(unfencing=unfencing)
             if is_arriving:
@@ -293,8 +309,7 @@
                     fenced=with_item(world.fenced, index, False),
                     unfencing=with_item(world.unfencing, index, False),
                 )
-        is_outlasting = self._has(Rule.OUTLASTING)
-        if world.earlier_claim and not (is_outlasting and any(world.unfencing)):
+        if world.earlier_claim:
             yield "the earlier claim ends", world._replace(earlier_claim=False)
         is_requested = world.is_requested or world.unanswered != NO_DATABASE
         is_pending = is_requested and world.leader == NO_DATABASE
@@ -317,6 +332,9 @@
                 if is_longest or not self._has(Rule.CHOOSE_LONGEST):
                     yield "choose a successor", world._replace(successor=replica)
         is_held = world.evidence is Evidence.EARLY and self._has(Rule.HOLD)
+        is_awaiting = world.has_found_fence and any(world.unfencing)
+        if is_awaiting and self._has(Rule.AWAITED) and not world.is_requested:
+            return
         if world.successor != NO_DATABASE and not world.is_requested and not is_held:
             yield from self._request_promotion(world)
         if world.is_requested and world.leader == NO_DATABASE and not is_held:
--- a/tests/test_spec_succession.py
+++ b/tests/test_spec_succession.py
@@ -15,7 +15,8 @@
     (Rule.CONFIRM, {LOST, STALE}),
     (Rule.EVIDENCE_OF_UNFENCED, {STALE}),
     (Rule.UNDER_CLAIM, {LOST, STALE}),
-    (Rule.OUTLASTING, {LOST, STALE}),
+    (Rule.TO_FENCED, {LOST, STALE}),
+    (Rule.AWAITED, {LOST, STALE}),
     (Rule.AFTER_PROMOTION, {LOST, STALE}),
 )
 REPLACEMENT = Bounds(restart=Restart.BEFORE_REQUEST, replacement=Restart.BEFORE_REQUEST)
