Apply an earlier announced change beside a later one

A later announcement took the place of an earlier one in what a proxy applies. A promotion that the earlier claim had requested may take effect after that, with a shorter log: a commit between the two logs was reported, and dropped by it (specification, rule AFTER_EARLIER).

A proxy keeps the change of each claim, by its fencing token, for as long as the change counts, and drops commits beyond any of their logs. The withdrawal of one leaves the others. test_change_of_an_earlier_claim_counts_beside_a_later_one fails with the rule taken out (tried).

--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -43,6 +43,14 @@
         return position.term <= self.replaced_term and position > self.log_end
 
 
+@dataclass(frozen=True, slots=True)
+class _AnnouncedChange:
+    """A change that counts until a moment."""
+
+    change: PrimaryChange
+    until: float
+
+
 class ChangeTracker:
     """What one proxy knows of an announced change, and the commits that it reported.
 
@@ -54,8 +62,7 @@
 
     def __init__(self) -> None:
         """Create a tracker without a change or a commit."""
-        self._change: PrimaryChange | None = None
-        self._until = NEVER
+        self._announced: dict[int, _AnnouncedChange] = {}
         self._over: PrimaryChange | None = None
         self._reported_anywhere = ORIGIN
         self._reported = ORIGIN
@@ -76,10 +83,16 @@
         """Record that a proxy objected, as it knows of a term that has begun."""
         self._later_term = max(self._later_term, term)
 
-    def announce(self, change: PrimaryChange, now: float) -> None:
-        """Record an announced change."""
-        self._change = change
-        self._until = now + CHANGE_SECONDS
+    def announce(self, change: PrimaryChange, now: float, token: int = 0) -> None:
+        """Record a change that was announced under the fencing token of a claim.
+
+        It takes the place of another one of the same claim. Those of earlier claims
+        count on: what they requested may take effect late.
+        """
+        self._announced = {
+            key: each for key, each in self._announced.items() if now <= each.until
+        }
+        self._announced[token] = _AnnouncedChange(change, now + CHANGE_SECONDS)
 
     def record_over(self, change: PrimaryChange) -> None:
         """Record that a change has happened: what it drops is dropped for good.
@@ -87,16 +100,17 @@
         The term of its successor is known by now, which it may have been taken to drop.
         """
         self._over = change
-        if self._change is not None and self._change.log_end == change.log_end:
-            self._change = change
+        for token, each in self._announced.items():
+            if each.change.log_end == change.log_end:
+                self._announced[token] = _AnnouncedChange(change, each.until)
 
     def record_objection(self, reported: Position) -> None:
         """Record that a proxy objected, as it has reported a commit at a position."""
         self._reported_anywhere = max(self._reported_anywhere, reported)
 
-    def withdraw(self) -> None:
-        """Record that the promotion will not be requested."""
-        self._change = None
+    def withdraw(self, token: int = 0) -> None:
+        """Record that the promotion of a claim will not be requested."""
+        self._announced.pop(token, None)
 
     def record_reported(self, position: Position, now: float) -> None:
         """Record the answer to a commit that is reported to its caller as done."""
@@ -105,11 +119,21 @@
             self._reported_at = now
 
     def under_way(self, term: int, now: float) -> PrimaryChange | None:
-        """Return the change under way, or None; `term` is the newest term known."""
-        change = self._change
-        if change is None or now > self._until or term > change.replaced_term:
-            return None
-        return change
+        """Return the newest change under way, or None.
+
+        `term` is the newest term known.
+        """
+        under_way = (
+            each.change
+            for each in self._newest_first()
+            if now <= each.until and term <= each.change.replaced_term
+        )
+        return next(under_way, None)
+
+    def _newest_first(self) -> list[_AnnouncedChange]:
+        return [
+            self._announced[token] for token in sorted(self._announced, reverse=True)
+        ]
 
     def drops(self, position: Position | None, term: int, now: float) -> bool:
         """Return True if an announced promotion may drop a commit at a position.
@@ -120,8 +144,13 @@
         """
         if position is None:
             return self.under_way(term, now) is not None
-        changes = [self._over, self._change if now <= self._until else None]
-        return any(change.drops(position) for change in changes if change)
+        if self._over is not None and self._over.drops(position):
+            return True
+        return any(
+            each.change.drops(position)
+            for each in self._announced.values()
+            if now <= each.until
+        )
 
     def objects_to(self, change: PrimaryChange, known_term: int, now: float) -> bool:
         """Return True if the promotion drops a commit that was reported as done.
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -146,7 +146,7 @@
             return replace(announced, begun_term=begun_term, version=version)
 
         first = following(self._applied.get(service))
-        changes.announce(first.covering, self._clock())
+        changes.announce(first.covering, self._clock(), token)
         self._announced[service] = first
         return await self._write(first, following)
 
@@ -181,7 +181,7 @@
             return replace(present, is_withdrawn=True, begun_term=begun_term)
 
         if not is_over:
-            self._fleet.group(service).changes.withdraw()
+            self._fleet.group(service).changes.withdraw(token)
         announced = self._announced.get(service)
         is_own = announced is not None and announced.token == token
         present = await self._read(service) or announced
@@ -218,12 +218,12 @@
             return False
         self._newest[service] = announcement
         if announcement.is_withdrawn:
-            changes.withdraw()
+            changes.withdraw(announcement.token)
         if announcement.is_over:
             changes.record_over(announcement.happened)
         if announcement.is_ended:
             return False
-        changes.announce(announcement.covering, self._clock())
+        changes.announce(announcement.covering, self._clock(), announcement.token)
         return self._with_objection(announcement) is not None
 
     async def object_to(self, announcement: Announcement) -> None:
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -132,6 +132,20 @@
         self.assertIs(unknown.code, Code.UNKNOWN_OUTCOME)
         self.assertIsNone(done.code)
 
+    def test_change_of_an_earlier_claim_counts_beside_a_later_one(self) -> None:
+        """Guards against a promotion that takes effect after its claim has ended."""
+        longer = PrimaryChange(1, Position(1, 15))
+        for first, second in ((CHANGE, longer), (longer, CHANGE)):
+            tracker = ChangeTracker()
+            tracker.announce(first, 1.0, token=7)
+            tracker.announce(second, 2.0, token=8)
+            with self.subTest(first):
+                self.assertTrue(tracker.drops(Position(1, 11), 1, 3.0))
+                self.assertEqual(tracker.under_way(1, 3.0), second)
+                tracker.withdraw(8)
+                self.assertEqual(tracker.under_way(1, 3.0), first)
+                self.assertIsNone(tracker.under_way(1, 1.1 + CHANGE_SECONDS))
+
     def test_dropped_commit_is_not_reported_once_the_successor_is_known(self) -> None:
         """Guards against a late answer of the former primary."""
         tracker = ChangeTracker()
