Let an announced change go on while no news of it can arrive

An announced change of primary was applied for 5 s.

While the store is not followed, changes under way are prolonged, and end by news or after 5 s with the store. test_change_goes_on_while_the_store_is_not_followed fails with the rule taken out (tried).

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -128,8 +128,13 @@
         """Record whether changes of the databases' entries arrive from the store.
 
         While they do, a new primary is learned of from the store; see `find_leader`.
+        While they do not, an announced change of primary goes on: that it is over, or
+        was withdrawn, would not be heard of.
         """
         self._follows_store = is_followed
+        if not is_followed:
+            for group in self._groups.values():
+                group.changes.prolong(self._clock())
 
     def follow_announcements(self, known_until: Callable[[], int]) -> None:
         """Count replicas only from when announcements before their entries are known.
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -94,6 +94,14 @@
         }
         self._announced[token] = _AnnouncedChange(change, now + CHANGE_SECONDS)
 
+    def prolong(self, now: float) -> None:
+        """Let the changes under way count for longer, as no news of them arrives."""
+        self._announced = {
+            key: _AnnouncedChange(each.change, max(each.until, now + CHANGE_SECONDS))
+            for key, each in self._announced.items()
+            if now <= each.until
+        }
+
     def record_over(self, change: PrimaryChange) -> None:
         """Record that a change has happened: what it drops is dropped for good.
 
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -146,6 +146,24 @@
                 self.assertEqual(tracker.under_way(1, 3.0), first)
                 self.assertIsNone(tracker.under_way(1, 1.1 + CHANGE_SECONDS))
 
+    def test_change_goes_on_while_the_store_is_not_followed(self) -> None:
+        """Guards against reporting commits at a primary that was replaced."""
+
+        async def work() -> list[bool]:
+            fixture = GroupFixture()
+            group = fixture.fleet.group("s")
+            group.changes.announce(CHANGE, virtual_now())
+            under_way = []
+            for is_followed in (False, True):
+                fixture.fleet.set_follows_store(is_followed)
+                await pass_time(CHANGE_SECONDS - 0.1)
+                fixture.fleet.set_follows_store(is_followed)
+                await pass_time(0.2)
+                under_way.append(group.change_under_way(virtual_now()) is not None)
+            return under_way
+
+        self.assertEqual(run_virtual(work()), [True, False])
+
     def test_dropped_commit_is_not_reported_once_the_successor_is_known(self) -> None:
         """Guards against a late answer of the former primary."""
         tracker = ChangeTracker()
