Release the place at the database before a commit awaits its receipt

A commit that waited for a replica to show it kept its place and connection at the primary: four of them stopped the reads there. It also counted as evidence of the term at once, which it is not as long as only an unknown database may have received it.

Whoever runs a write or a commit releases both first and confirms the commit then; only the confirmation records it as evidence.

Tests changed: the write of a newcomer's test is refused now instead of unknown; the session's own commit without a position is tested with a service without synchronous replicas, where it is still reported.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -152,7 +152,7 @@
             return
         member.record_position_asked(asked_at)
         if member is not self.leader:
-            member.record_shown(position)
+            member.record_applied(position)
         if position.term > self._leadership.term:
             self._enter_term(position.term)
         if member is not self.leader:
@@ -220,8 +220,8 @@
         if status.is_primary:
             self._record_primary(member, status, is_newer)
             self.record_lead(member, asked_at)
-        elif status.received != NO_POSITION:
-            member.record_shown(status.received)
+        else:
+            member.record_received(status.received, asked_at)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -103,6 +103,7 @@
         self._position_asked_at = NEVER
         self.shown: Position | None = None
         self.registered_at = database.revision
+        self._received_asked_at = NEVER
         self._fenced_since: float | None = None
 
     @property
@@ -218,11 +219,20 @@
         """Record that a position was answered to a statement sent at `asked_at`."""
         self._position_asked_at = max(self._position_asked_at, asked_at)
 
-    def record_shown(self, position: Position) -> None:
-        """Record that its log was shown to reach a position as a replica."""
+    def record_applied(self, position: Position) -> None:
+        """Record that it answered as a replica from a log that reaches a position."""
         if self.shown is None or position > self.shown:
             self.shown = position
 
+    def record_received(self, log_end: Position, asked_at: float) -> None:
+        """Record the end of its log as a replica, by the status asked for last.
+
+        It is lower than before if its process has started again without its log.
+        """
+        if asked_at >= self._received_asked_at:
+            self._received_asked_at = asked_at
+            self.shown = log_end
+
     def record_failure(self, now: float) -> None:
         """Record that the database could not be reached or that a connection broke.
 
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -35,7 +35,7 @@
     source: Member
     position: Position
     since: float
-    received: asyncio.Future[None]
+    is_received: asyncio.Future[bool]
 
 
 class ReceiptQueries:
@@ -61,28 +61,41 @@
         self._rounds: dict[str, asyncio.Task[None]] = {}
         self._queries: set[asyncio.Task[None]] = set()
 
-    def is_overdue(self, service: str) -> bool:
-        """Return True if a commit has waited for its receipt for long.
+    def is_overdue(self, group: Group) -> bool:
+        """Return True if a commit of the leader has waited for its receipt for long.
 
         Further writes would wait as long, and their outcomes would be unknown too.
         """
         latest = self._clock() - MAX_WAIT_SECONDS
-        return any(each.since < latest for each in self._waiting.get(service, ()))
+        return any(
+            each.since < latest and each.source is group.leader
+            for each in self._waiting.get(group.service, ())
+        )
+
+    def counts(self, replica: Member) -> bool:
+        """Return True if what a replica shows counts, whatever it is."""
+        return replica.registered_at <= self._announced_until()
 
     async def wait(
         self, group: Group, source: Member, position: Position, deadline: float
     ) -> bool:
-        """Wait until a replica has a commit of `source`; return False at `deadline`."""
+        """Wait until a replica has a commit of `source`.
+
+        Return False at `deadline`, or once a later term is known, in which the commit
+        may have been dropped.
+        """
         if self._is_received(group, source, position):
             return True
-        received = asyncio.get_running_loop().create_future()
-        commit = _WaitingCommit(source, position, self._clock(), received)
+        is_received = asyncio.get_running_loop().create_future()
+        commit = _WaitingCommit(source, position, self._clock(), is_received)
         waiting = self._waiting.setdefault(group.service, [])
         waiting.append(commit)
         self._start_rounds(group)
         try:
-            await asyncio.wait((received,), timeout=max(0.0, deadline - commit.since))
-            return received.done()
+            await asyncio.wait(
+                (is_received,), timeout=max(0.0, deadline - commit.since)
+            )
+            return is_received.done() and is_received.result()
         finally:
             waiting.remove(commit)
 
@@ -111,14 +124,16 @@
             pause = min(2 * pause, MAX_PAUSE_SECONDS)
 
     def _is_waiting(self, group: Group) -> bool:
-        """Return True if a commit waits, once those that were received are told."""
+        """Return True if a commit waits, once the others have their results."""
         waiting = [
-            each for each in self._waiting[group.service] if not each.received.done()
+            each for each in self._waiting[group.service] if not each.is_received.done()
         ]
         for each in waiting:
             if self._is_received(group, each.source, each.position):
-                each.received.set_result(None)
-        return not all(each.received.done() for each in waiting)
+                each.is_received.set_result(True)
+            elif group.term > each.position.term:
+                each.is_received.set_result(False)
+        return not all(each.is_received.done() for each in waiting)
 
     def _is_received(self, group: Group, source: Member, position: Position) -> bool:
         return receipts.is_received(group, source, position, self._announced_until())
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -25,13 +25,18 @@
 
     Announced changes of primary are known up to the revision `announced_until`.
     A replica that follows a later primary may have rolled the commit back, and one that
-    was primary in the commit's term itself does not hold a copy.
+    was primary in the commit's term itself does not hold a copy. The log of a draining
+    replica is soon gone: it counts only if there is no other one.
     """
-    return any(
-        replica.shown.term == position.term and replica.shown >= position
+    replicas = [
+        replica
         for replica in group.replicas
-        if replica.shown is not None
-        and replica.registered_at <= announced_until
-        and replica is not source
+        if replica.database.identifier != source.database.identifier
         and replica.led_term != position.term
+    ]
+    lasting = [each for each in replicas if not each.database.is_draining]
+    return any(
+        replica.shown.term == position.term and replica.shown >= position
+        for replica in lasting or replicas
+        if replica.shown is not None and replica.registered_at <= announced_until
     )
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -200,7 +200,7 @@
         deadline; the connection is closed then.
         """
         member = acquired.placement.member
-        asked_at = self._clock()
+        asked_at = acquired.asked_at = self._clock()
         member.record_sent(asked_at)
         is_answered = False
         try:
@@ -227,34 +227,47 @@
         finally:
             member.record_end(self._clock(), is_answered)
         if reply.code is None and _is_commit_of_write(session, request):
-            await self._check_commit(group, acquired, reply, deadline)
+            self._check_commit(group, acquired, reply)
         self._record_reply(session, group, acquired.placement, request, reply, asked_at)
         return reply
 
-    async def _check_commit(
-        self, group: Group, acquired: AcquiredConnection, reply: Reply, deadline: float
+    def _check_commit(
+        self, group: Group, acquired: AcquiredConnection, reply: Reply
     ) -> None:
-        """Raise `BrokenError` if a change of primary may drop a commit."""
-        if not await self._is_kept(group, acquired.placement.member, reply, deadline):
-            acquired.pool.discard(acquired.connection)
-            raise BrokenError("no registered replica is known to have the commit")
-        now = self._clock()
-        if group.changes.drops(reply.position, group.term, now):
+        """Raise `BrokenError` if a change of primary under way may drop a commit."""
+        try:
+            self._raise_if_dropped(group, reply)
+        except BrokenError:
             acquired.pool.discard(acquired.connection)
+            raise
+
+    def _raise_if_dropped(self, group: Group, reply: Reply) -> None:
+        if group.changes.drops(reply.position, group.term, self._clock()):
             raise BrokenError("a change of primary may drop the commit")
-        if reply.position is not None:
-            group.changes.record_reported(reply.position, now)
 
-    async def _is_kept(
-        self, group: Group, member: Member, reply: Reply, deadline: float
-    ) -> bool:
-        """Return True if a registered replica has a commit, as far as that matters.
+    async def confirm_commit(
+        self, group: Group, acquired: AcquiredConnection, reply: Reply, deadline: float
+    ) -> None:
+        """Wait until a commit may be reported, or raise `BrokenError`.
 
-        Wait until one shows it, if need be.
+        Call this once the connection, whose last statement it was, and the place at the
+        database are released. A commit that no registered replica has received proves
+        nothing of the term.
         """
-        if reply.position is None or not self._needs_receipt(group):
-            return True
-        return await self._fleet.receipts.wait(group, member, reply.position, deadline)
+        member = acquired.placement.member
+        if self._needs_receipt(group):
+            position = reply.position
+            is_received = position is not None and await self._fleet.receipts.wait(
+                group, member, position, deadline
+            )
+            if not is_received:
+                raise BrokenError("no registered replica is known to have the commit")
+        self._raise_if_dropped(group, reply)
+        group.record_commit(member, acquired.asked_at, reply.position)
+        # The commit may have shown that the member leads, so its position counts now.
+        group.record_position(member, reply.position, acquired.asked_at)
+        if reply.position is not None:
+            group.changes.record_reported(reply.position, self._clock())
 
     def _needs_receipt(self, group: Group) -> bool:
         """Return True if commits are reported only once a replica shows them."""
@@ -265,10 +278,13 @@
 
     def _may_show_receipt(self, group: Group) -> bool:
         """Return False if it is known that a commit's receipt would not be shown."""
-        if self._fleet.receipts.is_overdue(group.service):
+        receipts = self._fleet.receipts
+        if receipts.is_overdue(group):
             return False
         now = self._clock()
-        return any(each.is_available(now) for each in group.replicas)
+        return any(
+            each.is_available(now) and receipts.counts(each) for each in group.replicas
+        )
 
     async def run_in_transaction(
         self,
@@ -319,7 +335,7 @@
             case None:
                 member.record_latency(now - asked_at)
                 if _is_commit_of_write(session, request):
-                    group.record_commit(member, asked_at, reply.position)
+                    member.record_acknowledged_write(asked_at)
                 elif isinstance(request.statement, Begin) and placement.needs_proof:
                     self._record_begun(group, member, request.statement, asked_at)
             case Code.LAGGING if placement.needs_proof:
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -33,12 +33,14 @@
 class AcquiredConnection:
     """A connection acquired for a statement or a transaction, and its pool.
 
-    `placement` names the database and the log position required of it.
+    `placement` names the database and the log position required of it. `asked_at` is
+    when the last statement was sent.
     """
 
     connection: PooledConnection
     pool: ConnectionPool
     placement: Placement
+    asked_at: float = NEVER
 
 
 @dataclass(slots=True)
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/single_statements.py
@@ -188,6 +188,8 @@
         if reply.state is not SessionState.IDLE:
             reply = replace(reply, state=SessionState.IDLE)
         is_write = session.is_write(request.statement)
+        if reply.is_success and is_write:
+            await self._executor.confirm_commit(group, acquired, reply, deadline)
         if reply.is_success and placement.needs_proof and not is_write:
             await self._executor.prove_term(
                 group, placement.member, reply.position, requirement, deadline
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -291,10 +291,23 @@
             if isinstance(error, BrokenError) and not transaction.has_written:
                 code = Code.ABORTED
             return session.refuse(code, error.reason)
-        if reply.is_success and transaction.has_written:
-            now = self._executor.now()
-            session.record_commit(transaction.route.service, reply.position, now)
         session.transaction = None
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
+        if reply.is_success and transaction.has_written:
+            return await self._report_commit(session, transaction, reply, deadline)
+        return reply
+
+    async def _report_commit(
+        self, session: Session, transaction: Transaction, reply: Reply, deadline: float
+    ) -> Reply:
+        """Return the reply to a commit that has written, once it may be reported."""
+        assert transaction.acquired is not None
+        acquired, service = transaction.acquired, transaction.route.service
+        group = self._executor.group(service)
+        try:
+            await self._executor.confirm_commit(group, acquired, reply, deadline)
+        except SessionError as error:
+            return session.refuse(error.code, error.reason)
+        session.record_commit(service, reply.position, self._executor.now())
         return reply
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -242,15 +242,21 @@
         self.service = SessionService(
             self.fleet, Placer("a"), IsolationMonitor(), virtual_now, read_log
         )
-        route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
-        configuration = Configuration(1, {"db": route}, {"s": Service("s", 20, 1)}, 3.0)
-        self.fleet.adopt(configuration)
+        self._route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
+        self.configure(sync_replicas=1)
         self.register()
 
     @property
     def group(self) -> object:
         return self.fleet.group("s")
 
+    def configure(self, sync_replicas: int) -> None:
+        """Adopt a configuration in which a commit awaits that many replicas."""
+        present = self.fleet.configuration
+        version = present.version + 1 if present else 1
+        services = {"s": Service("s", 20, sync_replicas)}
+        self.fleet.adopt(Configuration(version, {"db": self._route}, services, 3.0))
+
     def register(self) -> None:
         """Pass the databases' current entries to the proxy."""
         entries = {each.identifier: each.entry() for each in self._all()}
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -7,10 +7,10 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases import receipts
-from beryltiller.sessions.databases.catalog import Directory
+from beryltiller.sessions.databases.catalog import Directory, RouteKind
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.receipt_queries import MAX_WAIT_SECONDS
-from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Write
+from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Read, Write
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -88,6 +88,37 @@
         for source in (primary, group.members["q"]):
             self.assertFalse(receipts.is_received(group, source, Position(2, 7), 0))
 
+    def test_primary_whose_entry_lapsed_and_returned_shows_no_receipt(self) -> None:
+        group = create_group()
+        source = group.members["p"]
+        others = tuple(FakeDatabase(name).entry() for name in ("q", "r"))
+        group.update(others, 1.0)
+        group.update((*others, FakeDatabase("p").entry()), 2.0)
+        status = DatabaseStatus(False, 2, Position(2, 7), 3)
+        group.record_status(group.members["p"], status, 2.1)
+        self.assertFalse(receipts.is_received(group, source, Position(2, 7), 0))
+
+    def test_process_that_started_again_without_its_log_shows_no_receipt(self) -> None:
+        group = create_group()
+        report(group, "q", Position(2, 7), 1.0)
+        report(group, "q", Position(0, 0), 2.0)
+        source = group.members["p"]
+        self.assertFalse(receipts.is_received(group, source, Position(2, 7), 0))
+
+    def test_log_of_a_draining_replica_counts_only_without_another_replica(
+        self,
+    ) -> None:
+        for others, expected in ((("q",), False), ((), True)):
+            with self.subTest(others=others):
+                group = create_group()
+                draining = replace(FakeDatabase("r").entry(), is_draining=True)
+                entries = [FakeDatabase(name).entry() for name in ("p", *others)]
+                group.update((*entries, draining), 0.5)
+                report(group, "r", Position(2, 7), 1.0)
+                source = group.members["p"]
+                found = receipts.is_received(group, source, Position(2, 7), 0)
+                self.assertEqual(found, expected)
+
 
 class ReportTest(unittest.TestCase):
     """What callers are told of commits that a registered replica may not have."""
@@ -147,7 +178,8 @@
             entries["far"] = replace(fixture.far.entry(), incarnation=2, revision=7)
             fixture.fleet.register(Directory(entries))
             reply = await fixture.run(fixture.session(), Write("i", "d"))
-            self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+            self.assertIs(reply.code, Code.BUSY)
+            self.assertEqual(fixture.leader.statement_names(), [])
             announced_until = 7
             reply = await fixture.run(fixture.session(), Write("i", "d"))
             self.assertTrue(reply.is_success)
@@ -165,6 +197,52 @@
 
         run_with_fixture(work)
 
+    def test_commit_without_a_position_is_not_reported(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.followers = ()
+            fixture.leader.hides_position = True
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+
+        run_with_fixture(work)
+
+    def test_commit_of_an_ended_term_does_not_stop_writes_at_the_new_primary(
+        self,
+    ) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            old, new, far = fixture.leader, fixture.near, fixture.far
+            old.followers = ()
+            first = asyncio.create_task(fixture.run(fixture.session(), Write("i", "d")))
+            await asyncio.sleep(0.1)
+            old.is_primary, new.is_primary = False, True
+            old.term = new.term = far.term = 2
+            new.followers = (old, far)
+            fixture.register()
+            await asyncio.sleep(0.2)
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertTrue(reply.is_success, reply.text)
+            self.assertIs((await first).code, Code.UNKNOWN_OUTCOME)
+
+        run_with_fixture(work)
+
+    def test_reads_at_the_primary_go_on_while_commits_wait_for_receipts(self) -> None:
+        async def run() -> None:
+            fixture = GroupFixture(RouteKind.PRIMARY)
+            fixture.leader.followers = ()
+            session = fixture.session()
+            self.assertTrue((await fixture.run(session, Read("i"))).is_success)
+            writes = [
+                asyncio.create_task(fixture.run(fixture.session(), Write("i", "d")))
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0.1)
+            reply = await fixture.run(fixture.session(), Read("i"))
+            self.assertTrue(reply.is_success, reply.text)
+            await asyncio.gather(*writes)
+            fixture.fleet.close()
+
+        run_virtual(run())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_session_evidence.py
+++ b/tests/test_session_evidence.py
@@ -261,6 +261,7 @@
         """Guards against a stale read: such a commit required nothing of the log."""
 
         async def work(fixture: GroupFixture) -> None:
+            fixture.configure(sync_replicas=0)
             fixture.leader.zone = "b"
             fixture.register()
             await fixture.run(fixture.session(), Write("i", "d"))
