Await the commands of this proxy's process before a restart

Callers lose acknowledged commits if a command to unfence acts between a confirmation and its promotion. A proxy that restarts may claim at once while its earlier claim still counts, as both name the same host, and knows nothing of the commands that the process before has sent. Without a found fence nothing becomes slower.

--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -22,6 +22,7 @@
 from beryltiller.sessions.statements import (
     Code,
     DatabaseStatus,
+    Fence,
     ProxyCommand,
     StepDown,
     Unfence,
@@ -98,6 +99,18 @@
         self._fleet = fleet
         self._clock = clock
         self._unfenced_until: dict[tuple[str, str], float] = {}
+        self._settled_at = clock() + COMMAND_LIFE_SECONDS
+        self._fenced: set[tuple[str, str]] = set()
+
+    def record_found_fence(self, service: str, name: str) -> None:
+        """Record that a database is fenced, perhaps by this proxy before it restarted.
+
+        A command to unfence of the process before may be on its way: its claim is one
+        of this proxy, whose end is not waited for.
+        """
+        key = service, name
+        if self._clock() < self._settled_at and key not in self._fenced:
+            self._unfenced_until[key] = self._settled_at
 
     def may_be_unfenced(self, service: str, name: str | None = None) -> bool:
         """Return True if a command to unfence without an answer may still act.
@@ -209,6 +222,8 @@
         database = self.database(service, name)
         if database is None:
             return NotAsked()
+        if isinstance(statement, Fence) and self._clock() < self._settled_at:
+            self._fenced.add((service, name))
         asked_at = self._clock()
         try:
             status = await self._fleet.command(
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -57,6 +57,8 @@
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
+        for name in _fenced(reported):
+            self._commands.record_found_fence(service, name)
         if any(_is_primary(outcome) for outcome in reported.values()):
             return _results(action, reported, found_fenced=_fenced(reported))
         fenced_at = self._clock()
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from enum import Enum, auto
 from typing import Any
 
 from beryltiller.sessions.databases.fleet import FOREVER
@@ -23,6 +24,14 @@
 BEFORE_DEADLINE_SECONDS = 0.1
 
 
+class Next(Enum):
+    """Which proxy performs the second succession."""
+
+    OTHER = auto()
+    SAME = auto()
+    RESTARTED = auto()
+
+
 class Unfencing:
     """A succession that another one follows while a command to unfence is on its way.
 
@@ -68,7 +77,7 @@
 class LateUnfenceTest(unittest.TestCase):
     """A command to unfence of one succession that acts during the next one."""
 
-    def meanwhile(self, late_seconds: float, kind: type, is_same: bool) -> list[str]:
+    def meanwhile(self, late_seconds: float, kind: type, next_one: Next) -> list[str]:
         """Return which replicas a late command has unfenced before a promotion."""
 
         async def work() -> FakePlatform:
@@ -78,30 +87,37 @@
             first = unfencing.promoter("first", 1)
             silent.hang.add(kind)
             await unfencing.finish_first(first, silent)
-            if not is_same:
+            if next_one is not Next.SAME:
                 first.freeze()
+            if next_one is Next.OTHER:
                 await asyncio.sleep(unfencing.platform.held_until - virtual_now())
                 unfencing.promoter("second", 2).start()
+            if next_one is Next.RESTARTED:
+                unfencing.promoter("first", 2).start()
             await unfencing.wait_for_promotion()
             return unfencing.platform
 
         return run_virtual(work()).unfenced_meanwhile
 
-    def unfenced(self, kind: type, is_same: bool) -> dict[float, list[str]]:
+    def unfenced(self, kind: type, next_one: Next) -> dict[float, list[str]]:
         """Return the same for each lateness at which a replica was unfenced."""
-        found = {late: self.meanwhile(late, kind, is_same=is_same) for late in LATENESS}
+        found = {late: self.meanwhile(late, kind, next_one) for late in LATENESS}
         return {late: names for late, names in found.items() if names}
 
     def test_next_holder_awaits_the_command_to_a_replica_that_it_finds_fenced(
         self,
     ) -> None:
-        self.assertEqual(self.unfenced(Fence, is_same=False), {})
+        self.assertEqual(self.unfenced(Fence, Next.OTHER), {})
 
     def test_no_command_to_unfence_is_sent_to_a_replica_that_is_silent(self) -> None:
-        self.assertEqual(self.unfenced(AskStatus, is_same=False), {})
+        self.assertEqual(self.unfenced(AskStatus, Next.OTHER), {})
 
     def test_same_proxy_awaits_its_own_command_to_unfence(self) -> None:
-        self.assertEqual(self.unfenced(Fence, is_same=True), {})
+        self.assertEqual(self.unfenced(Fence, Next.SAME), {})
+
+    def test_restarted_proxy_awaits_the_command_of_the_process_before(self) -> None:
+        """It may claim at once, as the claim before names the same host."""
+        self.assertEqual(self.unfenced(Fence, Next.RESTARTED), {})
 
 
 class OwnCommandTest(unittest.TestCase):
