Ask no replica for its fence that has just shown a receipt

Each proxy asks the replicas of its zone every 3 s whether a promoter has left a fence. A replica that was asked within half of the interval is not asked again: statements of the proxies' own are a load on databases, and priced.

--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -103,7 +103,7 @@
         self._position_asked_at = NEVER
         self.shown: Position | None = None
         self.registered_at = database.revision
-        self._received_asked_at = NEVER
+        self._status_asked_at = NEVER
         self._fenced_since: float | None = None
 
     @property
@@ -219,6 +219,11 @@
         """Record that a position was answered to a statement sent at `asked_at`."""
         self._position_asked_at = max(self._position_asked_at, asked_at)
 
+    @property
+    def status_asked_at(self) -> float:
+        """Return when it was asked for its newest status as a replica."""
+        return self._status_asked_at
+
     def record_applied(self, position: Position) -> None:
         """Record that it answered as a replica from a log that reaches a position."""
         if self.shown is None or position > self.shown:
@@ -229,8 +234,8 @@
 
         It is lower than before if its process has started again without its log.
         """
-        if asked_at >= self._received_asked_at:
-            self._received_asked_at = asked_at
+        if asked_at >= self._status_asked_at:
+            self._status_asked_at = asked_at
             self.shown = log_end
 
     def record_failure(self, now: float) -> None:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -315,7 +315,8 @@
     def _is_fence_check_due(self, member: Member, now: float) -> bool:
         """Return True if a replica is to be asked now, and draw when it is asked next.
 
-        Random times keep the proxies from asking at once.
+        Random times keep the proxies from asking at once. One that has been asked for
+        its status for another reason is not asked again.
         """
         name = member.database.identifier
         next_check = self._next_fence_check.get(name)
@@ -324,7 +325,7 @@
         is_local = self._fleet.is_local(member)
         mean = FENCE_CHECK_SECONDS if is_local else REMOTE_FENCE_CHECK_SECONDS
         self._next_fence_check[name] = now + self._rng.uniform(0.5, 1.5) * mean
-        return next_check is not None
+        return next_check is not None and now >= member.status_asked_at + 0.5 * mean
 
     async def _query_fences(self, replicas: Iterable[tuple[Group, Member]]) -> None:
         queries = (self._query_fence(group, member) for group, member in replicas)
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -537,6 +537,26 @@
         self.assertIn(far, range(1, 4))
         self.assertTrue(are_known)
 
+    def test_replica_that_shows_receipts_of_commits_is_not_asked_besides(self) -> None:
+        async def work() -> tuple[int, int]:
+            fixture = GroupFixture()
+            runner = make_runner(fixture)
+            group = fixture.fleet.group("s")
+            near = group.members["near"]
+            checked = []
+            for _ in range(round(REMOTE_FENCE_CHECK_SECONDS / 0.1)):
+                group.record_status(
+                    near, DatabaseStatus(False, 1, Position(1, 10), 0), virtual_now()
+                )
+                asked_at = near.status_asked_at
+                await runner.check_fences()
+                checked.append(near.status_asked_at > asked_at)
+                await asyncio.sleep(0.1)
+            return sum(checked), len(checked)
+
+        checked, rounds = run_virtual(work())
+        self.assertEqual((checked, rounds), (0, 300))
+
     def test_duty_is_not_claimed_for_a_fence_that_has_ended(self) -> None:
         async def work() -> object:
             fixture = GroupFixture()
