Count a survey only if the store shows no other database

Callers saw stale reads. A survey counted if all databases but one answered, of those that this proxy knows. A proxy that the store refuses does not know a database that has joined since; the primary, that database and other proxies are beyond a cut, and report commits by its receipt; the two replicas asked hold none of them.

A survey now reads the store's entries after its questions have begun, and is recorded only if that succeeded and the group's databases and departed ones are still those that were asked. A commit reported before the questions was received by a database registered before them, so this reading finds it. Readings are shared among groups, one at a time: a survey uses the first that begins after it has asked. A search for a leader asks the same round of questions but reads no entries, so it works without the store as before; it no longer records a survey. Without the store no survey counts.

Not covered: a database whose entry has come and gone since this proxy last read the entries; nothing is known of it.

The fake group's fleet, and the simulated proxy's, now get a way to read the entries, without which no survey counts.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -130,7 +130,7 @@
             self._duty,
             self._announcer,
             self._is_store_reachable,
-            lambda: self._databases_follower.refresh(),
+            self._read_entries,
             self._rng,
             boot_clock,
         )
@@ -145,6 +145,7 @@
             records.DATABASES_TABLE, self._update_registry
         )
         self._announcements = self._follow(CHANGES_TABLE, self._observe_announcements)
+        self._fleet.read_entries_with(self._read_entries)
         self._fleet.follow_announcements(lambda: self._announcements.known_until)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
@@ -216,6 +217,9 @@
     def _is_store_reachable(self) -> bool:
         return self._databases_follower.is_reachable
 
+    async def _read_entries(self) -> bool:
+        return await self._databases_follower.refresh()
+
     def _adopt_configuration(self, rows: Rows) -> None:
         row = rows.get(records.CONFIGURATION_KEY)
         if row is None:
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -21,6 +21,10 @@
 )
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.present_entries import (
+    PresentEntries,
+    ReadEntries,
+)
 from beryltiller.sessions.databases.receipt_queries import ReceiptQueries
 from beryltiller.sessions.databases.status_queries import (
     STATUS_TIMEOUT_SECONDS,
@@ -78,8 +82,9 @@
         self._directory = Directory()
         self._groups: dict[str, Group] = {}
         self._connection_pools: dict[PoolKey, ConnectionPool] = {}
+        self._entries = PresentEntries()
         self._status_queries = StatusQueries(
-            self.connection_pool, lambda: self._directory, clock
+            self.connection_pool, lambda: self._directory, self._entries, clock
         )
         self._follows_store = False
         self._announced_until: Callable[[], int] = lambda: sys.maxsize
@@ -144,6 +149,14 @@
         """
         self._announced_until = known_until
 
+    def read_entries_with(self, read_entries: ReadEntries) -> None:
+        """Count surveys if a reading of the store's entries finds no other database.
+
+        `read_entries` registers the entries that the store has when it is called, and
+        returns False if that fails. Without this call no survey counts.
+        """
+        self._entries.read_with(read_entries)
+
     def newest_registration(self) -> int:
         """Return the newest revision at which a database's entry was first read."""
         members = (
@@ -188,7 +201,8 @@
         """Query the log positions of all databases; one of them may fail to answer.
 
         They show which commits were acknowledged, so that reads with a maximum age
-        can be served while the primary is unreachable.
+        can be served while the primary is unreachable. It counts only if the store
+        shows that no other database is registered.
         """
         await self._status_queries.survey(group)
 
--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -6,15 +6,18 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 from typing import TypeVar
 
+from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
-from beryltiller.sessions.databases.catalog import Database, Directory
+from beryltiller.sessions.databases.catalog import Database, Departed, Directory
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
+from beryltiller.sessions.databases.present_entries import PresentEntries
 from beryltiller.sessions.errors import NoCapacityError, SessionError
 from beryltiller.sessions.statements import (
     NO_POSITION,
@@ -42,6 +45,20 @@
 _Answer = TypeVar("_Answer")
 
 
+@dataclass(frozen=True, slots=True)
+class _Round:
+    """The log positions that were found by queries of all databases of a group.
+
+    `departed` may have received commits too, as it was known when they were asked.
+    """
+
+    asked_at: float
+    members: tuple[Member, ...]
+    failing_since: float
+    departed: tuple[Departed, ...]
+    positions: tuple[Position, ...]
+
+
 class StatusQueries:
     """The status queries of one proxy, over the connection pools that it has.
 
@@ -52,16 +69,20 @@
         self,
         connection_pool: Callable[[Database], ConnectionPool],
         directory: Callable[[], Directory],
+        entries: PresentEntries,
         clock: Callable[[], float],
     ) -> None:
         """Create queries of databases by their pools.
 
-        `directory` returns the databases that are registered at present.
+        `directory` returns the databases that are registered as far as known;
+        `entries` updates them.
         """
         self._connection_pool = connection_pool
         self._directory = directory
+        self._entries = entries
         self._clock = clock
         self._proofs: dict[str, asyncio.Task[None]] = {}
+        self._rounds: dict[str, asyncio.Task[_Round]] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
         self._queries: set[asyncio.Task[DatabaseStatus | None]] = set()
         self._leader_queried_at: dict[str, float] = {}
@@ -100,7 +121,8 @@
         """Query the log positions of all databases; one of them may fail to answer.
 
         They show which commits were acknowledged, so that reads with a maximum age
-        can be served while the primary is unreachable.
+        can be served while the primary is unreachable. It counts only if the store
+        shows that no other database is registered.
         """
         survey = self._surveys.get(group.service)
         if survey is None:
@@ -121,7 +143,7 @@
         if now < asked_at + FIND_LEADER_INTERVAL_SECONDS:
             return
         self._leader_queried_at[group.service] = now
-        await self.survey(group)
+        await asyncio.wait((self._ask_round(group),), timeout=SURVEY_WAIT_SECONDS)
 
     async def confirm_leaders(self, groups: Iterable[Group]) -> None:
         """Query the status of databases that claim to lead but have stated no term."""
@@ -166,8 +188,9 @@
 
     def close(self) -> None:
         """Cancel all queries under way."""
+        self._entries.close()
         tasks = (*self._proofs.values(), *self._surveys.values())
-        for task in (*tasks, *self._queries):
+        for task in (*tasks, *self._rounds.values(), *self._queries):
             task.cancel()
 
     def _is_confirmation_due(self, member: Member, now: float) -> bool:
@@ -247,12 +270,20 @@
             await self._query_leader(group, leader, max(terms))
             group.record_round(answers, asked_at)
 
-    async def _survey(self, group: Group) -> None:
+    def _ask_round(self, group: Group) -> asyncio.Task[_Round]:
+        """Return the round of queries under way, or begin one."""
+        asked = self._rounds.get(group.service)
+        if asked is None:
+            asked = asyncio.create_task(self._ask_all(group, self._clock()))
+            self._rounds[group.service] = asked
+        return asked
+
+    async def _ask_all(self, group: Group, asked_at: float) -> _Round:
         try:
-            asked_at = self._clock()
             members = tuple(group.members.values())
+            failing_since = _failing_since(group)
             departed = self._directory().possibly_receiving_of(
-                group.service, _failing_since(group), asked_at
+                group.service, failing_since, asked_at
             )
             applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(*map(self._status_or_none, members))
@@ -267,15 +298,41 @@
                     # A shorter log is not the one that received the commits.
                     positions.append(status.received)
             group.record_round(answers, asked_at)
-            if group.leader is None:
-                # A process that just started may not know of departed databases that
-                # hold commits, so the survey could miss these commits.
-                return
-            if positions and len(positions) >= len(members) + len(departed) - 1:
-                group.record_survey(tuple(positions), asked_at)
+            return _Round(asked_at, members, failing_since, departed, tuple(positions))
+        finally:
+            del self._rounds[group.service]
+
+    async def _survey(self, group: Group) -> None:
+        """Record a round as a survey if no database was left out.
+
+        The entries are read after the round has begun: a database that had received
+        commits reported until then, but was not known here, is found by that.
+        """
+        try:
+            asked = self._ask_round(group)
+            are_read = await self._entries.read()
+            found = await asked
+            if are_read and self._is_of_all(group, found):
+                group.record_survey(found.positions, found.asked_at)
         finally:
             del self._surveys[group.service]
 
+    def _is_of_all(self, group: Group, found: _Round) -> bool:
+        """Return True if all databases but one answered, of those known by now."""
+        if group.leader is None:
+            # A process that just started may not know of departed databases that
+            # hold commits, so the survey could miss these commits.
+            return False
+        departed = self._directory().possibly_receiving_of(
+            group.service, found.failing_since, found.asked_at
+        )
+        if departed != found.departed:
+            return False
+        if set(group.members.values()) != set(found.members):
+            return False
+        needed = len(found.members) + len(departed) - 1
+        return bool(found.positions) and len(found.positions) >= needed
+
     async def _status_or_none(self, member: Member) -> DatabaseStatus | None:
         """Return a database's status, or None if it is unavailable or fails."""
         if not member.is_available(self._clock()):
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -239,6 +239,7 @@
         self.leader.followers = (self.near, self.far)
         self.databases = {each.identifier: each for each in self._all()}
         self.fleet = Fleet(self._connect, "a", virtual_now)
+        self.fleet.read_entries_with(read_same_entries)
         self.service = SessionService(
             self.fleet, Placer("a"), IsolationMonitor(), virtual_now, read_log
         )
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -42,6 +42,7 @@
         self._index = -1
         self.fleet = Fleet(self._connect, self.zone, virtual_now)
         self.fleet.adopt(simulation.configuration)
+        self.fleet.read_entries_with(self._read_present_entries)
         self.service = SessionService(
             self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
         )
