Keep one catch-up of announcements, with the newest revision

While the announcements known are older than the entries, each change of an entry began a catch-up of its own. Beside a feeder that does not tell until when it has read, or a store that refuses, they piled up: each waited 1 s for the feeder and then called the store.

A catch-up under way now takes the newest revision that is asked for, and a further call returns at once. The store is asked again only if the revision rose while it was asked.

Measured on a virtual clock: 20 changes 0.04 s apart give 1 call and never more than 1 task under way.

--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -104,6 +104,7 @@
         self._changed_at = 0
         self._failures = 0
         self._is_receiving_large = False
+        self._catching_up_to = 0
         self._woken = asyncio.Event()
 
     @property
@@ -185,12 +186,27 @@
     async def catch_up(self, revision: int) -> None:
         """Learn of the changes up to a revision soon, from a feeder or from the store.
 
+        While that is under way, a further call only raises its revision, and returns.
         A feeder of a release that does not tell until when it has read is no help.
         """
-        if self.known_until < revision and self._relay.has_live_feeder(self._table):
-            await asyncio.sleep(RELAY_WAIT_SECONDS)
-        if self.known_until < revision:
-            await self.refresh()
+        if self._catching_up_to:
+            self._catching_up_to = max(self._catching_up_to, revision)
+            return
+        self._catching_up_to = revision
+        try:
+            await self._catch_up()
+        finally:
+            self._catching_up_to = 0
+
+    async def _catch_up(self) -> None:
+        """Ask the store once, and again only if the revision was raised meanwhile."""
+        tried = 0
+        while max(tried, self.known_until) < self._catching_up_to:
+            if self._relay.has_live_feeder(self._table):
+                await asyncio.sleep(RELAY_WAIT_SECONDS)
+            tried = self._catching_up_to
+            if self.known_until < tried:
+                await self.refresh()
 
     async def refresh(self) -> bool:
         """Read at once what has changed, and tell others; return False if that fails.
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -116,6 +116,77 @@
                 self.assertEqual(self.refresh(answer), (False, 10))
 
 
+class CatchUpTest(unittest.TestCase):
+    """A copy that is behind what it is told to know, beside a feeder that is no help.
+
+    Guards against one wait and one call of the store for each change of an entry.
+    """
+
+    def catch_up(
+        self, revisions: range, pause_seconds: float, *answers: Changes | Exception
+    ) -> tuple[list[int], int, int]:
+        """Ask for revisions one by one, while the store answers when asked.
+
+        Return the revisions after which the store was asked, how many of the tasks
+        were ever under way together, and the revision known in the end.
+        """
+
+        async def work() -> tuple[list[int], int, int]:
+            feed, relay = RefreshFeed(), ScriptedRelay()
+            relay.is_live = True
+            follower = TableFollower(
+                feed, TABLE, lambda rows: None, random.Random(1), relay
+            )
+            run = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            tasks: list[asyncio.Task[None]] = []
+            most = 0
+            for revision in revisions:
+                tasks.append(asyncio.create_task(follower.catch_up(revision)))
+                await asyncio.sleep(pause_seconds)
+                most = max(most, sum(not each.done() for each in tasks))
+            for answer in answers:
+                while feed.answers.qsize() or not feed.afters:
+                    await asyncio.sleep(0.1)
+                await asyncio.sleep(0.2)
+                feed.answers.put_nowait(answer)
+            _, unanswered = await asyncio.wait(tasks, timeout=10.0)
+            for task in (run, *unanswered):
+                task.cancel()
+            return feed.afters, most, follower.known_until
+
+        return run_virtual(work())
+
+    def test_changes_during_the_wait_for_a_feeder_cost_one_call_of_the_store(
+        self,
+    ) -> None:
+        found = self.catch_up(range(11, 31), 0.04, Changes(30, ()))
+        self.assertEqual(found, ([10], 1, 30))
+
+    def test_refusing_store_is_asked_once_for_changes_during_the_wait(self) -> None:
+        found = self.catch_up(range(11, 31), 0.04, LostAnswerError("lost"))
+        self.assertEqual(found, ([10], 1, 10))
+
+    def test_change_during_a_call_of_the_store_is_asked_for_after_it(self) -> None:
+        found = self.catch_up(range(11, 14), 0.8, Changes(12, ()), Changes(13, ()))
+        self.assertEqual(found, ([10, 12], 1, 13))
+
+    def test_change_after_a_failure_is_asked_for_again(self) -> None:
+        async def work() -> int:
+            feed = RefreshFeed()
+            follower = TableFollower(feed, TABLE, lambda rows: None, random.Random(1))
+            run = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            feed.answers.put_nowait(LostAnswerError("lost"))
+            await follower.catch_up(11)
+            feed.answers.put_nowait(Changes(12, ()))
+            await follower.catch_up(12)
+            run.cancel()
+            return follower.known_until
+
+        self.assertEqual(run_virtual(work()), 12)
+
+
 class FollowerTest(unittest.TestCase):
     """Changes from feeders and from the store are applied in order."""
 
