Forget departed databases when their 60 s are over

A database that departed counts as possibly holding commits for 60 s, and changes of primary and surveys wait for it. That it is over was noticed only at the next change of an entry: while the entries stayed as they were, a group waited on.

The registry now also tells when the next departed database is forgotten, so the proxy's maintenance evaluates the databases then, once. `next_grace_end` is called `next_expiry` for that; its callers in the node and the simulated proxy follow. What is known of a forgotten database stays, so that an older entry of it is still not used.

A proxy that hears of no changes since it lost the store forgets on time too.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -257,7 +257,7 @@
         """Close idle connections, and stop using databases that are missing for long.
 
         A database whose entry is missing is used until `LAPSE_GRACE_SECONDS` of the
-        registry have passed.
+        registry have passed, and counts as departed for a while after that.
 
         If this proxy has been isolated for so long that load balancers have noticed,
         callers' idle connections are closed, so that they connect to another proxy.
@@ -266,8 +266,8 @@
         self._fleet.set_follows_store(self._databases_follower.is_reachable)
         if self._isolation.isolated_seconds() > BALANCER_SECONDS:
             self._ingress.close_idle(is_lasting=False)
-        grace_end = self._registry.next_grace_end()
-        if grace_end is not None and grace_end <= boot_clock():
+        expiry = self._registry.next_expiry()
+        if expiry is not None and expiry <= boot_clock():
             self._update_directory()
 
     async def _check_leaders(self) -> None:
--- a/src/beryltiller/sessions/databases/registry.py
+++ b/src/beryltiller/sessions/databases/registry.py
@@ -31,6 +31,7 @@
         self._missing: dict[str, tuple[Database, float]] = {}
         self._departed: dict[str, tuple[Database, float]] = {}
         self._older_since: dict[str, float] = {}
+        self._evaluated_at = float("-inf")
 
     def replace(self, databases: Iterable[Database], now: float) -> None:
         """Replace the registered databases; `databases` are all current entries."""
@@ -76,10 +77,19 @@
         """Return True if the database has a current entry."""
         return identifier in self._present
 
-    def next_grace_end(self) -> float | None:
-        """Return when the next missing database counts as departed, or None."""
-        times = [since + LAPSE_GRACE_SECONDS for _, since in self._missing.values()]
-        return min(times, default=None)
+    def next_expiry(self) -> float | None:
+        """Return when a missing database next counts as departed, or no longer does.
+
+        Return None if none will.
+        """
+        departures = (
+            since + LAPSE_GRACE_SECONDS for _, since in self._missing.values()
+        )
+        ends = (
+            since + DEPARTED_RETENTION_SECONDS for _, since in self._departed.values()
+        )
+        due = (end for end in ends if end > self._evaluated_at)
+        return min((*departures, *due), default=None)
 
     def directory(self, now: float) -> Directory:
         """Return the usable databases, with those missing for long as departed."""
@@ -88,6 +98,7 @@
                 continue
             del self._missing[identifier]
             self._departed[identifier] = (database, since)
+        self._evaluated_at = now
         in_grace = {key: database for key, (database, _) in self._missing.items()}
         departed = tuple(
             Departed(database, since)
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -134,8 +134,8 @@
             await asyncio.sleep(0.3)
             await self.pass_gate()
             self.fleet.close_idle()
-            grace_end = self._registry.next_grace_end()
-            if grace_end is not None and grace_end <= virtual_now():
+            expiry = self._registry.next_expiry()
+            if expiry is not None and expiry <= virtual_now():
                 self._register()
 
     async def _check(self) -> None:
--- a/tests/test_session_registry.py
+++ b/tests/test_session_registry.py
@@ -5,6 +5,7 @@
 
 from beryltiller.sessions.databases.catalog import Departed
 from beryltiller.sessions.databases.registry import (
+    DEPARTED_RETENTION_SECONDS,
     LAPSE_GRACE_SECONDS,
     OLDER_ENTRY_SECONDS,
     Registry,
@@ -20,7 +21,7 @@
         registry.replace((LEADER, NEAR), 1.0)
         registry.replace((LEADER,), 2.0)
         self.assertIn("r1", registry.directory(2.0).databases)
-        self.assertEqual(registry.next_grace_end(), 2.0 + LAPSE_GRACE_SECONDS)
+        self.assertEqual(registry.next_expiry(), 2.0 + LAPSE_GRACE_SECONDS)
         directory = registry.directory(2.0 + LAPSE_GRACE_SECONDS)
         self.assertNotIn("r1", directory.databases)
         self.assertEqual(directory.departed_of("s"), (Departed(NEAR, 2.0),))
@@ -35,6 +36,33 @@
         self.assertIn("r1", directory.databases)
         self.assertEqual(directory.departed, ())
 
+    def test_departed_database_is_forgotten_without_a_change_of_entries(self) -> None:
+        """Guards against changes of primary that wait for it for longer."""
+        registry = Registry()
+        registry.replace((LEADER, NEAR), 1.0)
+        registry.replace((LEADER,), 2.0)
+        departed = []
+        evaluations = 0
+        for now in range(3, 200):
+            due = registry.next_expiry()
+            if due is not None and due <= now:
+                evaluations += 1
+                departed = list(registry.directory(now).departed_of("s"))
+            is_kept = 2.0 + LAPSE_GRACE_SECONDS <= now < 2 + DEPARTED_RETENTION_SECONDS
+            self.assertEqual(bool(departed), is_kept, now)
+        self.assertEqual(evaluations, 2)
+
+    def test_older_entry_of_a_forgotten_database_is_not_used(self) -> None:
+        """Guards against statements to one that left before the store went back."""
+        draining = replace(NEAR, incarnation=5, sequence=8, is_draining=True)
+        registry = Registry()
+        registry.replace((LEADER, draining), 1.0)
+        registry.replace((LEADER,), 2.0)
+        registry.directory(2.0 + LAPSE_GRACE_SECONDS)
+        registry.directory(2.0 + DEPARTED_RETENTION_SECONDS)
+        registry.replace((LEADER, replace(draining, sequence=7)), 99.0)
+        self.assertNotIn("r1", registry.directory(99.0).databases)
+
     def test_database_that_went_after_the_failure_may_be_partitioned(self) -> None:
         """Guards against ignoring a draining replica cut off with the primary.
 
