--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -130,7 +130,7 @@
             self._duty,
             self._announcer,
             self._is_store_reachable,
-            lambda: self._databases_follower.refresh(),
+            self._read_entries,
             self._rng,
             boot_clock,
         )
@@ -145,6 +145,7 @@
             records.DATABASES_TABLE, self._update_registry
         )
         self._announcements = self._follow(CHANGES_TABLE, self._observe_announcements)
+        self._fleet.read_entries_with(self._read_entries)
         self._fleet.follow_announcements(lambda: self._announcements.known_until)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
@@ -216,6 +217,9 @@
     def _is_store_reachable(self) -> bool:
         return self._databases_follower.is_reachable
 
+    async def _read_entries(self) -> bool:
+        return await self._databases_follower.refresh()
+
     def _adopt_configuration(self, rows: Rows) -> None:
         row = rows.get(records.CONFIGURATION_KEY)
         if row is None:
@@ -253,7 +257,7 @@
         """Close idle connections, and stop using databases that are missing for long.
 
         A database whose entry is missing is used until `LAPSE_GRACE_SECONDS` of the
-        registry have passed.
+        registry have passed, and counts as departed for a while after that.
 
         If this proxy has been isolated for so long that load balancers have noticed,
         callers' idle connections are closed, so that they connect to another proxy.
@@ -262,8 +266,8 @@
         self._fleet.set_follows_store(self._databases_follower.is_reachable)
         if self._isolation.isolated_seconds() > BALANCER_SECONDS:
             self._ingress.close_idle(is_lasting=False)
-        grace_end = self._registry.next_grace_end()
-        if grace_end is not None and grace_end <= boot_clock():
+        expiry = self._registry.next_expiry()
+        if expiry is not None and expiry <= boot_clock():
             self._update_directory()
 
     async def _check_leaders(self) -> None:
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -42,6 +42,7 @@
         self._index = -1
         self.fleet = Fleet(self._connect, self.zone, virtual_now)
         self.fleet.adopt(simulation.configuration)
+        self.fleet.read_entries_with(self._read_present_entries)
         self.service = SessionService(
             self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
         )
@@ -133,8 +134,8 @@
             await asyncio.sleep(0.3)
             await self.pass_gate()
             self.fleet.close_idle()
-            grace_end = self._registry.next_grace_end()
-            if grace_end is not None and grace_end <= virtual_now():
+            expiry = self._registry.next_expiry()
+            if expiry is not None and expiry <= virtual_now():
                 self._register()
 
     async def _check(self) -> None:
