--- a/src/beryltiller/sessions/succession/commands.py
+++ b/src/beryltiller/sessions/succession/commands.py
@@ -13,6 +13,7 @@
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import FOREVER, Fleet
 from beryltiller.sessions.errors import (
+    NoCapacityError,
     NotRunningError,
     NotSentError,
     ReplacedError,
@@ -21,6 +22,7 @@
 from beryltiller.sessions.statements import (
     Code,
     DatabaseStatus,
+    Fence,
     ProxyCommand,
     StepDown,
     Unfence,
@@ -67,7 +69,14 @@
     """No answer, or a refusal."""
 
 
-Outcome = Answered | ReplacementAnswered | Replaced | Ended | NotRunning | Silent
+@dataclass(frozen=True, slots=True)
+class NotAsked:
+    """This proxy did not send the command, which shows nothing of the database."""
+
+
+Outcome = (
+    Answered | ReplacementAnswered | Replaced | Ended | NotRunning | Silent | NotAsked
+)
 
 
 def status_of(outcome: Outcome) -> DatabaseStatus | None:
@@ -90,6 +99,18 @@
         self._fleet = fleet
         self._clock = clock
         self._unfenced_until: dict[tuple[str, str], float] = {}
+        self._settled_at = clock() + COMMAND_LIFE_SECONDS
+        self._fenced: set[tuple[str, str]] = set()
+
+    def record_found_fence(self, service: str, name: str) -> None:
+        """Record that a database is fenced, perhaps by this proxy before it restarted.
+
+        A command to unfence of the process before may be on its way: its claim is one
+        of this proxy, whose end is not waited for.
+        """
+        key = service, name
+        if self._clock() < self._settled_at and key not in self._fenced:
+            self._unfenced_until[key] = self._settled_at
 
     def may_be_unfenced(self, service: str, name: str | None = None) -> bool:
         """Return True if a command to unfence without an answer may still act.
@@ -166,6 +187,8 @@
             )
         except (SessionError, TimeoutError) as error:
             _log_failure(name, StepDown(0), error)
+            if isinstance(error, NoCapacityError):
+                return None
             is_refusal = isinstance(error, SessionError) and error.code is Code.BUSY
             return 0 if is_refusal else None
         return member.reported_primary_term if is_primary else 0
@@ -198,7 +221,9 @@
     ) -> Outcome:
         database = self.database(service, name)
         if database is None:
-            return Silent()
+            return NotAsked()
+        if isinstance(statement, Fence) and self._clock() < self._settled_at:
+            self._fenced.add((service, name))
         asked_at = self._clock()
         try:
             status = await self._fleet.command(
@@ -226,7 +251,7 @@
         except (SessionError, TimeoutError) as error:
             self._record_failure(database, statement, error)
             _log_failure(f"at {database.address}", statement, error)
-            return Silent()
+            return NotAsked() if isinstance(error, NoCapacityError) else Silent()
         return ReplacementAnswered(status)
 
     def _record_failure(
@@ -248,6 +273,8 @@
             return Replaced()
         case NotRunningError():
             return NotRunning()
+        case NoCapacityError():
+            return NotAsked()
     return Silent()
 
 
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -16,6 +16,7 @@
     Answered,
     Ended,
     GroupCommands,
+    NotAsked,
     NotRunning,
     Outcome,
     Replaced,
@@ -60,6 +61,8 @@
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
+        for name in _fenced(reported):
+            self._commands.record_found_fence(service, name)
         if any(_is_primary(outcome) for outcome in reported.values()):
             return _results(action, reported, found_fenced=_fenced(reported))
         fenced_at = self._clock()
@@ -229,6 +232,8 @@
             return status.fenced_term >= action.term
         case Silent() | NotRunning():
             return name in action.departed
+        case NotAsked():
+            return False
     return True
 
 
@@ -246,3 +251,5 @@
             return "not running"
         case Silent():
             return "silent"
+        case NotAsked():
+            return "not asked"
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -26,8 +26,15 @@
     Announcement,
     Announcer,
 )
+from beryltiller.sessions.succession.state import (
+    Action,
+    AnnounceChange,
+    ChangeAnnounced,
+    Promote,
+)
 from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture
+from tests.succession_driver import HEALTHY, Driver, status
 from tests.virtual_loop import pass_time, run_virtual, virtual_now
 
 CHANGE = PrimaryChange(1, Position(1, 10))
@@ -125,6 +132,38 @@
         self.assertIs(unknown.code, Code.UNKNOWN_OUTCOME)
         self.assertIsNone(done.code)
 
+    def test_change_of_an_earlier_claim_counts_beside_a_later_one(self) -> None:
+        """Guards against a promotion that takes effect after its claim has ended."""
+        longer = PrimaryChange(1, Position(1, 15))
+        for first, second in ((CHANGE, longer), (longer, CHANGE)):
+            tracker = ChangeTracker()
+            tracker.announce(first, 1.0, token=7)
+            tracker.announce(second, 2.0, token=8)
+            with self.subTest(first):
+                self.assertTrue(tracker.drops(Position(1, 11), 1, 3.0))
+                self.assertEqual(tracker.under_way(1, 3.0), second)
+                tracker.withdraw(8)
+                self.assertEqual(tracker.under_way(1, 3.0), first)
+                self.assertIsNone(tracker.under_way(1, 1.1 + CHANGE_SECONDS))
+
+    def test_change_goes_on_while_the_store_is_not_followed(self) -> None:
+        """Guards against reporting commits at a primary that was replaced."""
+
+        async def work() -> list[bool]:
+            fixture = GroupFixture()
+            group = fixture.fleet.group("s")
+            group.changes.announce(CHANGE, virtual_now())
+            under_way = []
+            for is_followed in (False, True):
+                fixture.fleet.set_follows_store(is_followed)
+                await pass_time(CHANGE_SECONDS - 0.1)
+                fixture.fleet.set_follows_store(is_followed)
+                await pass_time(0.2)
+                under_way.append(group.change_under_way(virtual_now()) is not None)
+            return under_way
+
+        self.assertEqual(run_virtual(work()), [True, False])
+
     def test_dropped_commit_is_not_reported_once_the_successor_is_known(self) -> None:
         """Guards against a late answer of the former primary."""
         tracker = ChangeTracker()
@@ -151,6 +190,44 @@
         self.assertLess(passed, 0.1)
 
 
+class SecondPromoterTest(unittest.TestCase):
+    """A promoter that has not heard of what another one's promotion began."""
+
+    def test_silent_successor_of_the_first_one_is_waited_for(self) -> None:
+        """Guards against dropping what it acknowledged as primary of a later term."""
+        led = replace(
+            HEALTHY,
+            leader=None,
+            primaryless_since=0.0,
+            departed=("c",),
+            former_leaders={"a": Position(1, 7)},
+        )
+        statuses = {"a": status(7), "b": status(6), "c": None}
+
+        async def work(is_withdrawn: bool) -> tuple[Action, ...]:
+            announcements = FakeAnnouncements()
+            first, second = (
+                announcements.add_proxy(GroupFixture().fleet) for _ in range(2)
+            )
+            await first.announce("s", CHANGE, 5)
+            if is_withdrawn:
+                await first.withdraw("s", 5)
+            driver = Driver()
+            driver.claim(led)
+            announce, _ = driver.report_fences(statuses)
+            assert isinstance(announce, AnnounceChange)
+            written = await second.announce("s", announce.change, announce.token)
+            assert written is not None
+            driver.handle(ChangeAnnounced("s", written.version, written.begun_term))
+            return driver.confirm(statuses, view=led)
+
+        for is_withdrawn in (False, True):
+            with self.subTest(is_withdrawn=is_withdrawn):
+                actions = run_virtual(work(is_withdrawn))
+                is_promoted = any(isinstance(each, Promote) for each in actions)
+                self.assertEqual(is_promoted, is_withdrawn)
+
+
 class AnnouncerTest(unittest.TestCase):
     """One promoter that announces, and another proxy that hears of it."""
 
