Let proxies name the databases that a promoter has not asked

Cause: a proxy reports a commit once a registered replica has shown it. A promoter that starts after the replica's entry has gone never knew of it, so it compared only the others. Proxies that do know it as departed had no reason to object, as none of them had reported a commit beyond the successor's log.

An announcement now lists the databases that its promoter has asked. A proxy that knows another one, be it registered or departed, names it in the row. The promoter takes it to be silent, gives up its claim, and claims again only after proxies that know more had the time to. What was named counts for as long as departed databases are kept, also for promoters that start later and read the row; then it is removed from the row, as nobody who starts later can tell how old it is. A database that a proxy is about to forget is no reason to object. Promoters that know all databases, and those whose former primary has stepped down with a log that is reached, go on as before. Rows of earlier releases list no databases, which is no reason to object.

Two tests expected an AnnounceChange without a list. They now expect the list.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -189,6 +189,8 @@
     reported: str
     # A term that has begun, later than those that the promotion replaces, or 0.
     later_term: int
+    # Databases known to a proxy that the promoter has not asked.
+    lacking: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -8,7 +8,7 @@
 from beryltiller.observability import logs, session_events
 from beryltiller.platform.store import StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
-from beryltiller.sessions.succession.announcer import Announcement
+from beryltiller.sessions.succession.announcer import Announcement, bounded_names
 
 CHANGES_TABLE = "primary-changes"
 
@@ -17,8 +17,8 @@
     """The row of a service; `..._term` and `..._index` are log positions.
 
     Without an objection its position is 0:0. `token` is the fencing token of the
-    promoter's claim. Earlier releases write no `begun_term`,
-    `later_term` and `successor_term`.
+    promoter's claim. Earlier releases write no `begun_term`, `later_term`,
+    `successor_term`, `asked` and `lacking`.
     """
 
     token: Count
@@ -32,6 +32,8 @@
     begun_term: Count = 0
     later_term: Count = 0
     successor_term: Count = 0
+    asked: tuple[str, ...] = ()
+    lacking: tuple[str, ...] = ()
 
 
 class StoredAnnouncements:
@@ -62,6 +64,8 @@
             announcement.begun_term,
             announcement.later_term,
             announcement.successor_term,
+            announcement.asked,
+            bounded_names(announcement.lacking),
         )
         value = msgspec.json.encode(model)
         write = Write(CHANGES_TABLE, announcement.service, announcement.version, value)
@@ -90,5 +94,7 @@
         model.begun_term,
         model.later_term,
         model.successor_term,
+        model.asked,
+        bounded_names(model.lacking),
         row.version,
     )
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -9,10 +9,12 @@
 Times are seconds on the caller's clock, passed in.
 """
 
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.member import NEVER
+from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 
 # A promotion is requested up to 2.8 s after the claim, which comes before the
 # announcement; it has taken effect by then.
@@ -68,6 +70,8 @@
         self._reported = ORIGIN
         self._reported_at = NEVER
         self._later_term = 0
+        self._named_at: dict[str, float] = {}
+        self._met: set[str] = set()
 
     @property
     def reported_anywhere(self) -> Position:
@@ -83,6 +87,41 @@
         """Record that a proxy objected, as it knows of a term that has begun."""
         self._later_term = max(self._later_term, term)
 
+    def record_lacking(
+        self, names: Iterable[str], known: Collection[str], now: float
+    ) -> None:
+        """Record databases that a proxy has named as lacking in a promoter's round.
+
+        One that is `known` here, be it as departed, is asked by this proxy itself.
+        """
+        forgotten_at = now - 2 * DEPARTED_RETENTION_SECONDS
+        self._named_at = {
+            name: at for name, at in self._named_at.items() if at > forgotten_at
+        }
+        for name in names:
+            # The same name in a later row does not count for longer.
+            self._named_at.setdefault(name, now)
+        self._met &= self._named_at.keys()
+        self._met |= self._named_at.keys() & set(known)
+
+    def named(self, now: float) -> frozenset[str]:
+        """Return the databases that a proxy has named recently."""
+        until = now - DEPARTED_RETENTION_SECONDS
+        return frozenset(name for name, at in self._named_at.items() if at > until)
+
+    def lacking(self, known: Collection[str], now: float) -> frozenset[str]:
+        """Return those named recently that this proxy has not known since.
+
+        They may have received commits, for as long as a departed one may have.
+
+        >>> tracker = ChangeTracker()
+        >>> tracker.record_lacking(("c", "d"), ("c",), now=1.0)
+        >>> tracker.lacking((), 2.0), tracker.lacking((), 61.0)
+        (frozenset({'d'}), frozenset())
+        """
+        self.record_lacking((), known, now)
+        return self.named(now) - self._met
+
     def announce(self, change: PrimaryChange, now: float, token: int = 0) -> None:
         """Record a change that was announced under the fencing token of a claim.
 
@@ -108,6 +147,7 @@
         The term of its successor is known by now, which it may have been taken to drop.
         """
         self._over = change
+        self._named_at.clear()
         for token, each in self._announced.items():
             if each.change.log_end == change.log_end:
                 self._announced[token] = _AnnouncedChange(change, each.until)
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -2,12 +2,12 @@
 
 A promoter writes one row for its service. Each proxy that reads it applies it to its
 group, and objects by writing the row again if it has reported a commit that the
-promotion would drop, or knows of a later term than the promoter. The promoter reads the
-row once more before it confirms.
+promotion would drop, or knows of a later term than the promoter, or of a database that
+the promoter has not asked. The promoter reads the row once more before it confirms.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -16,12 +16,19 @@
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.primary_change import PrimaryChange
+from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 
 # A read that takes longer is given up.
 CALL_SECONDS = 0.3
 # How long a write is tried, and after which time it is sent once more.
 WRITE_SECONDS = 1.0
 HEDGE_SECONDS = 0.1
+# How many databases an objection names, and how much of each name.
+MAX_NAMES = 16
+MAX_NAME_LENGTH = 128
+# Proxies see entries go at different times. A database that the promoter has ceased to
+# keep as departed just before is no reason to object.
+FORGETTING_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +41,10 @@
     change replaces. Once the change has happened it `is_over`, and its successor leads
     in `successor_term`, or in a term that was not known then if that is 0.
     `begun_term` is the newest term that a promotion announced before may have begun.
+    `asked` are the databases that the promoter has asked, or knows to be silent, and
+    the former primary. It is empty in rows of earlier releases. `lacking` are those
+    that proxies have named besides, to this promoter or an earlier one: they may have
+    received commits.
     """
 
     service: str
@@ -45,6 +56,8 @@
     begun_term: int = 0
     later_term: int = 0
     successor_term: int = 0
+    asked: tuple[str, ...] = ()
+    lacking: tuple[str, ...] = ()
     version: int = 0
 
     @property
@@ -129,21 +142,32 @@
         self._announced: dict[str, Announcement] = {}
 
     async def announce(
-        self, service: str, change: PrimaryChange, token: int
+        self,
+        service: str,
+        change: PrimaryChange,
+        token: int,
+        asked: tuple[str, ...] = (),
     ) -> Announcement | None:
         """Announce a change; return what was written, or None if that failed.
 
         It is written only over the row that it takes `begun_term` from, so it knows of
-        every promotion that was announced before.
+        every promotion that was announced before, and of the databases named since.
         """
-        announced = Announcement(service, change, token)
+        announced = Announcement(service, change, token, asked=asked)
         changes = self._fleet.group(service).changes
 
         def following(present: Announcement | None) -> Announcement:
             latest = self._latest(service, present)
             begun_term = max(_begun_before(latest, token), changes.later_term)
             version = present.version if present else 0
-            return replace(announced, begun_term=begun_term, version=version)
+            if present is not None:
+                self._record_lacking(present)
+            return replace(
+                announced,
+                begun_term=begun_term,
+                version=version,
+                lacking=bounded_names(changes.named(self._clock())),
+            )
 
         first = following(self._applied.get(service))
         changes.announce(first.covering, self._clock(), token)
@@ -157,7 +181,9 @@
             return False
         group = self._fleet.group(service)
         group.changes.record_later_term(present.later_term)
-        if present.version != version:
+        self._record_lacking(present)
+        if present.version != version or len(present.lacking) >= MAX_NAMES:
+            # A row that is full may leave out names.
             return False
         return not group.changes.objects_to(present.covering, group.term, self._clock())
 
@@ -211,6 +237,7 @@
         self._applied[service] = announcement
         changes = group.changes
         changes.record_later_term(announcement.later_term)
+        self._record_lacking(announcement)
         if announcement.objection is not None:
             changes.record_objection(announcement.objection)
         newest = self._newest.get(service)
@@ -230,7 +257,8 @@
         """Object to a change that drops a commit which this proxy has reported.
 
         Object also if this proxy knows of a later term than those replaced. That may be
-        the successor's if the announcement comes late: nothing else changes then.
+        the successor's if the announcement comes late: nothing else changes then. And
+        object if it knows of databases that the promoter has not asked.
         """
         opposed = self._with_objection(announcement)
         if opposed is None:
@@ -241,6 +269,7 @@
                 str(announcement.change.log_end),
                 str(opposed.objection or ""),
                 opposed.later_term,
+                " ".join(opposed.lacking),
             )
         )
         await self._amend(announcement, lambda each: self._with_objection(each) or each)
@@ -252,16 +281,55 @@
         """
         group, now = self._fleet.group(announcement.service), self._clock()
         covering, objection = announcement.covering, announcement.objection
-        if not group.changes.objects_to(covering, group.term, now):
+        lacking = self._lacking(announcement)
+        if not lacking and not group.changes.objects_to(covering, group.term, now):
             return None
         later_term = announcement.later_term
         if group.term > covering.replaced_term:
             later_term = max(later_term, group.term)
         if objection is None:
             objection = group.changes.reported_beyond(covering, now)
-        opposed = replace(announcement, objection=objection, later_term=later_term)
+        opposed = replace(
+            announcement,
+            objection=objection,
+            later_term=later_term,
+            lacking=bounded_names({*announcement.lacking, *lacking}),
+        )
         return opposed if opposed != announcement else None
 
+    def _lacking(self, announcement: Announcement) -> frozenset[str]:
+        """Return the databases that another promoter has not asked."""
+        service = announcement.service
+        own = self._announced.get(service)
+        is_own = own is not None and own.token == announcement.token
+        if is_own or not announcement.asked:
+            return frozenset()
+        kept_since = self._clock() - DEPARTED_RETENTION_SECONDS + FORGETTING_SECONDS
+        known = known_databases(self._fleet, service, kept_since)
+        return known.difference(announcement.asked)
+
+    def _record_lacking(self, announcement: Announcement) -> None:
+        """Record the databases that an announcement names, unless it has happened."""
+        if not announcement.is_over:
+            service = announcement.service
+            known = known_databases(self._fleet, service)
+            changes = self._fleet.group(service).changes
+            changes.record_lacking(announcement.lacking, known, self._clock())
+
+    async def clear_names(self) -> None:
+        """Remove names from rows once they do not count, unless a change is under way.
+
+        A proxy that starts later cannot tell how old they are.
+        """
+        now = self._clock()
+        for service, row in tuple(self._applied.items()):
+            group = self._fleet.group(service)
+            is_counting = group.changes.named(now).intersection(row.lacking)
+            if is_counting or group.changes.under_way(group.term, now):
+                continue
+            if row.lacking and not row.is_over:
+                await self._amend(row, lambda each: replace(each, lacking=()))
+
     def _latest(self, service: str, row: Announcement | None) -> Announcement | None:
         """Return the newest announcement known; the row may be of an older copy."""
         newest = self._newest.get(service)
@@ -356,6 +424,23 @@
         logs.log(session_events.AnnouncementFailed(service, f"{error!r}"))
 
 
+def known_databases(
+    fleet: Fleet, service: str, departed_since: float = 0.0
+) -> frozenset[str]:
+    """Return a service's databases, with those departed since a moment."""
+    departed = frozenset(
+        each.database.identifier
+        for each in fleet.directory.departed_of(service)
+        if each.missing_since >= departed_since
+    )
+    return departed | fleet.group(service).members.keys()
+
+
+def bounded_names(names: Iterable[str]) -> tuple[str, ...]:
+    """Return names in order, as many and as much of each as a row may have."""
+    return tuple(sorted({name[:MAX_NAME_LENGTH] for name in names})[:MAX_NAMES])
+
+
 def _begun_before(present: Announcement | None, token: int) -> int:
     """Return the newest term that promotions announced before a claim may have begun.
 
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -100,7 +100,8 @@
     ]
     left_out: dict[str, LeftOut] = {}
     for name in silent:
-        is_departed_beside_leader = bool(former_leaders) and name in view.departed
+        is_departed = name in view.departed or name in results.unknown
+        is_departed_beside_leader = bool(former_leaders) and is_departed
         reason = _left_out(name, view, results, longest)
         if is_former_log_reached or is_departed_beside_leader:
             reason = LeftOut.FORMER_LOG_REACHED
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -11,7 +11,7 @@
     Fence,
     Unfence,
 )
-from beryltiller.sessions.succession.announcer import Announcer
+from beryltiller.sessions.succession.announcer import Announcer, known_databases
 from beryltiller.sessions.succession.commands import (
     Answered,
     Ended,
@@ -57,12 +57,14 @@
         """Fence the databases that answer, or none if one of them is primary."""
         service, former_primary = action.service, action.former_primary
         names = (*action.replicas, *action.departed)
+        unknown = self._unknown(service)
         may_be_unfenced = self._commands.may_be_unfenced(service)
         reported = await self._commands.send_all(
             service, names, AskStatus(), former_primary
         )
         if any(_is_primary(outcome) for outcome in reported.values()):
-            return _results(action, reported, found_fenced=_fenced(reported))
+            found_fenced = _fenced(reported)
+            return _results(action, reported, unknown, found_fenced=found_fenced)
         fenced_at = self._clock()
         answering = [name for name, each in reported.items() if status_of(each)]
         fenced, is_unopposed = await asyncio.gather(
@@ -78,6 +80,7 @@
         return _results(
             action,
             outcomes,
+            unknown,
             gone=self._gone(action, outcomes),
             were_already_fenced=not may_be_unfenced
             and all(
@@ -126,11 +129,13 @@
 
     def _knows_all(self, action: FenceReplicas) -> bool:
         """Return True if the round asks all databases that are known now."""
-        service = action.service
         asked = {*action.replicas, *action.departed, action.former_primary}
-        departed = self._fleet.directory.departed_of(service)
-        known = {each.database.identifier for each in departed}
-        return known | self._fleet.group(service).members.keys() <= asked
+        return known_databases(self._fleet, action.service) <= asked
+
+    def _unknown(self, service: str) -> frozenset[str]:
+        """Return the databases that only other proxies know."""
+        known = known_databases(self._fleet, service)
+        return self._fleet.group(service).changes.lacking(known, self._clock())
 
     def _gone(self, action: FenceReplicas, outcomes: Outcomes) -> frozenset[str]:
         """Return the departed databases that are gone for good and do not answer.
@@ -170,6 +175,7 @@
 def _results(
     action: FenceReplicas,
     outcomes: Outcomes,
+    unknown: frozenset[str],
     gone: frozenset[str] = frozenset(),
     were_already_fenced: bool = False,
     found_fenced: frozenset[str] = frozenset(),
@@ -181,7 +187,7 @@
         for name, outcome in outcomes.items()
         if isinstance(outcome, ReplacementAnswered)
     }
-    statuses = {
+    statuses = dict.fromkeys(unknown) | {
         name: None if name in replacements else status_of(outcome)
         for name, outcome in outcomes.items()
     }
@@ -196,6 +202,7 @@
         found_fenced,
         fenced_at,
         is_unopposed,
+        unknown - outcomes.keys(),
     )
 
 
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -53,6 +53,7 @@
     DUTY_MARGIN_SECONDS,
     DUTY_SECONDS,
     FENCING_MARGIN_SECONDS,
+    KNOWS_LESS_COOLDOWN_SECONDS,
     LIFT_SECONDS,
     MAX_CLAIM_DELAY_SECONDS,
     MAX_LIFT_DELAY_SECONDS,
@@ -213,6 +214,8 @@
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
+        knows_less = bool(found.silent & event.unknown)
+        succession = replace(succession, knows_less=knows_less)
         if not found.is_conclusive:
             return self._retry_fencing(state, succession, found, now)
         is_other = found.successor != succession.successor
@@ -226,17 +229,22 @@
             and not is_other
         )
         if not is_confirmed:
-            return self._hold(state, succession, found, now)
-        is_announced = _is_announced(succession, found)
+            return self._hold(state, succession, event, found, now)
+        is_announced = _is_announced(succession, event, found)
         if is_announced and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
         if is_announced and succession.announced_version:
             return self._retry_fencing(state, succession, found, now)
-        return self._hold(state, succession, found, now)
+        return self._hold(state, succession, event, found, now)
 
     def _hold(
-        self, state: State, succession: Succession, found: Comparison, now: float
+        self,
+        state: State,
+        succession: Succession,
+        results: FenceResults,
+        found: Comparison,
+        now: float,
     ) -> Decision:
         """Hold before the confirmation, and announce the change to all proxies."""
         held = replace(succession, phase=Phase.HOLDING, successor=found.successor)
@@ -244,13 +252,18 @@
         if now + wait > succession.deadline:
             return self._finish(state, held, now)
         change = found.change
-        if _is_announced(succession, found):
+        if _is_announced(succession, results, found):
             return schedule_step(state, held, now, wait)
+        asked = tuple(sorted(_asked(succession, results)))
         announcing = replace(
-            held, announced=change, announced_version=0, has_announced=True
+            held,
+            announced=change,
+            announced_version=0,
+            announced_asked=asked,
+            has_announced=True,
         )
         state, actions = schedule_step(state, announcing, now, wait)
-        announce = AnnounceChange(succession.service, change, succession.token)
+        announce = AnnounceChange(succession.service, change, succession.token, asked)
         return state, (announce, *actions)
 
     def _handle_change_announced(
@@ -275,12 +288,19 @@
     def _retry_fencing(
         self, state: State, succession: Succession, found: Comparison, now: float
     ) -> Decision:
-        """Fence again in a moment, in a later term if a database was not fenced."""
+        """Fence again in a moment, in a later term if a database was not fenced.
+
+        A promoter that knows too little ends early: one that knows the database named
+        to it can ask it, or tell that it is gone.
+        """
+        retry_at = now + RETRY_SECONDS
+        if succession.knows_less and retry_at > succession.claimed_at + LIFT_SECONDS:
+            return self._finish(state, succession, now)
         term = succession.term
         if found.not_fenced:
             term = max(term, found.newest_term + 1, found.newest_fence)
         retry = replace(succession, phase=Phase.FENCING, term=term)
-        if now + RETRY_SECONDS > _last_fence_at(retry, Phase.FENCING):
+        if retry_at > _last_fence_at(retry, Phase.FENCING):
             return self._finish(state, retry, now)
         state, actions = schedule_step(state, retry, now, RETRY_SECONDS)
         # A primary of an older term was replaced and has not noticed yet.
@@ -380,7 +400,10 @@
         if wait > 0 and not may_take_effect and not is_done:
             lifting = replace(succession, phase=Phase.LIFTING)
             return schedule_step(state, lifting, now, wait)
-        state = end_succession(state, succession.service, now + COOLDOWN_SECONDS)
+        cooldown = COOLDOWN_SECONDS
+        if succession.knows_less and not is_done:
+            cooldown = KNOWS_LESS_COOLDOWN_SECONDS
+        state = end_succession(state, succession.service, now + cooldown)
         if may_take_effect:
             return state, ()
         successor_term = view.leader_term if view and is_done else 0
@@ -401,10 +424,25 @@
         return state, (*own, unfence)
 
 
-def _is_announced(succession: Succession, found: Comparison) -> bool:
-    """Return True if a change was announced as one of all terms that may have begun."""
+def _asked(succession: Succession, results: FenceResults) -> set[str]:
+    """Return the databases that a round has asked or waited for, and the primary."""
+    former_primary = succession.former_primary
+    return {*results.statuses, *((former_primary,) if former_primary else ())}
+
+
+def _is_announced(
+    succession: Succession, results: FenceResults, found: Comparison
+) -> bool:
+    """Return True if a change was announced as one of all terms that may have begun.
+
+    The announcement then lists all databases that were asked.
+    """
     covered_term = max(found.newest_term, succession.begun_term)
-    return succession.announced == found.change and covered_term >= found.begun_term
+    return (
+        succession.announced == found.change
+        and covered_term >= found.begun_term
+        and _asked(succession, results).issubset(succession.announced_asked)
+    )
 
 
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -17,7 +17,6 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
-from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -145,8 +144,8 @@
                 return await self._step_down(action)
             case succession_state.FenceReplicas():
                 return await self._fencer.fence(action)
-            case succession_state.AnnounceChange(service, change, token):
-                return await self._announce(service, change, token)
+            case succession_state.AnnounceChange():
+                return await self._announce(action)
             case succession_state.WithdrawChange(service, token, is_over, led_term):
                 await self._announcer.withdraw(service, token, is_over, led_term)
                 return None
@@ -188,9 +187,12 @@
         )
 
     async def _announce(
-        self, service: str, change: PrimaryChange, token: int
+        self, action: succession_state.AnnounceChange
     ) -> succession_state.Event:
-        written = await self._announcer.announce(service, change, token)
+        service = action.service
+        written = await self._announcer.announce(
+            service, action.change, action.token, action.asked
+        )
         if written is None:
             return succession_state.ChangeAnnounced(service, 0)
         return succession_state.ChangeAnnounced(
@@ -295,8 +297,10 @@
     async def check_fences(self) -> None:
         """Ask the replicas now and then for their status.
 
-        This finds fences of a promoter that ended before it lifted them.
+        This finds fences of a promoter that ended before it lifted them. Names that it
+        left in an announcement are removed.
         """
+        await self._announcer.clear_names()
         now = self._clock()
         replicas = tuple(
             (group, member)
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -110,7 +110,8 @@
     `found_fenced` are those that had been, in whichever term. `fenced_at` is when the
     fence commands of this round were sent. `is_unopposed` is True if a change was
     announced, no proxy has objected, and the round asked all databases that were
-    registered since.
+    registered since. `unknown` are databases in `statuses` that this proxy does not
+    know, and cannot ask: another one has named them.
     """
 
     service: str
@@ -123,6 +124,7 @@
     found_fenced: frozenset[str] = frozenset()
     fenced_at: float = 0.0
     is_unopposed: bool = False
+    unknown: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,11 +217,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceChange:
-    """A request to announce to all proxies that the primary is about to change."""
+    """A request to announce to all proxies that the primary is about to change.
+
+    `asked` are the databases that were asked, or found silent, and the former primary.
+    """
 
     service: str
     change: PrimaryChange
     token: int
+    asked: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -343,10 +349,12 @@
     `confirm_not_before` is the time until which the promotion and the commands of an
     earlier claim may act. `announced` is the change that was announced, `has_announced`
     is True if any was, and `announced_version` the announcement's version, or 0 while
-    it is not confirmed. `begun_term` is the newest term that a promotion announced
-    before may have begun, as far as is known. `promotion_may_take_effect` is True once
-    a promotion was requested and not refused; `earlier_may_take_effect` tells the same
-    of the promotions before the last one.
+    it is not confirmed; it lists the databases `announced_asked`. `knows_less` is True
+    if a database must be waited for that this proxy does not know, and another has
+    named. `begun_term` is the newest term that a promotion announced before may have
+    begun, as far as is known. `promotion_may_take_effect` is True once a promotion was
+    requested and not refused; `earlier_may_take_effect` tells the same of the
+    promotions before the last one.
     """
 
     service: str
@@ -369,7 +377,9 @@
     confirm_not_before: float = 0.0
     announced: PrimaryChange | None = None
     announced_version: int = 0
+    announced_asked: tuple[str, ...] = ()
     has_announced: bool = False
+    knows_less: bool = False
     begun_term: int = 0
     promotion_may_take_effect: bool = False
     earlier_may_take_effect: bool = False
--- a/src/beryltiller/sessions/succession/times.py
+++ b/src/beryltiller/sessions/succession/times.py
@@ -33,5 +33,8 @@
 MAX_ENTRY_SILENCE_SECONDS = 8.0
 # Delay before the next claim after a succession ended, whether it succeeded or not.
 COOLDOWN_SECONDS = 1.5
+# The same if another proxy knows a database that this one could not ask. That one
+# claims the duty meanwhile, even if it was refused right before this claim's end.
+KNOWS_LESS_COOLDOWN_SECONDS = 6.0
 # How long to wait for an accepted promotion to show in the group.
 TAKEOVER_SECONDS = 4.0
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -25,6 +25,8 @@
     begun_term=5,
     later_term=4,
     successor_term=6,
+    asked=("a", "b"),
+    lacking=("c", "d"),
 )
 
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -30,6 +30,7 @@
     """The steps of a succession: claim, fence, choose, hold, confirm, promote."""
 
     FENCED = {"a": status(5), "b": status(6)}
+    ASKED = ("a", "b", "old")
 
     def driver_without_answer(self) -> Driver:
         """Return a driver whose request for a promotion was not answered."""
@@ -45,7 +46,7 @@
         fence_action = FenceReplicas("s", 2, ("a", "b"), (), 0.0, "old")
         self.assertEqual(driver.claim(), (StepDownPrimary("s", 2, "old"), fence_action))
         actions = driver.report_fences({"a": status(5), "b": status(6)})
-        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 6)), 7)
+        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 6)), 7, self.ASKED)
         self.assertEqual(actions, (announce, ObserveAfter(PROMOTION_HOLD_SECONDS)))
         (promotion,) = driver.confirm({"a": status(5), "b": status(6)})
         assert isinstance(promotion, Promote)
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -28,6 +28,7 @@
 class ConfirmationTest(unittest.TestCase):
     """The check right before a promotion that no replica has changed meanwhile."""
 
+    ASKED = ("a", "b", "old")
     FENCED: Mapping[str, DatabaseStatus | None] = {"a": status(5), "b": status(6)}
 
     def driver_after_hold(self) -> Driver:
@@ -48,7 +49,7 @@
         driver = self.driver_after_hold()
         longer = {"a": status(9), "b": status(6)}
         actions = driver.handle(FenceResults("s", longer, were_already_fenced=True))
-        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 9)), 7)
+        announce = AnnounceChange("s", PrimaryChange(1, Position(1, 9)), 7, self.ASKED)
         self.assertEqual(actions, (announce, ObserveAfter(PROMOTION_HOLD_SECONDS)))
         (promotion,) = driver.confirm(longer)
         assert isinstance(promotion, Promote)
