Name no database that was replaced at its address

After a rolling restart of databases and the restart of a proxy, a failure of the primary led to no promotion: the proxy claimed the duty, others named a database that had been replaced at its address, and until the claim ended the primary's entry had lapsed, from when on nobody could leave it out.

A database that started later at the address has the log of the one that ended there, and was asked itself. Promoters that know both leave out the latter for the same reason.

--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -306,7 +306,8 @@
             return frozenset()
         kept_since = self._clock() - DEPARTED_RETENTION_SECONDS + FORGETTING_SECONDS
         known = known_databases(self._fleet, service, kept_since)
-        return known.difference(announcement.asked)
+        unasked = known.difference(announcement.asked)
+        return unasked - _replaced(self._fleet, service, announcement.asked)
 
     def _record_lacking(self, announcement: Announcement) -> None:
         """Record the databases that an announcement names, unless it has happened."""
@@ -436,6 +437,24 @@
     return departed | fleet.group(service).members.keys()
 
 
+def _replaced(fleet: Fleet, service: str, asked: Collection[str]) -> frozenset[str]:
+    """Return the departed databases at whose address one that was asked has started.
+
+    That one has their logs.
+    """
+    members = fleet.group(service).members
+    started = [members[name].database for name in asked if name in members]
+    return frozenset(
+        each.database.identifier
+        for each in fleet.directory.departed_of(service)
+        if any(
+            later.address == each.database.address
+            and later.incarnation > each.database.incarnation > 0
+            for later in started
+        )
+    )
+
+
 def bounded_names(names: Iterable[str]) -> tuple[str, ...]:
     """Return names in order, as many and as much of each as a row may have."""
     return tuple(sorted({name[:MAX_NAME_LENGTH] for name in names})[:MAX_NAMES])
--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -117,6 +117,36 @@
 
         self.assertEqual(run_virtual(work()), (False, ("near",), frozenset()))
 
+    def test_departed_database_that_was_replaced_at_its_address_is_not_named(
+        self,
+    ) -> None:
+        """Guards against a group without a primary after a rolling restart."""
+
+        async def work(
+            address: str, incarnation: int, asked: tuple[str, ...]
+        ) -> tuple[str, ...]:
+            self.announcements = FakeAnnouncements()
+            knowing = GroupFixture()
+            entries = dict(knowing.fleet.directory.databases)
+            entries["near"] = replace(entries["near"], incarnation=5)
+            ended = replace(entries["near"], identifier="d", incarnation=incarnation)
+            departed = Departed(replace(ended, address=address or ended.address), 0.0)
+            knowing.fleet.register(Directory(entries, (departed,)))
+            _, named, _ = await self.announce(knowing, asked)
+            return named
+
+        cases = (
+            ("replaced", "", 4, ASKED, ()),
+            ("its successor was not asked", "", 4, ("far", "leader"), ("d", "near")),
+            ("elsewhere", "127.0.0.9:1", 4, ASKED, ("d",)),
+            ("it started later", "", 6, ASKED, ("d",)),
+            ("it is not known when it started", "", 0, ASKED, ("d",)),
+        )
+        for name, address, incarnation, asked, expected in cases:
+            with self.subTest(name):
+                found = run_virtual(work(address, incarnation, asked))
+                self.assertEqual(found, expected)
+
     def test_later_promoter_learns_of_the_name_until_the_change_is_over(self) -> None:
         """Guards against promoters that start once all others have restarted."""
 
