--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -8,7 +8,10 @@
 from beryltiller.observability import logs, session_events
 from beryltiller.platform.store import StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
-from beryltiller.sessions.succession.announcer import Announcement, bounded_names
+from beryltiller.sessions.succession.announcement import (
+    Announcement,
+    bounded_names,
+)
 
 CHANGES_TABLE = "primary-changes"
 
--- /dev/null
+++ b/src/beryltiller/sessions/commits.py
@@ -0,0 +1,75 @@
+"""When a write may be sent, and when a commit may be reported to its caller.
+
+A commit is reported only if every promotion will keep it: a registered replica has it,
+and no announced change of primary drops it. A write that could not be reported is not
+sent.
+"""
+
+from collections.abc import Callable
+
+from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.errors import BrokenError
+from beryltiller.sessions.session import AcquiredConnection
+from beryltiller.sessions.statements import Reply
+
+
+class CommitReports:
+    """Decides for one proxy's groups; use it on a single event loop."""
+
+    def __init__(self, fleet: Fleet, clock: Callable[[], float]) -> None:
+        """Decide for the fleet's groups."""
+        self._fleet = fleet
+        self._clock = clock
+
+    def may_send(self, group: Group) -> bool:
+        """Return False if a commit that is sent now could not be reported."""
+        if group.change_under_way(self._clock()) is not None:
+            return False
+        return not self._needs_receipt(group) or self._may_show_receipt(group)
+
+    def raise_if_dropped(self, group: Group, reply: Reply) -> None:
+        """Raise `BrokenError` if a change of primary under way may drop a commit."""
+        if group.changes.drops(reply.position, group.term, self._clock()):
+            raise BrokenError("a change of primary may drop the commit")
+
+    async def confirm(
+        self, group: Group, acquired: AcquiredConnection, reply: Reply, deadline: float
+    ) -> None:
+        """Wait until a commit may be reported, or raise `BrokenError`.
+
+        Call this once the connection, whose last statement it was, and the place at the
+        database are released. A commit that no registered replica has received proves
+        nothing of the term.
+        """
+        member = acquired.placement.member
+        if self._needs_receipt(group):
+            position = reply.position
+            is_received = position is not None and await self._fleet.receipts.wait(
+                group, member, position, deadline
+            )
+            if not is_received:
+                raise BrokenError("no registered replica is known to have the commit")
+        self.raise_if_dropped(group, reply)
+        group.record_commit(member, acquired.asked_at, reply.position)
+        # The commit may have shown that the member leads, so its position counts now.
+        group.record_position(member, reply.position, acquired.asked_at)
+        if reply.position is not None:
+            group.changes.record_reported(reply.position, self._clock())
+
+    def _needs_receipt(self, group: Group) -> bool:
+        """Return True if commits are reported only once a replica shows them."""
+        configuration = self._fleet.configuration
+        services = configuration.services if configuration else {}
+        service = services.get(group.service)
+        return service is not None and service.sync_replicas > 0
+
+    def _may_show_receipt(self, group: Group) -> bool:
+        """Return False if it is known that a commit's receipt would not be shown."""
+        receipts = self._fleet.receipts
+        if receipts.is_overdue(group):
+            return False
+        now = self._clock()
+        return any(
+            each.is_available(now) and receipts.counts(each) for each in group.replicas
+        )
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -87,11 +87,11 @@
             self.connection_pool, lambda: self._directory, self._entries, clock
         )
         self._follows_store = False
-        self._announced_until: Callable[[], int] = lambda: sys.maxsize
+        self._announced_revision: Callable[[], int] = lambda: sys.maxsize
         self._receipts = ReceiptQueries(
             self._status_queries.ask_status,
             self.is_local,
-            lambda: self._announced_until(),
+            lambda: self._announced_revision(),
             clock,
         )
 
@@ -147,7 +147,7 @@
         `known_until` returns the revision of the store up to which they are. Without
         this call all count.
         """
-        self._announced_until = known_until
+        self._announced_revision = known_until
 
     def read_entries_with(self, read_entries: ReadEntries) -> None:
         """Count surveys if a reading of the store's entries finds no other database.
@@ -164,7 +164,7 @@
             for group in self._groups.values()
             for member in group.members.values()
         )
-        return max((each.registered_at for each in members), default=0)
+        return max((each.registered_revision for each in members), default=0)
 
     def group(self, service: str) -> Group:
         """Return a service's group of databases, creating it if necessary."""
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -71,7 +71,7 @@
     be the primary. `primary_serial` is higher the later this proxy observed that it
     became primary. `lead` is the newest term in which it is known to be primary, or
     None if it was not asked and has acknowledged no commit. `shown` is the newest
-    position that its log was shown to reach as a replica. `registered_at` is the
+    position that its log was shown to reach as a replica. `registered_revision` is the
     revision of the store at which this proxy first read its entry.
     """
 
@@ -102,7 +102,7 @@
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
         self.shown: Position | None = None
-        self.registered_at = database.revision
+        self.registered_revision = database.revision
         self._status_asked_at = NEVER
         self._fenced_since: float | None = None
 
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -45,17 +45,17 @@
         self,
         ask_status: AskStatus,
         is_local: Callable[[Member], bool],
-        announced_until: Callable[[], int],
+        announced_revision: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
         """Query replicas by `ask_status`, those for which `is_local` holds first.
 
-        `announced_until` returns the revision of the store up to which announced
+        `announced_revision` returns the revision of the store up to which announced
         changes of primary are known.
         """
         self._ask_status = ask_status
         self._is_local = is_local
-        self._announced_until = announced_until
+        self._announced_revision = announced_revision
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
@@ -74,7 +74,7 @@
 
     def counts(self, replica: Member) -> bool:
         """Return True if what a replica shows counts, whatever it is."""
-        return replica.registered_at <= self._announced_until()
+        return replica.registered_revision <= self._announced_revision()
 
     async def wait(
         self, group: Group, source: Member, position: Position, deadline: float
@@ -136,7 +136,7 @@
         return not all(each.is_received.done() for each in waiting)
 
     def _is_received(self, group: Group, source: Member, position: Position) -> bool:
-        return receipts.is_received(group, source, position, self._announced_until())
+        return receipts.is_received(group, source, position, self._announced_revision())
 
     def _by_preference(self, group: Group) -> list[Member]:
         """Return the replicas to ask; the log of a draining one may soon be gone."""
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -19,11 +19,11 @@
 
 
 def is_received(
-    group: Group, source: Member, position: Position, announced_until: int
+    group: Group, source: Member, position: Position, announced_revision: int
 ) -> bool:
     """Return True if a registered replica has a commit that `source` acknowledged.
 
-    Announced changes of primary are known up to the revision `announced_until`.
+    Announced changes of primary are known up to the revision `announced_revision`.
     A replica that follows a later primary may have rolled the commit back, and one that
     was primary in the commit's term itself does not hold a copy. The log of a draining
     replica is soon gone: it counts only if there is no other one.
@@ -35,8 +35,9 @@
         and replica.led_term != position.term
     ]
     lasting = [each for each in replicas if not each.database.is_draining]
-    return any(
-        replica.shown.term == position.term and replica.shown >= position
-        for replica in lasting or replicas
-        if replica.shown is not None and replica.registered_at <= announced_until
-    )
+    shown = [
+        each.shown
+        for each in lasting or replicas
+        if each.shown is not None and each.registered_revision <= announced_revision
+    ]
+    return any(each.term == position.term and each >= position for each in shown)
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.databases.catalog import Configuration, Route
@@ -65,6 +66,7 @@
         self._placer = placer
         self._clock = clock
         self._read_log = read_log
+        self._commits = CommitReports(fleet, clock)
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -92,9 +94,7 @@
 
     async def place_leader(self, group: Group, tried: set[str]) -> Placement | None:
         """Place a statement at the leader; search for one if none is usable."""
-        if group.change_under_way(self._clock()) is not None:
-            return None
-        if self._needs_receipt(group) and not self._may_show_receipt(group):
+        if not self._commits.may_send(group):
             return None
         placement = self._placer.place_leader(group, self._clock(), tried)
         if placement is not None:
@@ -236,55 +236,19 @@
     ) -> None:
         """Raise `BrokenError` if a change of primary under way may drop a commit."""
         try:
-            self._raise_if_dropped(group, reply)
+            self._commits.raise_if_dropped(group, reply)
         except BrokenError:
             acquired.pool.discard(acquired.connection)
             raise
 
-    def _raise_if_dropped(self, group: Group, reply: Reply) -> None:
-        if group.changes.drops(reply.position, group.term, self._clock()):
-            raise BrokenError("a change of primary may drop the commit")
-
     async def confirm_commit(
         self, group: Group, acquired: AcquiredConnection, reply: Reply, deadline: float
     ) -> None:
         """Wait until a commit may be reported, or raise `BrokenError`.
 
-        Call this once the connection, whose last statement it was, and the place at the
-        database are released. A commit that no registered replica has received proves
-        nothing of the term.
+        Call this once the connection and the place at the database are released.
         """
-        member = acquired.placement.member
-        if self._needs_receipt(group):
-            position = reply.position
-            is_received = position is not None and await self._fleet.receipts.wait(
-                group, member, position, deadline
-            )
-            if not is_received:
-                raise BrokenError("no registered replica is known to have the commit")
-        self._raise_if_dropped(group, reply)
-        group.record_commit(member, acquired.asked_at, reply.position)
-        # The commit may have shown that the member leads, so its position counts now.
-        group.record_position(member, reply.position, acquired.asked_at)
-        if reply.position is not None:
-            group.changes.record_reported(reply.position, self._clock())
-
-    def _needs_receipt(self, group: Group) -> bool:
-        """Return True if commits are reported only once a replica shows them."""
-        configuration = self._fleet.configuration
-        services = configuration.services if configuration else {}
-        service = services.get(group.service)
-        return service is not None and service.sync_replicas > 0
-
-    def _may_show_receipt(self, group: Group) -> bool:
-        """Return False if it is known that a commit's receipt would not be shown."""
-        receipts = self._fleet.receipts
-        if receipts.is_overdue(group):
-            return False
-        now = self._clock()
-        return any(
-            each.is_available(now) and receipts.counts(each) for each in group.replicas
-        )
+        await self._commits.confirm(group, acquired, reply, deadline)
 
     async def run_in_transaction(
         self,
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -7,126 +7,32 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from collections.abc import Callable, Collection
+from dataclasses import replace
 
 from beryltiller.core.ports import PortError, RefusedError
-from beryltiller.core.position import Position
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
+from beryltiller.sessions.succession.announcement import (
+    MAX_NAMES,
+    Announcement,
+    AnnouncementPort,
+    begun_before,
+    bounded_names,
+)
 
 # A read that takes longer is given up.
 CALL_SECONDS = 0.3
 # How long a write is tried, and after which time it is sent once more.
 WRITE_SECONDS = 1.0
 HEDGE_SECONDS = 0.1
-# How many databases an objection names, and how much of each name.
-MAX_NAMES = 16
-MAX_NAME_LENGTH = 128
 # Proxies see entries go at different times. A database that the promoter has ceased to
 # keep as departed just before is no reason to object.
 FORGETTING_SECONDS = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """The announced change of a service's primary, as of row version `version`.
-
-    `token` is the fencing token of the promoter's claim. `objection` is the position of
-    a commit that some proxy has reported, and that the promotion would drop, and
-    `later_term` a term that some proxy knows to have begun, later than those that the
-    change replaces. Once the change has happened it `is_over`, and its successor leads
-    in `successor_term`, or in a term that was not known then if that is 0.
-    `begun_term` is the newest term that a promotion announced before may have begun.
-    `asked` are the databases that the promoter has asked, or knows to be silent, and
-    the former primary. It is empty in rows of earlier releases. `lacking` are those
-    that proxies have named besides, to this promoter or an earlier one: they may have
-    received commits.
-    """
-
-    service: str
-    change: PrimaryChange
-    token: int
-    is_withdrawn: bool = False
-    is_over: bool = False
-    objection: Position | None = None
-    begun_term: int = 0
-    later_term: int = 0
-    successor_term: int = 0
-    asked: tuple[str, ...] = ()
-    lacking: tuple[str, ...] = ()
-    version: int = 0
-
-    @property
-    def is_ended(self) -> bool:
-        """Return True if the change has happened, or will not."""
-        return self.is_withdrawn or self.is_over
-
-    @property
-    def covering(self) -> PrimaryChange:
-        """Return the change as one that replaces all terms that may have begun."""
-        replaced_term = max(self.change.replaced_term, self.begun_term)
-        return PrimaryChange(replaced_term, self.change.log_end)
-
-    @property
-    def happened(self) -> PrimaryChange:
-        """Return the change as one that replaces the terms before its successor's."""
-        replaced_term = max(self.change.replaced_term, self.successor_term - 1)
-        return PrimaryChange(replaced_term, self.change.log_end)
-
-    @property
-    def may_have_begun(self) -> int:
-        """Return the newest term that this change or an earlier one may have begun.
-
-        >>> announced = Announcement("s", PrimaryChange(5, Position(5, 7)), token=12)
-        >>> announced.may_have_begun
-        6
-        >>> replace(announced, is_withdrawn=True, begun_term=4).may_have_begun
-        4
-        """
-        known = max(self.begun_term, self.later_term)
-        if self.is_over:
-            return max(known, self.happened.replaced_term + 1)
-        if self.is_withdrawn:
-            return known
-        return max(known, self.covering.replaced_term + 1)
-
-    def follows(self, other: "Announcement") -> bool:
-        """Return True if this is a later state of the service's row than `other`.
-
-        A row that cannot be read has no token, and follows any.
-
-        >>> change = PrimaryChange(2, Position(2, 7))
-        >>> begun = Announcement("s", change, token=12)
-        >>> replace(begun, is_withdrawn=True).follows(begun)
-        True
-        >>> begun.follows(replace(begun, objection=Position(2, 8)))
-        False
-        """
-        if self.token != other.token:
-            return 0 < other.token < self.token
-        is_same = self.change == other.change
-        return is_same and self.is_ended and not other.is_ended
-
-
-class AnnouncementPort(Protocol):
-    """The rows of announcements, one for each service, which every proxy follows."""
-
-    async def read(self, service: str) -> Announcement | None:
-        """Return a service's newest announcement, or None."""
-        ...
-
-    async def write(self, announcement: Announcement) -> int:
-        """Write an announcement if the row still has its version; return the new one.
-
-        Raise `RefusedError` if it has another one.
-        """
-        ...
-
-
 class Announcer:
     """One proxy's part in announced changes; use it on a single event loop."""
 
@@ -158,7 +64,7 @@
 
         def following(present: Announcement | None) -> Announcement:
             latest = self._latest(service, present)
-            begun_term = max(_begun_before(latest, token), changes.later_term)
+            begun_term = max(begun_before(latest, token), changes.later_term)
             version = present.version if present else 0
             if present is not None:
                 self._record_lacking(present)
@@ -453,22 +359,3 @@
             for later in started
         )
     )
-
-
-def bounded_names(names: Iterable[str]) -> tuple[str, ...]:
-    """Return names in order, as many and as much of each as a row may have."""
-    return tuple(sorted({name[:MAX_NAME_LENGTH] for name in names})[:MAX_NAMES])
-
-
-def _begun_before(present: Announcement | None, token: int) -> int:
-    """Return the newest term that promotions announced before a claim may have begun.
-
-    `present` is the newest announcement known. What the claim itself announced counts
-    for nothing: its promoter promotes no other database once it has requested a
-    promotion.
-    """
-    if present is None:
-        return 0
-    is_own = present.token == token and not present.is_ended
-    known = max(present.begun_term, present.later_term)
-    return known if is_own else present.may_have_begun
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -11,7 +11,10 @@
     Fence,
     Unfence,
 )
-from beryltiller.sessions.succession.announcer import Announcer, known_databases
+from beryltiller.sessions.succession.announcer import (
+    Announcer,
+    known_databases,
+)
 from beryltiller.sessions.succession.commands import (
     Answered,
     Ended,
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -71,10 +71,10 @@
         group.update((*databases, joined), 1.0)
         report(group, "new", Position(2, 7), 1.0)
         source = group.members["p"]
-        for announced_until, expected in ((8, False), (9, True)):
-            with self.subTest(announced_until):
+        for announced_revision, expected in ((8, False), (9, True)):
+            with self.subTest(announced_revision):
                 found = receipts.is_received(
-                    group, source, Position(2, 7), announced_until
+                    group, source, Position(2, 7), announced_revision
                 )
                 self.assertEqual(found, expected)
 
@@ -172,15 +172,15 @@
         self,
     ) -> None:
         async def work(fixture: GroupFixture) -> None:
-            announced_until = 5
-            fixture.fleet.follow_announcements(lambda: announced_until)
+            announced_revision = 5
+            fixture.fleet.follow_announcements(lambda: announced_revision)
             entries = {each.identifier: each.entry() for each in (fixture.leader,)}
             entries["far"] = replace(fixture.far.entry(), incarnation=2, revision=7)
             fixture.fleet.register(Directory(entries))
             reply = await fixture.run(fixture.session(), Write("i", "d"))
             self.assertIs(reply.code, Code.BUSY)
             self.assertEqual(fixture.leader.statement_names(), [])
-            announced_until = 7
+            announced_revision = 7
             reply = await fixture.run(fixture.session(), Write("i", "d"))
             self.assertTrue(reply.is_success)
 
--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -18,14 +18,16 @@
 from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.announcer import (
-    FORGETTING_SECONDS,
+from beryltiller.sessions.succession.announcement import (
     MAX_NAME_LENGTH,
     MAX_NAMES,
     Announcement,
-    Announcer,
     bounded_names,
 )
+from beryltiller.sessions.succession.announcer import (
+    FORGETTING_SECONDS,
+    Announcer,
+)
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.succession.state import (
     Action,
