--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -37,9 +37,7 @@
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS, shutdown_step
-from beryltiller.sessions.succession.announcer import (
-    Announcer,
-)
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.tables.relay import Feeder, feeder_lease_keys
 from beryltiller.sessions.tables.relay_runner import ANNOUNCE_SECONDS, RelayRunner
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -25,9 +25,7 @@
 )
 from beryltiller.sessions.succession import state as succession_state
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.announcer import (
-    Announcer,
-)
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import (
     Fencer,
--- a/tests/fake_announcements.py
+++ b/tests/fake_announcements.py
@@ -5,12 +5,8 @@
 
 from beryltiller.core.ports import LostAnswerError, RefusedError
 from beryltiller.sessions.databases.fleet import Fleet
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
-from beryltiller.sessions.succession.announcer import (
-    Announcer,
-)
+from beryltiller.sessions.succession.announcement import Announcement
+from beryltiller.sessions.succession.announcer import Announcer
 from tests.virtual_loop import pass_time, virtual_now
 
 # How long after a write the proxies have read it.
--- a/tests/simulated_announcements.py
+++ b/tests/simulated_announcements.py
@@ -5,9 +5,7 @@
 from dataclasses import replace
 
 from beryltiller.core.ports import LostAnswerError, RefusedError
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
+from beryltiller.sessions.succession.announcement import Announcement
 from tests.simulated_connections import Caller
 from tests.simulated_store import (
     LATE_SECONDS,
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -11,9 +11,7 @@
 from beryltiller.sessions.databases.registry import Registry
 from beryltiller.sessions.isolation import IsolationMonitor
 from beryltiller.sessions.session_service import SessionService
-from beryltiller.sessions.succession.announcer import (
-    Announcer,
-)
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.runner import ObserveGroups, SuccessionRunner
 from tests.simulated_announcements import SimulatedAnnouncements
 from tests.simulated_connections import SimulatedConnection, connect
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -13,9 +13,7 @@
 from beryltiller.platform.duty import DUTY_KEY, DUTY_TABLE, Duty
 from beryltiller.platform.store import DatedRow, StoreClient
 from beryltiller.sessions.databases.catalog import Configuration, Database
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
+from beryltiller.sessions.succession.announcement import Announcement
 from tests.simulated_checker import Checker
 from tests.simulated_connections import Caller
 from tests.simulated_databases import SimulatedDatabase, SimulatedGroup
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -21,9 +21,7 @@
 )
 from beryltiller.sessions.statements import Code, Reply, Write
 from beryltiller.sessions.succession import announcer
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
+from beryltiller.sessions.succession.announcement import Announcement
 from beryltiller.sessions.succession.announcer import (
     HEDGE_SECONDS,
     Announcer,
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -14,9 +14,7 @@
 )
 from beryltiller.platform.store import DatedRow, StoreClient
 from beryltiller.sessions.databases.primary_change import PrimaryChange
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
+from beryltiller.sessions.succession.announcement import Announcement
 from tests.virtual_loop import run_virtual
 
 ANNOUNCED = Announcement(
--- a/tests/test_refused_writes.py
+++ b/tests/test_refused_writes.py
@@ -5,9 +5,7 @@
 
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import Write
-from beryltiller.sessions.succession.announcement import (
-    Announcement,
-)
+from beryltiller.sessions.succession.announcement import Announcement
 from tests.fake_group import GroupFixture
 from tests.test_receipts import run_with_fixture
 from tests.virtual_loop import virtual_now
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,9 +6,7 @@
 
 from beryltiller.adapters.broadcast import Broadcast, BroadcastError
 from beryltiller.core import revisions
-from beryltiller.core.ports import (
-    Row,
-)
+from beryltiller.core.ports import Row
 from beryltiller.sessions.tables import relay_messages
 from beryltiller.sessions.tables.relay import (
     FEEDER_TIMEOUT_SECONDS,
