Give each model of reported commits a module of its own

tests/spec_reported_commits.py held three models in 729 lines. `LaterTerm` is now in tests/spec_later_terms.py, `LateCommands` in tests/spec_late_commands.py, and what several models use (rules, phases, the invariant, `WRITES`) in tests/spec_parts.py. `Reporting` stays, with `model`, `Bounds` and `is_kept` (this one with `MAX_STATES` from the tests, as both test modules use it).

The tests are split by class: ReportsAtOnceSpecificationTest has moved to tests/test_spec_reports_at_once.py. ReportedCommitsSpecificationTest stays whole: its tests go through the cases of all three models, and a class per model would need more tests than the 9 there are.

Nothing but the place has changed, except the name of `_protocol`, which is `safety_protocol` now that modules import it, and the modules' docstrings.

--- a/tests/spec_reported_commits.py
+++ b/tests/spec_reported_commits.py
@@ -8,73 +8,26 @@
 entry yet, which follows the primary too. A cut separates the primary, that database and
 a proxy from the replica, the promoter and the store.
 
-`LaterTerm`: a second promoter does not know that another one promoted a database before
-it. Term 2 has begun at a database that does not answer, and is followed by a replica.
-The former primary of term 1 answers, and has stepped down.
+`LaterTerm`, in tests/spec_later_terms.py: a promoter may not know of the newest term.
 
-`LateCommands`: an earlier promoter has fenced two replicas. Its commands to lift the
-fences have got no answer, and may act at any time.
+`LateCommands`, in tests/spec_late_commands.py: commands to lift fences may act late.
 
 In each model any step may come late or never.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any, NamedTuple
 
-from minicheck import Protocol
+from minicheck import Protocol, check_safety
 
-WRITES = 2
-NONE = -1
-LOST = "reported commit lost"
-
-
-class Rule(Enum):
-    """The rules that keep reported commits, each of which a check can leave out.
-
-    A proxy reports a commit once a registered replica has shown its RECEIPT. A change
-    is ANNOUNCED before the promotion, and the announcement is OUTLASTING: proxies apply
-    it for as long as the promotion may take effect. After the announcement, the
-    promoter uses ENTRIES_AS_OF_CONFIRMATION, no older ones. A proxy that knows an entry
-    knows the announcements that were written before: it follows them IN_ORDER. A change
-    is announced AFTER_EARLIER promotions can no longer take effect, as proxies apply
-    the newest announcement only.
-
-    The row NAMES_NEWEST_TERM that a promotion may have begun; databases that do not
-    answer are left out only if no later term than the known one is named. EVERY_CHANGE
-    is written to the row, also that of a primary that has stepped down, and the term of
-    one that was WITHDRAWN_COUNTS too. A proxy that knows a LATER_TERM_OBJECTS.
-
-    A promoter that finds foreign fences waits until commands to lift them CANNOT_ACT.
-    It does so ALSO_WITHOUT_FENCES: they may have been lifted already, by the first of
-    two commands or by a restart.
-    """
-
-    RECEIPT = auto()
-    ANNOUNCED = auto()
-    OUTLASTING = auto()
-    ENTRIES_AS_OF_CONFIRMATION = auto()
-    IN_ORDER = auto()
-    AFTER_EARLIER = auto()
-    NAMES_NEWEST_TERM = auto()
-    EVERY_CHANGE = auto()
-    WITHDRAWN_COUNTS = auto()
-    LATER_TERM_OBJECTS = auto()
-    CANNOT_ACT = auto()
-    ALSO_WITHOUT_FENCES = auto()
-
-
-class Phase(Enum):
-    """How far a promoter has come."""
+from tests.spec_late_commands import LateCommands, LateCommandsBounds
+from tests.spec_later_terms import LaterTerm, LaterTermBounds
+from tests.spec_parts import LOST, WRITES, Phase, Rule, safety_protocol
 
-    IDLE = auto()
-    FENCING = auto()
-    COMPARED = auto()
-    ANNOUNCED = auto()
-    ENTRIES_READ = auto()
-    REQUESTED = auto()
-    DONE = auto()
+NONE = -1
+MAX_STATES = 150_000
 
 
 class Entry(Enum):
@@ -85,33 +38,6 @@
     LATE = auto()
 
 
-def _protocol(
-    name: str, initial: Any, transitions: Callable[[Any], list[tuple[str, Any]]]
-) -> Protocol:
-    """Return a model whose states have a field `is_lost`.
-
-    It is explored only until a commit is lost. Breadth-first search reaches that by a
-    shortest path.
-    """
-    lost: list[Any] = []
-
-    def next_states(world: Any) -> list[tuple[str, Any]]:
-        if lost:
-            return []
-        steps = transitions(world)
-        lost.extend(following for _, following in steps if following.is_lost)
-        return steps
-
-    return Protocol(
-        name=name,
-        candidate=False,
-        fields=initial._fields,
-        initial=initial,
-        transitions=next_states,
-        invariants={LOST: lambda fields: not fields["is_lost"]},
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class ReportingBounds:
     """The limits of the model `Reporting`, and the exception from the rule RECEIPT.
@@ -184,7 +110,7 @@
     def protocol(self) -> Protocol:
         """Return the model for the checker."""
         initial = ReportingWorld(is_started=not self._bounds.is_start_known)
-        return _protocol("reporting", initial, self._transitions)
+        return safety_protocol("reporting", initial, self._transitions)
 
     def _has(self, rule: Rule) -> bool:
         return rule not in self._without
@@ -393,327 +319,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class LaterTermBounds:
-    """The limits of the model `LaterTerm`.
-
-    With `is_proxy_cut` the proxy that reaches term 2 hears of announcements only after
-    the cut. With `is_proxy_ahead` it has learned of term 2 before the second promoter's
-    announcement, and the former primary has not stepped down for that promoter. With
-    `is_row_lost` the store may come back from a copy of before the row.
-    """
-
-    is_proxy_cut: bool = True
-    is_proxy_ahead: bool = False
-    is_row_lost: bool = False
-
-
-class LaterTermWorld(NamedTuple):
-    """A state of the model `LaterTerm`.
-
-    `leader` and `replica` are lengths of logs in term 2. `row_term` is the newest term
-    that a promotion may have begun as the row names it. `has_departed` tells that the
-    entries of the databases that do not answer have lapsed. `known_term` is the newest
-    term that the second promoter knows of.
-    """
-
-    is_requested: bool = False
-    has_begun: bool = False
-    leader: int = 0
-    replica: int = 0
-    reported: int = 0
-    proxy_term: int = 1
-    is_cut: bool = True
-    row_term: int = 1
-    is_row_withdrawn: bool = False
-    has_departed: bool = False
-    phase: Phase = Phase.IDLE
-    known_term: int = 1
-    is_heard: bool = False
-    is_opposed: bool = False
-    is_lost: bool = False
-
-
-LaterTermSteps = Iterator[tuple[str, LaterTermWorld]]
-
-
-class LaterTerm:
-    """A promotion by one who may not know of the term that has begun before."""
-
-    def __init__(self, bounds: LaterTermBounds, without: frozenset[Rule]) -> None:
-        self._bounds = bounds
-        self._without = without
-
-    def protocol(self) -> Protocol:
-        """Return the model for the checker."""
-        return _protocol("later term", LaterTermWorld(), self._transitions)
-
-    def _has(self, rule: Rule) -> bool:
-        return rule not in self._without
-
-    def _transitions(self, world: LaterTermWorld) -> list[tuple[str, LaterTermWorld]]:
-        if world.phase is Phase.DONE:
-            return []
-        return [
-            *self._first_promotion(world),
-            *self._commits(world),
-            *self._row(world),
-            *self._proxy(world),
-            *self._second_promoter(world),
-        ]
-
-    def _first_promotion(self, world: LaterTermWorld) -> LaterTermSteps:
-        """Promote a database, and announce this unless the primary has stepped down.
-
-        The second promoter requests nothing before that can no longer take effect.
-        """
-        is_early = world.phase is not Phase.REQUESTED
-        if not world.is_requested and world.phase is Phase.IDLE:
-            announced = world._replace(is_requested=True, row_term=2)
-            yield "announce and request the first promotion", announced
-            is_written = self._has(Rule.EVERY_CHANGE)
-            unannounced = announced if is_written else world._replace(is_requested=True)
-            yield "request the first promotion after a step-down", unannounced
-        if world.is_requested and not world.has_begun and is_early:
-            yield "term 2 begins", world._replace(has_begun=True)
-
-    def _commits(self, world: LaterTermWorld) -> LaterTermSteps:
-        if world.has_begun and world.leader < 1:
-            yield "append in term 2", world._replace(leader=world.leader + 1)
-        if world.replica < world.leader:
-            yield "replica receives", world._replace(replica=world.replica + 1)
-        if world.is_cut:
-            yield "cut ends", world._replace(is_cut=False)
-            yield "entries lapse", world._replace(has_departed=True)
-
-    def _row(self, world: LaterTermWorld) -> LaterTermSteps:
-        if world.row_term == 2 and world.phase is Phase.IDLE:
-            yield "a later holder withdraws the row", world._replace(
-                is_row_withdrawn=True
-            )
-            if self._bounds.is_row_lost:
-                yield "the row is lost", world._replace(row_term=1)
-
-    def _proxy(self, world: LaterTermWorld) -> LaterTermSteps:
-        is_due = not (self._bounds.is_proxy_ahead and world.phase is Phase.ANNOUNCED)
-        if world.has_begun and is_due:
-            yield "proxy learns of term 2", world._replace(proxy_term=2)
-        # The replica has shown its log, and is registered.
-        is_received = world.proxy_term == 2 and world.reported < world.replica
-        if is_received:
-            yield "report", world._replace(reported=world.reported + 1)
-        is_reached = not (world.is_cut and self._bounds.is_proxy_cut)
-        if world.phase is Phase.ANNOUNCED and is_reached and not world.is_heard:
-            is_opposed = world.proxy_term > world.known_term
-            yield "proxy hears of the change", world._replace(
-                is_heard=True,
-                is_opposed=is_opposed and self._has(Rule.LATER_TERM_OBJECTS),
-            )
-
-    def _second_promoter(self, world: LaterTermWorld) -> LaterTermSteps:
-        match world.phase:
-            case Phase.IDLE:
-                if self._bounds.is_proxy_ahead and world.proxy_term < 2:
-                    return
-                yield "claim and read the row", world._replace(
-                    phase=Phase.FENCING, known_term=self._term_in_row(world)
-                )
-            case Phase.FENCING:
-                yield from self._compare(world)
-            case Phase.ANNOUNCED:
-                is_consent = world.is_heard or self._bounds.is_proxy_cut
-                if is_consent and not world.is_opposed and self._may_leave_out(world):
-                    yield "request after the announcement", world._replace(
-                        phase=Phase.REQUESTED
-                    )
-            case Phase.REQUESTED:
-                yield "promotion takes effect", world._replace(
-                    phase=Phase.DONE, is_lost=world.reported > 0
-                )
-
-    def _term_in_row(self, world: LaterTermWorld) -> int:
-        is_counted = not world.is_row_withdrawn or self._has(Rule.WITHDRAWN_COUNTS)
-        is_read = is_counted and self._has(Rule.NAMES_NEWEST_TERM)
-        return world.row_term if is_read else 1
-
-    def _compare(self, world: LaterTermWorld) -> LaterTermSteps:
-        """Leave out those that do not answer, as the former primary does.
-
-        It has stepped down for this promoter, or it once led in the newest term known,
-        and the others have departed; then the change is announced.
-        """
-        if not self._may_leave_out(world):
-            return
-        if not self._bounds.is_proxy_ahead:
-            yield "request after the step-down", world._replace(phase=Phase.REQUESTED)
-        if world.has_departed:
-            yield "announce", world._replace(phase=Phase.ANNOUNCED)
-
-    def _may_leave_out(self, world: LaterTermWorld) -> bool:
-        """Return True if nothing known speaks for a term after the first one.
-
-        Databases that answer tell the term, or that an earlier promoter fenced them.
-        """
-        return world.is_cut and world.known_term == 1
-
-
-@dataclass(frozen=True, slots=True)
-class LateCommandsBounds:
-    """The limits of the model `LateCommands`.
-
-    `commands` is how many commands to lift the second replica's fence may be under way.
-    With `restarts` it may restart before the promoter's first command, without a fence.
-    """
-
-    commands: int = 1
-    restarts: bool = False
-
-
-class LateCommandsWorld(NamedTuple):
-    """A state of the model `LateCommands`.
-
-    The first replica is on the promoter's side of a cut, with the store, and the second
-    one on the side of the primary and the proxy. Logs are represented by their lengths
-    in term 1. `lifting` counts the commands to lift the second one's fence that are
-    under way. A fence is foreign as long as the promoter has not sent its own.
-    """
-
-    primary: int = 0
-    lengths: tuple[int, int] = (0, 0)
-    fenced: tuple[bool, bool] = (True, True)
-    lifting: int = 1
-    has_restarted: bool = False
-    reported: int = 0
-    is_cut: bool = False
-    cuts: int = 0
-    phase: Phase = Phase.IDLE
-    is_told: bool = False
-    found_fences: bool = False
-    answered: tuple[bool, bool] = (False, False)
-    log_end: int = 0
-    is_lost: bool = False
-
-
-LateCommandsSteps = Iterator[tuple[str, LateCommandsWorld]]
-
-
-class LateCommands:
-    """A promotion while an earlier promoter's commands may still act."""
-
-    def __init__(self, bounds: LateCommandsBounds, without: frozenset[Rule]) -> None:
-        self._bounds = bounds
-        self._without = without
-
-    def protocol(self) -> Protocol:
-        """Return the model for the checker."""
-        initial = LateCommandsWorld(lifting=self._bounds.commands)
-        return _protocol("late commands", initial, self._transitions)
-
-    def _has(self, rule: Rule) -> bool:
-        return rule not in self._without
-
-    def _transitions(
-        self, world: LateCommandsWorld
-    ) -> list[tuple[str, LateCommandsWorld]]:
-        if world.phase is Phase.DONE:
-            return []
-        return [
-            *self._commits(world),
-            *self._earlier_promoter(world),
-            *self._proxy(world),
-            *self._promoter(world),
-        ]
-
-    def _commits(self, world: LateCommandsWorld) -> LateCommandsSteps:
-        if world.primary < WRITES:
-            yield "append", world._replace(primary=world.primary + 1)
-        first, second = world.lengths
-        if first < world.primary and not (world.fenced[0] or world.is_cut):
-            yield "first receives", world._replace(lengths=(first + 1, second))
-        if second < world.primary and not world.fenced[1]:
-            yield "second receives", world._replace(lengths=(first, second + 1))
-        if world.is_cut:
-            yield "cut ends", world._replace(is_cut=False)
-        elif world.cuts < 2:
-            yield "cut begins", world._replace(is_cut=True, cuts=world.cuts + 1)
-
-    def _earlier_promoter(self, world: LateCommandsWorld) -> LateCommandsSteps:
-        """Let the earlier promoter's commands act; the first one's fence is lifted."""
-        lifted = (world.fenced[0], False)
-        if world.phase is Phase.IDLE and world.fenced[0]:
-            yield "lift the first fence", world._replace(
-                fenced=(False, world.fenced[1])
-            )
-        if world.lifting:
-            yield "lift the second fence", world._replace(
-                fenced=lifted, lifting=world.lifting - 1
-            )
-            yield "a command is lost", world._replace(lifting=world.lifting - 1)
-        may_restart = self._bounds.restarts and world.phase is Phase.IDLE
-        if may_restart and not world.has_restarted:
-            yield "second restarts", world._replace(fenced=lifted, has_restarted=True)
-
-    def _proxy(self, world: LateCommandsWorld) -> LateCommandsSteps:
-        """Report what a registered replica has shown, unless the change drops it."""
-        shown = max(0 if world.is_cut else world.lengths[0], world.lengths[1])
-        limit = min(shown, world.log_end) if world.is_told else shown
-        if world.reported < limit:
-            yield "report", world._replace(reported=world.reported + 1)
-        is_announced = world.phase in (Phase.ANNOUNCED, Phase.REQUESTED)
-        if is_announced and not world.is_cut and not world.is_told:
-            yield "proxy hears of the change", world._replace(is_told=True)
-
-    def _promoter(self, world: LateCommandsWorld) -> LateCommandsSteps:
-        match world.phase:
-            case Phase.IDLE:
-                yield "claim", world._replace(phase=Phase.FENCING)
-            case Phase.FENCING:
-                yield from self._fence(world)
-                if all(world.answered):
-                    yield "compare and announce", world._replace(
-                        phase=Phase.ANNOUNCED, log_end=max(world.lengths)
-                    )
-            case Phase.ANNOUNCED:
-                yield "give up", _again(world)
-                if self._is_confirmed(world) and not self._must_wait(world):
-                    yield "request the promotion", world._replace(phase=Phase.REQUESTED)
-            case Phase.REQUESTED:
-                yield "promotion takes effect", world._replace(
-                    phase=Phase.DONE, is_lost=world.reported > world.log_end
-                )
-
-    def _fence(self, world: LateCommandsWorld) -> LateCommandsSteps:
-        for index in range(2):
-            is_reached = index == 0 or not world.is_cut
-            if is_reached and not world.answered[index]:
-                others = (world.fenced[1 - index], world.answered[1 - index])
-                yield "fence", world._replace(
-                    fenced=_pair(index, True, others[0]),
-                    answered=_pair(index, True, others[1]),
-                    found_fences=world.found_fences or world.fenced[index],
-                )
-
-    def _is_confirmed(self, world: LateCommandsWorld) -> bool:
-        is_same = max(world.lengths) == world.log_end
-        is_kept = world.reported <= world.log_end or not world.is_told
-        return all(world.fenced) and not world.is_cut and is_same and is_kept
-
-    def _must_wait(self, world: LateCommandsWorld) -> bool:
-        """Return True while a command that the promoter waits for may still act."""
-        is_due = world.found_fences or self._has(Rule.ALSO_WITHOUT_FENCES)
-        return bool(world.lifting) and is_due and self._has(Rule.CANNOT_ACT)
-
-
-def _pair(index: int, item: bool, other: bool) -> tuple[bool, bool]:
-    """Return a pair with one item at an index, and another one at the other index."""
-    return (item, other) if index == 0 else (other, item)
-
-
-def _again(world: LateCommandsWorld) -> LateCommandsWorld:
-    """Return the world after the promoter started over, with all fences left."""
-    return world._replace(phase=Phase.FENCING, answered=(False, False), is_told=False)
-
-
 Bounds = ReportingBounds | LaterTermBounds | LateCommandsBounds
 
 
@@ -727,3 +332,12 @@
             return LaterTerm(bounds, left_out).protocol()
         case LateCommandsBounds():
             return LateCommands(bounds, left_out).protocol()
+
+
+def is_kept(bounds: Bounds, *without: Rule) -> bool:
+    """Return True if an exhaustive check finds no reported commit that is lost."""
+    result = check_safety(model(bounds, *without), max_states=MAX_STATES)
+    assert result["exhaustive"]
+    holds = result["properties"][LOST]["holds"]
+    assert isinstance(holds, bool)
+    return holds
--- a/tests/test_spec_reported_commits.py
+++ b/tests/test_spec_reported_commits.py
@@ -2,19 +2,10 @@
 
 import unittest
 
-from minicheck import check_safety
-
-from tests.spec_reported_commits import (
-    LOST,
-    Bounds,
-    LateCommandsBounds,
-    LaterTermBounds,
-    ReportingBounds,
-    Rule,
-    model,
-)
-
-MAX_STATES = 150_000
+from tests.spec_late_commands import LateCommandsBounds
+from tests.spec_later_terms import LaterTermBounds
+from tests.spec_parts import Rule
+from tests.spec_reported_commits import Bounds, ReportingBounds, is_kept
 
 TERM_NOT_IN_ROW = LaterTermBounds(
     is_proxy_cut=False, is_proxy_ahead=True, is_row_lost=True
@@ -47,15 +38,6 @@
 )
 
 
-def is_kept(bounds: Bounds, *without: Rule) -> bool:
-    """Return True if an exhaustive check finds no reported commit that is lost."""
-    result = check_safety(model(bounds, *without), max_states=MAX_STATES)
-    assert result["exhaustive"]
-    holds = result["properties"][LOST]["holds"]
-    assert isinstance(holds, bool)
-    return holds
-
-
 class ReportedCommitsSpecificationTest(unittest.TestCase):
     """Reported commits are kept, and each rule is necessary for this."""
 
@@ -75,36 +57,3 @@
     def test_row_that_the_store_has_lost_loses_a_commit(self) -> None:
         """Documents a known limitation: the proxy does not hear of the change."""
         self.assertFalse(is_kept(LaterTermBounds(is_row_lost=True)))
-
-
-class ReportsAtOnceSpecificationTest(unittest.TestCase):
-    """Without a receipt, commits are kept if the proxy hears of all that happens."""
-
-    def test_reported_commits_are_kept_if_each_proxy_hears_in_time(self) -> None:
-        bounds = ReportingBounds(cuts=0, at_once=True, is_heard_in_time=True)
-        self.assertTrue(is_kept(bounds))
-
-    def test_announcement_that_is_heard_late_loses_a_commit(self) -> None:
-        self.assertFalse(is_kept(ReportingBounds(cuts=0, at_once=True)))
-
-    def test_cut_loses_a_commit_even_if_it_is_noticed(self) -> None:
-        for is_noticed in (False, True):
-            with self.subTest(is_noticed=is_noticed):
-                bounds = ReportingBounds(
-                    at_once=True, is_heard_in_time=True, is_cut_noticed=is_noticed
-                )
-                self.assertFalse(is_kept(bounds))
-
-    def test_database_that_starts_behind_a_cut_loses_a_commit(self) -> None:
-        bounds = ReportingBounds(
-            at_once=True, is_heard_in_time=True, is_start_known=True
-        )
-        self.assertFalse(is_kept(bounds))
-
-    def test_reported_commits_are_kept_if_starts_are_known(self) -> None:
-        for bounds in (
-            ReportingBounds(at_once=True, is_start_known=True, is_start_slow=True),
-            ReportingBounds(at_once=True, is_start_known=True, is_cut_noticed=True),
-        ):
-            with self.subTest(bounds):
-                self.assertTrue(is_kept(bounds))
