--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -336,11 +336,13 @@
         self.assertIsNotNone(results.statuses["d"])
 
 
-def run_cut_zone(seed: int, restart_after: float, cut_seconds: float) -> Findings:
+def run_cut_zone(
+    seed: int, restart_after: float, cut_seconds: float, restarts_all: bool = False
+) -> Findings:
     """Cut off the primary, a replica and a proxy; restart a proxy of the other side.
 
     Two of the four databases are on the other side, so that the lone replica's longer
-    wait does not apply.
+    wait does not apply. With `restarts_all` all proxies of the other side restart.
     """
 
     async def cut(simulation: Simulation) -> None:
@@ -357,9 +359,10 @@
 
     async def restart(simulation: Simulation) -> None:
         await asyncio.sleep(CUT_AT + restart_after)
-        simulation.checker.trace(f"{simulation.proxies[-1].name} restarts")
-        if restart_after:
-            simulation.proxies[-1].restart()
+        restarted = simulation.proxies[1:] if restarts_all else simulation.proxies[-1:]
+        for proxy in restarted if restart_after else ():
+            simulation.checker.trace(f"{proxy.name} restarts")
+            proxy.restart()
 
     simulation = Simulation(seed, (cut, restart), seconds=20.0, sessions=12)
     simulation.group.hosts["h4"] = SimulatedDatabase("d4", "h4", "a")
@@ -377,6 +380,16 @@
                 broken[seed] = len(findings.lost), len(findings.replaced_commits)
         self.assertEqual(broken, {})
 
+    def test_commits_are_kept_if_all_proxies_that_knew_the_replica_restarted(
+        self,
+    ) -> None:
+        broken = {}
+        for seed in range(4):
+            findings = run_cut_zone(seed, 4.0, 12.0, restarts_all=True)
+            if findings.lost or findings.replaced_commits:
+                broken[seed] = len(findings.lost), len(findings.replaced_commits)
+        self.assertEqual(broken, {})
+
     def test_without_a_restart_commits_are_kept(self) -> None:
         for seed in range(4):
             findings = run_cut_zone(seed, restart_after=0.0, cut_seconds=12.0)
