--- a/tests/simulated_connections.py
+++ b/tests/simulated_connections.py
@@ -45,6 +45,7 @@
     """A process that opens connections and may stand still."""
 
     name: str
+    frozen_until: float
 
     async def pass_gate(self) -> None:
         """Wait while the process stands still."""
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -253,18 +253,18 @@
         session = cast(aiohttp.ClientSession, None)
         super().__init__(session, store, "", proxy.name, virtual_now)
         self._simulation = simulation
-        self._proxy = proxy
+        self.proxy = proxy
 
     async def promote(self, service: str, identifier: str, token: int) -> None:
         simulation = self._simulation
-        await self._proxy.pass_gate()
+        await self.proxy.pass_gate()
         await asyncio.sleep(simulation.rng.uniform(0.005, 0.05))
-        if not simulation.reaches_store(self._proxy.name):
+        if not simulation.reaches_store(self.proxy.name):
             raise RefusedError("unreachable")
         lateness = simulation.lateness
         store = simulation.store
-        holder = store.token_holders.setdefault(token, self._proxy.name)
-        if token < store.newest_token or holder != self._proxy.name:
+        holder = store.token_holders.setdefault(token, self.proxy.name)
+        if token < store.newest_token or holder != self.proxy.name:
             simulation.checker.findings.reused_tokens.append(f"{token:x} {identifier}")
         if lateness.promotions and simulation.rng.random() < UNANSWERED_SHARE:
             simulation.group.spawn(self._promote_late(identifier, token))
