Review case 2: requests of a transaction are cut off at the end of a planned stop

A transaction that has a statement at work when half of the grace period ends is never ended. Its later statements are passed on to a database until the process closes the connection.

--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -206,6 +206,7 @@
         if word == "WRITE" and not self.is_primary:
             return [], f"ERROR READONLY {self.identifier}"
         self.busy += 1
+        report(event="received", db=self.identifier, id=identifier, word=word)
         try:
             async with self.slots:
                 await asyncio.sleep(self.work_seconds)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -77,7 +77,8 @@
 class Deployment:
     """The platform, three databases of one service and some proxies."""
 
-    def __init__(self, folder: Path, proxies: int = 3, promote_seconds: float = 0.3) -> None:
+    def __init__(self, folder: Path, proxies: int = 3, promote_seconds: float = 0.3,
+                 work_ms: float = 8.0) -> None:
         self.folder = folder
         self.temporary = tempfile.TemporaryDirectory()
         self.started_at = time.time()
@@ -93,6 +94,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.promoted: list[dict] = []
         self.proxy_count = proxies
+        self.work_ms = work_ms
 
     def record(self, **event: object) -> None:
         """Add an event to the record of the run."""
@@ -199,7 +201,7 @@
                 "peer_port": peer_port, "zone": ZONES[number],
                 "peers": [[addresses[each][0], addresses[each][2]] for each in names
                           if each != name],
-                "store": store, "slots": 3, "work_ms": 8, "max_connections": 22,
+                "store": store, "slots": 3, "work_ms": self.work_ms, "max_connections": 22,
                 "role": "primary" if number == 0 else "replica", "term": 1,
             }
             self.start_database(name)
