Review case 3: a proxy that hears of no announcement reports commits that are dropped

A proxy that the store turns away goes on sending writes to the old primary, and takes the restarted replica's log for a receipt.

--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -55,6 +55,8 @@
         self.connections = 0
         self.signatures = 0
         self.replaced_at: float | None = None
+        # Addresses of proxies that a partition separates from this database.
+        self.blocked: set[str] = set()
 
     # The log.
 
@@ -104,8 +106,10 @@
     async def serve(self, reader, writer) -> None:
         """Serve one proxy's connection."""
         session = Session()
+        address = writer.get_extra_info("peername")[0]
         self.connections += 1
         try:
+            await self.pass_partition(address)
             line = (await reader.readuntil(b"\r\n")).decode()[:-2]
             word, *fields = line.split(" ")
             is_named = len(fields) < 3 or fields[2] == self.identifier
@@ -120,6 +124,7 @@
             reading = asyncio.create_task(self.read_lines(reader, session, queue))
             try:
                 while (line := await queue.get()) is not None:
+                    await self.pass_partition(address)
                     _, identifier, text = line.split(" ", 2)
                     answer = await self.answer(session, identifier, text)
                     if answer is None:
@@ -137,6 +142,11 @@
             self.connections -= 1
             writer.close()
 
+    async def pass_partition(self, address: str) -> None:
+        """Wait until no partition separates this database from an address."""
+        while address in self.blocked:
+            await asyncio.sleep(0.02)
+
     async def read_lines(self, reader, session: Session, queue) -> None:
         """Queue the messages of a connection until it ends."""
         try:
@@ -281,6 +291,8 @@
                 await self.set_primary(True)
             case "resume":
                 self.held = 0
+            case "block":
+                self.blocked = set(message["addresses"])
             case "hello" | "append":
                 self.receive(message)
         last = self.log[-1][0] if self.log else 0
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -28,6 +28,9 @@
         self.terms: dict[str, int] = {}
         self.changed = asyncio.Condition()
         self.tasks: set[asyncio.Task] = set()
+        # Addresses of machines that the store turns away.
+        self.refused: set[str] = set()
+        self.on_promotion: Callable[[str], None] = lambda name: None
 
     async def put(self, writes: list, removed: list = ()) -> int:
         """Write and remove rows in one transaction."""
@@ -158,6 +161,7 @@
     async def promotion(self, request: web.Request) -> web.Response:
         body = await request.json()
         service, name = body["service"], body["id"]
+        self.on_promotion(name)
         self.record(
             event="promotion asked", service=service, db=name,
             holder=request.headers.get("X-Beryltiller-Duty-Holder"),
@@ -187,7 +191,13 @@
 
     async def start(self, ip: str, port: int) -> web.AppRunner:
         """Start to serve."""
-        app = web.Application()
+        @web.middleware
+        async def turn_away(request: web.Request, handler) -> web.StreamResponse:
+            if request.remote in self.refused and request.path.startswith("/beryltiller/"):
+                return web.json_response({}, status=503)
+            return await handler(request)
+
+        app = web.Application(middlewares=[turn_away])
         app.router.add_post("/beryltiller/rows-tx", self.rows_tx)
         app.router.add_get("/beryltiller/rows-get", self.rows_get)
         app.router.add_get("/beryltiller/rows-feed", self.rows_feed)
