--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """Transactions that were begun after SIGTERM are cut off with a statement at work."""
 
 import asyncio
+import os
 import signal
 import time
 from pathlib import Path
@@ -99,4 +100,4 @@
     return BROKEN if lost else HELD
 
 
-run_case(str(FOLDER), case)
+run_case(case, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A replica restarts during a promotion, beside a proxy that the store turns away."""
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
@@ -90,4 +91,4 @@
     return BROKEN if any(lost.values()) else HELD
 
 
-run_case(str(FOLDER), case)
+run_case(case, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -345,9 +345,8 @@
         return rows, outcome, rest
 
 
-def run_case(folder: str, case: Callable[[bool], Awaitable[int]]) -> None:
-    """Run a case, and exit with its result."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(case: Callable[[bool], Awaitable[int]], has_trouble: bool) -> None:
+    """Run a case with or without its disruption, and exit with its result."""
 
     async def bounded() -> int:
         async with asyncio.timeout(110.0):
