End transactions behind their statement in progress when a proxy stops

Cause: open transactions were ended once, at the first step after half of the grace period, and one with a statement in progress was left out. A begin was accepted to the end, and nothing bounded a statement by the end of the process.

StopTest of test_platform_ingress fails in each of its tests on the code before (with the method's former name).

From half of the grace period on, ending transactions is a state: each connection ends its own behind the statement in progress, before a queued one. A begin is refused once idle sessions are closed. When the process ends, each statement that was read gets an answer: unknown for what may have committed, otherwise a refusal. This holds whatever a statement waits for, as the answer is given by the connection.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -10,7 +10,7 @@
 from beryltiller.platform.databases import enable_peer_timeout
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.session_service import SessionService
-from beryltiller.sessions.statements import Code, SessionState
+from beryltiller.sessions.statements import Code, Reply, SessionState
 
 # With more unanswered messages of a caller, no more are read from it.
 MAX_PIPELINED_MESSAGES = 64
@@ -30,6 +30,7 @@
         self._ingress = ingress
         self._splitter = wire.LineSplitter()
         self._messages: deque[tuple[wire.Message, float]] = deque()
+        self._in_progress: wire.Query | None = None
         self._session: Session | None = None
         self._transport: asyncio.Transport | None = None
         self._work: asyncio.Task[None] | None = None
@@ -80,13 +81,27 @@
         if self._transport is not None:
             self._transport.close()
 
+    def give_up(self) -> None:
+        """Answer all that is unanswered as far as its outcome is known, and close.
+
+        It is called when the process ends, so that no caller is left without an answer.
+        """
+        if self._work is not None:
+            self._work.cancel()
+        if self._session is not None:
+            for reply in self._final_replies(self._session):
+                self._write(wire.encode_reply(reply))
+        self._messages.clear()
+        self.close()
+
     def expire(self) -> None:
         """Roll back an open transaction, unless a statement is in progress.
 
         It is called when the caller was idle for too long, and at shutdown.
         """
-        if self._work is None and self._session is not None:
-            self._work = asyncio.create_task(self._expire(self._session))
+        session = self._session
+        if self._work is None and session and session.state is SessionState.OPEN:
+            self._work = asyncio.create_task(self._expire(session))
 
     async def _serve(self) -> None:
         self._stop_timer()
@@ -94,6 +109,8 @@
             while self._messages:
                 message, arrived = self._messages.popleft()
                 await self._serve_one(message, arrived)
+                if self._session is not None and self._ingress.is_ending_transactions:
+                    await self._service.expire_transaction(self._session)
         except Exception as error:
             # Close the connection, so that the caller is not left waiting. A closed
             # connection promises nothing about the outcome.
@@ -127,18 +144,34 @@
                 self._open(database_name)
             case wire.Terminate():
                 self.close()
-            case wire.Query(identifier, statement):
+            case wire.Query():
                 if self._session is None:
                     self._refuse(Code.MALFORMED, "a statement before the startup")
                     return
-                if statement is None:
-                    reply = self._session.refuse(Code.MALFORMED, "unreadable statement")
-                else:
-                    reply = await self._service.answer(
-                        self._session, identifier, statement, arrived
-                    )
+                self._in_progress = message
+                reply = await self._answer(self._session, message, arrived)
+                self._in_progress = None
                 self._write(wire.encode_reply(reply))
 
+    async def _answer(
+        self, session: Session, query: wire.Query, arrived: float
+    ) -> Reply:
+        if query.statement is None:
+            return session.refuse(Code.MALFORMED, "unreadable statement")
+        return await self._service.answer(
+            session, query.identifier, query.statement, arrived
+        )
+
+    def _final_replies(self, session: Session) -> list[Reply]:
+        """Return the replies to the statement in progress and to those behind it."""
+        replies = []
+        if self._in_progress is not None and self._in_progress.statement is not None:
+            replies.append(self._service.give_up(session, self._in_progress.statement))
+        for message, _ in self._messages:
+            if isinstance(message, wire.Query):
+                replies.append(session.refuse(Code.BUSY, "the proxy is stopping"))
+        return replies
+
     def _open(self, database_name: str) -> None:
         session = self._service.open_session(database_name)
         if session is None:
@@ -183,6 +216,7 @@
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_closing_idle = False
+        self._is_ending_transactions = False
         self.clock = clock
 
     @property
@@ -190,6 +224,11 @@
         """Return True if each connection is closed as soon as it is idle."""
         return self._is_closing_idle
 
+    @property
+    def is_ending_transactions(self) -> bool:
+        """Return True if each transaction is ended after its statement in progress."""
+        return self._is_ending_transactions
+
     @property
     def open_connections(self) -> int:
         """Return the number of connected callers."""
@@ -222,9 +261,12 @@
     def close_idle(self, is_lasting: bool = True) -> None:
         """Close idle connections.
 
-        If `is_lasting`, also close each connection that becomes idle from now on.
+        If `is_lasting`, also close each connection that becomes idle from now on, and
+        begin no further transactions.
         """
         self._is_closing_idle = is_lasting
+        if is_lasting:
+            self._service.refuse_transactions()
         for connection in tuple(self._connections):
             if connection.is_idle:
                 connection.close()
@@ -234,13 +276,14 @@
         if self._server is not None:
             self._server.close()
 
-    def expire_transactions(self) -> None:
-        """Roll back all open transactions without a statement in progress."""
+    def end_transactions(self) -> None:
+        """Roll back all open transactions, each once its statement is answered."""
+        self._is_ending_transactions = True
         for connection in tuple(self._connections):
             connection.expire()
 
     def close(self) -> None:
-        """Accept no more callers, and close the connections that are still open."""
+        """Accept no more callers; answer and close those that are still connected."""
         self.stop_listening()
         for connection in tuple(self._connections):
-            connection.close()
+            connection.give_up()
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -22,6 +22,7 @@
     StoredAnnouncements,
     decode_announcement,
 )
+from beryltiller.platform.drain import drain_ingress
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
 from beryltiller.platform.settings import PlatformSettings
@@ -36,7 +37,7 @@
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
-from beryltiller.sessions.shutdown import BALANCER_SECONDS, shutdown_step
+from beryltiller.sessions.shutdown import BALANCER_SECONDS
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.tables.relay import Feeder, feeder_lease_keys
@@ -47,7 +48,6 @@
 MAINTENANCE_INTERVAL_SECONDS = 0.3
 # Interval of the checks of the leaders, and of this proxy's own isolation.
 CHECK_INTERVAL_SECONDS = 0.1
-DRAIN_STEP_SECONDS = 0.05
 # A statement reaches its database in less than this time. None is sent to a draining
 # primary in this last part of its drain period, since it could arrive after the end.
 DRAIN_MARGIN_SECONDS = 1.0
@@ -288,24 +288,7 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _drain(self) -> None:
-        """Carry out the shutdown steps until the last one is over."""
-        began = boot_clock()
-        grace = self._settings.grace_seconds
-        has_ended_transactions = False
-        while True:
-            step = shutdown_step(
-                boot_clock() - began, grace, self._ingress.open_connections
-            )
-            if step.is_over:
-                break
-            if not step.admits:
-                self._ingress.stop_listening()
-            if step.closes_idle:
-                self._ingress.close_idle()
-            if step.ends_transactions and not has_ended_transactions:
-                has_ended_transactions = True
-                self._ingress.expire_transactions()
-            await asyncio.sleep(DRAIN_STEP_SECONDS)
+        await drain_ingress(self._ingress, self._settings.grace_seconds, boot_clock)
         self._on_drained()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/session_service.py
@@ -52,6 +52,11 @@
         self._executor = StatementExecutor(fleet, placer, clock, read_log or ReadLog())
         self._transactions = SessionTransactionRunner(self._executor)
         self._single_statements = SingleStatementRunner(self._executor)
+        self._refuses_transactions = False
+
+    def refuse_transactions(self) -> None:
+        """Begin no further transactions, as there is no time left for them."""
+        self._refuses_transactions = True
 
     def open_session(self, database_name: str) -> Session | None:
         """Return a new session, or None if no route has the database name."""
@@ -88,6 +93,21 @@
             await self.end_session(session)
             session.state = SessionState.FAILED
 
+    def give_up(self, session: Session, statement: Statement) -> Reply:
+        """Return the reply to a statement in progress whose session ends now.
+
+        Its connection to a database is closed, which rolls an open transaction back. So
+        only a commit, or a write outside of a transaction, may have an effect.
+        """
+        transaction = session.transaction
+        match statement:
+            case Commit():
+                may_be_kept = transaction is None or transaction.has_written
+            case _:
+                may_be_kept = transaction is None and session.is_write(statement)
+        code = Code.UNKNOWN_OUTCOME if may_be_kept else Code.ABORTED
+        return session.refuse(code, "the proxy is stopping")
+
     def max_transaction_idle_seconds(self) -> float:
         """Return for how many seconds a transaction may stay idle."""
         configuration = self._fleet.configuration
@@ -99,6 +119,8 @@
         if session.state is SessionState.FAILED:
             return await self._answer_failed(session, statement)
         match statement:
+            case Begin() if self._refuses_transactions:
+                return session.refuse(Code.BUSY, "the proxy is stopping")
             case Begin(is_read_only):
                 return self._transactions.begin(session, is_read_only, arrived)
             case Commit():
