Count a replica's receipt only from a process that announcements cover

A replica starts again between a promotion's call and its effect, is not paused any more, and copies the old primary's commits; a proxy that the store turns away takes it for a receipt.

Cause: a receipt was tied to a replica's identifier, not to the process that the promoter has paused and compared. A status does not tell the process, and its entry comes later or never. While a proxy does not follow the store, an announcement cannot be excluded either.

The model of reported commits has restarts of a replica now; without the rule SAME_PROCESS a reported commit is lost, with all rules none is.

An answer is dated by the opening of its connection, which leads to one process. It counts once the proxy knows the announcements made until then: whoever compared the process before announced its change before. The same holds for what proves a term beyond the moment of a question, which the same process could do. A proxy that no announcements reach goes on with the connections that it had, so the pool uses the one opened first.

--- a/src/beryltiller/admission/ledgers.py
+++ b/src/beryltiller/admission/ledgers.py
@@ -67,6 +67,11 @@
         """Return the number of idle connections, which can be acquired at once."""
         return len(self._idle)
 
+    @property
+    def idle_serials(self) -> frozenset[int]:
+        """Return the serial numbers of the idle connections."""
+        return frozenset(serial for serial, _ in self._idle)
+
     @property
     def in_use(self) -> int:
         """Return the number of connections in use."""
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -146,7 +146,7 @@
         )
         self._announcements = self._follow(CHANGES_TABLE, self._observe_announcements)
         self._fleet.read_entries_with(self._read_entries)
-        self._fleet.follow_announcements(lambda: self._announcements.known_until)
+        self._fleet.follow_announcements(self._announcements)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
         )
--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -110,7 +110,7 @@
             return found
         serial = self._ledger.begin_opening_one()
         if serial is None:
-            return PooledConnection(await self._connect())
+            return _pooled(await self._connect())
         return await self._open(serial, None)
 
     def release(self, pooled: PooledConnection) -> None:
@@ -149,20 +149,27 @@
         self._close_connections(self._ledger.resize(0))
 
     def _take_idle(self, values: Mapping[str, str]) -> PooledConnection | None:
-        if not self._ledger.idle:
-            return None
-        same_values = {
-            serial
-            for serial, pooled in self._connections.items()
-            if pooled.values == values
-        }
-        while (serial := self._ledger.acquire(same_values)) is not None:
+        while (serial := self._ledger.acquire(self._preferred(values))) is not None:
             pooled = self._connections[serial]
             if pooled.is_open:
                 return pooled
             self._remove(pooled)
         return None
 
+    def _preferred(self, values: Mapping[str, str]) -> tuple[int, ...]:
+        """Return the idle connection with `values` that was opened first.
+
+        Those opened later then stay idle and are closed: the longer a connection has
+        stood, the more an answer on it shows.
+        """
+        same_values = (
+            serial
+            for serial in self._ledger.idle_serials
+            if self._connections[serial].values == values
+        )
+        first = min(same_values, default=None)
+        return () if first is None else (first,)
+
     def _reserve_serial(self, now: float) -> int | None:
         """Reserve a serial number for a new connection; return None at the limit."""
         self._close_connections(self._ledger.resize(self._limit.max_open(now)))
@@ -205,7 +212,7 @@
             raise
         finally:
             self._notify_waiter(None)
-        pooled = self._connections[serial] = PooledConnection(connection, serial)
+        pooled = self._connections[serial] = _pooled(connection, serial)
         self._ledger.acquire_opened(serial)
         return pooled
 
@@ -257,3 +264,7 @@
         for serial in serials:
             self._connections.pop(serial).close()
             self._ledger.record_closed(serial)
+
+
+def _pooled(connection: DatabaseConnection, serial: int = 0) -> PooledConnection:
+    return PooledConnection(connection, asyncio.get_running_loop().time(), serial)
--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 from beryltiller.sessions.errors import BrokenError
@@ -62,13 +63,18 @@
     """A pooled database connection with the session state last set on it.
 
     `values` are the session values set at the database, or None if they are unknown.
+    `opened_at` is when it had been opened, in seconds on the event loop's clock: the
+    database's process has been the same since then.
     """
 
-    def __init__(self, connection: DatabaseConnection, serial: int = 0) -> None:
+    def __init__(
+        self, connection: DatabaseConnection, opened_at: float, serial: int = 0
+    ) -> None:
         """Wrap a new connection; `serial` identifies it in the pool's ledger."""
         self._connection = connection
         self._values: dict[str, str] | None = {}
         self._prepared: set[str] = set()
+        self.opened_at = opened_at
         self.serial = serial
 
     @property
@@ -110,7 +116,8 @@
 
     async def command(self, statement: ProxyCommand) -> DatabaseStatus:
         """Run a status query, or a command that changes the database's role."""
-        return await self._connection.command(statement)
+        status = await self._connection.command(statement)
+        return replace(status, connected_at=self.opened_at)
 
     async def is_primary(self) -> bool:
         """Return True if the database accepts transactions that write."""
--- /dev/null
+++ b/src/beryltiller/sessions/databases/announced.py
@@ -0,0 +1,80 @@
+"""Until when this proxy knows the announced changes of primary.
+
+An announcement is made before the databases are fenced for the last time. So an answer
+of a process that may have started later shows what a promoter will find only with the
+announcements that were made until then.
+
+Moments are seconds on the event loop's clock. Use this on a single event loop.
+"""
+
+import asyncio
+import sys
+from typing import Protocol
+
+# The least time between two requests for the newest announcements.
+REQUEST_INTERVAL_SECONDS = 0.2
+
+
+class AnnouncementFeed(Protocol):
+    """The table of announcements, as this proxy follows it."""
+
+    @property
+    def known_until(self) -> int:
+        """Return the revision of the store up to which all announcements are known."""
+        ...
+
+    @property
+    def known_at(self) -> float:
+        """Return the moment until which all announcements made are known."""
+        ...
+
+    @property
+    def is_reachable(self) -> bool:
+        """Return True if announcements arrive."""
+        ...
+
+    async def refresh(self) -> bool:
+        """Learn of all announcements made until now; return False if that fails."""
+        ...
+
+
+class KnownAnnouncements:
+    """What is known of announcements; without a feed nothing is announced."""
+
+    def __init__(self) -> None:
+        """Create knowledge of a proxy that `follow` gives a feed."""
+        self._feed: AnnouncementFeed | None = None
+        self._requested_at = float("-inf")
+        self._request: asyncio.Task[bool] | None = None
+
+    @property
+    def until(self) -> int:
+        """Return the revision of the store up to which all are known."""
+        return self._feed.known_until if self._feed else sys.maxsize
+
+    @property
+    def at(self) -> float:
+        """Return the moment until which all that were made are known."""
+        return self._feed.known_at if self._feed else float("inf")
+
+    def follow(self, feed: AnnouncementFeed) -> None:
+        """Know what a feed knows."""
+        self._feed = feed
+
+    def request(self) -> None:
+        """Learn of those made until now, unless that was requested a moment ago.
+
+        While none arrive, the feed itself tries again until some do.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._feed is None or not self._feed.is_reachable:
+            return
+        if now < self._requested_at + REQUEST_INTERVAL_SECONDS:
+            return
+        self._requested_at = now
+        self._request = asyncio.create_task(self._feed.refresh())
+
+    def close(self) -> None:
+        """Cancel a request under way."""
+        if self._request is not None:
+            self._request.cancel()
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -1,7 +1,6 @@
 """The databases that one proxy uses: groups, connection pools and commands."""
 
 import asyncio
-import sys
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
 
@@ -13,6 +12,10 @@
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
+from beryltiller.sessions.databases.announced import (
+    AnnouncementFeed,
+    KnownAnnouncements,
+)
 from beryltiller.sessions.databases.catalog import (
     ANY_DATABASE,
     Configuration,
@@ -83,16 +86,17 @@
         self._groups: dict[str, Group] = {}
         self._connection_pools: dict[PoolKey, ConnectionPool] = {}
         self._entries = PresentEntries()
+        self._announced = KnownAnnouncements()
         self._status_queries = StatusQueries(
-            self.connection_pool, lambda: self._directory, self._entries, clock
+            self.connection_pool,
+            lambda: self._directory,
+            self._entries,
+            self._announced,
+            clock,
         )
         self._follows_store = False
-        self._announced_revision: Callable[[], int] = lambda: sys.maxsize
         self._receipts = ReceiptQueries(
-            self._status_queries.ask_status,
-            self.is_local,
-            lambda: self._announced_revision(),
-            clock,
+            self._status_queries.ask_status, self.is_local, self._announced, clock
         )
 
     @property
@@ -141,13 +145,13 @@
             for group in self._groups.values():
                 group.changes.prolong(self._clock())
 
-    def follow_announcements(self, known_until: Callable[[], int]) -> None:
+    def follow_announcements(self, feed: AnnouncementFeed) -> None:
         """Count replicas only from when announcements before their entries are known.
 
-        `known_until` returns the revision of the store up to which they are. Without
-        this call all count.
+        Their answers count once those made before the connection was opened are, too.
+        Without this call all count.
         """
-        self._announced_revision = known_until
+        self._announced.follow(feed)
 
     def read_entries_with(self, read_entries: ReadEntries) -> None:
         """Count surveys if a reading of the store's entries finds no other database.
@@ -170,7 +174,7 @@
         """Return a service's group of databases, creating it if necessary."""
         group = self._groups.get(service)
         if group is None:
-            group = self._groups[service] = Group(service)
+            group = self._groups[service] = Group(service, self._announced)
             group.update(self._directory.of_service(service), self._clock())
         return group
 
@@ -337,6 +341,7 @@
         """Cancel status queries and close all connection pools."""
         self._status_queries.close()
         self._receipts.close()
+        self._announced.close()
         for pool in self._connection_pools.values():
             pool.close()
 
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -19,6 +19,7 @@
 from collections.abc import Sequence
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.announced import KnownAnnouncements
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.evidence import (
     NO_PROOF_SECONDS,
@@ -35,7 +36,7 @@
     UNCONFIRMED_SERIAL,
     Leadership,
 )
-from beryltiller.sessions.databases.member import Lead, Member
+from beryltiller.sessions.databases.member import NEVER, Lead, Member
 from beryltiller.sessions.databases.primary_change import (
     ChangeTracker,
     PrimaryChange,
@@ -46,15 +47,26 @@
 class Group:
     """One service's databases, their leader, and the evidence that they have given."""
 
-    def __init__(self, service: str) -> None:
-        """Create a group without databases."""
+    def __init__(
+        self, service: str, announced: KnownAnnouncements | None = None
+    ) -> None:
+        """Create a group without databases.
+
+        Answers of its replicas prove terms by what is `announced`.
+        """
         self.service = service
+        self._announced = announced or KnownAnnouncements()
         self.members: dict[str, Member] = {}
         self._leadership = Leadership()
         self._proofs = TermProofs()
         self._covers = CommitCovers(self._proofs)
         self._changes = ChangeTracker()
 
+    @property
+    def announced(self) -> KnownAnnouncements:
+        """Return what is known of the announcements that were made."""
+        return self._announced
+
     @property
     def changes(self) -> ChangeTracker:
         """Return the tracker of announced changes of the primary."""
@@ -144,19 +156,27 @@
         self._choose_leader()
 
     def record_position(
-        self, member: Member, position: Position | None, asked_at: float
+        self,
+        member: Member,
+        position: Position | None,
+        asked_at: float,
+        connected_at: float = NEVER,
     ) -> None:
-        """Record an answer, and the position in it if it has one."""
+        """Record an answer, and the position in it if it has one.
+
+        It came on a connection that had been opened at `connected_at`.
+        """
         member.record_answer(position)
         if position is None:
             return
         member.record_position_asked(asked_at)
         if member is not self.leader:
-            member.record_applied(position)
+            member.record_applied(position, connected_at)
         if position.term > self._leadership.term:
             self._enter_term(position.term)
         if member is not self.leader:
-            self._record_replica_position(member, position)
+            if connected_at < self.announced.at:
+                self._record_replica_position(member, position)
         elif member.lead is not None and member.lead.includes(position):
             self._record_leader_position(member, member.lead, position, asked_at)
 
@@ -186,12 +206,14 @@
         replica answered that it is not fenced. A promote lifts all fences before each
         replica has heard of the new term: one that is silent or fenced may have become
         primary meanwhile. It has acknowledged nothing before the question, though, if
-        it is the only silent one and none of the others has heard of it.
+        it is the only silent one and none of the others has heard of it. Nor do they if
+        a process may have started, unfenced, since announcements were last known.
         """
         replicas = len(self.replicas)
         answered = [status for member, status in statuses if member is not self.leader]
         is_unfenced = not any(status.fenced_term for status in answered)
-        lasting = TERM_PROOF_SECONDS if is_unfenced else 0.0
+        is_known = all(status.connected_at < self.announced.at for status in answered)
+        lasting = TERM_PROOF_SECONDS if is_unfenced and is_known else 0.0
         if len(answered) < replicas:
             lasting = 0.0 if len(answered) == replicas - 1 else NO_PROOF_SECONDS
         for member, status in sorted(statuses, key=_newest_term_first):
@@ -221,7 +243,7 @@
             self._record_primary(member, status, is_newer)
             self.record_lead(member, asked_at)
         else:
-            member.record_received(status.received, asked_at)
+            member.record_received(status.received, asked_at, status.connected_at)
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -8,6 +8,7 @@
 
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.shown_log import ShownLog
 
 NEVER = float("-inf")
 
@@ -70,9 +71,8 @@
     True once it reported to be primary, `has_denied_lead` once it turned out not to
     be the primary. `primary_serial` is higher the later this proxy observed that it
     became primary. `lead` is the newest term in which it is known to be primary, or
-    None if it was not asked and has acknowledged no commit. `shown` is the newest
-    position that its log was shown to reach as a replica. `registered_revision` is the
-    revision of the store at which this proxy first read its entry.
+    None if it was not asked and has acknowledged no commit. `registered_revision` is
+    the revision of the store at which this proxy first read its entry.
     """
 
     def __init__(self, database: Database) -> None:
@@ -101,7 +101,7 @@
         self._lagging_until = NEVER
         self._refused_for_load_at = NEVER
         self._position_asked_at = NEVER
-        self.shown: Position | None = None
+        self._shown = ShownLog()
         self.registered_revision = database.revision
         self._status_asked_at = NEVER
         self._fenced_since: float | None = None
@@ -224,19 +224,31 @@
         """Return when it was asked for its newest status as a replica."""
         return self._status_asked_at
 
-    def record_applied(self, position: Position) -> None:
-        """Record that it answered as a replica from a log that reaches a position."""
-        if self.shown is None or position > self.shown:
-            self.shown = position
+    def shown_before(self, moment: float) -> Position | None:
+        """Return where its log was shown to reach on connections opened before then.
 
-    def record_received(self, log_end: Position, asked_at: float) -> None:
+        Its process has been the same since; return None without such an answer.
+        """
+        return self._shown.before(moment)
+
+    def record_applied(self, position: Position, connected_at: float) -> None:
+        """Record that it answered as a replica from a log that reaches a position.
+
+        The connection had been opened at `connected_at`.
+        """
+        self._shown.record(position, connected_at)
+
+    def record_received(
+        self, log_end: Position, asked_at: float, connected_at: float
+    ) -> None:
         """Record the end of its log as a replica, by the status asked for last.
 
         It is lower than before if its process has started again without its log.
         """
         if asked_at >= self._status_asked_at:
             self._status_asked_at = asked_at
-            self.shown = log_end
+            self._shown.cut(log_end)
+            self._shown.record(log_end, connected_at)
 
     def record_failure(self, now: float) -> None:
         """Record that the database could not be reached or that a connection broke.
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -10,6 +10,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases import receipts
+from beryltiller.sessions.databases.announced import KnownAnnouncements
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
@@ -45,17 +46,16 @@
         self,
         ask_status: AskStatus,
         is_local: Callable[[Member], bool],
-        announced_revision: Callable[[], int],
+        announced: KnownAnnouncements,
         clock: Callable[[], float],
     ) -> None:
         """Query replicas by `ask_status`, those for which `is_local` holds first.
 
-        `announced_revision` returns the revision of the store up to which announced
-        changes of primary are known.
+        Their answers count by what is `announced`.
         """
         self._ask_status = ask_status
         self._is_local = is_local
-        self._announced_revision = announced_revision
+        self._announced = announced
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
@@ -74,7 +74,7 @@
 
     def counts(self, replica: Member) -> bool:
         """Return True if what a replica shows counts, whatever it is."""
-        return replica.registered_revision <= self._announced_revision()
+        return replica.registered_revision <= self._announced.until
 
     async def wait(
         self, group: Group, source: Member, position: Position, deadline: float
@@ -133,10 +133,19 @@
                 each.is_received.set_result(True)
             elif group.term > each.position.term:
                 each.is_received.set_result(False)
+            elif self._is_shown(group, each.source, each.position):
+                self._announced.request()
         return not all(each.is_received.done() for each in waiting)
 
     def _is_received(self, group: Group, source: Member, position: Position) -> bool:
-        return receipts.is_received(group, source, position, self._announced_revision())
+        announced = self._announced
+        return receipts.is_received(
+            group, source, position, announced.until, announced.at
+        )
+
+    def _is_shown(self, group: Group, source: Member, position: Position) -> bool:
+        """Return True if a replica shows a commit, on a connection of whatever age."""
+        return receipts.is_received(group, source, position, self._announced.until)
 
     def _by_preference(self, group: Group) -> list[Member]:
         """Return the replicas to ask; the log of a draining one may soon be gone."""
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -10,6 +10,11 @@
 count on a database that the promoter does not know. So a replica counts once this proxy
 knows the announcements up to the revision of its entry.
 
+A replica that starts again is no longer fenced, and its log may not be the one that the
+promoter has compared. The promoter announced before it fenced the process that has
+ended. So an answer counts once this proxy knows the announcements that were made until
+the connection was opened on which it came.
+
 The functions are pure.
 """
 
@@ -19,11 +24,16 @@
 
 
 def is_received(
-    group: Group, source: Member, position: Position, announced_revision: int
+    group: Group,
+    source: Member,
+    position: Position,
+    announced_revision: int,
+    announced_at: float = float("inf"),
 ) -> bool:
     """Return True if a registered replica has a commit that `source` acknowledged.
 
-    Announced changes of primary are known up to the revision `announced_revision`.
+    Announced changes of primary are known up to the revision `announced_revision`, and
+    up to the moment `announced_at` on the event loop's clock.
     A replica that follows a later primary may have rolled the commit back, and one that
     was primary in the commit's term itself does not hold a copy. The log of a draining
     replica is soon gone: it counts only if there is no other one.
@@ -36,8 +46,11 @@
     ]
     lasting = [each for each in replicas if not each.database.is_draining]
     shown = [
-        each.shown
+        each.shown_before(announced_at)
         for each in lasting or replicas
-        if each.shown is not None and each.registered_revision <= announced_revision
+        if each.registered_revision <= announced_revision
     ]
-    return any(each.term == position.term and each >= position for each in shown)
+    return any(
+        each is not None and each.term == position.term and each >= position
+        for each in shown
+    )
--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -13,6 +13,7 @@
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
+from beryltiller.sessions.databases.announced import KnownAnnouncements
 from beryltiller.sessions.databases.catalog import Database, Departed, Directory
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
@@ -70,16 +71,18 @@
         connection_pool: Callable[[Database], ConnectionPool],
         directory: Callable[[], Directory],
         entries: PresentEntries,
+        announced: KnownAnnouncements,
         clock: Callable[[], float],
     ) -> None:
         """Create queries of databases by their pools.
 
         `directory` returns the databases that are registered as far as known;
-        `entries` updates them.
+        `entries` updates them. Answers count by what is `announced`.
         """
         self._connection_pool = connection_pool
         self._directory = directory
         self._entries = entries
+        self._announced = announced
         self._clock = clock
         self._proofs: dict[str, asyncio.Task[None]] = {}
         self._rounds: dict[str, asyncio.Task[_Round]] = {}
@@ -263,6 +266,8 @@
             if query.done() and (status := query.result()) is not None
         ]
         group.record_round(answers, asked_at)
+        if any(status.connected_at >= self._announced.at for _, status in answers):
+            self._announced.request()
         leader = group.leader
         terms = {status.term for _, status in answers}
         if leader is not None and terms and leader.reported_primary_term not in terms:
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -228,7 +228,7 @@
             member.record_end(self._clock(), is_answered)
         if reply.code is None and _is_commit_of_write(session, request):
             self._check_commit(group, acquired, reply)
-        self._record_reply(session, group, acquired.placement, request, reply, asked_at)
+        self._record_reply(session, group, acquired, request, reply)
         return reply
 
     def _check_commit(
@@ -288,11 +288,11 @@
         self,
         session: Session,
         group: Group,
-        placement: Placement,
+        acquired: AcquiredConnection,
         request: Request,
         reply: Reply,
-        asked_at: float,
     ) -> None:
+        placement, asked_at = acquired.placement, acquired.asked_at
         member = placement.member
         now = self._clock()
         match reply.code:
@@ -312,7 +312,8 @@
             case Code.READ_ONLY if member is group.leader:
                 group.record_lead_denied(member)
         # Recorded last, as the reply decides whose position it is.
-        group.record_position(member, reply.position, asked_at)
+        opened_at = acquired.connection.opened_at
+        group.record_position(member, reply.position, asked_at, opened_at)
 
     def _record_begun(
         self, group: Group, member: Member, begin: Begin, asked_at: float
--- a/src/beryltiller/sessions/statements.py
+++ b/src/beryltiller/sessions/statements.py
@@ -4,7 +4,7 @@
 dispatched by `match`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, unique
 
 from beryltiller.core.position import Position
@@ -221,13 +221,16 @@
     """A database's report of its state.
 
     `received` is the end of its log, or `NO_POSITION` if the log is empty or its end is
-    not known. `fenced_term` is 0 if it is not fenced.
+    not known. `fenced_term` is 0 if it is not fenced. `connected_at` is when the
+    connection that it was answered on had been opened, on the event loop's clock: it is
+    of a process that ran then.
     """
 
     is_primary: bool
     term: int
     received: Position
     fenced_term: int
+    connected_at: float = field(default=float("-inf"), compare=False)
 
 
 # The signature of a success that the proxy replies without asking a database.
--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -102,6 +102,7 @@
         self._rows: dict[str, Row] = {}
         self._revision: int | None = None
         self._changed_at = 0
+        self._known_at = float("-inf")
         self._failures = 0
         self._is_receiving_large = False
         self._catching_up_to = 0
@@ -143,6 +144,14 @@
             return 0
         return self._relay.known_until(self._table, self._revision)
 
+    @property
+    def known_at(self) -> float:
+        """Return until when all changes are known, on the event loop's clock.
+
+        This is when the store was asked last of those requests that it answered.
+        """
+        return self._known_at
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         while True:
@@ -225,6 +234,7 @@
 
     async def _read_present(self, since: int) -> bool:
         """Read what the store has now; return False if that is no later state."""
+        asked_at = _now()
         try:
             changes = await self._feed.read_changes(self._table, since, 0.0)
         except HistoryLostError:
@@ -232,17 +242,24 @@
             is_later = self._revision is None or scan.revision >= self._revision
             if is_later:
                 self._replace(scan.rows, scan.revision)
+                self._record_known(asked_at)
             return is_later
         if changes.revision < since:
             return False
         self._take_changes(since, changes)
+        self._record_known(asked_at)
         return True
 
+    def _record_known(self, asked_at: float) -> None:
+        self._known_at = max(self._known_at, asked_at)
+
     async def _poll_store(self) -> None:
         since = self._revision
+        asked_at = _now()
         if since is None:
             scan = await self._feed.read_all(self._table)
             self._replace(scan.rows, scan.revision)
+            self._record_known(asked_at)
             self._relay.publish(
                 TableChange(self._table, 0, scan.revision, scan.rows, (), True)
             )
@@ -256,6 +273,7 @@
             # A feeder knows of a change that the store's reply does not include yet.
             await asyncio.sleep(RELAY_CHECK_SECONDS)
         self._take_changes(since, changes)
+        self._record_known(asked_at)
 
     def _take_changes(self, since: int, changes: Changes) -> None:
         """Apply the changes after `since`, and pass them on to others."""
@@ -327,3 +345,7 @@
             self._relay.publish(None)
         delay = backoff_seconds(_BACKOFF, self._failures, self._rng)
         await asyncio.sleep(delay)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/fake_announcements.py
+++ b/tests/fake_announcements.py
@@ -1,6 +1,7 @@
 """Announcements of changes of primary in memory, and how proxies hear of them."""
 
 import asyncio
+import sys
 from dataclasses import dataclass, field, replace
 
 from beryltiller.core.ports import LostAnswerError, RefusedError
@@ -71,3 +72,21 @@
             task = asyncio.create_task(announcer.object_to(announcement))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
+
+
+@dataclass
+class FakeAnnouncementFeed:
+    """A table of announcements that is known until the values set."""
+
+    known_until: int = sys.maxsize
+    known_at: float = float("inf")
+    is_reachable: bool = True
+    requests: int = 0
+
+    async def refresh(self) -> bool:
+        self.requests += 1
+        asked_at = virtual_now()
+        await asyncio.sleep(0.005)
+        if self.is_reachable:
+            self.known_at = asked_at
+        return self.is_reachable
--- a/tests/simulated_lifecycle.py
+++ b/tests/simulated_lifecycle.py
@@ -42,8 +42,13 @@
         checker = self._simulation.checker
         if not database.is_running:
             return
-        if not checker.has_copies(self._group, without=database):
-            return
+        if checker.has_copies(self._group, without=database):
+            await self.restart_without_log(database, seconds)
+
+    async def restart_without_log(
+        self, database: SimulatedDatabase, seconds: float
+    ) -> None:
+        """End a database that comes back empty after some seconds."""
         self.stop(database)
         database.truncate(0)
         database.is_primary = False
@@ -53,7 +58,7 @@
         if self.is_placed(database):
             database.incarnation = self._next_incarnation()
             database.is_running = True
-            checker.trace(f"{database.identifier} is back and empty")
+            self._simulation.checker.trace(f"{database.identifier} is back and empty")
 
     async def replace(
         self, database: SimulatedDatabase, drain_seconds: float, choice: float
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -47,6 +47,9 @@
             self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
         )
         announcements = SimulatedAnnouncements(simulation, self)
+        self._announcements = announcements
+        announcements.apply_with(self._apply_announcements)
+        self.fleet.follow_announcements(announcements)
         self._announcer = Announcer(self.fleet, announcements, virtual_now)
         self._duty = SimulatedDuty(simulation, self)
         self.runner = SuccessionRunner(
@@ -89,9 +92,12 @@
             await asyncio.sleep(0.05)
 
     def _read_announcements(self) -> None:
+        if self._simulation.reaches_store(self.name):
+            self._announcements.record_known(virtual_now())
+            self._apply_announcements()
+
+    def _apply_announcements(self) -> None:
         simulation = self._simulation
-        if not simulation.reaches_store(self.name):
-            return
         for announcement in simulation.store.announcements.values():
             if self._announcer.apply(announcement):
                 simulation.checker.trace(f"{self.name} objects to {announcement}")
--- a/tests/spec_parts.py
+++ b/tests/spec_parts.py
@@ -19,7 +19,8 @@
     promoter uses ENTRIES_AS_OF_CONFIRMATION, no older ones. A proxy that knows an entry
     knows the announcements that were written before: it follows them IN_ORDER. A change
     is announced AFTER_EARLIER promotions can no longer take effect, as proxies apply
-    the newest announcement only.
+    the newest announcement only. What a replica shows counts of the SAME_PROCESS that
+    ran when the proxy last knew all announcements.
 
     The row NAMES_NEWEST_TERM that a promotion may have begun; databases that do not
     answer are left out only if no later term than the known one is named. EVERY_CHANGE
@@ -37,6 +38,7 @@
     ENTRIES_AS_OF_CONFIRMATION = auto()
     IN_ORDER = auto()
     AFTER_EARLIER = auto()
+    SAME_PROCESS = auto()
     NAMES_NEWEST_TERM = auto()
     EVERY_CHANGE = auto()
     WITHDRAWN_COUNTS = auto()
--- a/tests/spec_reported_commits.py
+++ b/tests/spec_reported_commits.py
@@ -49,7 +49,8 @@
     that is cut off reports nothing at once. With `is_start_known` the database that is
     unknown at first starts later, and a proxy that is not cut off then knows that one
     is starting. With `is_start_slow` what replicas showed before the start, or the cut,
-    is out of date when that database first receives a commit.
+    is out of date when that database first receives a commit. `restarts` is how often
+    that database may start again, with its log and without its fence.
     """
 
     cuts: int = 1
@@ -58,6 +59,7 @@
     is_cut_noticed: bool = False
     is_start_known: bool = False
     is_start_slow: bool = False
+    restarts: int = 0
 
 
 class ReportingWorld(NamedTuple):
@@ -70,7 +72,8 @@
     `heard_end` is where the successor's log ends by the announcement that the proxy
     applies, or -1, and `has_heard` tells whether that is the present one. `pending_end`
     is where the log ends of a database that an earlier promotion may still promote, or
-    -1.
+    -1. `is_connection_new` is True if the unknown database has started again since the
+    proxy last knew all announcements.
     """
 
     primary: int = 0
@@ -94,6 +97,8 @@
     is_known: bool = False
     log_end: int = 0
     pending_end: int = NONE
+    restarts: int = 0
+    is_connection_new: bool = False
     is_lost: bool = False
 
 
@@ -143,6 +148,12 @@
                 knows_start=not world.is_cut,
                 is_recent=world.is_recent and not self._bounds.is_start_slow,
             )
+        if world.is_started and world.restarts < self._bounds.restarts:
+            yield "unknown restarts", world._replace(
+                unknown_fenced=False,
+                restarts=world.restarts + 1,
+                is_connection_new=True,
+            )
         if world.is_started and world.entry is Entry.NONE:
             entry = Entry.LATE if _is_announced(world) else Entry.EARLY
             yield "entry arrives", world._replace(entry=entry)
@@ -164,7 +175,8 @@
                 shown=max(world.shown, world.replica),
                 is_recent=world.is_recent or (has_all and self._bounds.at_once),
             )
-        if world.knows_entry:
+        is_unshown = world.is_connection_new and self._has(Rule.SAME_PROCESS)
+        if world.knows_entry and not is_unshown:
             shown = max(world.shown, world.unknown)
             yield "unknown's status", world._replace(shown=shown)
         if world.is_recent:
@@ -194,8 +206,13 @@
         if is_written and not world.is_cut and not world.has_heard:
             end = world.log_end if _has_announced(world) else world.pending_end
             yield "proxy hears of the change", world._replace(
-                has_heard=True, heard_end=end, is_opposed=world.reported > end
+                has_heard=True,
+                heard_end=end,
+                is_opposed=world.reported > end,
+                is_connection_new=False,
             )
+        elif world.is_connection_new and not world.is_cut:
+            yield "proxy hears of no change", world._replace(is_connection_new=False)
         if world.heard_end != NONE and not self._has(Rule.OUTLASTING):
             yield "announcement lapses", world._replace(heard_end=NONE)
 
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -11,6 +11,7 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.receipt_queries import MAX_WAIT_SECONDS
 from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Read, Write
+from tests.fake_announcements import FakeAnnouncementFeed
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -78,6 +79,22 @@
                 )
                 self.assertEqual(found, expected)
 
+    def test_answer_on_a_connection_counts_with_announcements_until_it_was_opened(
+        self,
+    ) -> None:
+        group = create_group()
+        for received, connected_at in ((Position(2, 7), 1.0), (Position(2, 9), 3.0)):
+            status = DatabaseStatus(False, 2, received, 0, connected_at)
+            group.record_status(group.members["q"], status, 4.0)
+        source = group.members["p"]
+        cases = ((7, 1.0, False), (7, 2.0, True), (9, 2.0, False), (9, 3.5, True))
+        for index, announced_at, expected in cases:
+            with self.subTest(index=index, announced_at=announced_at):
+                found = receipts.is_received(
+                    group, source, Position(2, index), 0, announced_at
+                )
+                self.assertEqual(found, expected)
+
     def test_primary_that_is_no_longer_taken_for_the_leader_shows_no_receipt(
         self,
     ) -> None:
@@ -172,20 +189,54 @@
         self,
     ) -> None:
         async def work(fixture: GroupFixture) -> None:
-            announced_revision = 5
-            fixture.fleet.follow_announcements(lambda: announced_revision)
+            announcements = FakeAnnouncementFeed(known_until=5)
+            fixture.fleet.follow_announcements(announcements)
             entries = {each.identifier: each.entry() for each in (fixture.leader,)}
             entries["far"] = replace(fixture.far.entry(), incarnation=2, revision=7)
             fixture.fleet.register(Directory(entries))
             reply = await fixture.run(fixture.session(), Write("i", "d"))
             self.assertIs(reply.code, Code.BUSY)
             self.assertEqual(fixture.leader.statement_names(), [])
-            announced_revision = 7
+            announcements.known_until = 7
             reply = await fixture.run(fixture.session(), Write("i", "d"))
             self.assertTrue(reply.is_success)
 
         run_with_fixture(work)
 
+    def test_receipt_on_a_new_connection_counts_once_announcements_are_known(
+        self,
+    ) -> None:
+        """Guards against a receipt of a process that no promoter has compared."""
+
+        async def work(fixture: GroupFixture) -> None:
+            announcements = FakeAnnouncementFeed(known_at=-1.0, is_reachable=False)
+            fixture.fleet.follow_announcements(announcements)
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+            self.assertEqual(announcements.requests, 0)
+            announcements.is_reachable = True
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertTrue(reply.is_success, reply.text)
+            self.assertEqual(announcements.requests, 1)
+
+        run_with_fixture(work)
+
+    def test_receipts_on_connections_that_stay_open_count_without_announcements(
+        self,
+    ) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            announcements = FakeAnnouncementFeed(known_at=-1.0)
+            fixture.fleet.follow_announcements(announcements)
+            await fixture.run(fixture.session(), Write("i", "d"))
+            announcements.is_reachable = False
+            for _ in range(20):
+                await asyncio.sleep(0.5)
+                fixture.fleet.close_idle()
+                reply = await fixture.run(fixture.session(), Write("i", "d"))
+                self.assertTrue(reply.is_success, reply.text)
+
+        run_with_fixture(work)
+
     def test_write_is_not_sent_without_a_replica_that_could_show_it(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.fleet.register(
--- a/tests/test_session_connections.py
+++ b/tests/test_session_connections.py
@@ -74,6 +74,20 @@
 
         run_virtual(work())
 
+    def test_connection_opened_first_is_acquired_first(self) -> None:
+        """Guards against closing the connection whose answers show the most."""
+
+        async def work() -> None:
+            fixture = PoolFixture(share=2)
+            first = await fixture.pool.acquire({}, 1.0)
+            second = await fixture.pool.acquire({}, 1.0)
+            self.assertLess(first.opened_at, second.opened_at)
+            fixture.pool.release(first)
+            fixture.pool.release(second)
+            self.assertIs(await fixture.pool.acquire({}, 1.0), first)
+
+        run_virtual(work())
+
     def test_cancelled_wait_leaks_nothing(self) -> None:
         async def work() -> None:
             fixture = PoolFixture(share=1)
--- a/tests/test_session_groups.py
+++ b/tests/test_session_groups.py
@@ -17,6 +17,7 @@
     read_requirement,
 )
 from beryltiller.sessions.statements import DatabaseStatus
+from tests.fake_announcements import FakeAnnouncementFeed
 
 
 def database(name: str, zone: str = "a", is_primary: bool = False) -> Database:
@@ -175,6 +176,29 @@
                 group.record_position(group.members["r1"], Position(1, index), 2.0)
                 self.assertEqual(group.is_term_proved(1.0), expected)
 
+    def test_replica_on_a_new_connection_proves_no_term_beyond_the_question(
+        self,
+    ) -> None:
+        """Guards against proofs by a process that restarted without its fence."""
+        cases = ((1.0, False), (1.5, True))
+        for announced_at, expected in cases:
+            with self.subTest(announced_at=announced_at):
+                group = self.proved_group()
+                group.announced.follow(FakeAnnouncementFeed(known_at=announced_at))
+                ahead = Position(1, 5)
+                group.record_position(group.members["r1"], ahead, 2.0, connected_at=1.2)
+                self.assertEqual(group.is_term_proved(1.0), expected)
+                group = self.proved_group()
+                group.announced.follow(FakeAnnouncementFeed(known_at=announced_at))
+                answers = [
+                    (group.members[name], replace(status(1), connected_at=1.2))
+                    for name in ("r1", "r2")
+                ]
+                group.record_lead(group.members["p"], 3.1)
+                group.record_round(answers, 3.0)
+                self.assertTrue(group.is_term_proved(3.0))
+                self.assertEqual(group.is_term_proved(3.01), expected)
+
     def test_evidence_of_one_leader_does_not_prove_another(self) -> None:
         """Guards against reading a replaced primary with its successor's proof."""
         group = self.proved_group()
--- a/tests/test_spec_reported_commits.py
+++ b/tests/test_spec_reported_commits.py
@@ -15,6 +15,7 @@
 
 SAFE = (
     ReportingBounds(cuts=2),
+    ReportingBounds(restarts=1),
     LaterTermBounds(),
     LaterTermBounds(is_proxy_cut=False),
     TERM_NOT_IN_ROW,
@@ -28,6 +29,7 @@
     (Rule.ENTRIES_AS_OF_CONFIRMATION, ReportingBounds()),
     (Rule.IN_ORDER, ReportingBounds()),
     (Rule.AFTER_EARLIER, ReportingBounds()),
+    (Rule.SAME_PROCESS, ReportingBounds(restarts=1)),
     (Rule.NAMES_NEWEST_TERM, LaterTermBounds()),
     (Rule.EVERY_CHANGE, LaterTermBounds()),
     (Rule.WITHDRAWN_COUNTS, LaterTermBounds()),
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -110,6 +110,27 @@
     def test_table_is_read_anew_if_the_history_is_lost(self) -> None:
         self.assertEqual(self.refresh(HistoryLostError("lost")), (True, 10))
 
+    def test_changes_are_known_until_the_store_was_asked(self) -> None:
+        """Guards against answers of later processes that count too early."""
+
+        async def work() -> None:
+            feed = RefreshFeed()
+            follower = TableFollower(feed, TABLE, lambda rows: None, random.Random(1))
+            run = asyncio.create_task(follower.run())
+            await asyncio.sleep(2.0)
+            self.assertEqual(follower.known_at, 0.0)
+            refresh = asyncio.create_task(follower.refresh())
+            await asyncio.sleep(1.0)
+            feed.answers.put_nowait(Changes(14, (), ()))
+            await refresh
+            self.assertEqual(follower.known_at, 2.0)
+            feed.answers.put_nowait(LostAnswerError("lost"))
+            await follower.refresh()
+            self.assertEqual(follower.known_at, 2.0)
+            run.cancel()
+
+        run_virtual(work())
+
     def test_failure_and_an_earlier_revision_are_told(self) -> None:
         for answer in (LostAnswerError("lost"), Changes(9, (), ())):
             with self.subTest(answer):
