Promote no log that lacks what proxies have reported

Cause: the primary is stepped down although no replica can succeed it; the comparison takes the longest of the replicas' logs for complete once all have answered, without the former primary; and objections ended 8 s after a commit, a bound from before commits needed a registered replica's receipt.

Now what a proxy has reported binds every promotion without a limit of time, until an earlier change is known to have dropped it; the promoter compares with it itself. A primary is asked to step down only beside a replica that works, or has answered with such a log. One that has stepped down may lead again if no replica reaches what was reported. Nothing is recorded of services without synchronous replicas, whose promotions may drop commits.

test_objects_to_the_loss_of_a_recently_reported_commit asked that an old commit is no reason to object. That was the fault; the test in its place asks for the objection however old the commit is, and for none once an earlier change has dropped it.

--- a/src/beryltiller/sessions/commits.py
+++ b/src/beryltiller/sessions/commits.py
@@ -43,7 +43,8 @@
         nothing of the term.
         """
         member = acquired.placement.member
-        if self._needs_receipt(group):
+        needs_receipt = self._needs_receipt(group)
+        if needs_receipt:
             position = reply.position
             is_received = position is not None and await self._fleet.receipts.wait(
                 group, member, position, deadline
@@ -54,8 +55,8 @@
         group.record_commit(member, acquired.asked_at, reply.position)
         # The commit may have shown that the member leads, so its position counts now.
         group.record_position(member, reply.position, acquired.asked_at)
-        if reply.position is not None:
-            group.changes.record_reported(reply.position, self._clock())
+        if needs_receipt and reply.position is not None:
+            group.changes.record_reported(reply.position)
 
     def _needs_receipt(self, group: Group) -> bool:
         """Return True if commits are reported only once a replica shows them."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -263,6 +263,7 @@
         leader = self.leader
         is_new = leader is None or (member is not leader and is_newer)
         member.record_lead(status.term, status.received)
+        self._changes.record_lead(status.term, status.received)
         if status.term >= self._leadership.term:
             member.has_denied_lead = False
             member.has_reported_lead = True
--- a/src/beryltiller/sessions/databases/primary_change.py
+++ b/src/beryltiller/sessions/databases/primary_change.py
@@ -13,16 +13,11 @@
 from dataclasses import dataclass
 
 from beryltiller.core.position import ORIGIN, Position
-from beryltiller.sessions.databases.member import NEVER
 from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 
 # A promotion is requested up to 2.8 s after the claim, which comes before the
 # announcement; it has taken effect by then.
 CHANGE_SECONDS = 5.0
-# The entry of a database that joined is known to all proxies after this time. It is no
-# reason to object for longer: a position that was answered with may include a commit
-# that was not acknowledged.
-OBJECTION_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,8 +52,8 @@
     """What one proxy knows of an announced change, and the commits that it reported.
 
     >>> tracker = ChangeTracker()
-    >>> tracker.record_reported(Position(2, 8), now=1.0)
-    >>> tracker.objects_to(PrimaryChange(2, Position(2, 7)), known_term=2, now=2.0)
+    >>> tracker.record_reported(Position(2, 8))
+    >>> tracker.objects_to(PrimaryChange(2, Position(2, 7)), known_term=2)
     True
     """
 
@@ -68,7 +63,6 @@
         self._over: PrimaryChange | None = None
         self._reported_anywhere = ORIGIN
         self._reported = ORIGIN
-        self._reported_at = NEVER
         self._later_term = 0
         self._named_at: dict[str, float] = {}
         self._met: set[str] = set()
@@ -148,10 +142,24 @@
         """
         self._over = change
         self._named_at.clear()
+        if change.drops(self.reported_anywhere):
+            self._forget_reported_beyond(change.log_end)
         for token, each in self._announced.items():
             if each.change.log_end == change.log_end:
                 self._announced[token] = _AnnouncedChange(change, each.until)
 
+    def record_lead(self, term: int, log_end: Position) -> None:
+        """Record that a primary leads in `term` from a log that ended at `log_end`.
+
+        Commits of earlier terms beyond that are dropped for good.
+        """
+        if self.reported_anywhere.term < term and self.reported_anywhere > log_end:
+            self._forget_reported_beyond(log_end)
+
+    def _forget_reported_beyond(self, log_end: Position) -> None:
+        self._reported = min(self._reported, log_end)
+        self._reported_anywhere = min(self._reported_anywhere, log_end)
+
     def record_objection(self, reported: Position) -> None:
         """Record that a proxy objected, as it has reported a commit at a position."""
         self._reported_anywhere = max(self._reported_anywhere, reported)
@@ -160,11 +168,12 @@
         """Record that the promotion of a claim will not be requested."""
         self._announced.pop(token, None)
 
-    def record_reported(self, position: Position, now: float) -> None:
-        """Record the answer to a commit that is reported to its caller as done."""
-        if position > self._reported:
-            self._reported = position
-            self._reported_at = now
+    def record_reported(self, position: Position) -> None:
+        """Record the answer to a commit that is reported to its caller as done.
+
+        A registered replica has shown that its log reaches the position.
+        """
+        self._reported = max(self._reported, position)
 
     def under_way(self, term: int, now: float) -> PrimaryChange | None:
         """Return the newest change under way, or None.
@@ -200,7 +209,7 @@
             if now <= each.until
         )
 
-    def objects_to(self, change: PrimaryChange, known_term: int, now: float) -> bool:
+    def objects_to(self, change: PrimaryChange, known_term: int) -> bool:
         """Return True if the promotion drops a commit that was reported as done.
 
         Whoever knows of a later term than those replaced objects in any case: the
@@ -208,10 +217,9 @@
         """
         return (
             known_term > change.replaced_term
-            or self.reported_beyond(change, now) is not None
+            or self.reported_beyond(change) is not None
         )
 
-    def reported_beyond(self, change: PrimaryChange, now: float) -> Position | None:
-        """Return where a commit beyond the successor's log was reported recently."""
-        is_recent = now <= self._reported_at + OBJECTION_SECONDS
-        return self._reported if is_recent and self._reported > change.log_end else None
+    def reported_beyond(self, change: PrimaryChange) -> Position | None:
+        """Return where a commit beyond the successor's log was reported, or None."""
+        return self._reported if self._reported > change.log_end else None
--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -91,7 +91,7 @@
         if present.version != version or len(present.lacking) >= MAX_NAMES:
             # A row that is full may leave out names.
             return False
-        return not group.changes.objects_to(present.covering, group.term, self._clock())
+        return not group.changes.objects_to(present.covering, group.term)
 
     async def withdraw(
         self, service: str, token: int, is_over: bool = False, successor_term: int = 0
@@ -185,16 +185,16 @@
 
         Others may have objected with a commit that they have reported, which suffices.
         """
-        group, now = self._fleet.group(announcement.service), self._clock()
+        group = self._fleet.group(announcement.service)
         covering, objection = announcement.covering, announcement.objection
         lacking = self._lacking(announcement)
-        if not lacking and not group.changes.objects_to(covering, group.term, now):
+        if not lacking and not group.changes.objects_to(covering, group.term):
             return None
         later_term = announcement.later_term
         if group.term > covering.replaced_term:
             later_term = max(later_term, group.term)
         if objection is None:
-            objection = group.changes.reported_beyond(covering, now)
+            objection = group.changes.reported_beyond(covering)
         opposed = replace(
             announcement,
             objection=objection,
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -47,7 +47,8 @@
     those that answered and are not fenced in the succession's term, `silent` those that
     did not answer and must be waited for, and `left_out` those that need not be.
     `longest` is the end of the most advanced log, and `successor` a replica that has
-    it, or "" if none of those whose names are known has it.
+    it, or "" if none of those whose names are known has it. With `lacks_reported` it
+    does not reach a commit that was reported: the logs that had it are lost.
     """
 
     primaries: Mapping[str, DatabaseStatus]
@@ -59,6 +60,12 @@
     left_out: Mapping[str, LeftOut]
     longest: Position
     successor: str
+    lacks_reported: bool = False
+
+    @property
+    def has_candidate(self) -> bool:
+        """Return True if a database that answered may succeed the primary."""
+        return bool(self.successor) and not self.lacks_reported
 
     @property
     def change(self) -> PrimaryChange:
@@ -68,7 +75,7 @@
     @property
     def is_conclusive(self) -> bool:
         """Return True if all that may hold commits are fenced and one can succeed."""
-        return bool(self.successor) and not self.silent and not self.not_fenced
+        return self.has_candidate and not self.silent and not self.not_fenced
 
     @property
     def has_present_primary(self) -> bool:
@@ -120,6 +127,7 @@
         left_out=left_out,
         longest=longest,
         successor=_choose_successor(view, succession, answers, longest),
+        lacks_reported=longest < view.reported,
     )
 
 
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -68,6 +68,8 @@
             _former_leaders(group),
             leader.reported_primary_term if leader else 0,
             group.changes.later_term,
+            group.changes.reported_anywhere,
+            any(member.failing_since is None for member in group.replicas),
         )
 
     def _record_primaryless(self, group: Group, now: float) -> None:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -161,12 +161,23 @@
     ) -> Decision:
         state, actions = self._fence_replicas(state, succession, Phase.FENCING, now)
         current = state.successions.get(succession.service)
-        if current is None or succession.former_primary is None:
+        if current is None or not state.groups[succession.service].has_working_replica:
             return state, actions
+        state, step_down = self._step_down(state, current)
+        return state, (*step_down, *actions)
+
+    def _step_down(self, state: State, succession: Succession) -> Decision:
+        """Ask the former primary to step down, as some replica may succeed it.
+
+        Without one that would only take a primary away that may still work.
+        """
+        if succession.former_primary is None:
+            return state, ()
         step_down = StepDownPrimary(
-            succession.service, current.term, succession.former_primary
+            succession.service, succession.term, succession.former_primary
         )
-        return state, (step_down, *actions)
+        asked = replace(succession, asked_step_down=True)
+        return store_succession(state, asked), (step_down,)
 
     def _fence_replicas(
         self, state: State, succession: Succession, phase: Phase, now: float
@@ -185,6 +196,8 @@
             succession, phase=phase, term=term, next_step_at=now + 60.0
         )
         replicas = tuple(name for name in view.replicas if name != former_primary)
+        if former_primary is not None and succession.recalls_former:
+            replicas = (*replicas, former_primary)
         departed = tuple(name for name in view.departed if name != former_primary)
         since = succession.possible_partition_since
         fence = FenceReplicas(
@@ -215,9 +228,19 @@
             # The group has a primary that this proxy had not learned of.
             return self._finish(state, succession, now)
         knows_less = bool(found.silent & event.unknown)
-        succession = replace(succession, knows_less=knows_less)
+        recalls_former = succession.recalls_former or (
+            found.lacks_reported and succession.former_log_end is not None
+        )
+        succession = replace(
+            succession, knows_less=knows_less, recalls_former=recalls_former
+        )
         if not found.is_conclusive:
-            return self._retry_fencing(state, succession, found, now)
+            state, actions = self._retry_fencing(state, succession, found, now)
+            retried = state.successions.get(service)
+            if retried and found.has_candidate and not retried.asked_step_down:
+                state, step_down = self._step_down(state, retried)
+                actions = (*step_down, *actions)
+            return state, actions
         is_other = found.successor != succession.successor
         if is_other and succession.promotion_may_take_effect:
             # The one whose promotion was requested may lead before another one does.
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -170,6 +170,10 @@
         status = await self._commands.send(service, name, StepDown(action.term))
         if status is None or status.is_primary:
             return None
+        group = self._fleet.group(service)
+        member = group.members.get(name)
+        if member is not None:
+            group.record_lead_denied(member)
         # An unfenced replica could start to follow another primary.
         await self._commands.send(service, name, Fence(action.term))
         received = str(status.received)
@@ -178,7 +182,6 @@
                 service, name, action.term, received, led_term
             )
         )
-        member = self._fleet.group(service).members.get(name)
         reached = known_log(member) if member else None
         if led_term != status.term or (reached and status.received < reached):
             return None
--- a/src/beryltiller/sessions/succession/state.py
+++ b/src/beryltiller/sessions/succession/state.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
-from beryltiller.core.position import Position
+from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 
@@ -45,6 +45,8 @@
     is the term in which the leader has shown that it leads, or 0 before, and
     `opposing_term` the newest one that a proxy has objected with to a change, or 0.
     `fenced_since` is since when some replica has shown a fence whenever it was asked.
+    `reported` is the newest position known of a commit that a proxy has reported.
+    `has_working_replica` is False if every replica has failed since its last answer.
     """
 
     service: str
@@ -64,6 +66,8 @@
     former_leaders: Mapping[str, Position] = field(default_factory=dict)
     leader_term: int = 0
     opposing_term: int = 0
+    reported: Position = ORIGIN
+    has_working_replica: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -340,9 +344,11 @@
     `waiting_since` is when this proxy decided to claim the duty or, once AWAITING, when
     the platform accepted the promotion. `former_log_end` is the end of the former
     primary's log, and `former_term` the term in which it led, known once it has stepped
-    down. `claimed_at` is when the duty was asked for, `accepted_at` when the store had
-    granted it, and `deadline` the last moment at which the claim, with fencing token
-    `token`, may be used to promote or unfence.
+    down; `asked_step_down` is True once it was asked to. With `recalls_former` it may
+    lead again, as the replicas' logs do not reach what was reported. `claimed_at` is
+    when the duty was asked for, `accepted_at` when the store had granted it, and
+    `deadline` the last moment at which the claim, with fencing token `token`, may be
+    used to promote or unfence.
     `refused_successors` are replicas that the platform reported as not running.
     `unknown_replacements` are the ended databases at whose addresses unknown ones were
     fenced. `fenced_here` are those that this proxy has fenced, and
@@ -365,6 +371,8 @@
     possible_partition_since: float = 0.0
     former_log_end: Position | None = None
     former_term: int = 0
+    asked_step_down: bool = False
+    recalls_former: bool = False
     token: int = 0
     claimed_at: float = 0.0
     accepted_at: float = 0.0
--- a/tests/simulated_lifecycle.py
+++ b/tests/simulated_lifecycle.py
@@ -38,11 +38,12 @@
         )
 
     async def restart_empty(self, database: SimulatedDatabase, seconds: float) -> None:
-        """End a database that comes back empty, if no commit is lost with its log."""
+        """End a database that comes back empty, but no primary with the only log."""
         checker = self._simulation.checker
         if not database.is_running:
             return
-        if checker.has_copies(self._group, without=database):
+        is_primary = database is self._group.primary
+        if not is_primary or checker.has_copies(self._group, without=database):
             await self.restart_without_log(database, seconds)
 
     async def restart_without_log(
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -15,7 +15,6 @@
 )
 from beryltiller.sessions.databases.primary_change import (
     CHANGE_SECONDS,
-    OBJECTION_SECONDS,
     ChangeTracker,
     PrimaryChange,
 )
@@ -66,27 +65,37 @@
         tracker.withdraw()
         self.assertIsNone(tracker.under_way(1, 0.6))
 
-    def test_objects_to_the_loss_of_a_recently_reported_commit(self) -> None:
-        cases = (
-            ("lost", Position(1, 11), 1.0, True),
-            ("kept", Position(1, 10), 1.0, False),
-            ("reported long ago", Position(1, 11), 1.1 + OBJECTION_SECONDS, False),
-        )
-        for name, reported, now, expected in cases:
-            with self.subTest(name):
+    def test_objects_to_the_loss_of_a_reported_commit_however_long_ago(self) -> None:
+        """Guards against promoting an empty replica once commits are some time old."""
+        for reported, expected in ((Position(1, 11), True), (Position(1, 10), False)):
+            with self.subTest(reported=reported):
                 tracker = ChangeTracker()
-                tracker.record_reported(reported, 1.0)
-                self.assertEqual(tracker.objects_to(CHANGE, 1, now), expected)
+                tracker.record_reported(reported)
+                self.assertEqual(tracker.objects_to(CHANGE, 1), expected)
+
+    def test_does_not_object_for_a_commit_that_an_earlier_change_has_dropped(
+        self,
+    ) -> None:
+        for is_told_by_the_row in (True, False):
+            tracker = ChangeTracker()
+            tracker.record_reported(Position(1, 11))
+            if is_told_by_the_row:
+                tracker.record_over(CHANGE)
+            else:
+                tracker.record_lead(2, CHANGE.log_end)
+            following = PrimaryChange(2, CHANGE.log_end)
+            self.assertFalse(tracker.objects_to(following, 2))
+            self.assertEqual(tracker.reported_anywhere, CHANGE.log_end)
 
     def test_objects_if_a_later_term_than_those_replaced_is_known(self) -> None:
         """Guards against a promotion that drops what a later primary acknowledged."""
         for reported in (Position(1, 5), Position(2, 11)):
-            for known_term, expected in ((1, False), (2, True), (3, True)):
+            is_lost = reported > CHANGE.log_end
+            for known_term, expected in ((1, is_lost), (2, True), (3, True)):
                 with self.subTest(reported=reported, known_term=known_term):
                     tracker = ChangeTracker()
-                    tracker.record_reported(reported, 1.0)
-                    long_after = 1.1 + OBJECTION_SECONDS
-                    found = tracker.objects_to(CHANGE, known_term, long_after)
+                    tracker.record_reported(reported)
+                    found = tracker.objects_to(CHANGE, known_term)
                     self.assertEqual(found, expected)
 
 
@@ -246,7 +255,7 @@
             self._proxy()
             changes = self._newest_group.changes
             if reported is not None:
-                changes.record_reported(reported, virtual_now())
+                changes.record_reported(reported)
             version = version_of(await promoter.announce("s", CHANGE, 7))
             await pass_time(2 * FEED_SECONDS)
             is_unopposed = await promoter.is_unopposed("s", version)
@@ -304,7 +313,7 @@
             for group in (own, self._newest_group):
                 position = Position(2, 11)
                 group.record_position(group.members["near"], position, virtual_now())
-                group.changes.record_reported(position, virtual_now())
+                group.changes.record_reported(position)
             row = self.announcements.rows["s"]
             if is_over:
                 await promoter.withdraw("s", 7, is_over=True, successor_term=2)
@@ -333,7 +342,7 @@
         async def work() -> bool:
             promoter = self._proxy()
             self._proxy()
-            self._newest_group.changes.record_reported(Position(1, 11), virtual_now())
+            self._newest_group.changes.record_reported(Position(1, 11))
             version = version_of(await promoter.announce("s", CHANGE, 7))
             self.announcements.hanging_writes = 1
             await pass_time(2 * FEED_SECONDS + HEDGE_SECONDS)
@@ -344,7 +353,7 @@
     def test_objection_does_not_replace_a_later_announcement(self) -> None:
         async def work() -> Announcement:
             promoter, other = self._proxy(), self._proxy()
-            self._newest_group.changes.record_reported(Position(1, 11), virtual_now())
+            self._newest_group.changes.record_reported(Position(1, 11))
             await promoter.announce("s", CHANGE, 7)
             early = self.announcements.rows["s"]
             await promoter.announce("s", PrimaryChange(2, Position(2, 20)), 8)
