Run a transaction's statements and its commit by one function

The same choice, of the transaction's connection or of a database to begin at, stood twice. No behaviour changes: test_session_serving and test_platform_ingress pass.

--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -78,14 +78,7 @@
         request = Request(statement, identifier)
         deadline = arrived + transaction.route.timeout_seconds
         try:
-            if transaction.acquired is None:
-                reply = await self._run_first_statement(
-                    session, transaction, request, deadline
-                )
-            else:
-                reply = await self._run_next_statement(
-                    session, transaction, request, deadline
-                )
+            reply = await self._run(session, transaction, request, deadline)
         except SessionError as error:
             await self.roll_back_open(session)
             code = error.code if isinstance(error, NotSentError) else Code.ABORTED
@@ -97,6 +90,19 @@
             transaction.has_written = True
         return reply
 
+    async def _run(
+        self,
+        session: Session,
+        transaction: Transaction,
+        request: Request,
+        deadline: float,
+    ) -> Reply:
+        """Run a statement where the transaction is open, or begin it somewhere."""
+        run = self._run_next_statement
+        if transaction.acquired is None:
+            run = self._run_first_statement
+        return await run(session, transaction, request, deadline)
+
     async def _run_next_statement(
         self,
         session: Session,
@@ -276,14 +282,7 @@
         request = Request(Commit(), identifier)
         deadline = arrived + transaction.route.timeout_seconds
         try:
-            if transaction.acquired is None:
-                reply = await self._run_first_statement(
-                    session, transaction, request, deadline
-                )
-            else:
-                reply = await self._run_next_statement(
-                    session, transaction, request, deadline
-                )
+            reply = await self._run(session, transaction, request, deadline)
         except SessionError as error:
             await self.roll_back_open(session)
             session.state = SessionState.IDLE
