Let surveys count up to what is known of the entries, and share them

Each survey read the entries once more, as long as any read waited for one, and surveys followed each other without a pause.

A commit is reported on the receipt of a registered database, so a survey needs the entries until the moment up to which a read must see commits, not until its own question. A round of questions serves all reads of its age too, and one that does not count is repeated after 0.1 s. For the receipt of a commit a replica that had commits before is asked first, and none while a question to it is out.

Evidence: CostTest of test_surveys, 50 reads in a second beside a primary that is gone: at most two readings and three questions to a replica, and no reading while the feed is recent. The two new tests of test_receipts fail on the code before (3 questions for 1, 5 for 1).

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -145,7 +145,9 @@
             records.DATABASES_TABLE, self._update_registry
         )
         self._announcements = self._follow(CHANGES_TABLE, self._observe_announcements)
-        self._fleet.read_entries_with(self._read_entries)
+        self._fleet.read_entries_with(
+            self._read_entries, lambda: self._databases_follower.known_at
+        )
         self._fleet.follow_announcements(self._announcements)
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
@@ -185,7 +187,9 @@
 
     def _follow(self, table: str, on_rows: Callable[[Rows], None]) -> TableFollower:
         relay_runner = self._relay_runner
-        follower = TableFollower(self._store, table, on_rows, self._rng, relay_runner)
+        follower = TableFollower(
+            self._store, table, on_rows, self._rng, relay_runner, clock=boot_clock
+        )
         if relay_runner is not None:
             relay_runner.add_follower(follower)
         self._spawn(periodic.run_forever(follower.run))
--- /dev/null
+++ b/src/beryltiller/sessions/clocks.py
@@ -0,0 +1,8 @@
+"""The clock that is used where no other one is given."""
+
+import asyncio
+
+
+def loop_time() -> float:
+    """Return the time of the running event loop, in seconds."""
+    return asyncio.get_running_loop().time()
--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from beryltiller.admission.ledgers import ConnectionLedger, ConnectionLedgerPolicy
+from beryltiller.sessions.clocks import loop_time
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionLimit,
     ConnectionPoolPolicy,
@@ -35,9 +36,14 @@
         connect: Connect,
         semaphore: PrioritySemaphore,
         policy: ConnectionPoolPolicy,
+        clock: Callable[[], float] = loop_time,
     ) -> None:
-        """Create an empty pool; connections are opened on demand."""
+        """Create an empty pool; connections are opened on demand.
+
+        `clock` dates their openings.
+        """
         self._connect = connect
+        self._clock = clock
         self._limit = ConnectionLimit(policy)
         ledger_policy = ConnectionLedgerPolicy(
             minimum=1, spare=0, idle_seconds=policy.idle_seconds
@@ -110,7 +116,7 @@
             return found
         serial = self._ledger.begin_opening_one()
         if serial is None:
-            return _pooled(await self._connect())
+            return PooledConnection(await self._connect(), self._clock())
         return await self._open(serial, None)
 
     def release(self, pooled: PooledConnection) -> None:
@@ -212,7 +218,8 @@
             raise
         finally:
             self._notify_waiter(None)
-        pooled = self._connections[serial] = _pooled(connection, serial)
+        pooled = PooledConnection(connection, self._clock(), serial)
+        self._connections[serial] = pooled
         self._ledger.acquire_opened(serial)
         return pooled
 
@@ -264,7 +271,3 @@
         for serial in serials:
             self._connections.pop(serial).close()
             self._ledger.record_closed(serial)
-
-
-def _pooled(connection: DatabaseConnection, serial: int = 0) -> PooledConnection:
-    return PooledConnection(connection, asyncio.get_running_loop().time(), serial)
--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -63,8 +63,8 @@
     """A pooled database connection with the session state last set on it.
 
     `values` are the session values set at the database, or None if they are unknown.
-    `opened_at` is when it had been opened, in seconds on the event loop's clock: the
-    database's process has been the same since then.
+    `opened_at` is when it had been opened: the database's process has been the same
+    since then.
     """
 
     def __init__(
--- a/src/beryltiller/sessions/databases/announced.py
+++ b/src/beryltiller/sessions/databases/announced.py
@@ -4,7 +4,7 @@
 of a process that may have started later shows what a promoter will find only with the
 announcements that were made until then.
 
-Moments are seconds on the event loop's clock. Use this on a single event loop.
+Use this on a single event loop.
 """
 
 import asyncio
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -25,8 +25,10 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.present_entries import (
+    KnownAt,
     PresentEntries,
     ReadEntries,
+    never,
 )
 from beryltiller.sessions.databases.receipt_queries import ReceiptQueries
 from beryltiller.sessions.databases.status_queries import (
@@ -85,7 +87,7 @@
         self._directory = Directory()
         self._groups: dict[str, Group] = {}
         self._connection_pools: dict[PoolKey, ConnectionPool] = {}
-        self._entries = PresentEntries()
+        self._entries = PresentEntries(clock)
         self._announced = KnownAnnouncements()
         self._status_queries = StatusQueries(
             self.connection_pool,
@@ -153,13 +155,16 @@
         """
         self._announced.follow(feed)
 
-    def read_entries_with(self, read_entries: ReadEntries) -> None:
-        """Count surveys if a reading of the store's entries finds no other database.
+    def read_entries_with(
+        self, read_entries: ReadEntries, known_at: KnownAt = never
+    ) -> None:
+        """Count surveys up to the moment until which the store's entries are known.
 
         `read_entries` registers the entries that the store has when it is called, and
-        returns False if that fails. Without this call no survey counts.
+        returns False if that fails. `known_at` returns until when they are known
+        without that. Without this call no survey counts.
         """
-        self._entries.read_with(read_entries)
+        self._entries.read_with(read_entries, known_at)
 
     def newest_registration(self) -> int:
         """Return the newest revision at which a database's entry was first read."""
@@ -201,14 +206,14 @@
         """
         return await self._status_queries.prove_term(group, moment, wait_seconds)
 
-    async def survey(self, group: Group) -> None:
+    async def survey(self, group: Group, moment: float) -> None:
         """Query the log positions of all databases; one of them may fail to answer.
 
-        They show which commits were acknowledged, so that reads with a maximum age
-        can be served while the primary is unreachable. It counts only if the store
-        shows that no other database is registered.
+        They show which commits were acknowledged before `moment`, so that reads with a
+        maximum age can be served while the primary is unreachable. It counts only if
+        the store shows that no other database was registered until then.
         """
-        await self._status_queries.survey(group)
+        await self._status_queries.survey(group, moment)
 
     async def find_leader(self, group: Group) -> None:
         """Query the databases for their leader if no working one is known.
@@ -359,7 +364,10 @@
         share = max(MIN_CONNECTIONS, round(cap * CONNECTION_SHARE))
         semaphore = PrioritySemaphore(database.slots + EXTRA_STATEMENTS)
         return ConnectionPool(
-            lambda: self._connect(database), semaphore, ConnectionPoolPolicy(share)
+            lambda: self._connect(database),
+            semaphore,
+            ConnectionPoolPolicy(share),
+            self._clock,
         )
 
     def _close_removed_pools(self) -> None:
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from weakref import WeakSet
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases import receipts
@@ -59,7 +60,8 @@
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
         self._rounds: dict[str, asyncio.Task[None]] = {}
-        self._queries: set[asyncio.Task[None]] = set()
+        self._queries: dict[Member, asyncio.Task[None]] = {}
+        self._behind: WeakSet[Member] = WeakSet()
 
     def is_overdue(self, group: Group) -> bool:
         """Return True if a commit of the leader has waited for its receipt for long.
@@ -101,7 +103,7 @@
 
     def close(self) -> None:
         """Cancel all queries under way."""
-        for task in (*self._rounds.values(), *self._queries):
+        for task in (*self._rounds.values(), *self._queries.values()):
             task.cancel()
 
     def _start_rounds(self, group: Group) -> None:
@@ -114,9 +116,10 @@
         pause = FIRST_PAUSE_SECONDS
         while self._is_waiting(group):
             for replica in self._by_preference(group):
-                query = asyncio.create_task(self._ask_replica(group, replica))
-                self._queries.add(query)
-                query.add_done_callback(self._queries.discard)
+                query = self._queries.get(replica)
+                if query is None:
+                    query = asyncio.create_task(self._ask_replica(group, replica))
+                    self._queries[replica] = query
                 await asyncio.wait((query,), timeout=HEDGE_SECONDS)
                 if not self._is_waiting(group):
                     return
@@ -148,13 +151,17 @@
         return receipts.is_received(group, source, position, self._announced.until)
 
     def _by_preference(self, group: Group) -> list[Member]:
-        """Return the replicas to ask; the log of a draining one may soon be gone."""
+        """Return the replicas to ask, first those that had the commits before.
+
+        The log of a draining one may soon be gone.
+        """
         now = self._clock()
         replicas = [each for each in group.replicas if each.is_available(now)]
         return sorted(
             replicas,
             key=lambda each: (
                 each.database.is_draining,
+                each in self._behind,
                 not self._is_local(each),
                 each.expected_latency_seconds(),
             ),
@@ -162,9 +169,15 @@
 
     async def _ask_replica(self, group: Group, replica: Member) -> None:
         asked_at = self._clock()
+        waited_for = [each.position for each in self._waiting[group.service]]
+        self._behind.add(replica)
         try:
             status = await self._ask_status(replica)
         except (SessionError, TimeoutError):
             # Another replica, or a later round, may show the receipt.
             return
+        finally:
+            del self._queries[replica]
+        if status.received >= max(waited_for, default=status.received):
+            self._behind.discard(replica)
         group.record_status(replica, status, asked_at, NO_PROOF_SECONDS)
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -33,7 +33,7 @@
     """Return True if a registered replica has a commit that `source` acknowledged.
 
     Announced changes of primary are known up to the revision `announced_revision`, and
-    up to the moment `announced_at` on the event loop's clock.
+    up to the moment `announced_at`.
     A replica that follows a later primary may have rolled the commit back, and one that
     was primary in the commit's term itself does not hold a copy. The log of a draining
     replica is soon gone: it counts only if there is no other one.
--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -37,6 +37,8 @@
 # How long a statement waits for a survey. One that is still without a database then
 # is refused early, so that its caller can try another proxy, or is retried here.
 SURVEY_WAIT_SECONDS = 0.04
+# Minimum time between the rounds of two surveys, if the first does not count.
+SURVEY_INTERVAL_SECONDS = 0.1
 # Minimum time between two searches for a leader in a group that has no working one.
 FIND_LEADER_INTERVAL_SECONDS = 0.3
 # Minimum time between two queries of a database that claims to lead without stating
@@ -86,6 +88,7 @@
         self._clock = clock
         self._proofs: dict[str, asyncio.Task[None]] = {}
         self._rounds: dict[str, asyncio.Task[_Round]] = {}
+        self._last_rounds: dict[str, _Round] = {}
         self._surveys: dict[str, asyncio.Task[None]] = {}
         self._queries: set[asyncio.Task[DatabaseStatus | None]] = set()
         self._leader_queried_at: dict[str, float] = {}
@@ -120,16 +123,16 @@
             await asyncio.wait((proof,), timeout=left)
         return group.is_term_proved(moment)
 
-    async def survey(self, group: Group) -> None:
+    async def survey(self, group: Group, moment: float) -> None:
         """Query the log positions of all databases; one of them may fail to answer.
 
-        They show which commits were acknowledged, so that reads with a maximum age
-        can be served while the primary is unreachable. It counts only if the store
-        shows that no other database is registered.
+        They show which commits were acknowledged before `moment`, so that reads with a
+        maximum age can be served while the primary is unreachable. It counts only if
+        the store shows that no other database was registered until then.
         """
         survey = self._surveys.get(group.service)
         if survey is None:
-            survey = asyncio.create_task(self._survey(group))
+            survey = asyncio.create_task(self._survey(group, moment))
             self._surveys[group.service] = survey
         await asyncio.wait((survey,), timeout=SURVEY_WAIT_SECONDS)
 
@@ -303,25 +306,42 @@
                     # A shorter log is not the one that received the commits.
                     positions.append(status.received)
             group.record_round(answers, asked_at)
-            return _Round(asked_at, members, failing_since, departed, tuple(positions))
+            found = _Round(asked_at, members, failing_since, departed, tuple(positions))
+            self._last_rounds[group.service] = found
+            return found
         finally:
             del self._rounds[group.service]
 
-    async def _survey(self, group: Group) -> None:
-        """Record a round as a survey if no database was left out.
+    async def _survey(self, group: Group, moment: float) -> None:
+        """Record a round since `moment` as a survey if no database was left out.
 
-        The entries are read after the round has begun: a database that had received
-        commits reported until then, but was not known here, is found by that.
+        A database that received commits reported until a moment was registered then. So
+        the survey counts up to the moment until which all entries are known.
         """
         try:
-            asked = self._ask_round(group)
-            are_read = await self._entries.read()
-            found = await asked
-            if are_read and self._is_of_all(group, found):
-                group.record_survey(found.positions, found.asked_at)
+            found, _ = await asyncio.gather(
+                self._round_since(group, moment), self._entries.learn(moment)
+            )
+            if found is not None and self._is_of_all(group, found):
+                known_at = self._entries.known_at
+                group.record_survey(found.positions, min(found.asked_at, known_at))
         finally:
             del self._surveys[group.service]
 
+    async def _round_since(self, group: Group, moment: float) -> _Round | None:
+        """Return a round of queries that were sent after `moment`.
+
+        The last one serves if it was complete. Another one begins some time after it;
+        return None before that.
+        """
+        last = self._last_rounds.get(group.service)
+        if last is not None:
+            if last.asked_at >= moment and self._is_of_all(group, last):
+                return last
+            if self._clock() < last.asked_at + SURVEY_INTERVAL_SECONDS:
+                return None
+        return await self._ask_round(group)
+
     def _is_of_all(self, group: Group, found: _Round) -> bool:
         """Return True if all databases but one answered, of those known by now."""
         if group.leader is None:
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -118,7 +118,7 @@
             return placement
         if requirement.acknowledged_before >= self._clock() - SURVEY_MIN_AGE_SECONDS:
             return None
-        await self._fleet.survey(group)
+        await self._fleet.survey(group, requirement.acknowledged_before)
         return self._place_read(group, requirement, tried)
 
     def _place_read(
--- a/src/beryltiller/sessions/statements.py
+++ b/src/beryltiller/sessions/statements.py
@@ -222,8 +222,8 @@
 
     `received` is the end of its log, or `NO_POSITION` if the log is empty or its end is
     not known. `fenced_term` is 0 if it is not fenced. `connected_at` is when the
-    connection that it was answered on had been opened, on the event loop's clock: it is
-    of a process that ran then.
+    connection that it was answered on had been opened: it is of a process that ran
+    then.
     """
 
     is_primary: bool
--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -20,6 +20,7 @@
     TableFeed,
 )
 from beryltiller.observability import logs, session_events
+from beryltiller.sessions.clocks import loop_time
 from beryltiller.sessions.tables.relay import TableChange, TableState
 
 # How long a request to the feed waits for a change. An open connection that has fallen
@@ -87,11 +88,13 @@
         rng: random.Random,
         relay: RelayPort | None = None,
         wait_seconds: float = FEED_WAIT_SECONDS,
+        clock: Callable[[], float] = loop_time,
     ) -> None:
         """Call `on_rows` with all rows of the table after each change.
 
         `rng` supplies the jitter of retries. Without `relay` the store is always
-        polled. A poll waits for a change for up to `wait_seconds`.
+        polled. A poll waits for a change for up to `wait_seconds`. `clock` dates what
+        is known.
         """
         self._feed = feed
         self._table = table
@@ -99,6 +102,7 @@
         self._rng = rng
         self._relay = relay or NoRelay()
         self._wait_seconds = wait_seconds
+        self._clock = clock
         self._rows: dict[str, Row] = {}
         self._revision: int | None = None
         self._changed_at = 0
@@ -146,7 +150,7 @@
 
     @property
     def known_at(self) -> float:
-        """Return until when all changes are known, on the event loop's clock.
+        """Return the moment until which all changes are known.
 
         This is when the store was asked last of those requests that it answered.
         """
@@ -234,7 +238,7 @@
 
     async def _read_present(self, since: int) -> bool:
         """Read what the store has now; return False if that is no later state."""
-        asked_at = _now()
+        asked_at = self._clock()
         try:
             changes = await self._feed.read_changes(self._table, since, 0.0)
         except HistoryLostError:
@@ -255,7 +259,7 @@
 
     async def _poll_store(self) -> None:
         since = self._revision
-        asked_at = _now()
+        asked_at = self._clock()
         if since is None:
             scan = await self._feed.read_all(self._table)
             self._replace(scan.rows, scan.revision)
@@ -345,7 +349,3 @@
             self._relay.publish(None)
         delay = backoff_seconds(_BACKOFF, self._failures, self._rng)
         await asyncio.sleep(delay)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -68,7 +68,7 @@
     the seconds after which it is carried out, without an answer. `ran` lists the
     requests that ran, each with the number of its connection; `attempts` counts all
     connection attempts, `connections` those that succeeded and `closed` those of them
-    that were closed.
+    that were closed. `asked` counts the status queries.
     """
 
     identifier: str
@@ -94,6 +94,7 @@
     connections: int = 0
     closed: int = 0
     attempts: int = 0
+    asked: int = 0
 
     @property
     def position(self) -> Position:
@@ -138,6 +139,7 @@
     async def command(self, statement: ProxyCommand) -> DatabaseStatus:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         database = self.database
+        database.asked += isinstance(statement, AskStatus)
         if database.is_unreachable or type(statement) in database.hang:
             await asyncio.Event().wait()
         code = database.refuse.get(type(statement))
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -42,7 +42,10 @@
         self._index = -1
         self.fleet = Fleet(self._connect, self.zone, virtual_now)
         self.fleet.adopt(simulation.configuration)
-        self.fleet.read_entries_with(self._read_present_entries)
+        self._entries_known_at = float("-inf")
+        self.fleet.read_entries_with(
+            self._read_present_entries, lambda: self._entries_known_at
+        )
         self.service = SessionService(
             self.fleet, Placer(self.zone), IsolationMonitor(), virtual_now
         )
@@ -111,7 +114,9 @@
         if is_reachable:
             self._duty.duty_store.observe_era()
             delay = self.entries_delay if self._index >= 0 else 0.0
-            index = simulation.store.index_at(virtual_now() - delay)
+            known_at = virtual_now() - delay
+            self._entries_known_at = max(self._entries_known_at, known_at)
+            index = simulation.store.index_at(known_at)
             if index > self._index:
                 self._index = index
                 entries = simulation.store.snapshot(index).values()
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -169,6 +169,30 @@
 
         run_with_fixture(work)
 
+    def test_silent_replica_is_not_asked_again_while_a_question_is_out(self) -> None:
+        """Guards against questions that pile up at a database that hangs."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.followers = ()
+            fixture.near.hang.add(AskStatus)
+            write = asyncio.create_task(fixture.run(fixture.session(), Write("i", "d")))
+            await asyncio.sleep(0.5)
+            self.assertEqual(fixture.near.asked, 1)
+            await write
+
+        run_with_fixture(work)
+
+    def test_replica_that_had_the_commit_before_is_asked_first(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.followers = (fixture.far,)
+            for _ in range(3):
+                reply = await fixture.run(fixture.session(), Write("i", "d"))
+                self.assertTrue(reply.is_success)
+            asked = [each.asked for each in (fixture.near, fixture.far)]
+            self.assertEqual(asked, [1, 3])
+
+        run_with_fixture(work)
+
     def test_writes_are_refused_at_once_while_one_waits_for_long(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.leader.followers = ()
--- a/tests/test_surveys.py
+++ b/tests/test_surveys.py
@@ -108,7 +108,7 @@
             fixture.fleet.read_entries_with(read_for_ever)
             await fail_leader(fixture)
             began = virtual_now()
-            await fixture.fleet.survey(fixture.fleet.group("s"))
+            await fixture.fleet.survey(fixture.fleet.group("s"), virtual_now())
             self.assertAlmostEqual(virtual_now(), began + SURVEY_WAIT_SECONDS)
 
         run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
@@ -132,7 +132,7 @@
             fixture.fleet.read_entries_with(read_for_ever)
             await fail_leader(fixture)
             group = fixture.fleet.group("s")
-            await fixture.fleet.survey(group)
+            await fixture.fleet.survey(group, virtual_now())
             fixture.near.is_primary = True
             fixture.near.term = fixture.far.term = 2
             assert group.leader is not None
@@ -145,6 +145,44 @@
         run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
 
 
+class CostTest(unittest.TestCase):
+    """What surveys cost the store and the databases while the primary is gone."""
+
+    def costs(self, known_at: Callable[[], float]) -> tuple[int, int, int]:
+        """Return reads served in a second, readings, and questions to a replica."""
+        counts = [0, 0, 0]
+
+        async def read_entries() -> bool:
+            counts[1] += 1
+            await asyncio.sleep(0.005)
+            return True
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.fleet.read_entries_with(read_entries, known_at)
+            await fail_leader(fixture)
+            asked = fixture.near.asked
+            counts[1] = 0
+            for _ in range(50):
+                reply = await fixture.run(fixture.session(), Read("i"))
+                counts[0] += reply.is_success
+                await asyncio.sleep(0.02)
+            counts[2] = fixture.near.asked - asked
+
+        run_with_fixture(work, RouteKind.BOUNDED_STALENESS)
+        return counts[0], counts[1], counts[2]
+
+    def test_reads_of_one_age_share_a_reading_and_a_round(self) -> None:
+        """Guards against a call to the store and a round of questions each 0.02 s."""
+        served, readings, questions = self.costs(lambda: float("-inf"))
+        self.assertEqual(served, 50)
+        self.assertLessEqual(readings, 2)
+        self.assertLessEqual(questions, 3)
+
+    def test_no_reading_is_needed_while_the_entries_are_followed(self) -> None:
+        served, readings, _ = self.costs(lambda: virtual_now() - 1.4)
+        self.assertEqual((served, readings), (50, 0))
+
+
 class PresentEntriesTest(unittest.TestCase):
     """Readings that are shared must have begun after they were asked for."""
 
