Part the surveys from the other status queries

The module of status queries had grown beyond 400 lines, and surveys share no state with the proofs of terms. Code moves unchanged; test_surveys, test_session_fleet, test_session_evidence and test_imports pass.

--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -35,6 +35,7 @@
     STATUS_TIMEOUT_SECONDS,
     StatusQueries,
 )
+from beryltiller.sessions.databases.surveys import Surveys
 from beryltiller.sessions.errors import NoCapacityError, SessionError
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -90,11 +91,10 @@
         self._entries = PresentEntries(clock)
         self._announced = KnownAnnouncements()
         self._status_queries = StatusQueries(
-            self.connection_pool,
-            lambda: self._directory,
-            self._entries,
-            self._announced,
-            clock,
+            self.connection_pool, self._announced, clock
+        )
+        self._surveys = Surveys(
+            self._status_queries, lambda: self._directory, self._entries, clock
         )
         self._follows_store = False
         self._receipts = ReceiptQueries(
@@ -213,7 +213,7 @@
         maximum age can be served while the primary is unreachable. It counts only if
         the store shows that no other database was registered until then.
         """
-        await self._status_queries.survey(group, moment)
+        await self._surveys.survey(group, moment)
 
     async def find_leader(self, group: Group) -> None:
         """Query the databases for their leader if no working one is known.
@@ -222,7 +222,7 @@
         done while the store is followed.
         """
         if not self._follows_store:
-            await self._status_queries.find_leader(group)
+            await self._surveys.find_leader(group)
 
     async def ask_status(self, member: Member) -> DatabaseStatus:
         """Query a database's status over a pooled connection.
@@ -344,6 +344,7 @@
 
     def close(self) -> None:
         """Cancel status queries and close all connection pools."""
+        self._surveys.close()
         self._status_queries.close()
         self._receipts.close()
         self._announced.close()
--- a/src/beryltiller/sessions/databases/status_queries.py
+++ b/src/beryltiller/sessions/databases/status_queries.py
@@ -1,27 +1,23 @@
-"""Status queries of databases: who leads, in which term, and what the logs hold.
+"""Status queries of databases: who leads, and in which term.
 
 Their results are recorded in the groups. All callers that wait for the proof of a
-term, or for a survey, share the queries of it that are under way.
+term share the queries of it that are under way.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from typing import TypeVar
 
-from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
 from beryltiller.sessions.databases.announced import KnownAnnouncements
-from beryltiller.sessions.databases.catalog import Database, Departed, Directory
+from beryltiller.sessions.databases.catalog import Database, Directory
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
-from beryltiller.sessions.databases.present_entries import PresentEntries
 from beryltiller.sessions.errors import NoCapacityError, SessionError
 from beryltiller.sessions.statements import (
-    NO_POSITION,
     AskStatus,
     Code,
     DatabaseStatus,
@@ -34,13 +30,6 @@
 # How many rounds of replica queries one read waits for until the leader's term is
 # proved.
 MAX_PROOF_ATTEMPTS = 2
-# How long a statement waits for a survey. One that is still without a database then
-# is refused early, so that its caller can try another proxy, or is retried here.
-SURVEY_WAIT_SECONDS = 0.04
-# Minimum time between the rounds of two surveys, if the first does not count.
-SURVEY_INTERVAL_SECONDS = 0.1
-# Minimum time between two searches for a leader in a group that has no working one.
-FIND_LEADER_INTERVAL_SECONDS = 0.3
 # Minimum time between two queries of a database that claims to lead without stating
 # its term.
 CONFIRM_INTERVAL_SECONDS = 0.4
@@ -48,20 +37,6 @@
 _Answer = TypeVar("_Answer")
 
 
-@dataclass(frozen=True, slots=True)
-class _Round:
-    """The log positions that were found by queries of all databases of a group.
-
-    `departed` may have received commits too, as it was known when they were asked.
-    """
-
-    asked_at: float
-    members: tuple[Member, ...]
-    failing_since: float
-    departed: tuple[Departed, ...]
-    positions: tuple[Position, ...]
-
-
 class StatusQueries:
     """The status queries of one proxy, over the connection pools that it has.
 
@@ -71,27 +46,18 @@
     def __init__(
         self,
         connection_pool: Callable[[Database], ConnectionPool],
-        directory: Callable[[], Directory],
-        entries: PresentEntries,
         announced: KnownAnnouncements,
         clock: Callable[[], float],
     ) -> None:
         """Create queries of databases by their pools.
 
-        `directory` returns the databases that are registered as far as known;
-        `entries` updates them. Answers count by what is `announced`.
+        Answers count by what is `announced`.
         """
         self._connection_pool = connection_pool
-        self._directory = directory
-        self._entries = entries
         self._announced = announced
         self._clock = clock
         self._proofs: dict[str, asyncio.Task[None]] = {}
-        self._rounds: dict[str, asyncio.Task[_Round]] = {}
-        self._last_rounds: dict[str, _Round] = {}
-        self._surveys: dict[str, asyncio.Task[None]] = {}
         self._queries: set[asyncio.Task[DatabaseStatus | None]] = set()
-        self._leader_queried_at: dict[str, float] = {}
         self._claimant_queried_at: dict[str, float] = {}
 
     async def ask_status(self, member: Member) -> DatabaseStatus:
@@ -123,34 +89,6 @@
             await asyncio.wait((proof,), timeout=left)
         return group.is_term_proved(moment)
 
-    async def survey(self, group: Group, moment: float) -> None:
-        """Query the log positions of all databases; one of them may fail to answer.
-
-        They show which commits were acknowledged before `moment`, so that reads with a
-        maximum age can be served while the primary is unreachable. It counts only if
-        the store shows that no other database was registered until then.
-        """
-        survey = self._surveys.get(group.service)
-        if survey is None:
-            survey = asyncio.create_task(self._survey(group, moment))
-            self._surveys[group.service] = survey
-        await asyncio.wait((survey,), timeout=SURVEY_WAIT_SECONDS)
-
-    async def find_leader(self, group: Group) -> None:
-        """Query the databases for their leader if no working one is known.
-
-        A proxy cut off from the store learns of a new primary in this way.
-        """
-        now = self._clock()
-        leader = group.leader
-        if leader and leader.is_available(now):
-            return
-        asked_at = self._leader_queried_at.get(group.service, NEVER)
-        if now < asked_at + FIND_LEADER_INTERVAL_SECONDS:
-            return
-        self._leader_queried_at[group.service] = now
-        await asyncio.wait((self._ask_round(group),), timeout=SURVEY_WAIT_SECONDS)
-
     async def confirm_leaders(self, groups: Iterable[Group]) -> None:
         """Query the status of databases that claim to lead but have stated no term."""
         now = self._clock()
@@ -194,9 +132,7 @@
 
     def close(self) -> None:
         """Cancel all queries under way."""
-        self._entries.close()
-        tasks = (*self._proofs.values(), *self._surveys.values())
-        for task in (*tasks, *self._rounds.values(), *self._queries):
+        for task in (*self._proofs.values(), *self._queries):
             task.cancel()
 
     def _is_confirmation_due(self, member: Member, now: float) -> bool:
@@ -253,7 +189,7 @@
         """
         asked_at = self._clock()
         queries = {
-            member: asyncio.create_task(self._status_or_none(member))
+            member: asyncio.create_task(self.status_or_none(member))
             for member in self._available_replicas(group)
         }
         self._queries.update(queries.values())
@@ -278,87 +214,7 @@
             await self._query_leader(group, leader, max(terms))
             group.record_round(answers, asked_at)
 
-    def _ask_round(self, group: Group) -> asyncio.Task[_Round]:
-        """Return the round of queries under way, or begin one."""
-        asked = self._rounds.get(group.service)
-        if asked is None:
-            asked = asyncio.create_task(self._ask_all(group, self._clock()))
-            self._rounds[group.service] = asked
-        return asked
-
-    async def _ask_all(self, group: Group, asked_at: float) -> _Round:
-        try:
-            members = tuple(group.members.values())
-            failing_since = _failing_since(group)
-            departed = self._directory().possibly_receiving_of(
-                group.service, failing_since, asked_at
-            )
-            applied = [member.applied or NO_POSITION for member in members]
-            statuses = await asyncio.gather(*map(self._status_or_none, members))
-            answers = []
-            positions = []
-            for member, before, status in zip(members, applied, statuses, strict=True):
-                if status is None or status.received == NO_POSITION:
-                    # A log whose end is not known shows no commit that it may hold.
-                    continue
-                answers.append((member, status))
-                if status.received >= before:
-                    # A shorter log is not the one that received the commits.
-                    positions.append(status.received)
-            group.record_round(answers, asked_at)
-            found = _Round(asked_at, members, failing_since, departed, tuple(positions))
-            self._last_rounds[group.service] = found
-            return found
-        finally:
-            del self._rounds[group.service]
-
-    async def _survey(self, group: Group, moment: float) -> None:
-        """Record a round since `moment` as a survey if no database was left out.
-
-        A database that received commits reported until a moment was registered then. So
-        the survey counts up to the moment until which all entries are known.
-        """
-        try:
-            found, _ = await asyncio.gather(
-                self._round_since(group, moment), self._entries.learn(moment)
-            )
-            if found is not None and self._is_of_all(group, found):
-                known_at = self._entries.known_at
-                group.record_survey(found.positions, min(found.asked_at, known_at))
-        finally:
-            del self._surveys[group.service]
-
-    async def _round_since(self, group: Group, moment: float) -> _Round | None:
-        """Return a round of queries that were sent after `moment`.
-
-        The last one serves if it was complete. Another one begins some time after it;
-        return None before that.
-        """
-        last = self._last_rounds.get(group.service)
-        if last is not None:
-            if last.asked_at >= moment and self._is_of_all(group, last):
-                return last
-            if self._clock() < last.asked_at + SURVEY_INTERVAL_SECONDS:
-                return None
-        return await self._ask_round(group)
-
-    def _is_of_all(self, group: Group, found: _Round) -> bool:
-        """Return True if all databases but one answered, of those known by now."""
-        if group.leader is None:
-            # A process that just started may not know of departed databases that
-            # hold commits, so the survey could miss these commits.
-            return False
-        departed = self._directory().possibly_receiving_of(
-            group.service, found.failing_since, found.asked_at
-        )
-        if departed != found.departed:
-            return False
-        if set(group.members.values()) != set(found.members):
-            return False
-        needed = len(found.members) + len(departed) - 1
-        return bool(found.positions) and len(found.positions) >= needed
-
-    async def _status_or_none(self, member: Member) -> DatabaseStatus | None:
+    async def status_or_none(self, member: Member) -> DatabaseStatus | None:
         """Return a database's status, or None if it is unavailable or fails."""
         if not member.is_available(self._clock()):
             return None
@@ -405,14 +261,3 @@
     if isinstance(error, NoCapacityError) or not isinstance(error, SessionError):
         return False
     return error.code in (Code.BUSY, Code.CONNECTION_LIMIT)
-
-
-def _failing_since(group: Group) -> float:
-    """Return since when the leader has failed, or `NEVER` without such a leader.
-
-    With `NEVER` all databases that departed count as possibly holding commits.
-    """
-    leader = group.leader
-    if leader is None or leader.failing_since is None:
-        return NEVER
-    return leader.failing_since
--- a/tests/test_surveys.py
+++ b/tests/test_surveys.py
@@ -11,7 +11,7 @@
     PresentEntries,
     ReadEntries,
 )
-from beryltiller.sessions.databases.status_queries import SURVEY_WAIT_SECONDS
+from beryltiller.sessions.databases.surveys import SURVEY_WAIT_SECONDS
 from beryltiller.sessions.statements import Read, Reply, Write
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture, read_same_entries
 from tests.simulated_checker import Findings
