--- a/src/beryltiller/sessions/succession/causes.py
+++ b/src/beryltiller/sessions/succession/causes.py
@@ -3,7 +3,10 @@
 Each also tells since when the primary may have been cut off.
 """
 
-from beryltiller.sessions.succession.state import Cause, GroupView
+from beryltiller.sessions.succession.events import (
+    Cause,
+    GroupView,
+)
 from beryltiller.sessions.succession.times import MAX_ENTRY_SILENCE_SECONDS
 
 # A primary is replaced once it has been failing for this long.
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -11,10 +11,14 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
+    PromotionBasis,
+)
+from beryltiller.sessions.succession.events import (
     FenceResults,
     GroupView,
-    PromotionBasis,
+)
+from beryltiller.sessions.succession.state import (
     Succession,
 )
 
@@ -199,3 +203,24 @@
         succession.claimed_at,
         results.fenced_at,
     )
+
+
+def asked_databases(succession: Succession, results: FenceResults) -> set[str]:
+    """Return the databases that a round has asked or waited for, and the primary."""
+    former_primary = succession.former_primary
+    return {*results.statuses, *((former_primary,) if former_primary else ())}
+
+
+def is_announced(
+    succession: Succession, results: FenceResults, found: Comparison
+) -> bool:
+    """Return True if a change was announced as one of all terms that may have begun.
+
+    The announcement then lists all databases that were asked.
+    """
+    covered_term = max(found.newest_term, succession.begun_term)
+    return (
+        succession.announced == found.change
+        and covered_term >= found.begun_term
+        and asked_databases(succession, results).issubset(succession.announced_asked)
+    )
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -11,6 +11,10 @@
     Fence,
     Unfence,
 )
+from beryltiller.sessions.succession.actions import (
+    FenceReplicas,
+    UnfenceReplicas,
+)
 from beryltiller.sessions.succession.announcer import (
     Announcer,
     known_databases,
@@ -27,10 +31,8 @@
     Silent,
     status_of,
 )
-from beryltiller.sessions.succession.state import (
-    FenceReplicas,
+from beryltiller.sessions.succession.events import (
     FenceResults,
-    UnfenceReplicas,
 )
 
 Outcomes = Mapping[str, Outcome]
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -8,8 +8,11 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.succession import lag_relief
+from beryltiller.sessions.succession.events import (
+    GroupsObserved,
+    GroupView,
+)
 from beryltiller.sessions.succession.leader_changes import leader_change
-from beryltiller.sessions.succession.state import GroupsObserved, GroupView
 
 
 class GroupObserver:
--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -14,38 +14,43 @@
 from dataclasses import replace
 
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
+from beryltiller.sessions.succession.actions import (
+    Action,
+    AnnounceChange,
+    ClaimDuty,
+    FenceReplicas,
+    Promote,
+    PromotionBasis,
+    StepDownPrimary,
+)
 from beryltiller.sessions.succession.causes import (
     cause_of_claim,
     possible_partition_start,
 )
 from beryltiller.sessions.succession.comparison import (
     Comparison,
+    asked_databases,
     compare,
+    is_announced,
     promotion_basis,
 )
-from beryltiller.sessions.succession.state import (
-    Action,
-    AnnounceChange,
+from beryltiller.sessions.succession.completion import finish_succession
+from beryltiller.sessions.succession.events import (
     Cause,
     ChangeAnnounced,
     ClaimAccepted,
-    ClaimDuty,
     ClaimFailed,
     Event,
-    FenceReplicas,
     FenceResults,
     GroupsObserved,
     GroupView,
-    Phase,
     PrimarySteppedDown,
-    Promote,
-    PromotionBasis,
     PromotionResult,
+)
+from beryltiller.sessions.succession.state import (
+    Phase,
     State,
-    StepDownPrimary,
     Succession,
-    UnfenceReplicas,
-    WithdrawChange,
 )
 from beryltiller.sessions.succession.times import (
     CONFIRMATION_SECONDS,
@@ -53,7 +58,6 @@
     DUTY_MARGIN_SECONDS,
     DUTY_SECONDS,
     FENCING_MARGIN_SECONDS,
-    KNOWS_LESS_COOLDOWN_SECONDS,
     LIFT_SECONDS,
     MAX_CLAIM_DELAY_SECONDS,
     MAX_LIFT_DELAY_SECONDS,
@@ -153,7 +157,7 @@
             deadline=deadline,
         )
         if succession.cause is Cause.FENCES_LEFT:
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         return self._step_down_and_fence(state, succession, now)
 
     def _step_down_and_fence(
@@ -186,10 +190,10 @@
         view = state.groups.get(succession.service)
         former_primary = succession.former_primary
         if view is None or now > _last_fence_at(succession, phase):
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         if view.leader is not None and view.leader != former_primary:
             # The group already has another primary.
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         term = max(view.term + 1, succession.term)
         # The fence results schedule the next step; none is due before they arrive.
         succession = replace(
@@ -226,7 +230,7 @@
         succession = record_found_fences(succession, event)
         if found.has_present_primary:
             # The group has a primary that this proxy had not learned of.
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         knows_less = bool(found.silent & event.unknown)
         recalls_former = succession.recalls_former or (
             found.lacks_reported and succession.former_log_end is not None
@@ -244,7 +248,7 @@
         is_other = found.successor != succession.successor
         if is_other and succession.promotion_may_take_effect:
             # The one whose promotion was requested may lead before another one does.
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         is_confirmed = (
             succession.phase is Phase.CONFIRMING
             and event.were_already_fenced
@@ -253,11 +257,11 @@
         )
         if not is_confirmed:
             return self._hold(state, succession, event, found, now)
-        is_announced = _is_announced(succession, event, found)
-        if is_announced and event.is_unopposed:
+        is_covered = is_announced(succession, event, found)
+        if is_covered and event.is_unopposed:
             basis = promotion_basis(state.groups[service], succession, event, found)
             return self._promote(state, succession, basis, now)
-        if is_announced and succession.announced_version:
+        if is_covered and succession.announced_version:
             return self._retry_fencing(state, succession, found, now)
         return self._hold(state, succession, event, found, now)
 
@@ -273,11 +277,11 @@
         held = replace(succession, phase=Phase.HOLDING, successor=found.successor)
         wait = max(PROMOTION_HOLD_SECONDS, succession.confirm_not_before - now)
         if now + wait > succession.deadline:
-            return self._finish(state, held, now)
+            return finish_succession(state, held, now)
         change = found.change
-        if _is_announced(succession, results, found):
+        if is_announced(succession, results, found):
             return schedule_step(state, held, now, wait)
-        asked = tuple(sorted(_asked(succession, results)))
+        asked = tuple(sorted(asked_databases(succession, results)))
         announcing = replace(
             held,
             announced=change,
@@ -318,13 +322,13 @@
         """
         retry_at = now + RETRY_SECONDS
         if succession.knows_less and retry_at > succession.claimed_at + LIFT_SECONDS:
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         term = succession.term
         if found.not_fenced:
             term = max(term, found.newest_term + 1, found.newest_fence)
         retry = replace(succession, phase=Phase.FENCING, term=term)
         if retry_at > _last_fence_at(retry, Phase.FENCING):
-            return self._finish(state, retry, now)
+            return finish_succession(state, retry, now)
         state, actions = schedule_step(state, retry, now, RETRY_SECONDS)
         # A primary of an older term was replaced and has not noticed yet.
         replaced = tuple(
@@ -348,13 +352,13 @@
             case Phase.HOLDING if now >= succession.next_step_at:
                 return self._fence_replicas(state, succession, Phase.CONFIRMING, now)
             case Phase.LIFTING if now >= succession.next_step_at:
-                return self._finish(state, succession, now)
+                return finish_succession(state, succession, now)
             case Phase.PROMOTING if now > succession.deadline + DUTY_MARGIN_SECONDS:
-                return self._finish(state, succession, now)
+                return finish_succession(state, succession, now)
             case Phase.AWAITING if view and view.leader == succession.successor:
-                return self._finish(state, succession, now)
+                return finish_succession(state, succession, now)
             case Phase.AWAITING if now > succession.waiting_since + TAKEOVER_SECONDS:
-                return self._finish(state, succession, now)
+                return finish_succession(state, succession, now)
         return state, ()
 
     def _promote(
@@ -393,7 +397,7 @@
             awaiting = replace(succession, phase=Phase.AWAITING, waiting_since=now)
             return store_succession(state, awaiting), ()
         if now > succession.deadline:
-            return self._finish(state, succession, now)
+            return finish_succession(state, succession, now)
         if event.is_refused:
             refused_successors = succession.refused_successors | {succession.successor}
             retry = replace(
@@ -405,68 +409,6 @@
         retry = replace(succession, phase=Phase.HOLDING)
         return schedule_step(state, retry, now, RETRY_SECONDS)
 
-    def _finish(self, state: State, succession: Succession, now: float) -> Decision:
-        """End a succession, whether it succeeded or not, and unfence its replicas.
-
-        The replicas stay fenced while a promotion may still take effect, of this proxy
-        or, after the claim's deadline, of another one: otherwise the former primary
-        could acknowledge commits that the successor's log lacks. The next succession
-        continues with the fenced replicas, or lifts the fences of a primary that works.
-        """
-        view = state.groups.get(succession.service)
-        is_done = view is not None and view.leader == succession.successor
-        may_take_effect = succession.promotion_may_take_effect and not is_done
-        lift_at = max(
-            succession.claimed_at + LIFT_SECONDS, succession.confirm_not_before
-        )
-        wait = lift_at - now
-        if wait > 0 and not may_take_effect and not is_done:
-            lifting = replace(succession, phase=Phase.LIFTING)
-            return schedule_step(state, lifting, now, wait)
-        cooldown = COOLDOWN_SECONDS
-        if succession.knows_less and not is_done:
-            cooldown = KNOWS_LESS_COOLDOWN_SECONDS
-        state = end_succession(state, succession.service, now + cooldown)
-        if may_take_effect:
-            return state, ()
-        successor_term = view.leader_term if view and is_done else 0
-        withdraw = WithdrawChange(
-            succession.service, succession.token, is_done, successor_term
-        )
-        own = (withdraw,) if succession.has_announced else ()
-        if now > succession.deadline:
-            return state, own
-        known = view.replicas if view else ()
-        replicas = tuple(name for name in known if name != succession.successor)
-        others = tuple(sorted(succession.unknown_replacements - set(known)))
-        unfence = UnfenceReplicas(
-            succession.service, (*replicas, *others), succession.deadline
-        )
-        if succession.cause is Cause.FENCES_LEFT:
-            return state, (withdraw, unfence)
-        return state, (*own, unfence)
-
-
-def _asked(succession: Succession, results: FenceResults) -> set[str]:
-    """Return the databases that a round has asked or waited for, and the primary."""
-    former_primary = succession.former_primary
-    return {*results.statuses, *((former_primary,) if former_primary else ())}
-
-
-def _is_announced(
-    succession: Succession, results: FenceResults, found: Comparison
-) -> bool:
-    """Return True if a change was announced as one of all terms that may have begun.
-
-    The announcement then lists all databases that were asked.
-    """
-    covered_term = max(found.newest_term, succession.begun_term)
-    return (
-        succession.announced == found.change
-        and covered_term >= found.begun_term
-        and _asked(succession, results).issubset(succession.announced_asked)
-    )
-
 
 def _last_fence_at(succession: Succession, phase: Phase) -> float:
     """Return the last moment at which replicas may be fenced in a phase."""
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -23,8 +23,7 @@
     Fence,
     StepDown,
 )
-from beryltiller.sessions.succession import state as succession_state
-from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession import actions, events, times
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import GroupCommands
 from beryltiller.sessions.succession.fencing import (
@@ -34,6 +33,7 @@
 )
 from beryltiller.sessions.succession.observer import GroupObserver, known_log
 from beryltiller.sessions.succession.policy import SuccessionPolicy
+from beryltiller.sessions.succession.state import State
 
 PART_NAME = "succession"
 OBSERVE_INTERVAL_SECONDS = 0.1
@@ -48,7 +48,7 @@
     """A request to observe all groups now."""
 
 
-Action = ObserveGroups | succession_state.Action
+Action = ObserveGroups | actions.Action
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,55 +112,53 @@
 
     def part(
         self,
-    ) -> Part[succession_state.State, succession_state.Event | None, Action]:
+    ) -> Part[State, events.Event | None, Action]:
         """Return the actor part that runs the policy; its ticks carry no event."""
         return Part(
             PART_NAME,
             OBSERVE_INTERVAL_SECONDS,
             None,
-            lambda now: succession_state.State(),
+            lambda now: State(),
             self._decide,
             self._perform,
         )
 
     def _decide(
         self,
-        state: succession_state.State,
-        event: succession_state.Event | None,
+        state: State,
+        event: events.Event | None,
         _: float,
-    ) -> tuple[succession_state.State, tuple[Action, ...]]:
+    ) -> tuple[State, tuple[Action, ...]]:
         """Decide in the actor; the event loop owns the groups and observes them."""
         if event is None:
             return state, (ObserveGroups(),)
         return self._policy.decide(state, event, self._clock())
 
-    async def _perform(self, action: Action) -> succession_state.Event | None:
+    async def _perform(self, action: Action) -> events.Event | None:
         match action:
             case ObserveGroups():
                 return self._observer.observe(self._clock())
-            case succession_state.ClaimDuty():
+            case actions.ClaimDuty():
                 return await self._claim(action)
-            case succession_state.StepDownPrimary():
+            case actions.StepDownPrimary():
                 return await self._step_down(action)
-            case succession_state.FenceReplicas():
+            case actions.FenceReplicas():
                 return await self._fencer.fence(action)
-            case succession_state.AnnounceChange():
+            case actions.AnnounceChange():
                 return await self._announce(action)
-            case succession_state.WithdrawChange(service, token, is_over, led_term):
+            case actions.WithdrawChange(service, token, is_over, led_term):
                 await self._announcer.withdraw(service, token, is_over, led_term)
                 return None
-            case succession_state.ObserveAfter(seconds):
+            case actions.ObserveAfter(seconds):
                 await asyncio.sleep(seconds)
                 return self._observer.observe(self._clock())
-            case succession_state.Promote():
+            case actions.Promote():
                 return await self._promote(action)
-            case succession_state.UnfenceReplicas():
+            case actions.UnfenceReplicas():
                 await self._fencer.lift(action)
                 return None
 
-    async def _step_down(
-        self, action: succession_state.StepDownPrimary
-    ) -> succession_state.Event | None:
+    async def _step_down(self, action: actions.StepDownPrimary) -> events.Event | None:
         """Step a primary down; report the end of its log if it led until then."""
         service, name = action.service, action.identifier
         led_term = await self._commands.led_term(service, name)
@@ -185,56 +183,44 @@
         reached = known_log(member) if member else None
         if led_term != status.term or (reached and status.received < reached):
             return None
-        return succession_state.PrimarySteppedDown(
-            service, name, led_term, status.received
-        )
+        return events.PrimarySteppedDown(service, name, led_term, status.received)
 
-    async def _announce(
-        self, action: succession_state.AnnounceChange
-    ) -> succession_state.Event:
+    async def _announce(self, action: actions.AnnounceChange) -> events.Event:
         service = action.service
         written = await self._announcer.announce(
             service, action.change, action.token, action.asked
         )
         if written is None:
-            return succession_state.ChangeAnnounced(service, 0)
-        return succession_state.ChangeAnnounced(
-            service, written.version, written.begun_term
-        )
+            return events.ChangeAnnounced(service, 0)
+        return events.ChangeAnnounced(service, written.version, written.begun_term)
 
-    async def _claim(
-        self, action: succession_state.ClaimDuty
-    ) -> succession_state.Event:
-        if action.cause is succession_state.Cause.FAILING:
+    async def _claim(self, action: actions.ClaimDuty) -> events.Event:
+        if action.cause is events.Cause.FAILING:
             leader = self._fleet.group(action.service).leader
             if leader is not None and not await self._is_failure_confirmed(leader):
-                return succession_state.ClaimFailed(action.service)
-        if action.cause is succession_state.Cause.FENCES_LEFT:
+                return events.ClaimFailed(action.service)
+        if action.cause is events.Cause.FENCES_LEFT:
             group = self._fleet.group(action.service)
             await self._query_fences((group, each) for each in group.fenced_replicas)
             if not group.fenced_replicas:
-                return succession_state.ClaimFailed(action.service)
+                return events.ClaimFailed(action.service)
         try:
             claim = await self._duty.claim(action.service, times.DUTY_SECONDS)
         except PortError as error:
             logs.log(session_events.ClaimRefused(action.service, str(error)))
-            return succession_state.ClaimFailed(action.service)
+            return events.ClaimFailed(action.service)
         self._newest_token = max(self._newest_token, claim.token)
         cause = action.cause.value
         logs.log(session_events.SuccessionStarted(action.service, claim.token, cause))
-        return succession_state.ClaimAccepted(
-            action.service, claim.token, claim.asked_at
-        )
+        return events.ClaimAccepted(action.service, claim.token, claim.asked_at)
 
-    async def _promote(
-        self, action: succession_state.Promote
-    ) -> succession_state.Event | None:
+    async def _promote(self, action: actions.Promote) -> events.Event | None:
         service, successor = action.service, action.successor
         is_accepted = is_refused = False
         reason = ""
         asked_at = self._clock()
         if asked_at > action.deadline:
-            return succession_state.PromotionResult(service, False, False)
+            return events.PromotionResult(service, False, False)
         self._log_decision(action, asked_at)
         try:
             await self._duty.promote(service, successor, self._newest_token)
@@ -250,9 +236,9 @@
                 service, successor, is_accepted, reason, duration
             )
         )
-        return succession_state.PromotionResult(service, is_accepted, is_refused)
+        return events.PromotionResult(service, is_accepted, is_refused)
 
-    def _log_decision(self, action: succession_state.Promote, now: float) -> None:
+    def _log_decision(self, action: actions.Promote, now: float) -> None:
         basis = action.basis
         left_out = (f"{name} {reason}" for name, reason in basis.left_out.items())
         logs.log(
--- a/src/beryltiller/sessions/succession/transitions.py
+++ b/src/beryltiller/sessions/succession/transitions.py
@@ -5,11 +5,15 @@
 
 from dataclasses import replace
 
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
     Action,
-    FenceResults,
     ObserveAfter,
+)
+from beryltiller.sessions.succession.events import (
+    FenceResults,
     PrimarySteppedDown,
+)
+from beryltiller.sessions.succession.state import (
     State,
     Succession,
 )
--- a/tests/succession_driver.py
+++ b/tests/succession_driver.py
@@ -7,17 +7,21 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
-from beryltiller.sessions.succession.policy import SuccessionPolicy
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
     Action,
+    ClaimDuty,
+    FenceReplicas,
+)
+from beryltiller.sessions.succession.events import (
     ChangeAnnounced,
     ClaimAccepted,
-    ClaimDuty,
     Event,
-    FenceReplicas,
     FenceResults,
     GroupsObserved,
     GroupView,
+)
+from beryltiller.sessions.succession.policy import SuccessionPolicy
+from beryltiller.sessions.succession.state import (
     State,
 )
 
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -20,16 +20,18 @@
 )
 from beryltiller.sessions.statements import Code, Reply, Write
 from beryltiller.sessions.succession import announcer
+from beryltiller.sessions.succession.actions import (
+    Action,
+    AnnounceChange,
+    Promote,
+)
 from beryltiller.sessions.succession.announcement import Announcement
 from beryltiller.sessions.succession.announcer import (
     HEDGE_SECONDS,
     Announcer,
 )
-from beryltiller.sessions.succession.state import (
-    Action,
-    AnnounceChange,
+from beryltiller.sessions.succession.events import (
     ChangeAnnounced,
-    Promote,
 )
 from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -7,7 +7,10 @@
 
 from beryltiller.sessions.databases.fleet import FOREVER
 from beryltiller.sessions.statements import AskStatus, Fence, Unfence
-from beryltiller.sessions.succession.state import FenceReplicas, UnfenceReplicas
+from beryltiller.sessions.succession.actions import (
+    FenceReplicas,
+    UnfenceReplicas,
+)
 from beryltiller.sessions.succession.times import (
     COMMAND_LIFE_SECONDS,
     DUTY_MARGIN_SECONDS,
--- a/tests/test_lost_replica_logs.py
+++ b/tests/test_lost_replica_logs.py
@@ -12,14 +12,16 @@
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.statements import DatabaseStatus, Read
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
     Action,
     AnnounceChange,
     FenceReplicas,
-    PrimarySteppedDown,
     Promote,
     StepDownPrimary,
 )
+from beryltiller.sessions.succession.events import (
+    PrimarySteppedDown,
+)
 from tests.simulated_callers import CallerSession
 from tests.simulated_checker import Findings
 from tests.simulated_databases import SimulatedDatabase
--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -18,6 +18,14 @@
 from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession.actions import (
+    Action,
+    AnnounceChange,
+    FenceReplicas,
+    Promote,
+    UnfenceReplicas,
+    WithdrawChange,
+)
 from beryltiller.sessions.succession.announcement import (
     MAX_NAME_LENGTH,
     MAX_NAMES,
@@ -28,18 +36,14 @@
     FORGETTING_SECONDS,
     Announcer,
 )
-from beryltiller.sessions.succession.runner import SuccessionRunner
-from beryltiller.sessions.succession.state import (
-    Action,
-    AnnounceChange,
+from beryltiller.sessions.succession.events import (
     ChangeAnnounced,
-    FenceReplicas,
     FenceResults,
-    Phase,
     PrimarySteppedDown,
-    Promote,
-    UnfenceReplicas,
-    WithdrawChange,
+)
+from beryltiller.sessions.succession.runner import SuccessionRunner
+from beryltiller.sessions.succession.state import (
+    Phase,
 )
 from tests.fake_announcements import FEED_SECONDS, FakeAnnouncements
 from tests.fake_group import FakeDatabase, GroupFixture, read_same_entries
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -7,22 +7,24 @@
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
     Action,
     AnnounceChange,
-    Cause,
     ClaimDuty,
-    ClaimFailed,
     FenceReplicas,
-    FenceResults,
     ObserveAfter,
     Promote,
-    PromotionResult,
     StepDownPrimary,
     UnfenceReplicas,
     WithdrawChange,
 )
+from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
+from beryltiller.sessions.succession.events import (
+    Cause,
+    ClaimFailed,
+    FenceResults,
+    PromotionResult,
+)
 from tests.succession_driver import FAILING, HEALTHY, Driver, status
 
 
--- a/tests/test_succession_causes.py
+++ b/tests/test_succession_causes.py
@@ -5,8 +5,10 @@
 
 from beryltiller.sessions.databases.catalog import Directory
 from beryltiller.sessions.succession.causes import replacement_cause
+from beryltiller.sessions.succession.events import (
+    Cause,
+)
 from beryltiller.sessions.succession.observer import GroupObserver
-from beryltiller.sessions.succession.state import Cause
 from tests.fake_group import GroupFixture
 from tests.succession_driver import FAILING, HEALTHY
 from tests.virtual_loop import run_virtual
--- a/tests/test_succession_comparison.py
+++ b/tests/test_succession_comparison.py
@@ -7,17 +7,21 @@
 from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
+from beryltiller.sessions.succession.actions import (
+    FenceReplicas,
+    UnfenceReplicas,
+)
 from beryltiller.sessions.succession.comparison import compare
-from beryltiller.sessions.succession.observer import GroupObserver
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.events import (
     Cause,
-    FenceReplicas,
     FenceResults,
     GroupView,
-    Phase,
     PrimarySteppedDown,
+)
+from beryltiller.sessions.succession.observer import GroupObserver
+from beryltiller.sessions.succession.state import (
+    Phase,
     Succession,
-    UnfenceReplicas,
 )
 from tests.fake_group import GroupFixture
 from tests.succession_driver import FAILING, HEALTHY, Driver, status
--- a/tests/test_succession_confirmation.py
+++ b/tests/test_succession_confirmation.py
@@ -9,19 +9,21 @@
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.actions import (
     Action,
     AnnounceChange,
-    ChangeAnnounced,
     FenceReplicas,
-    FenceResults,
     ObserveAfter,
-    PrimarySteppedDown,
     Promote,
     UnfenceReplicas,
     WithdrawChange,
 )
+from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
+from beryltiller.sessions.succession.events import (
+    ChangeAnnounced,
+    FenceResults,
+    PrimarySteppedDown,
+)
 from tests.succession_driver import FAILING, HEALTHY, Driver, status
 
 
--- a/tests/test_succession_fences.py
+++ b/tests/test_succession_fences.py
@@ -9,8 +9,13 @@
 from beryltiller.sessions.databases.evidence import PROMOTION_HOLD_SECONDS
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import Code, Fence, Unfence
+from beryltiller.sessions.succession.actions import (
+    FenceReplicas,
+)
+from beryltiller.sessions.succession.events import (
+    FenceResults,
+)
 from beryltiller.sessions.succession.runner import SuccessionRunner
-from beryltiller.sessions.succession.state import FenceReplicas, FenceResults
 from beryltiller.sessions.succession.times import DUTY_SECONDS
 from tests.fake_group import (
     FakeDatabase,
--- a/tests/test_succession_lifting.py
+++ b/tests/test_succession_lifting.py
@@ -4,15 +4,17 @@
 from dataclasses import replace
 
 from beryltiller.sessions.succession import times
-from beryltiller.sessions.succession.causes import cause_of_claim
-from beryltiller.sessions.succession.state import (
-    Cause,
-    ClaimAccepted,
+from beryltiller.sessions.succession.actions import (
     ClaimDuty,
     ObserveAfter,
     UnfenceReplicas,
     WithdrawChange,
 )
+from beryltiller.sessions.succession.causes import cause_of_claim
+from beryltiller.sessions.succession.events import (
+    Cause,
+    ClaimAccepted,
+)
 from tests.succession_driver import HEALTHY, Driver
 
 
--- a/tests/test_succession_runner.py
+++ b/tests/test_succession_runner.py
@@ -15,24 +15,26 @@
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import BrokenError, NoCapacityError, NotSentError
 from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus
-from beryltiller.sessions.succession.causes import FAILING_SECONDS
-from beryltiller.sessions.succession.runner import (
-    FENCE_CHECK_SECONDS,
-    REMOTE_FENCE_CHECK_SECONDS,
-    DutyClaim,
-    SuccessionRunner,
+from beryltiller.sessions.succession.actions import (
+    ClaimDuty,
+    FenceReplicas,
+    ObserveAfter,
+    StepDownPrimary,
+    UnfenceReplicas,
 )
-from beryltiller.sessions.succession.state import (
+from beryltiller.sessions.succession.causes import FAILING_SECONDS
+from beryltiller.sessions.succession.events import (
     Cause,
-    ClaimDuty,
     ClaimFailed,
-    FenceReplicas,
     FenceResults,
     GroupsObserved,
-    ObserveAfter,
     PrimarySteppedDown,
-    StepDownPrimary,
-    UnfenceReplicas,
+)
+from beryltiller.sessions.succession.runner import (
+    FENCE_CHECK_SECONDS,
+    REMOTE_FENCE_CHECK_SECONDS,
+    DutyClaim,
+    SuccessionRunner,
 )
 from tests.fake_announcements import FakeAnnouncements
 from tests.fake_group import (
