Show that a proxy which has just started reports nothing beyond a change

The neighbourhood of the users' own record: a proxy starts, reads the tables, and is cut off from the store beside the old primary while a change of primary is under way.

--- a/tests/test_late_promotions.py
+++ b/tests/test_late_promotions.py
@@ -22,11 +22,14 @@
     """A promotion without an answer takes effect up to 6 s after its request."""
 
     def test_commits_after_the_end_of_its_claim_are_kept(self) -> None:
-        simulation = Simulation(
-            69, FAULTS, seconds=17.0, sessions=12, requires_fencing=False
-        )
-        findings = simulation.run()
-        self.assertEqual((findings.lost, findings.replaced_commits), ([], []))
+        for seed in (69, 53):
+            with self.subTest(seed=seed):
+                simulation = Simulation(
+                    seed, FAULTS, seconds=17.0, sessions=12, requires_fencing=False
+                )
+                findings = simulation.run()
+                found = findings.lost, findings.replaced_commits
+                self.assertEqual(found, ([], []))
 
 
 class StalledPromoterTest(unittest.TestCase):
--- a/tests/test_restarted_replicas.py
+++ b/tests/test_restarted_replicas.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from functools import partial
 from unittest import mock
 
 from tests.simulated_checker import Findings
@@ -14,12 +15,20 @@
 SEEDS = range(4)
 
 
-async def refuse_last_and_cut_first(simulation: Simulation) -> None:
-    """Let the store refuse one proxy, and cut the primary off from another one."""
+async def refuse_last_and_cut_first(
+    simulation: Simulation, has_just_started: bool = False
+) -> None:
+    """Let the store refuse one proxy, and cut the primary off from another one.
+
+    With `has_just_started` the refused proxy starts half a second before.
+    """
     primary = simulation.group.primary
     assert primary is not None
     refused, cut_off = simulation.proxies[-1], simulation.proxies[0]
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(1.5)
+    if has_just_started:
+        refused.restart()
+    await asyncio.sleep(0.5)
     refused.is_refused_by_store = True
     await asyncio.sleep(2.0)
     simulation.network.cut(primary.host, cut_off.name)
@@ -32,11 +41,13 @@
 class RestartDuringPromotionTest(unittest.TestCase):
     """A replica restarts empty between a promotion's request and its effect."""
 
-    def run_with_restart(self, seed: int, down_seconds: float) -> Findings:
+    def run_with_restart(
+        self, seed: int, down_seconds: float, has_just_started: bool = False
+    ) -> Findings:
         """Return what a run shows if the other replica restarts at each promotion."""
         simulation = Simulation(
             seed,
-            (refuse_last_and_cut_first,),
+            (partial(refuse_last_and_cut_first, has_just_started=has_just_started),),
             seconds=13.0,
             sessions=12,
             promote_seconds=PROMOTE_SECONDS,
@@ -72,6 +83,15 @@
             with self.subTest(down_seconds=down_seconds):
                 self.assertEqual(lost, {})
 
+    def test_proxy_that_has_just_started_reports_nothing_beyond_a_change(self) -> None:
+        """Guards against commits of a proxy that started beside a cut-off primary."""
+        lost = {}
+        for seed in SEEDS:
+            findings = self.run_with_restart(seed, 0.1, has_just_started=True)
+            if not findings.is_clean:
+                lost[seed] = len(findings.lost)
+        self.assertEqual(lost, {})
+
 
 if __name__ == "__main__":
     unittest.main()
