Step a primary down also if the first round of fences is conclusive

Found by reading: a primary that is not asked to step down at the claim, as no replica was known to work, was not asked later either if all replicas answered in the first round. Its successor was promoted beside it, and it went on until it reached the new primary. Nothing is lost by that, but its callers wait.

test_primary_steps_down_also_if_the_first_round_is_conclusive fails on the code before. The step that follows a comparison is a function of its own now.

--- a/src/beryltiller/sessions/succession/policy.py
+++ b/src/beryltiller/sessions/succession/policy.py
@@ -238,13 +238,31 @@
         succession = replace(
             succession, knows_less=knows_less, recalls_former=recalls_former
         )
+        state, actions = self._continue(
+            state, succession, awaited_before, event, found, now
+        )
+        current = state.successions.get(service)
+        if current and found.has_candidate and not current.asked_step_down:
+            state, step_down = self._step_down(state, current)
+            actions = (*step_down, *actions)
+        return state, actions
+
+    def _continue(
+        self,
+        state: State,
+        succession: Succession,
+        awaited_before: float,
+        event: FenceResults,
+        found: Comparison,
+        now: float,
+    ) -> Decision:
+        """Take the step that follows a comparison: fence again, hold, or promote.
+
+        `awaited_before` is until when earlier claims were waited for before it.
+        """
+        service = succession.service
         if not found.is_conclusive:
-            state, actions = self._retry_fencing(state, succession, found, now)
-            retried = state.successions.get(service)
-            if retried and found.has_candidate and not retried.asked_step_down:
-                state, step_down = self._step_down(state, retried)
-                actions = (*step_down, *actions)
-            return state, actions
+            return self._retry_fencing(state, succession, found, now)
         is_other = found.successor != succession.successor
         if is_other and succession.promotion_may_take_effect:
             # The one whose promotion was requested may lead before another one does.
--- a/tests/test_lost_replica_logs.py
+++ b/tests/test_lost_replica_logs.py
@@ -95,11 +95,18 @@
             (SHORT, []),
             ({"a": None, "b": status(7)}, [StepDownPrimary]),
         ):
-            found = driver.report_fences(statuses)
-            asked = [type(each) for each in found if isinstance(each, StepDownPrimary)]
-            self.assertEqual(asked, expected)
+            self.assertEqual(self.step_downs(driver.report_fences(statuses)), expected)
             driver.observe(without, times.RETRY_SECONDS)
 
+    def test_primary_steps_down_also_if_the_first_round_is_conclusive(self) -> None:
+        driver = Driver()
+        driver.claim(replace(REPORTED, has_working_replica=False))
+        found = driver.report_fences({"a": EMPTY, "b": status(7)})
+        self.assertEqual(self.step_downs(found), [StepDownPrimary])
+
+    def step_downs(self, actions: tuple[Action, ...]) -> list[type]:
+        return [type(each) for each in actions if isinstance(each, StepDownPrimary)]
+
 
 class LostReplicasTest(unittest.TestCase):
     """Both replicas end together and start again empty; the primary works."""
