--- a/tests/test_late_promotions.py
+++ b/tests/test_late_promotions.py
@@ -22,14 +22,14 @@
     """A promotion without an answer takes effect up to 6 s after its request."""
 
     def test_commits_after_the_end_of_its_claim_are_kept(self) -> None:
+        broken = {}
         for seed in (69, 53):
-            with self.subTest(seed=seed):
-                simulation = Simulation(
-                    seed, FAULTS, seconds=17.0, sessions=12, requires_fencing=False
-                )
-                findings = simulation.run()
-                found = findings.lost, findings.replaced_commits
-                self.assertEqual(found, ([], []))
+            simulation = Simulation(
+                seed, FAULTS, seconds=17.0, sessions=12, requires_fencing=False
+            )
+            findings = simulation.run()
+            broken[seed] = len(findings.lost), len(findings.replaced_commits)
+        self.assertEqual(broken, {69: (0, 0), 53: (0, 0)})
 
 
 class StalledPromoterTest(unittest.TestCase):
