--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -45,7 +45,7 @@
 
 
 class StopSoakTest(unittest.TestCase):
-    """Planned stops beside faults of databases, at any moment of callers' work."""
+    """Planned stops beside faults and changes, at any moment of callers' work."""
 
     def test_each_request_that_was_read_is_answered_truthfully(self) -> None:
         for seed in range(SEEDS):
@@ -66,6 +66,7 @@
                 asyncio.create_task(_hang_now_and_then(each, rng))
                 for each in fixture.databases.values()
             ]
+            tasks.append(asyncio.create_task(_change_now_and_then(fixture, rng)))
             await asyncio.sleep(rng.uniform(0.0, 2.0))
             draining = asyncio.create_task(
                 drain_ingress(ingress, GRACE_SECONDS, virtual_now)
@@ -78,7 +79,8 @@
         fixture.fleet.close()
         committed = {
             request.identifier
-            for _, request in fixture.leader.ran
+            for database in fixture.databases.values()
+            for _, request in database.ran
             if isinstance(request.statement, Commit)
         }
         for each in conversations:
@@ -133,6 +135,23 @@
         await asyncio.sleep(rng.choice((0.0, 0.05, 0.29, 1.0)))
 
 
+async def _change_now_and_then(fixture: GroupFixture, rng: random.Random) -> None:
+    """Change the configuration, and let another database lead, in series."""
+    databases = list(fixture.databases.values())
+    while True:
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        fixture.configure(sync_replicas=1)
+        if rng.random() < 0.5:
+            continue
+        leader = rng.choice(databases)
+        term = max(each.term for each in databases) + 1
+        for each in databases:
+            each.is_primary, each.term = each is leader, term
+            each.followers = tuple(other for other in databases if other is not leader)
+            each.index = each.log_end.index
+        fixture.register()
+
+
 async def _hang_now_and_then(database: FakeDatabase, rng: random.Random) -> None:
     while True:
         await asyncio.sleep(rng.uniform(0.0, 4.0))
