Show what a promoter that knows of no report may still drop

A new known failure: all proxies have restarted since the last reported commit, and all replicas have lost their logs. The promoter announces a change to an empty log, although the primary has stepped down and answers.

--- a/tests/test_lost_replica_logs.py
+++ b/tests/test_lost_replica_logs.py
@@ -74,6 +74,17 @@
         assert isinstance(promotion, Promote)
         self.assertEqual(promotion.successor, "old")
 
+    def test_promoter_that_knows_of_no_report_keeps_the_former_primarys_commits(
+        self,
+    ) -> None:
+        """Guards against promoting an empty log once all proxies have restarted."""
+        driver = Driver()
+        driver.claim()
+        driver.handle(PrimarySteppedDown("s", "old", 1, Position(1, 8)))
+        found = driver.report_fences({"a": EMPTY, "b": EMPTY})
+        announced = [each for each in found if isinstance(each, AnnounceChange)]
+        self.assertEqual(announced, [])
+
     def test_former_primary_is_not_asked_beside_a_replica_with_all_commits(
         self,
     ) -> None:
@@ -111,11 +122,19 @@
 class LostReplicasTest(unittest.TestCase):
     """Both replicas end together and start again empty; the primary works."""
 
-    def run_with_crash(self, seed: int, quiet_seconds: float) -> Findings:
-        """Return what a run shows with callers that only read before the crash."""
+    def run_with_crash(
+        self, seed: int, quiet_seconds: float, restarts_proxies: bool = False
+    ) -> Findings:
+        """Return what a run shows with callers that only read before the crash.
+
+        With `restarts_proxies` all proxies restart after the last write.
+        """
 
         async def crash(simulation: Simulation) -> None:
-            await asyncio.sleep(CRASH_AT - simulation.now())
+            await asyncio.sleep(CRASH_AT - 2.0 - simulation.now())
+            for proxy in simulation.proxies if restarts_proxies else ():
+                proxy.restart()
+            await asyncio.sleep(2.0)
             lifecycle = Lifecycle(simulation)
             await asyncio.gather(
                 *(
@@ -146,6 +165,16 @@
             with self.subTest(quiet_seconds=quiet_seconds):
                 self.assertEqual(broken, {})
 
+    def test_commits_are_kept_if_all_proxies_that_reported_them_restarted(
+        self,
+    ) -> None:
+        broken = {}
+        for seed in range(4):
+            findings = self.run_with_crash(seed, 9.0, restarts_proxies=True)
+            if not findings.is_clean:
+                broken[seed] = len(findings.lost)
+        self.assertEqual(broken, {})
+
 
 class AnyRestartTest(unittest.TestCase):
     """Databases that start again empty at any moment, whatever else they held."""
