Log which set-up of a session's state a database refuses

Nothing in the log told of values and prepared statements: a refused set-up was one more broken connection, so that the hypotheses of the incident could not be told apart. The line names the kind of the refused statement, the code, and how many values and names the connection had; callers' texts stay out of it. A failed set-up still closes the connection, with an error of its own type.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -60,6 +60,7 @@
     | session_events.CommandFailed
     | session_events.IsolationChanged
     | session_events.ReadRan
+    | session_events.SetUpRefused
     | events.WorkFailed
 )
 
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -295,3 +295,17 @@
     evidence_age_seconds: float
     # The refusal's or failure's code, or empty for a success.
     code: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetUpRefused:
+    """A database refused to set up a session's state on a connection."""
+
+    service: str
+    database: str
+    # The kind of statement that was refused, such as `SetValue`.
+    statement: str
+    code: str
+    # How many values and prepared statements the connection had.
+    values: int
+    prepared: int
--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import Protocol
 
-from beryltiller.sessions.errors import BrokenError
+from beryltiller.sessions.errors import SetUpRefusedError
 from beryltiller.sessions.statements import (
     DatabaseStatus,
     Execute,
@@ -97,16 +97,21 @@
 
         If the connection lacks any of these, the statements that set them up are sent
         before it in the same batch. If one of them fails, the connection is closed and
-        `BrokenError` is raised.
+        `SetUpRefusedError` is raised.
         """
+        prepared_before = len(self._prepared)
         setup = self._setup_requests(values, prepared, request.statement)
         known, self._values = self._values, None
         replies = await self._connection.send_requests(
             (*setup, self._with_shared_name(request, prepared))
         )
-        if not all(reply.is_success for reply in replies[:-1]):
-            self._connection.close()
-            raise BrokenError("the session state could not be set up on the connection")
+        for sent, reply in zip(setup, replies, strict=False):
+            if not reply.is_success:
+                self._connection.close()
+                kind = type(sent.statement).__name__
+                raise SetUpRefusedError(
+                    kind, reply.code, len(known or ()), prepared_before
+                )
         self._values = dict(values) if setup or known is None else known
         return replies[-1]
 
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -38,3 +38,22 @@
     def __init__(self, reason: str) -> None:
         """Create an error with the code for an unknown outcome."""
         super().__init__(Code.UNKNOWN_OUTCOME, reason)
+
+
+class SetUpRefusedError(BrokenError):
+    """A database's refusal of a statement that sets up a session's state.
+
+    `statement` is its kind and `refusal` the database's reason. `values` and `prepared`
+    count what the connection had before.
+    """
+
+    def __init__(
+        self, statement: str, refusal: Code | None, values: int, prepared: int
+    ) -> None:
+        """Create an error whose text names the statement and the code."""
+        reason = refusal.value if refusal else "no reason"
+        super().__init__(f"the database refused {statement}: {reason}")
+        self.statement = statement
+        self.refusal = reason
+        self.values = values
+        self.prepared = prepared
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
+from beryltiller.observability import logs, session_events
 from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
@@ -20,6 +21,7 @@
     NoCapacityError,
     NotSentError,
     SessionError,
+    SetUpRefusedError,
 )
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
@@ -217,9 +219,11 @@
             raise BrokenError(
                 "the database did not reply before the deadline"
             ) from error
-        except BrokenError:
+        except BrokenError as error:
             acquired.pool.discard(acquired.connection)
             self._record_lost_answer(acquired.placement, asked_at)
+            if isinstance(error, SetUpRefusedError):
+                _log_refused_set_up(member, error)
             raise
         except BaseException:
             acquired.pool.discard(acquired.connection)
@@ -390,6 +394,20 @@
     return code.has_not_run and code is not Code.NO_SUCH_STATEMENT
 
 
+def _log_refused_set_up(member: Member, error: SetUpRefusedError) -> None:
+    database = member.database
+    logs.log(
+        session_events.SetUpRefused(
+            database.service,
+            database.identifier,
+            error.statement,
+            error.refusal,
+            error.values,
+            error.prepared,
+        )
+    )
+
+
 def _is_commit_of_write(session: Session, request: Request) -> bool:
     match request.statement:
         case Commit():
