Give prepared statements numbered names on each connection

Callers saw another statement run than the one they had prepared (PINNED), and databases got work that nobody had sent (UNASKED).

Cause: the name at the database was 'r-' or 'w-' and the shape. A shape is the last field of its line and may hold blanks; a name is not, and ends at the first one. So the rest of the shape was read as the kind, the item or data, and a shape 'q READ x' defined the name of the shape 'q'. Class: text that somebody chose is joined into a field of another grammar.

Now each connection numbers its names, which hold no text of a caller, and gives none twice.

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -2,16 +2,18 @@
 
 The connection keeps the values of the session that used it last, and all statements
 prepared on it. Before it serves another session, the proxy sends statements that set up
-that session's state; they are sent in one batch with the caller's statement.
+that session's state.
 """
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol
 
+from beryltiller.sessions.connections.prepared_names import PreparedNames
 from beryltiller.sessions.errors import SetUpRefusedError
 from beryltiller.sessions.statements import (
     DatabaseStatus,
+    Deallocate,
     Execute,
     Prepare,
     ProxyCommand,
@@ -73,7 +75,7 @@
         """Wrap a new connection; `serial` identifies it in the pool's ledger."""
         self._connection = connection
         self._values: dict[str, str] | None = {}
-        self._prepared: set[str] = set()
+        self._names = PreparedNames()
         self.opened_at = opened_at
         self.serial = serial
 
@@ -99,21 +101,15 @@
         before it in the same batch. If one of them fails, the connection is closed and
         `SetUpRefusedError` is raised.
         """
-        prepared_before = len(self._prepared)
-        setup = self._setup_requests(values, prepared, request.statement)
+        before = (len(self._values or ()), len(self._names))
+        setup = self._setup_requests(values)
+        statement, prepares = self._named(request.statement, prepared)
+        setup += prepares
+        last = Request(statement, request.identifier, request.since)
         known, self._values = self._values, None
-        replies = await self._connection.send_requests(
-            (*setup, self._with_shared_name(request, prepared))
-        )
-        for sent, reply in zip(setup, replies, strict=False):
-            if not reply.is_success:
-                self._connection.close()
-                kind = type(sent.statement).__name__
-                raise SetUpRefusedError(
-                    kind, reply.code, len(known or ()), prepared_before
-                )
+        reply = await self._send_after(setup, last, before)
         self._values = dict(values) if setup or known is None else known
-        return replies[-1]
+        return reply
 
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
         """Run statements that do not depend on session state."""
@@ -132,52 +128,45 @@
         """Close the connection; the database rolls back its open transaction."""
         self._connection.close()
 
-    def _setup_requests(
-        self,
-        values: Mapping[str, str],
-        prepared: Mapping[str, Prepare],
-        statement: Statement,
-    ) -> list[Request]:
+    async def _send_after(
+        self, setup: list[Request], request: Request, before: tuple[int, int]
+    ) -> Reply:
+        *replies, reply = await self._connection.send_requests((*setup, request))
+        self._check_setup(setup, replies, before)
+        return reply
+
+    def _check_setup(
+        self, setup: list[Request], replies: list[Reply], before: tuple[int, int]
+    ) -> None:
+        for sent, reply in zip(setup, replies, strict=True):
+            if reply.code is not None:
+                self._connection.close()
+                kind = type(sent.statement).__name__
+                raise SetUpRefusedError(kind, reply.code, *before)
+
+    def _setup_requests(self, values: Mapping[str, str]) -> list[Request]:
         setup: list[Request] = []
         if self._values is None or self._values.keys() - values.keys():
             setup.append(Request(Reset()))
-            self._prepared.clear()
+            self._names.clear()
             known: Mapping[str, str] = {}
         else:
             known = self._values
         for name, value in values.items():
             if known.get(name) != value:
                 setup.append(Request(SetValue(name, value)))
-        if isinstance(statement, Execute):
-            setup += self._prepare_request(prepared[statement.name])
         return setup
 
-    def _prepare_request(self, prepare: Prepare) -> list[Request]:
-        name = shared_name(prepare)
-        if name in self._prepared:
-            return []
-        self._prepared.add(name)
-        return [Request(Prepare(name, prepare.is_write, prepare.shape))]
-
-    def _with_shared_name(
-        self, request: Request, prepared: Mapping[str, Prepare]
-    ) -> Request:
-        match request.statement:
-            case Execute(name, arguments):
-                shared = shared_name(prepared[name])
-                statement = Execute(shared, arguments)
-                return Request(statement, request.identifier, request.since)
-            case _:
-                return request
-
-
-def shared_name(prepare: Prepare) -> str:
-    """Return the name under which a statement is prepared at the database.
-
-    The name depends only on the statement's kind and shape. All sessions that use a
-    connection share it, so names chosen by callers cannot collide.
-
-    >>> shared_name(Prepare("s1", True, "q2c"))
-    'w-q2c'
-    """
-    return f"{'w' if prepare.is_write else 'r'}-{prepare.shape}"
+    def _named(
+        self, statement: Statement, prepared: Mapping[str, Prepare]
+    ) -> tuple[Statement, list[Request]]:
+        """Return a statement as the database knows it, and what prepares it there."""
+        if not isinstance(statement, Execute):
+            return statement, []
+        prepare = prepared[statement.name]
+        use = self._names.use(prepare)
+        requests = [Request(Deallocate(name)) for name in use.removed]
+        if use.is_new:
+            named = Prepare(use.name, prepare.is_write, prepare.shape)
+            requests.append(Request(named))
+        return Execute(use.name, statement.arguments), requests
