Send a statement only once its set-up has succeeded

Values, prepared names and the caller's statement went to the database in one batch. If it refused a value, the statement behind it ran all the same, on a connection with other values than its caller had set (PINNED), and the caller of a write that had run was told that its outcome is unknown.

The set-up is awaited now, as a begin is; a begin is still sent with it, as it does no work and its transaction ends with the connection. A refused set-up promises the caller that nothing has run. It costs a round trip when a connection passes to a session with other values.

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -12,6 +12,7 @@
 from beryltiller.sessions.connections.prepared_names import PreparedNames
 from beryltiller.sessions.errors import SetUpRefusedError
 from beryltiller.sessions.statements import (
+    Begin,
     DatabaseStatus,
     Deallocate,
     Execute,
@@ -97,9 +98,9 @@
     ) -> Reply:
         """Run a statement with the session's values and prepared statements.
 
-        If the connection lacks any of these, the statements that set them up are sent
-        before it in the same batch. If one of them fails, the connection is closed and
-        `SetUpRefusedError` is raised.
+        If the connection lacks any of these, they are set up first. If the database
+        refuses that, the connection is closed, and `SetUpRefusedError` raised: the
+        statement has not run.
         """
         before = (len(self._values or ()), len(self._names))
         setup = self._setup_requests(values)
@@ -131,8 +132,22 @@
     async def _send_after(
         self, setup: list[Request], request: Request, before: tuple[int, int]
     ) -> Reply:
-        *replies, reply = await self._connection.send_requests((*setup, request))
+        """Send a statement once its set-up has succeeded.
+
+        Behind a set-up that is refused, it would run with the state of another session.
+        A begin does no work and is sent at once; its transaction ends with the
+        connection.
+        """
+        if not setup:
+            (reply,) = await self._connection.send_requests((request,))
+            return reply
+        if isinstance(request.statement, Begin):
+            *replies, reply = await self._connection.send_requests((*setup, request))
+            self._check_setup(setup, replies, before)
+            return reply
+        replies = await self._connection.send_requests(setup)
         self._check_setup(setup, replies, before)
+        (reply,) = await self._connection.send_requests((request,))
         return reply
 
     def _check_setup(
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -40,7 +40,7 @@
         super().__init__(Code.UNKNOWN_OUTCOME, reason)
 
 
-class SetUpRefusedError(BrokenError):
+class SetUpRefusedError(NotSentError):
     """A database's refusal of a statement that sets up a session's state.
 
     `statement` is its kind and `refusal` the database's reason. `values` and `prepared`
@@ -48,12 +48,12 @@
     """
 
     def __init__(
-        self, statement: str, refusal: Code | None, values: int, prepared: int
+        self, statement: str, refusal: Code, values: int, prepared: int
     ) -> None:
-        """Create an error whose text names the statement and the code."""
-        reason = refusal.value if refusal else "no reason"
-        super().__init__(f"the database refused {statement}: {reason}")
+        """Create an error that promises that the caller's statement has not run."""
+        code = refusal if refusal.promises_no_effect else Code.ABORTED
+        super().__init__(code, f"the database refused {statement}: {refusal.value}")
         self.statement = statement
-        self.refusal = reason
+        self.refusal = refusal.value
         self.values = values
         self.prepared = prepared
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -219,11 +219,13 @@
             raise BrokenError(
                 "the database did not reply before the deadline"
             ) from error
-        except BrokenError as error:
+        except BrokenError:
             acquired.pool.discard(acquired.connection)
             self._record_lost_answer(acquired.placement, asked_at)
-            if isinstance(error, SetUpRefusedError):
-                _log_refused_set_up(member, error)
+            raise
+        except SetUpRefusedError as error:
+            acquired.pool.discard(acquired.connection)
+            _log_refused_set_up(member, error)
             raise
         except BaseException:
             acquired.pool.discard(acquired.connection)
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -319,6 +319,37 @@
         self.assertEqual(len(prepared), 2)
         self.assertNotIn(Reset(), ran)
 
+    def test_write_behind_a_refused_value_has_not_run(self) -> None:
+        """Guards against a statement that runs with the values of another session."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.refuse[SetValue] = Code.FAILED
+            session = fixture.session()
+            await fixture.run(session, SetValue("v", "1"))
+            reply = await fixture.run(session, Write("i", "d"))
+            self.assertIs(reply.code, Code.ABORTED)
+            self.assertIs(reply.state, SessionState.IDLE)
+
+        fixture = run_with_fixture(work)
+        self.assertNotIn("Write", fixture.leader.statement_names())
+        self.assertEqual(fixture.leader.connections, fixture.leader.closed)
+
+    def test_transaction_fails_at_a_refused_value(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"))
+            fixture.leader.refuse[SetValue] = Code.FAILED
+            await fixture.run(session, SetValue("v", "1"))
+            reply = await fixture.run(session, Write("i", "e"))
+            self.assertEqual((reply.code, reply.state), (Code.ABORTED, FAILED))
+
+        fixture = run_with_fixture(work)
+        self.assertNotIn(
+            Write("i", "e"), [each.statement for _, each in fixture.leader.ran]
+        )
+        self.assertEqual(fixture.leader.connections, fixture.leader.closed)
+
 
 class EvidenceTest(unittest.TestCase):
     """Reads at the primary are returned only if its term is proved current."""
