Split the announcer: rows of the store and objections get modules of their own

Reading and writing rows is AnnouncementRows, and the objections are pure functions over the fleet. No behaviour changes; the tests of announced changes, promoters and fences pass unchanged but for three imports.

--- a/src/beryltiller/sessions/succession/announcer.py
+++ b/src/beryltiller/sessions/succession/announcer.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import replace
 
-from beryltiller.core.ports import PortError, RefusedError
+from beryltiller.core.ports import PortError
 from beryltiller.core.position import ORIGIN
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.databases.fleet import Fleet
@@ -20,7 +20,6 @@
     PendingPromotion,
     PrimaryChange,
 )
-from beryltiller.sessions.databases.registry import DEPARTED_RETENTION_SECONDS
 from beryltiller.sessions.succession.announcement import (
     MAX_NAMES,
     Announcement,
@@ -30,17 +29,16 @@
     is_same_change,
     nothing_announced,
 )
+from beryltiller.sessions.succession.announcement_rows import (
+    WRITE_SECONDS,
+    AnnouncementRows,
+)
+from beryltiller.sessions.succession.objections import (
+    known_databases,
+    with_objection,
+)
 from beryltiller.sessions.succession.report_lines import Noticed, log_reports
 
-# A read that takes longer is given up.
-CALL_SECONDS = 0.3
-# How long a write is tried, and after which time it is sent once more.
-WRITE_SECONDS = 1.0
-HEDGE_SECONDS = 0.1
-# Proxies see entries go at different times. A database that the promoter has ceased to
-# keep as departed just before is no reason to object.
-FORGETTING_SECONDS = 5.0
-
 
 class Announcer:
     """One proxy's part in announced changes; use it on a single event loop."""
@@ -50,7 +48,7 @@
     ) -> None:
         """Apply announcements to the fleet's groups."""
         self._fleet = fleet
-        self._port = port
+        self._rows = AnnouncementRows(port, clock)
         self._clock = clock
         self._applied: dict[str, Announcement] = {}
         self._newest: dict[str, Announcement] = {}
@@ -100,7 +98,7 @@
         first = following(self._applied.get(service))
         changes.announce(first.covering, self._clock(), token, successor)
         self._announced[service] = first
-        written = await self._write(first, following)
+        written = await self._rows.write(first, following)
         if written is not None:
             self._written[service] = written
             self._record_in_sync(written)
@@ -108,7 +106,7 @@
 
     async def is_unopposed(self, service: str, version: int) -> bool:
         """Return True if no proxy has objected to the announcement of that version."""
-        present = await self._read(service)
+        present = await self._rows.read(service)
         if present is None:
             return False
         group = self._fleet.group(service)
@@ -165,11 +163,11 @@
             self._fleet.group(service).changes.withdraw(token)
         announced = self._announced.get(service)
         is_own = announced is not None and announced.token == token
-        present = await self._read(service) or announced
+        present = await self._rows.read(service) or announced
         if present is None or present.token > token:
             return
         if ended(present) != present or is_own:
-            await self._write(
+            await self._rows.write(
                 ended(present),
                 lambda each: ended(each) if each and each.token <= token else None,
             )
@@ -193,9 +191,9 @@
         )
         try:
             async with asyncio.timeout(WRITE_SECONDS):
-                written = await self._write_once(changed)
+                written = await self._rows.write_once(changed)
         except TimeoutError as error:
-            self._log_failure(service, error)
+            self._rows.log_failure(service, error)
             return False
         if written is None:
             await self._learn_row(service)
@@ -219,9 +217,9 @@
     async def _learn_row(self, service: str) -> None:
         """Learn which row the store has, after it was found to have another one."""
         try:
-            present = await self._read_row(service)
+            present = await self._rows.read_row(service)
         except (PortError, TimeoutError) as error:
-            self._log_failure(service, error)
+            self._rows.log_failure(service, error)
             return
         if present is None:
             self._forget_row(service)
@@ -287,6 +285,11 @@
         )
         return self._with_objection(announcement) is not None
 
+    def _with_objection(self, announcement: Announcement) -> Announcement | None:
+        own = self._announced.get(announcement.service)
+        is_own = own is not None and own.token == announcement.token
+        return with_objection(self._fleet, announcement, is_own, self._clock())
+
     async def object_to(self, announcement: Announcement) -> None:
         """Object to a change that drops a commit which this proxy has reported.
 
@@ -310,41 +313,6 @@
         )
         await self._amend(announcement, lambda each: self._with_objection(each) or each)
 
-    def _with_objection(self, announcement: Announcement) -> Announcement | None:
-        """Return an announcement with this proxy's objection, or None if not new.
-
-        Others may have objected with a commit that they have reported, which suffices.
-        """
-        group = self._fleet.group(announcement.service)
-        covering, objection = announcement.covering, announcement.objection
-        lacking = self._lacking(announcement)
-        if not lacking and not group.changes.objects_to(covering, group.term):
-            return None
-        later_term = announcement.later_term
-        if group.term > covering.replaced_term:
-            later_term = max(later_term, group.term)
-        if objection is None:
-            objection = group.changes.reported_beyond(covering)
-        opposed = replace(
-            announcement,
-            objection=objection,
-            later_term=later_term,
-            lacking=bounded_names({*announcement.lacking, *lacking}),
-        )
-        return opposed if opposed != announcement else None
-
-    def _lacking(self, announcement: Announcement) -> frozenset[str]:
-        """Return the databases that another promoter has not asked."""
-        service = announcement.service
-        own = self._announced.get(service)
-        is_own = own is not None and own.token == announcement.token
-        if is_own or not announcement.asked:
-            return frozenset()
-        kept_since = self._clock() - DEPARTED_RETENTION_SECONDS + FORGETTING_SECONDS
-        known = known_databases(self._fleet, service, kept_since)
-        unasked = known.difference(announcement.asked)
-        return unasked - _replaced(self._fleet, service, announcement.asked)
-
     def _record_lacking(self, announcement: Announcement) -> None:
         """Record the databases that an announcement names, unless it has happened."""
         if not announcement.is_over:
@@ -377,7 +345,7 @@
 
     async def _clear_row(self, row: Announcement) -> None:
         """Remove the names from a row that has not changed since."""
-        await self._write(replace(row, lacking=(), pending=()), lambda _: None)
+        await self._rows.write(replace(row, lacking=(), pending=()), lambda _: None)
 
     def _latest(self, service: str, row: Announcement | None) -> Announcement | None:
         """Return the newest announcement known; the row may be of an older copy."""
@@ -386,19 +354,6 @@
             return newest
         return row
 
-    async def _read(self, service: str) -> Announcement | None:
-        """Return a service's newest announcement, or None also if that failed."""
-        try:
-            return await self._read_row(service)
-        except (PortError, TimeoutError) as error:
-            self._log_failure(service, error)
-            return None
-
-    async def _read_row(self, service: str) -> Announcement | None:
-        """Return a service's newest announcement, or None if there is no row."""
-        async with asyncio.timeout(CALL_SECONDS):
-            return await self._port.read(service)
-
     async def _amend(
         self, read: Announcement, change: Callable[[Announcement], Announcement]
     ) -> None:
@@ -410,97 +365,7 @@
             is_same = (present.token, present.change) == (read.token, read.change)
             return change(present) if is_same and not present.is_over else None
 
-        await self._write(change(read), amended)
-
-    async def _write(
-        self,
-        announcement: Announcement,
-        instead_of: Callable[[Announcement | None], Announcement | None],
-    ) -> Announcement | None:
-        """Write an announcement until that is answered; return it as written, or None.
-
-        A write whose answer is late is sent again meanwhile: all have the same
-        condition, so that only one of them has an effect. If the row turns out to have
-        another version, or to be missing in a restored store, what `instead_of` returns
-        for that is written, if anything.
-        """
-        until = self._clock() + WRITE_SECONDS
-        writes: set[asyncio.Task[Announcement | None]] = set()
-        try:
-            while self._clock() < until:
-                writes.add(asyncio.create_task(self._write_once(announcement)))
-                done, writes = await asyncio.wait(
-                    writes, timeout=HEDGE_SECONDS, return_when=asyncio.FIRST_COMPLETED
-                )
-                for write in done:
-                    if (written := write.result()) is not None:
-                        return written
-                if not done:
-                    continue
-                try:
-                    present = await self._read_row(announcement.service)
-                except (PortError, TimeoutError) as error:
-                    self._log_failure(announcement.service, error)
-                    continue
-                following = instead_of(present)
-                if following is None:
-                    break
-                if following == present:
-                    # An earlier write had an effect, and its answer was lost.
-                    return present
-                announcement = following
-            return None
-        finally:
-            for write in writes:
-                write.cancel()
-
-    async def _write_once(self, announcement: Announcement) -> Announcement | None:
-        """Write an announcement; return it as written, or None if that failed."""
-        try:
-            version = await self._port.write(announcement)
-            return replace(announcement, version=version)
-        except RefusedError as error:
-            self._log_failure(announcement.service, error)
-            if error.code != "conflict":
-                # The store refuses all calls for now.
-                await asyncio.sleep(HEDGE_SECONDS)
-            return None
-        except PortError as error:
-            self._log_failure(announcement.service, error)
-            return None
-
-    def _log_failure(self, service: str, error: Exception) -> None:
-        logs.log(session_events.AnnouncementFailed(service, f"{error!r}"))
-
-
-def known_databases(
-    fleet: Fleet, service: str, departed_since: float = 0.0
-) -> frozenset[str]:
-    """Return a service's databases, with those departed since a moment."""
-    departed = frozenset(
-        each.database.identifier
-        for each in fleet.directory.departed_of(service)
-        if each.missing_since >= departed_since
-    )
-    return departed | fleet.group(service).members.keys()
-
-
-def _replaced(fleet: Fleet, service: str, asked: Collection[str]) -> frozenset[str]:
-    """Return the departed databases at whose address one that was asked has started.
-
-    That one has their logs.
-    """
-    members = fleet.group(service).members
-    started = [members[name].database for name in asked if name in members]
-    return frozenset(
-        each.database.identifier
-        for each in fleet.directory.departed_of(service)
-        if any(
-            later.address == each.database.address
-            and later.incarnation > each.database.incarnation > 0
-            for later in started
-        )
-    )
+        await self._rows.write(change(read), amended)
 
 
 def _merged(
--- a/src/beryltiller/sessions/succession/fencing.py
+++ b/src/beryltiller/sessions/succession/fencing.py
@@ -17,10 +17,7 @@
     FenceReplicas,
     UnfenceReplicas,
 )
-from beryltiller.sessions.succession.announcer import (
-    Announcer,
-    known_databases,
-)
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.commands import (
     Answered,
     Ended,
@@ -36,6 +33,7 @@
 from beryltiller.sessions.succession.events import (
     FenceResults,
 )
+from beryltiller.sessions.succession.objections import known_databases
 
 # How long answers on other connections are waited for that show which process answered.
 IDENTIFY_SECONDS = 0.1
--- a/tests/test_announced_changes.py
+++ b/tests/test_announced_changes.py
@@ -26,10 +26,8 @@
     Promote,
 )
 from beryltiller.sessions.succession.announcement import Announcement
-from beryltiller.sessions.succession.announcer import (
-    HEDGE_SECONDS,
-    Announcer,
-)
+from beryltiller.sessions.succession.announcement_rows import HEDGE_SECONDS
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.events import (
     ChangeAnnounced,
 )
--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -32,15 +32,13 @@
     Announcement,
     bounded_names,
 )
-from beryltiller.sessions.succession.announcer import (
-    FORGETTING_SECONDS,
-    Announcer,
-)
+from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.events import (
     ChangeAnnounced,
     FenceResults,
     PrimarySteppedDown,
 )
+from beryltiller.sessions.succession.objections import FORGETTING_SECONDS
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.succession.state import (
     Phase,
