--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -1,17 +1,12 @@
 """The databases that one proxy uses: groups, connection pools and commands."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from beryltiller.sessions.connections.connection_limits import (
-    ConnectionPoolPolicy,
-    ConnectionSupply,
-)
+from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
-from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.announced import (
     AnnouncementFeed,
     KnownAnnouncements,
@@ -22,6 +17,7 @@
     Database,
     Directory,
 )
+from beryltiller.sessions.databases.connection_pools import Connect, ConnectionPools
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.in_sync_set import InSyncSet
 from beryltiller.sessions.databases.member import Member
@@ -45,24 +41,12 @@
     ProxyCommand,
 )
 
-# A proxy may run this many statements at a database beyond its number of slots.
-EXTRA_STATEMENTS = 1
-# The share of a database's connection cap that one proxy may have open, but at least
-# `MIN_CONNECTIONS`.
-CONNECTION_SHARE = 0.3
-MIN_CONNECTIONS = 3
-# The connection cap of a service that the configuration does not have yet.
-DEFAULT_MAX_CONNECTIONS = 20
-
 # The deadline of a command that may be sent at any time.
 FOREVER = float("inf")
 
 # A leader that answers no statement for this long is unresponsive, and is probed.
 SILENCE_SECONDS = 0.25
 
-Connect = Callable[[Database], Awaitable[DatabaseConnection]]
-PoolKey = tuple[str, str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class ServiceReachability:
@@ -88,7 +72,7 @@
         self._configuration: Configuration | None = None
         self._directory = Directory()
         self._groups: dict[str, Group] = {}
-        self._connection_pools: dict[PoolKey, ConnectionPool] = {}
+        self._connection_pools = ConnectionPools(connect, clock)
         self._entries = PresentEntries(clock)
         self._announced = KnownAnnouncements()
         self._status_queries = StatusQueries(
@@ -137,7 +121,8 @@
         """Replace the registered databases, and close pools of those removed."""
         self._directory = directory
         self._update_groups()
-        self._close_removed_pools()
+        self._connection_pools.close_removed(directory)
+        self._status_queries.forget_removed(directory)
 
     def set_follows_store(self, is_followed: bool) -> None:
         """Record whether changes of the databases' entries arrive from the store.
@@ -229,11 +214,8 @@
 
     def connection_pool(self, database: Database) -> ConnectionPool:
         """Return the connection pool of a database, creating it if necessary."""
-        key = _pool_key(database)
-        pool = self._connection_pools.get(key)
-        if pool is None:
-            pool = self._connection_pools[key] = self._create_connection_pool(database)
-        return pool
+        services = self._configuration.services if self._configuration else {}
+        return self._connection_pools.pool(database, services)
 
     def supply(self, member: Member) -> ConnectionSupply:
         """Estimate how soon a connection to a database can be acquired."""
@@ -386,9 +368,7 @@
 
     def close_idle(self) -> None:
         """Close pooled connections that exceeded their idle time."""
-        now = asyncio.get_running_loop().time()
-        for pool in self._connection_pools.values():
-            pool.close_idle(now)
+        self._connection_pools.close_idle(asyncio.get_running_loop().time())
 
     def close(self) -> None:
         """Cancel status queries and close all connection pools."""
@@ -396,8 +376,7 @@
         self._status_queries.close()
         self._receipts.close()
         self._announced.close()
-        for pool in self._connection_pools.values():
-            pool.close()
+        self._connection_pools.close()
 
     def _update_groups(self) -> None:
         names = self._configuration.services if self._configuration else ()
@@ -406,29 +385,6 @@
         for service, group in self._groups.items():
             group.update(self._directory.of_service(service), self._clock())
 
-    def _create_connection_pool(self, database: Database) -> ConnectionPool:
-        services = self._configuration.services if self._configuration else {}
-        service = services.get(database.service)
-        cap = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
-        share = max(MIN_CONNECTIONS, round(cap * CONNECTION_SHARE))
-        semaphore = PrioritySemaphore(database.slots + EXTRA_STATEMENTS)
-        return ConnectionPool(
-            lambda: self._connect(database),
-            semaphore,
-            ConnectionPoolPolicy(share),
-            self._clock,
-        )
-
-    def _close_removed_pools(self) -> None:
-        known = {_pool_key(database) for database in self._directory.databases.values()}
-        for key in self._connection_pools.keys() - known:
-            self._connection_pools.pop(key).close()
-        self._status_queries.forget_removed(self._directory)
-
-
-def _pool_key(database: Database) -> PoolKey:
-    return database.identifier, database.address, database.incarnation
-
 
 def _is_unresponsive(leader: Member, now: float) -> bool:
     if leader.failing_since is not None:
