Answer a refused commit with an ended transaction

A database that refuses a commit may leave its transaction open, as when it is busy until the deadline. The proxy then closed the connection, which rolls back, but passed the state on: the caller was told that its transaction is open, and its next statement ran outside of one (PINNED).

The answer to a commit says now that no transaction is open, whatever its code.

--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -4,6 +4,8 @@
 statement that may have run inside a transaction is not run again elsewhere.
 """
 
+from dataclasses import replace
+
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
@@ -293,6 +295,8 @@
         session.transaction = None
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
+        # At a refused commit, the transaction ends with its connection.
+        reply = replace(reply, state=SessionState.IDLE)
         if reply.is_success and transaction.has_written:
             return await self._report_commit(session, transaction, reply, deadline)
         return reply
--- a/tests/test_session_model.py
+++ b/tests/test_session_model.py
@@ -267,7 +267,7 @@
                 return choose(SET_UP_WORDS), choose(REFUSALS)
             case "statement":
                 codes = ("BUSY", "FAILED", "READONLY", "LAGGING")
-                return choose(("EXECUTE", "READ", "WRITE", "BEGIN")), choose(codes)
+                return choose(OTHER_WORDS), choose(codes)
             case _:
                 return "STARTUP", "CONNLIMIT"
 
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -168,6 +168,22 @@
         ran = run_with_fixture(work).leader.ran
         self.assertEqual(len({number for number, _ in ran}), 1)
 
+    def test_statement_behind_a_refused_commit_is_not_taken_for_part_of_it(
+        self,
+    ) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"))
+            fixture.leader.refuse[Commit] = Code.FAILED
+            reply = await fixture.run(session, Commit())
+            self.assertEqual((reply.code, reply.state), (Code.FAILED, IDLE))
+            self.assertEqual(fixture.leader.closed, 1)
+            reply = await fixture.run(session, Write("i", "e"))
+            self.assertEqual((reply.code, reply.state), (None, IDLE))
+
+        run_with_fixture(work)
+
     def test_first_statement_waits_for_the_begin(self) -> None:
         """Guards against a statement that runs outside its transaction.
 
