Limit the memory that sessions' values and prepared statements take

A session could keep 256 values and 1,024 prepared statements of up to 1 MiB each, so one caller could fill a proxy, which is then killed with the sessions of all others: three sessions that prepared 100 shapes of 1 MB each were all accepted.

Class: state that sessions share, here the process's memory, without a limit.

Replaced and deallocated entries and ended sessions give their memory back, also if the caller's connection breaks while its transaction expires. A single message of 1 MiB still fits, and a shape of 700,000 bytes is prepared and executed.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -297,6 +297,16 @@
     code: str
 
 
+@dataclass(frozen=True, slots=True)
+class SessionStateRefused:
+    """The state of callers' sessions takes all its memory; logged once a minute."""
+
+    used_bytes: int
+    max_bytes: int
+    # How many values and prepared statements were refused since the last line.
+    refusals: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetUpRefused:
     """A database refused to set up a session's state on a connection."""
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -196,7 +196,9 @@
             await self._service.expire_transaction(session)
         finally:
             self._work = None
-        if self._messages:
+        if self._transport is None:
+            await self._service.end_session(session)
+        elif self._messages:
             self._work = asyncio.create_task(self._serve())
 
     def _stop_timer(self) -> None:
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -38,6 +38,7 @@
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS
+from beryltiller.sessions.state_budget import total_bytes
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.in_sync_keeper import InSyncKeeper
 from beryltiller.sessions.succession.runner import SuccessionRunner
@@ -86,6 +87,7 @@
             self._monitor,
             boot_clock,
             ReadLog(settings.logs_reads),
+            total_bytes(settings.memory_bytes),
         )
         self._ingress = Ingress(self._service, boot_clock)
 
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -13,6 +13,8 @@
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 MAX_DURATION_SECONDS = 86_400
+MAX_MEMORY_MB = 1 << 30
+MEGABYTE = 1_000_000
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
@@ -48,6 +50,12 @@
     drain_timeout_ms: _Milliseconds = 7000.0
 
 
+class LimitsModel(msgspec.Struct, frozen=True):
+    """Limits of the process; one that uses more than `memory_mb` is killed."""
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEMORY_MB)] | None = None
+
+
 class FileModel(msgspec.Struct, frozen=True):
     """The settings file; fields that the proxy does not use are ignored.
 
@@ -62,6 +70,7 @@
     platform: PlatformModel
     cloud_api: CloudModel
     bounds: BoundsModel = BoundsModel()
+    limits: LimitsModel = LimitsModel()
     heartbeat_interval_ms: _Milliseconds = 1200.0
     internal_port_range: tuple[int, int] | None = None
 
@@ -74,7 +83,7 @@
     within `grace_seconds`; a draining database stops after `drain_seconds`, and writes
     its entry every `heartbeat_seconds`. Other
     proxies receive its relayed changes from `relay_address`, if it has one. With
-    `logs_reads` each read is logged.
+    `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
     """
 
     host_name: str
@@ -89,6 +98,7 @@
     relay_address: Address | None = None
     logs_reads: bool = False
     heartbeat_seconds: float = 1.2
+    memory_bytes: int | None = None
 
 
 def read_settings_file(path: str) -> PlatformSettings:
@@ -119,6 +129,7 @@
         drain_seconds=model.bounds.drain_timeout_ms / 1000,
         heartbeat_seconds=model.heartbeat_interval_ms / 1000,
         relay_address=_relay_address(model),
+        memory_bytes=_memory_bytes(model.limits),
     )
 
 
@@ -144,6 +155,10 @@
         return status.st_mtime_ns, status.st_size, status.st_ino
 
 
+def _memory_bytes(limits: LimitsModel) -> int | None:
+    return None if limits.memory_mb is None else int(limits.memory_mb * MEGABYTE)
+
+
 def _relay_address(model: FileModel) -> Address | None:
     """Return the address of the relay, or None if the file names no internal ports."""
     if model.internal_port_range is None:
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -12,6 +12,12 @@
     ReadRequirement,
     read_requirement,
 )
+from beryltiller.sessions.state_budget import (
+    Excess,
+    StateAccount,
+    StateBudget,
+    text_bytes,
+)
 from beryltiller.sessions.statements import (
     PROXY_SIGNATURE,
     Code,
@@ -27,6 +33,13 @@
 
 MAX_VALUES = 256
 MAX_PREPARED = 1024
+_TOO_MUCH_STATE = {
+    Excess.SESSION: (
+        Code.FAILED,
+        "the values and prepared statements of the session take too much memory",
+    ),
+    Excess.PROXY: (Code.BUSY, "the proxy has no memory left for sessions' state"),
+}
 
 
 @dataclass(slots=True)
@@ -57,10 +70,15 @@
     acquired: AcquiredConnection | None = None
 
 
+def _account_of_its_own() -> StateAccount:
+    return StateAccount(StateBudget())
+
+
 @dataclass(slots=True)
 class Session:
     """The session of one open caller connection.
 
+    `account` counts the memory that its values and prepared statements take.
     `committed` maps a service to the log position of the session's last commit there,
     and `unplaced_commits` to when the last one without a position was acknowledged.
     `position` is the log position of the last reply that had one.
@@ -74,6 +92,7 @@
     unplaced_commits: dict[str, float] = field(default_factory=dict)
     transaction: Transaction | None = None
     position: Position | None = None
+    account: StateAccount = field(default_factory=_account_of_its_own)
 
     def refuse(self, code: Code, text: str) -> Reply:
         """Return a refusal that leaves the session's state as it is."""
@@ -86,22 +105,23 @@
     def apply_locally(self, statement: SetValue | Prepare | Deallocate) -> Reply:
         """Apply a statement that changes only the session, not a database."""
         match statement:
-            case SetValue(name, value):
-                if len(self.values) >= MAX_VALUES and name not in self.values:
-                    return self.refuse(
-                        Code.FAILED, f"a session has at most {MAX_VALUES} values"
-                    )
-                self.values[name] = value
-            case Prepare(name):
-                if len(self.prepared) >= MAX_PREPARED and name not in self.prepared:
-                    reason = f"a session has at most {MAX_PREPARED} prepared statements"
-                    return self.refuse(Code.FAILED, reason)
-                self.prepared[name] = statement
+            case SetValue():
+                return self._set_value(statement)
+            case Prepare():
+                return self._prepare(statement)
             case Deallocate(name):
-                if self.prepared.pop(name, None) is None:
+                removed = self.prepared.pop(name, None)
+                if removed is None:
                     return self.refuse(Code.NO_SUCH_STATEMENT, name)
+                self.account.change(-_prepare_bytes(removed))
         return self.accept()
 
+    def clear_state(self) -> None:
+        """Forget values and prepared statements, as the session ends."""
+        self.values.clear()
+        self.prepared.clear()
+        self.account.clear()
+
     def is_write(self, statement: Statement) -> bool:
         """Return True if a statement, prepared or not, writes."""
         match statement:
@@ -134,3 +154,32 @@
         last = self.committed.get(service)
         if last is None or position > last:
             self.committed[service] = position
+
+    def _set_value(self, statement: SetValue) -> Reply:
+        name, value = statement.name, statement.value
+        former = self.values.get(name)
+        if former is None and len(self.values) >= MAX_VALUES:
+            reason = f"a session has at most {MAX_VALUES} values"
+            return self.refuse(Code.FAILED, reason)
+        freed = 0 if former is None else text_bytes(name, former)
+        excess = self.account.change(text_bytes(name, value) - freed)
+        if excess is not None:
+            return self.refuse(*_TOO_MUCH_STATE[excess])
+        self.values[name] = value
+        return self.accept()
+
+    def _prepare(self, statement: Prepare) -> Reply:
+        former = self.prepared.get(statement.name)
+        if former is None and len(self.prepared) >= MAX_PREPARED:
+            reason = f"a session has at most {MAX_PREPARED} prepared statements"
+            return self.refuse(Code.FAILED, reason)
+        freed = 0 if former is None else _prepare_bytes(former)
+        excess = self.account.change(_prepare_bytes(statement) - freed)
+        if excess is not None:
+            return self.refuse(*_TOO_MUCH_STATE[excess])
+        self.prepared[statement.name] = statement
+        return self.accept()
+
+
+def _prepare_bytes(prepare: Prepare) -> int:
+    return text_bytes(prepare.name, prepare.shape)
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/session_service.py
@@ -7,6 +7,11 @@
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.single_statements import SingleStatementRunner
+from beryltiller.sessions.state_budget import (
+    DEFAULT_TOTAL_BYTES,
+    StateAccount,
+    StateBudget,
+)
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -41,10 +46,12 @@
         monitor: IsolationMonitor,
         clock: Clock,
         read_log: ReadLog | None = None,
+        max_state_bytes: int = DEFAULT_TOTAL_BYTES,
     ) -> None:
         """Use the fleet's databases and report each outcome to `monitor`.
 
-        Without `read_log`, reads are not logged.
+        Without `read_log`, reads are not logged. The values and prepared statements of
+        all sessions take at most `max_state_bytes`.
         """
         self._monitor = monitor
         self._fleet = fleet
@@ -52,8 +59,14 @@
         self._executor = StatementExecutor(fleet, placer, clock, read_log or ReadLog())
         self._transactions = SessionTransactionRunner(self._executor)
         self._single_statements = SingleStatementRunner(self._executor)
+        self._budget = StateBudget(max_state_bytes, clock)
         self._refuses_transactions = False
 
+    @property
+    def state_bytes(self) -> int:
+        """Return the memory that is counted for the state of all sessions."""
+        return self._budget.used_bytes
+
     def refuse_transactions(self) -> None:
         """Begin no further transactions, as there is no time left for them."""
         self._refuses_transactions = True
@@ -62,7 +75,7 @@
         """Return a new session, or None if no route has the database name."""
         if self._executor.route(database_name) is None:
             return None
-        return Session(database_name)
+        return Session(database_name, account=StateAccount(self._budget))
 
     async def answer(
         self, session: Session, identifier: str, statement: Statement, arrived: float
@@ -74,14 +87,18 @@
         """
         reply = await self._answer(session, identifier, statement, arrived)
         session.state = reply.state
-        if reply.code not in _CALLER_ERRORS:
+        if not _is_caller_error(statement, reply):
             self._monitor.record_outcome(reply.is_success, self._clock())
         if reply.position is not None:
             session.position = reply.position
         return reply
 
     async def end_session(self, session: Session) -> None:
-        """Roll back an open transaction, as when the caller disconnects."""
+        """Roll back an open transaction and forget the session's state.
+
+        Call it once the caller has disconnected.
+        """
+        session.clear_state()
         await self._transactions.roll_back_open(session)
 
     async def expire_transaction(self, session: Session) -> None:
@@ -90,7 +107,7 @@
         The session is FAILED until its caller sends a commit or a rollback.
         """
         if session.transaction is not None:
-            await self.end_session(session)
+            await self._transactions.roll_back_open(session)
             session.state = SessionState.FAILED
 
     def give_up(self, session: Session, statement: Statement) -> Reply:
@@ -147,14 +164,21 @@
     async def _answer_failed(self, session: Session, statement: Statement) -> Reply:
         match statement:
             case Rollback():
-                await self.end_session(session)
+                await self._transactions.roll_back_open(session)
                 session.state = SessionState.IDLE
                 return session.accept()
             case Commit():
-                await self.end_session(session)
+                await self._transactions.roll_back_open(session)
                 session.state = SessionState.IDLE
                 return session.refuse(Code.ABORTED, "the transaction was rolled back")
             case _:
                 return session.refuse(
                     Code.MALFORMED, "the transaction must be rolled back"
                 )
+
+
+def _is_caller_error(statement: Statement, reply: Reply) -> bool:
+    """Return True if the caller is the reason of a refusal, and not the databases."""
+    if isinstance(statement, SetValue | Prepare) and not reply.is_success:
+        return True
+    return reply.code in _CALLER_ERRORS
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -41,11 +41,18 @@
         self.assertEqual(str(found.store_address), "127.0.0.1:8783")
         self.assertEqual((found.grace_seconds, found.drain_seconds), (5, 9))
 
+    def test_memory_limit_is_read_if_there_is_one(self) -> None:
+        limits = {"memory_mb": 300, "cpu_share": 0.5}
+        found = read_settings_file(self.write({**SETTINGS, "limits": limits}))
+        self.assertEqual(found.memory_bytes, 300_000_000)
+        self.assertIsNone(read_settings_file(self.write(SETTINGS)).memory_bytes)
+
     def test_refusal_names_the_invalid_field(self) -> None:
         cases: tuple[tuple[str, object], ...] = (
             ("zone", {**SETTINGS, "zone": 3}),
             ("node_name", {k: v for k, v in SETTINGS.items() if k != "node_name"}),
             ("platform.address", {**SETTINGS, "platform": {"address": "nowhere"}}),
+            ("limits.memory_mb", {**SETTINGS, "limits": {"memory_mb": 0}}),
             ("object", []),
         )
         for field, settings in cases:
--- /dev/null
+++ b/tests/test_session_state_limits.py
@@ -0,0 +1,246 @@
+"""Tests of the limits of what sessions keep: values and prepared statements."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from typing import cast
+from unittest import mock
+
+from beryltiller.observability import logs, session_events
+from beryltiller.platform.ingress import CallerConnection, Ingress
+from beryltiller.sessions.databases.placement import Placer
+from beryltiller.sessions.isolation import IsolationMonitor
+from beryltiller.sessions.session import MAX_VALUES, Session
+from beryltiller.sessions.session_service import SessionService
+from beryltiller.sessions.state_budget import (
+    LOG_INTERVAL_SECONDS,
+    MAX_SESSION_BYTES,
+    StateBudget,
+)
+from beryltiller.sessions.statements import (
+    Begin,
+    Code,
+    Deallocate,
+    Execute,
+    Prepare,
+    Rollback,
+    SetValue,
+    Write,
+)
+from tests.fake_group import GroupFixture
+from tests.page_group import PageGroup
+from tests.test_platform_ingress import FakeTransport
+from tests.virtual_loop import run_virtual, virtual_now
+
+MESSAGE = "x" * (1 << 20)
+TOTAL_BYTES = 4_000_000
+
+Work = Callable[[GroupFixture], Awaitable[None]]
+
+
+def run_with_total(work: Work, total_bytes: int = TOTAL_BYTES) -> None:
+    """Run work on a group whose sessions share a total, and check what stays."""
+
+    async def run_work() -> None:
+        fixture = GroupFixture()
+        fixture.service = SessionService(
+            fixture.fleet,
+            Placer("a"),
+            IsolationMonitor(),
+            virtual_now,
+            max_state_bytes=total_bytes,
+        )
+        await work(fixture)
+        fixture.fleet.close()
+
+    run_virtual(run_work())
+
+
+async def fill(fixture: GroupFixture, session: Session, value: str = MESSAGE) -> int:
+    """Set values until one is refused; return how many there are."""
+    for number in range(MAX_VALUES + 1):
+        name = f"v{number} {len(value)}"
+        reply = await fixture.run(session, SetValue(name, value))
+        if not reply.is_success:
+            return number
+    raise AssertionError("nothing was refused")
+
+
+class SessionLimitTest(unittest.TestCase):
+    """One session keeps a limited number of bytes, and says so clearly."""
+
+    def test_session_keeps_no_more_than_its_limit(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            count = await fill(fixture, session)
+            self.assertLessEqual(count << 20, MAX_SESSION_BYTES)
+            reply = await fixture.run(session, Prepare("s1", False, MESSAGE))
+            self.assertIs(reply.code, Code.FAILED)
+            self.assertIn("memory", reply.text)
+            other = fixture.session()
+            reply = await fixture.run(other, Prepare("s1", False, MESSAGE))
+            self.assertTrue(reply.is_success)
+
+        run_with_total(work, 100_000_000)
+
+    def test_replacement_and_deallocation_make_room(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            for _ in range(20):
+                for statement in (
+                    SetValue("v", MESSAGE),
+                    Prepare("s1", False, MESSAGE),
+                    Prepare("s2", False, MESSAGE),
+                    Deallocate("s2"),
+                ):
+                    reply = await fixture.run(session, statement)
+                    self.assertTrue(reply.is_success, reply)
+            await fixture.run(session, SetValue("v", ""))
+            await fixture.run(session, Deallocate("s1"))
+            self.assertEqual(fixture.service.state_bytes, 0)
+
+        run_with_total(work)
+
+    def test_refused_replacement_keeps_what_was_there(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, SetValue("mine", "a"))
+            await fixture.run(session, Prepare("s1", False, "b"))
+            await fill(fixture, session)
+            for statement in (SetValue("mine", MESSAGE), Prepare("s1", True, MESSAGE)):
+                reply = await fixture.run(session, statement)
+                self.assertIs(reply.code, Code.FAILED)
+            self.assertEqual(session.values["mine"], "a")
+            self.assertEqual(session.prepared["s1"].shape, "b")
+
+        run_with_total(work, 100_000_000)
+
+    def test_shape_of_nearly_a_message_is_prepared_and_executed(self) -> None:
+        async def work() -> None:
+            group = PageGroup()
+            session = group.session()
+            shape = "é" + "x" * 700_000
+            await group.run(session, Prepare("s1", False, shape), "a")
+            reply = await group.run(session, Execute("s1", "1a4"), "b")
+            self.assertTrue(reply.is_success, reply.code)
+            self.assertEqual([each.ran.shape for each in group.record.ran], [shape])
+            group.fleet.close()
+
+        run_virtual(work())
+
+
+class TotalTest(unittest.TestCase):
+    """All sessions share a total; who keeps little is served when it is used up."""
+
+    def test_sessions_together_keep_no_more_than_the_total(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            sessions = [fixture.session() for _ in range(20)]
+            counts = [await fill(fixture, each) for each in sessions]
+            self.assertLessEqual(sum(counts) << 20, TOTAL_BYTES)
+            reply = await fixture.run(sessions[-1], SetValue("w", MESSAGE))
+            self.assertIs(reply.code, Code.BUSY)
+
+        run_with_total(work)
+
+    def test_callers_who_keep_little_are_not_refused(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            for value in (MESSAGE, "x" * 10_000, "x"):
+                for _ in range(20):
+                    await fill(fixture, fixture.session(), value)
+            for _ in range(50):
+                session = fixture.session()
+                for number in range(10):
+                    name = f"s{number}"
+                    replies = (
+                        await fixture.run(session, Prepare(name, True, "q1a WRITE")),
+                        await fixture.run(session, SetValue(name, "a value")),
+                    )
+                    self.assertTrue(all(each.is_success for each in replies))
+
+        run_with_total(work)
+
+    def test_end_of_a_session_gives_its_memory_back(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            for _ in range(5):
+                session = fixture.session()
+                await fixture.run(session, Begin())
+                await fixture.run(session, Write("i", "d"))
+                self.assertGreater(await fill(fixture, session), 0)
+                await fixture.service.end_session(session)
+                self.assertEqual(fixture.service.state_bytes, 0)
+
+        run_with_total(work)
+
+    def test_ended_transaction_keeps_the_sessions_state(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, SetValue("v", MESSAGE))
+            await fixture.run(session, Begin())
+            await fixture.service.expire_transaction(session)
+            await fixture.run(session, Rollback())
+            self.assertEqual(session.values, {"v": MESSAGE})
+
+        run_with_total(work)
+
+    def test_refusals_say_nothing_about_the_databases(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            monitor = mock.Mock()
+            with mock.patch.object(fixture.service, "_monitor", monitor):
+                await fill(fixture, fixture.session())
+            served = [call.args[0] for call in monitor.record_outcome.call_args_list]
+            self.assertTrue(all(served))
+
+        run_with_total(work)
+
+    def test_refusals_are_logged_once_a_minute(self) -> None:
+        times = [0.0]
+        budget = StateBudget(10, lambda: times[0])
+        with captured_events() as events:
+            for _ in range(5):
+                budget.try_change(11)
+            times[0] = LOG_INTERVAL_SECONDS
+            budget.try_change(11)
+        found = [cast(session_events.SessionStateRefused, each) for each in events]
+        self.assertEqual([each.refusals for each in found], [1, 5])
+
+
+class ConnectionEndTest(unittest.TestCase):
+    """A caller's connection that breaks gives the session's memory back."""
+
+    def test_broken_connection_gives_memory_back(self) -> None:
+        cases = {
+            "idle": ("QUERY 1 ROLLBACK",),
+            "in a transaction": ("QUERY 1 BEGIN", "QUERY 2 WRITE i d"),
+        }
+        for name, lines in cases.items():
+            with self.subTest(name):
+                self._break(lines, 1.0)
+        with self.subTest("a statement at work"):
+            self._break(("QUERY 1 BEGIN", "QUERY 2 WRITE i d"), 0.0)
+        for step in range(20):
+            with self.subTest("a transaction that expires", step=step):
+                pause_seconds = 3.0 + 0.005 * step
+                self._break(("QUERY 1 BEGIN", "QUERY 2 WRITE i d"), pause_seconds)
+
+    def _break(self, lines: tuple[str, ...], pause_seconds: float) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            ingress = Ingress(fixture.service, virtual_now)
+            connection = CallerConnection(fixture.service, ingress)
+            connection.connection_made(FakeTransport())
+            text = "\r\n".join(("STARTUP db u1", f"QUERY 0 SET v {MESSAGE}", *lines))
+            connection.data_received(f"{text}\r\n".encode())
+            await asyncio.sleep(pause_seconds)
+            connection.connection_lost(None)
+            await asyncio.sleep(1.0)
+            self.assertEqual(fixture.service.state_bytes, 0)
+
+        run_with_total(work)
+
+
+@contextmanager
+def captured_events() -> Iterator[list[object]]:
+    """Collect the events that are logged inside the block."""
+    events: list[object] = []
+    with mock.patch.object(logs, "log", events.append):
+        yield events
