Forget large state of a connection that no session uses

A pooled connection kept the values that the last session had set, and its shapes, until another session used it: up to 6 MiB of values, and a shape of up to 1 MiB, for each connection, also long after that session had ended, and outside of its memory limit.

A connection that is released with more than 64 Ki characters of values, or with a shape longer than all its shapes may be together, forgets what is set on it and is reset before its next use. test_large_values_of_an_ended_session_are_not_kept and test_long_shape_of_an_ended_session_is_not_kept fail without the call at the release (run); the model of whole sessions passes with a limit of 4 characters, at which most connections forget.

--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -134,6 +134,7 @@
             self._remove(pooled)
             self._notify_waiter(None)
             return
+        pooled.forget_large_state()
         if self._notify_waiter(pooled):
             return
         now = asyncio.get_running_loop().time()
--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -25,6 +25,9 @@
     Statement,
 )
 
+# The names and values that a connection keeps while no session uses it.
+MAX_IDLE_VALUE_CHARACTERS = 64 * 1024
+
 
 class DatabaseConnection(Protocol):
     """An open network connection to one database."""
@@ -90,6 +93,11 @@
         """Return the session values set at the database, or None if unknown."""
         return self._values
 
+    @property
+    def shape_bytes(self) -> int:
+        """Return the size in bytes of the shapes that are known to be prepared."""
+        return self._names.shape_bytes
+
     async def run(
         self,
         request: Request,
@@ -129,6 +137,18 @@
         """Close the connection; the database rolls back its open transaction."""
         self._connection.close()
 
+    def forget_large_state(self) -> None:
+        """Forget what the last session set if it takes much memory.
+
+        The connection is reset before it is used with a session's state again. Call
+        this when no transaction is open.
+        """
+        values = self._values or {}
+        size = sum(len(name) + len(value) for name, value in values.items())
+        if size > MAX_IDLE_VALUE_CHARACTERS or self._names.has_long_shape:
+            self._values = None
+            self._names.clear()
+
     async def _send_after(
         self, setup: list[Request], request: Request, before: tuple[int, int]
     ) -> Reply:
--- a/src/beryltiller/sessions/connections/prepared_names.py
+++ b/src/beryltiller/sessions/connections/prepared_names.py
@@ -61,6 +61,11 @@
         """Return the size of the prepared shapes in bytes."""
         return self._shape_bytes
 
+    @property
+    def has_long_shape(self) -> bool:
+        """Return True if a single shape takes more than all may take together."""
+        return self._shape_bytes > self._max_shape_bytes
+
     def use(self, prepare: Prepare) -> NameUse:
         """Return the name of a statement that is executed next."""
         key = (prepare.is_write, prepare.shape)
--- a/tests/test_session_model.py
+++ b/tests/test_session_model.py
@@ -222,6 +222,7 @@
 LEAVE_SHARE = 0.05
 PAUSE_SECONDS = 0.2
 FEW_NAMES = 2
+FEW_CHARACTERS = 4
 
 
 class RandomCallers:
@@ -324,6 +325,14 @@
         with mock.patch.object(pooled_connection, "PreparedNames", few_names):
             self._play_all(FEW_NAMES)
 
+    def test_statements_run_with_their_values_when_connections_forget_them(
+        self,
+    ) -> None:
+        with mock.patch.object(
+            pooled_connection, "MAX_IDLE_VALUE_CHARACTERS", FEW_CHARACTERS
+        ):
+            self._play_all()
+
     def _play_all(self, max_names: int = MAX_NAMES) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import cast
 from unittest import mock
@@ -20,6 +20,7 @@
 )
 from beryltiller.sessions.statements import (
     Begin,
+    CallerStatement,
     Code,
     Deallocate,
     Execute,
@@ -205,6 +206,58 @@
         self.assertEqual([each.refusals for each in found], [1, 5])
 
 
+class IdleConnectionTest(unittest.TestCase):
+    """A connection to a database keeps little while no session uses it."""
+
+    def test_large_values_of_an_ended_session_are_not_kept(self) -> None:
+        found = self._state_after(SetValue("v", MESSAGE), Write("i", "d"))
+        self.assertEqual(found, [(None, 0)])
+
+    def test_long_shape_of_an_ended_session_is_not_kept(self) -> None:
+        found = self._state_after(Prepare("s1", True, MESSAGE), Execute("s1", "i d"))
+        self.assertEqual(found, [(None, 0)])
+
+    def test_small_state_is_kept_for_the_next_statement(self) -> None:
+        found = self._state_after(SetValue("v", "x" * 1000), Write("i", "d"))
+        self.assertEqual(found, [({"v": "x" * 1000}, 0)])
+
+    def test_statements_run_with_their_state_on_a_connection_that_forgot(self) -> None:
+        async def work() -> None:
+            group = PageGroup()
+            large, small = group.session(), group.session()
+            await group.run(large, SetValue("v", MESSAGE[100:]))
+            await group.run(small, SetValue("v", "1"))
+            await group.run(small, Prepare("s1", True, "q1"))
+            for session in (small, large, small, large):
+                await group.run(session, Write("i", "d"), "w")
+            await group.run(small, Execute("s1", "i d"), "e")
+            found = [each.ran.values for each in group.record.ran]
+            mine, others = (("v", "1"),), (("v", MESSAGE[100:]),)
+            self.assertEqual(found, [mine, others, mine, others, mine])
+            self.assertEqual(group.record.ran[-1].ran.shape, "q1")
+            group.fleet.close()
+
+        run_virtual(work())
+
+    def _state_after(
+        self, *statements: CallerStatement
+    ) -> list[tuple[Mapping[str, str] | None, int]]:
+        """Return the values and shape bytes kept by each connection to the leader."""
+        kept: list[tuple[Mapping[str, str] | None, int]] = []
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            for statement in statements:
+                reply = await fixture.run(session, statement)
+                self.assertTrue(reply.is_success)
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            connection = await pool.acquire({}, 1.0)
+            kept.append((connection.values, connection.shape_bytes))
+
+        run_with_total(work)
+        return kept
+
+
 class ConnectionEndTest(unittest.TestCase):
     """A caller's connection that breaks gives the session's memory back."""
 
