Refuse a second startup on a connection

A caller that sent STARTUP again got a new session, and the old one was dropped with its open transaction: its connection to the database was never released, and the transaction stayed open there. One caller that repeats STARTUP, BEGIN and WRITE so took all of a proxy's connections to a database from all others, for good.

A second startup is refused as malformed and the connection closed, which ends the one session that it has. Both tests of SecondStartupTest fail on the code before (run): after three rounds and the caller's disconnection, 2 connections stayed in use.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -140,6 +140,8 @@
 
     async def _serve_one(self, message: wire.Message, arrived: float) -> None:
         match message:
+            case wire.Startup() if self._session is not None:
+                self._refuse(Code.MALFORMED, "the session has begun already")
             case wire.Startup(database_name):
                 self._open(database_name)
             case wire.Terminate():
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -137,6 +137,34 @@
         run_with_caller(work)
 
 
+class SecondStartupTest(unittest.TestCase):
+    """A connection has one session, and what that holds ends with it."""
+
+    def test_second_startup_leaves_no_transaction_behind(self) -> None:
+        """Guards against one caller who takes all connections to a database."""
+
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            for _ in range(3):
+                await caller.send_line("STARTUP db u1")
+                await caller.send_line("QUERY 1 BEGIN")
+                await caller.send_line("QUERY 2 WRITE i d")
+            caller.connection.connection_lost(None)
+            await asyncio.sleep(5.0)
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            self.assertEqual(pool.in_use, 0)
+
+        run_with_caller(work)
+
+    def test_second_startup_is_refused(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            await caller.send_line("STARTUP db u1")
+            answer = await caller.send_line("STARTUP db u1")
+            self.assertEqual(answer, ["ERROR MALFORMED the session has begun already"])
+            self.assertTrue(caller.transport.is_closed)
+
+        run_with_caller(work)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     """An unexpected error in the proxy closes only the connection it happened on."""
 
