Run no statement behind the end of its session

A statement that was sent together with TERMINATE, behind it, still ran at a database, though its session had ended and nobody could get the answer. The messages behind are dropped now. test_statement_behind_the_end_of_a_session_does_not_run fails on the code before (run).

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -145,6 +145,7 @@
             case wire.Startup(database_name):
                 self._open(database_name)
             case wire.Terminate():
+                self._messages.clear()
                 self.close()
             case wire.Query():
                 if self._session is None:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -164,6 +164,14 @@
 
         run_with_caller(work)
 
+    def test_statement_behind_the_end_of_a_session_does_not_run(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            await caller.send_line("STARTUP db u1")
+            await caller.send_line("TERMINATE\r\nQUERY 1 WRITE i d")
+            self.assertTrue(caller.transport.is_closed)
+
+        self.assertEqual(run_with_caller(work).leader.ran, [])
+
 
 class UnexpectedErrorTest(unittest.TestCase):
     """An unexpected error in the proxy closes only the connection it happened on."""
