Stop serving a caller that does not read its answers

A caller could fill the proxy's memory, and so end the sessions of all others, in two ways: up to 64 unanswered messages of 1 MiB each were queued, and answers were written without limit to a caller that read none of them.

Now no more is read from a caller with over 64 KiB of unanswered messages, and its next message is served only once the transport has room again; an answer that is ready is still written. A transaction of such a caller is idle meanwhile and ends at its limit. A connection with messages that wait is not idle, so a stopping proxy answers them before it closes the connection.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -2,18 +2,16 @@
 
 import asyncio
 import time
-from collections import deque
 from collections.abc import Callable
 
 from beryltiller.observability import events, logs
 from beryltiller.platform import wire
 from beryltiller.platform.databases import enable_peer_timeout
+from beryltiller.platform.message_queue import MessageQueue
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import Code, Reply, SessionState
 
-# With more unanswered messages of a caller, no more are read from it.
-MAX_PIPELINED_MESSAGES = 64
 # The kernel queues this many new connections until the proxy accepts them.
 BACKLOG_CONNECTIONS = 1024
 
@@ -29,7 +27,8 @@
         self._service = service
         self._ingress = ingress
         self._splitter = wire.LineSplitter()
-        self._messages: deque[tuple[wire.Message, float]] = deque()
+        self._messages = MessageQueue()
+        self._is_writing_paused = False
         self._in_progress: wire.Query | None = None
         self._session: Session | None = None
         self._transport: asyncio.Transport | None = None
@@ -42,7 +41,7 @@
 
         A connection without a session is not idle.
         """
-        if self._work is not None or self._session is None:
+        if self._work is not None or self._messages or self._session is None:
             return False
         return self._session.state is SessionState.IDLE
 
@@ -58,14 +57,22 @@
         now = self._ingress.clock()
         try:
             for line in self._splitter.feed(data):
-                self._messages.append((wire.decode_message(line), now))
+                self._messages.add(wire.decode_message(line), now, len(line))
         except wire.WireError as error:
             self._refuse(Code.MALFORMED, str(error))
             return
-        if len(self._messages) > MAX_PIPELINED_MESSAGES and self._transport:
+        if self._messages.is_full and self._transport:
             self._transport.pause_reading()
-        if self._work is None and self._messages:
-            self._work = asyncio.create_task(self._serve())
+        self._start_serving()
+
+    def pause_writing(self) -> None:
+        """Serve no further message until the caller has read more of its answers."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the messages that have waited."""
+        self._is_writing_paused = False
+        self._start_serving()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the session, after the statement in progress if there is one."""
@@ -103,11 +110,15 @@
         if self._work is None and session and session.state is SessionState.OPEN:
             self._work = asyncio.create_task(self._expire(session))
 
+    def _start_serving(self) -> None:
+        if self._work is None and self._messages and not self._is_writing_paused:
+            self._work = asyncio.create_task(self._serve())
+
     async def _serve(self) -> None:
         self._stop_timer()
         try:
-            while self._messages:
-                message, arrived = self._messages.popleft()
+            while self._messages and not self._is_writing_paused:
+                message, arrived = self._messages.take()
                 await self._serve_one(message, arrived)
                 if self._session is not None and self._ingress.is_ending_transactions:
                     await self._service.expire_transaction(self._session)
@@ -123,7 +134,7 @@
             if self._session is not None:
                 await self._service.end_session(self._session)
             return
-        if not self._transport.is_reading():
+        if not self._messages and not self._transport.is_reading():
             self._transport.resume_reading()
         self._start_idle_timer_or_close()
 
@@ -170,7 +181,7 @@
         replies = []
         if self._in_progress is not None and self._in_progress.statement is not None:
             replies.append(self._service.give_up(session, self._in_progress.statement))
-        for message, _ in self._messages:
+        for message in self._messages:
             if isinstance(message, wire.Query):
                 replies.append(session.refuse(Code.BUSY, "the proxy is stopping"))
         return replies
@@ -201,8 +212,8 @@
             self._work = None
         if self._transport is None:
             await self._service.end_session(session)
-        elif self._messages:
-            self._work = asyncio.create_task(self._serve())
+        else:
+            self._start_serving()
 
     def _stop_timer(self) -> None:
         if self._idle_timer is not None:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -50,6 +50,36 @@
         self._is_reading = True
 
 
+HIGH_WATER_BYTES = 100
+# No answer to the statements of these tests is longer.
+ANSWER_BYTES = 100
+
+
+class SlowTransport(FakeTransport):
+    """A transport that keeps what is written until the caller reads it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.connection: CallerConnection
+        self.most_kept = 0
+        self._is_paused = False
+
+    def write(self, data: Any) -> None:
+        super().write(data)
+        self.most_kept = max(self.most_kept, len(self.written))
+        if len(self.written) > HIGH_WATER_BYTES and not self._is_paused:
+            self._is_paused = True
+            self.connection.pause_writing()
+
+    def read_all(self) -> str:
+        """Return what was written, as the caller reads it now."""
+        text, self.written = self.written.decode(), b""
+        if self._is_paused:
+            self._is_paused = False
+            self.connection.resume_writing()
+        return text
+
+
 class Caller:
     """A caller that is connected to the ingress of a fixture."""
 
@@ -137,6 +167,120 @@
         run_with_caller(work)
 
 
+class SlowCallerTest(unittest.TestCase):
+    """A caller that does not read its answers takes little from others."""
+
+    def test_answers_wait_until_the_caller_reads(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            lines = [f"QUERY {n} WRITE i d" for n in range(60)]
+            self._send(transport, "STARTUP db u1", *lines)
+            text = ""
+            for _ in range(60):
+                await asyncio.sleep(0.5)
+                text += transport.read_all()
+            self.assertEqual(text.count("READY"), 61)
+            self.assertLessEqual(transport.most_kept, HIGH_WATER_BYTES + ANSWER_BYTES)
+
+        self._run(work)
+
+    def test_large_messages_are_not_queued_without_limit(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            self._send(transport, "STARTUP db u1")
+            for number in range(60):
+                if not transport.is_reading():
+                    break
+                self._send(transport, f"QUERY {number} WRITE i {'x' * 200_000}")
+            self.assertLessEqual(number, 2)
+            await asyncio.sleep(1.0)
+            self.assertTrue(transport.is_reading())
+
+        self._run(work)
+
+    def test_reading_goes_on_only_once_the_answers_are_read(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            lines = [f"QUERY {n} WRITE i d" for n in range(80)]
+            self._send(transport, "STARTUP db u1", *lines)
+            await asyncio.sleep(5.0)
+            self.assertFalse(transport.is_reading())
+            text = ""
+            for _ in range(80):
+                text += transport.read_all()
+                await asyncio.sleep(0.5)
+            self.assertTrue(transport.is_reading())
+            self.assertEqual((text + transport.read_all()).count("READY"), 81)
+
+        self._run(work)
+
+    def test_caller_who_never_reads_keeps_no_transaction(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            lines = [f"QUERY {n} WRITE i d" for n in range(60)]
+            self._send(transport, "STARTUP db u1", "QUERY b BEGIN", *lines)
+            await asyncio.sleep(1.0)
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            self.assertEqual(pool.in_use, 1)
+            await asyncio.sleep(3.0)
+            self.assertEqual(pool.in_use, 0)
+            transport.read_all()
+            await asyncio.sleep(1.0)
+            self.assertIn("ERROR MALFORMED the transaction", transport.read_all())
+
+        self._run(work)
+
+    def test_drain_answers_a_caller_who_does_not_read(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            lines = [f"QUERY {n} WRITE i d" for n in range(20)]
+            self._send(transport, "STARTUP db u1", *lines)
+            await asyncio.sleep(1.0)
+            ingress.close_idle()
+            self.assertFalse(transport.is_closed)
+            ingress.close()
+            self.assertTrue(transport.is_closed)
+            text = transport.read_all()
+            self.assertEqual(text.count("COMPLETE") + text.count("ERROR BUSY"), 20)
+            self.assertEqual(text.count("COMPLETE"), len(fixture.leader.ran))
+
+        self._run(work)
+
+    def test_connection_lost_while_answers_wait_ends_the_session(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            transport = self._connect(fixture, ingress)
+            lines = [f"QUERY {n} WRITE i d" for n in range(20)]
+            self._send(transport, "STARTUP db u1", "QUERY b BEGIN", *lines)
+            await asyncio.sleep(1.0)
+            others = ingress.open_connections - 1
+            transport.connection.connection_lost(None)
+            await asyncio.sleep(1.0)
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            self.assertEqual((pool.in_use, ingress.open_connections), (0, others))
+            ran = len(fixture.leader.ran)
+            transport.connection.resume_writing()
+            await asyncio.sleep(1.0)
+            self.assertEqual(len(fixture.leader.ran), ran)
+
+        self._run(work)
+
+    def _run(self, work: Callable[[GroupFixture, Ingress], Awaitable[None]]) -> None:
+        async def run_work(fixture: GroupFixture, ingress: Ingress, _: Caller) -> None:
+            await work(fixture, ingress)
+
+        run_with_caller(run_work)
+
+    def _connect(self, fixture: GroupFixture, ingress: Ingress) -> SlowTransport:
+        transport = SlowTransport()
+        transport.connection = CallerConnection(fixture.service, ingress)
+        transport.connection.connection_made(transport)
+        return transport
+
+    def _send(self, transport: SlowTransport, *lines: str) -> None:
+        data = "".join(f"{line}\r\n" for line in lines)
+        transport.connection.data_received(data.encode())
+
+
 class SecondStartupTest(unittest.TestCase):
     """A connection has one session, and what that holds ends with it."""
 
