Limit the memory that the messages of all callers take together

Each caller may have an incomplete message of up to 1 MiB and some unanswered ones, so a few hundred connections that send all but the end of a message fill a proxy.

What callers have sent and is not answered counts against a budget now, an eighth of the process's memory limit as for sessions' state; the first 8 KiB of each caller are not counted. A caller that exceeds it is refused as busy and its connection closed, unless a statement of it is at work: the refusal would be taken for the answer, and promise that a write has not run. Then no more is read until the answer is written.

The budget of sessions' state serves both now, under a name for either.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -61,7 +61,7 @@
     | session_events.IsolationChanged
     | session_events.ReadRan
     | session_events.SetUpRefused
-    | session_events.SessionStateRefused
+    | session_events.MemoryRefused
     | events.WorkFailed
 )
 
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -298,12 +298,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SessionStateRefused:
-    """The state of callers' sessions takes all its memory; logged once a minute."""
+class MemoryRefused:
+    """Callers take all the memory for a purpose; logged at most once a minute."""
 
+    purpose: str
     used_bytes: int
     max_bytes: int
-    # How many values and prepared statements were refused since the last line.
+    # How many requests for memory were refused since the last line.
     refusals: int
 
 
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -8,12 +8,19 @@
 from beryltiller.platform import wire
 from beryltiller.platform.databases import enable_peer_timeout
 from beryltiller.platform.message_queue import MessageQueue
+from beryltiller.sessions.memory_budget import (
+    DEFAULT_TOTAL_BYTES,
+    MemoryAccount,
+    MemoryBudget,
+)
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import Code, Reply, SessionState
 
 # The kernel queues this many new connections until the proxy accepts them.
 BACKLOG_CONNECTIONS = 1024
+# No caller reaches it: reading is paused earlier, or the message is too long.
+MAX_RECEIVED_BYTES = 4 * wire.MAX_LINE_BYTES
 
 
 class CallerConnection(asyncio.Protocol):
@@ -28,6 +35,7 @@
         self._ingress = ingress
         self._splitter = wire.LineSplitter()
         self._messages = MessageQueue()
+        self._received = MemoryAccount(ingress.received, MAX_RECEIVED_BYTES)
         self._is_writing_paused = False
         self._in_progress: wire.Query | None = None
         self._session: Session | None = None
@@ -61,7 +69,11 @@
         except wire.WireError as error:
             self._refuse(Code.MALFORMED, str(error))
             return
-        if self._messages.is_full and self._transport:
+        has_room = self._count_received()
+        if not has_room and self._work is None:
+            self._refuse(Code.BUSY, "the proxy has no memory left for messages")
+            return
+        if self._transport and (self._messages.is_full or not has_room):
             self._transport.pause_reading()
         self._start_serving()
 
@@ -78,6 +90,7 @@
         """End the session, after the statement in progress if there is one."""
         self._transport = None
         self._messages.clear()
+        self._received.clear()
         self._stop_timer()
         self._ingress.remove(self)
         if self._work is None and self._session is not None:
@@ -110,6 +123,13 @@
         if self._work is None and session and session.state is SessionState.OPEN:
             self._work = asyncio.create_task(self._expire(session))
 
+    def _count_received(self) -> bool:
+        """Count what is received and unanswered; return False if it is too much."""
+        if self._transport is None:
+            return True
+        size = self._messages.size + self._splitter.incomplete_bytes
+        return self._received.change(size - self._received.used_bytes) is None
+
     def _start_serving(self) -> None:
         if self._work is None and self._messages and not self._is_writing_paused:
             self._work = asyncio.create_task(self._serve())
@@ -134,6 +154,7 @@
             if self._session is not None:
                 await self._service.end_session(self._session)
             return
+        self._count_received()
         if not self._messages and not self._transport.is_reading():
             self._transport.resume_reading()
         self._start_idle_timer_or_close()
@@ -225,15 +246,22 @@
     """The server for callers; closes their connections step by step at shutdown."""
 
     def __init__(
-        self, service: SessionService, clock: Callable[[], float] = time.monotonic
+        self,
+        service: SessionService,
+        clock: Callable[[], float] = time.monotonic,
+        max_received_bytes: int = DEFAULT_TOTAL_BYTES,
     ) -> None:
-        """Create a server whose callers are all answered by `service`."""
+        """Create a server whose callers are all answered by `service`.
+
+        What callers have sent and is not answered takes `max_received_bytes` at most.
+        """
         self._service = service
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_closing_idle = False
         self._is_ending_transactions = False
         self.clock = clock
+        self.received = MemoryBudget("received messages", max_received_bytes, clock)
 
     @property
     def is_closing_idle(self) -> bool:
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -35,10 +35,10 @@
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
 from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
+from beryltiller.sessions.memory_budget import total_bytes
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.shutdown import BALANCER_SECONDS
-from beryltiller.sessions.state_budget import total_bytes
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.in_sync_keeper import InSyncKeeper
 from beryltiller.sessions.succession.runner import SuccessionRunner
@@ -81,15 +81,16 @@
         self._monitor = IsolationMonitor()
         zone = settings.availability_zone
         self._fleet = Fleet(self._connect, zone, boot_clock)
+        max_caller_bytes = total_bytes(settings.memory_bytes)
         self._service = SessionService(
             self._fleet,
             Placer(zone, settings.drain_seconds - DRAIN_MARGIN_SECONDS),
             self._monitor,
             boot_clock,
             ReadLog(settings.logs_reads),
-            total_bytes(settings.memory_bytes),
+            max_caller_bytes,
         )
-        self._ingress = Ingress(self._service, boot_clock)
+        self._ingress = Ingress(self._service, boot_clock, max_caller_bytes)
 
     @property
     def is_ready(self) -> bool:
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -329,6 +329,11 @@
         """Create a splitter that is at the beginning of a line."""
         self._rest = b""
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the size of the incomplete line."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the lines that `data` completes.
 
--- a/src/beryltiller/sessions/state_budget.py
+++ b/src/beryltiller/sessions/memory_budget.py
@@ -1,9 +1,8 @@
-"""Limits of the memory that the state of callers' sessions takes.
+"""Limits of the memory that callers may take.
 
-A session keeps values and prepared statements until it ends. Each session has a limit
-of its own, and all sessions of a proxy share a budget. A small part of each session is
-not counted against the budget, so that a few callers who use it up refuse nothing to
-those who keep little.
+Each caller has an account, which has a limit of its own, and all accounts share a
+budget. A small part of each account is not counted against the budget, so that a few
+callers who use it up refuse nothing to those who take little.
 """
 
 import sys
@@ -15,11 +14,11 @@
 
 # Any single message fits: one of 1 MiB takes up to 4 MiB of memory as text.
 MAX_SESSION_BYTES = 6 * 1024 * 1024
-UNCOUNTED_SESSION_BYTES = 8 * 1024
+UNCOUNTED_BYTES = 8 * 1024
 # What an entry of a session takes beside its texts.
 ENTRY_BYTES = 256
 DEFAULT_TOTAL_BYTES = 32 * 1024 * 1024
-# The share of a process's memory that the state of its callers' sessions may take.
+# The share of a process's memory that one budget may take.
 TOTAL_SHARE_OF_MEMORY = 0.125
 # A budget that is used up is logged at most this often.
 LOG_INTERVAL_SECONDS = 60.0
@@ -27,9 +26,9 @@
 
 @unique
 class Excess(Enum):
-    """The limit that a session's state would exceed."""
+    """The limit that would be exceeded: of the account, or of the proxy's budget."""
 
-    SESSION = "session"
+    ACCOUNT = "account"
     PROXY = "proxy"
 
 
@@ -53,15 +52,20 @@
     return int(memory_bytes * TOTAL_SHARE_OF_MEMORY)
 
 
-class StateBudget:
-    """The memory that the state of all sessions of a proxy may take."""
+class MemoryBudget:
+    """The memory that all callers of a proxy may take for one purpose."""
 
     def __init__(
         self,
+        purpose: str,
         max_bytes: int = DEFAULT_TOTAL_BYTES,
         clock: Callable[[], float] = loop_time,
     ) -> None:
-        """Create a budget that is unused; `clock` limits how often it is logged."""
+        """Create a budget that is unused; `purpose` is for the log.
+
+        `clock` limits how often a refusal is logged.
+        """
+        self._purpose = purpose
         self._max_bytes = max_bytes
         self._used_bytes = 0
         self._clock = clock
@@ -76,7 +80,7 @@
     def try_change(self, size: int) -> bool:
         """Take `size` bytes, or return False if less is left; a negative size returns.
 
-        >>> budget = StateBudget(max_bytes=10)
+        >>> budget = MemoryBudget("messages", max_bytes=10)
         >>> budget.try_change(10), budget.try_change(-4), budget.used_bytes
         (True, True, 6)
         """
@@ -93,25 +97,27 @@
             return
         self._logged_at = now
         logs.log(
-            session_events.SessionStateRefused(
-                self._used_bytes, self._max_bytes, self._refusals
+            session_events.MemoryRefused(
+                self._purpose, self._used_bytes, self._max_bytes, self._refusals
             )
         )
         self._refusals = 0
 
 
-class StateAccount:
-    """The memory that the state of one session takes, as part of a budget."""
+class MemoryAccount:
+    """The memory that one caller takes, as part of a budget."""
 
-    def __init__(self, budget: StateBudget, max_bytes: int = MAX_SESSION_BYTES) -> None:
-        """Create the account of a session without state."""
+    def __init__(
+        self, budget: MemoryBudget, max_bytes: int = MAX_SESSION_BYTES
+    ) -> None:
+        """Create the account of a caller that takes nothing yet."""
         self._budget = budget
         self._max_bytes = max_bytes
         self._used_bytes = 0
 
     @property
     def used_bytes(self) -> int:
-        """Return the memory that the session's state takes."""
+        """Return the memory that the caller takes."""
         return self._used_bytes
 
     def change(self, size: int) -> Excess | None:
@@ -121,7 +127,7 @@
         """
         used = self._used_bytes + size
         if size > 0 and used > self._max_bytes:
-            return Excess.SESSION
+            return Excess.ACCOUNT
         counted = _counted(used) - _counted(self._used_bytes)
         if not self._budget.try_change(counted):
             return Excess.PROXY
@@ -129,9 +135,9 @@
         return None
 
     def clear(self) -> None:
-        """Give everything back, as the session ends."""
+        """Give everything back, as the caller has left."""
         self.change(-self._used_bytes)
 
 
 def _counted(used_bytes: int) -> int:
-    return max(0, used_bytes - UNCOUNTED_SESSION_BYTES)
+    return max(0, used_bytes - UNCOUNTED_BYTES)
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -12,10 +12,10 @@
     ReadRequirement,
     read_requirement,
 )
-from beryltiller.sessions.state_budget import (
+from beryltiller.sessions.memory_budget import (
     Excess,
-    StateAccount,
-    StateBudget,
+    MemoryAccount,
+    MemoryBudget,
     text_bytes,
 )
 from beryltiller.sessions.statements import (
@@ -31,10 +31,12 @@
     Write,
 )
 
+# The purpose of the memory that values and prepared statements take.
+STATE_PURPOSE = "session state"
 MAX_VALUES = 256
 MAX_PREPARED = 1024
 _TOO_MUCH_STATE = {
-    Excess.SESSION: (
+    Excess.ACCOUNT: (
         Code.FAILED,
         "the values and prepared statements of the session take too much memory",
     ),
@@ -70,8 +72,8 @@
     acquired: AcquiredConnection | None = None
 
 
-def _account_of_its_own() -> StateAccount:
-    return StateAccount(StateBudget())
+def _account_of_its_own() -> MemoryAccount:
+    return MemoryAccount(MemoryBudget(STATE_PURPOSE))
 
 
 @dataclass(slots=True)
@@ -92,7 +94,7 @@
     unplaced_commits: dict[str, float] = field(default_factory=dict)
     transaction: Transaction | None = None
     position: Position | None = None
-    account: StateAccount = field(default_factory=_account_of_its_own)
+    account: MemoryAccount = field(default_factory=_account_of_its_own)
 
     def refuse(self, code: Code, text: str) -> Reply:
         """Return a refusal that leaves the session's state as it is."""
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/session_service.py
@@ -4,14 +4,14 @@
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.execution import Clock, StatementExecutor
 from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.read_log import ReadLog
-from beryltiller.sessions.session import Session
-from beryltiller.sessions.single_statements import SingleStatementRunner
-from beryltiller.sessions.state_budget import (
+from beryltiller.sessions.memory_budget import (
     DEFAULT_TOTAL_BYTES,
-    StateAccount,
-    StateBudget,
+    MemoryAccount,
+    MemoryBudget,
 )
+from beryltiller.sessions.read_log import ReadLog
+from beryltiller.sessions.session import STATE_PURPOSE, Session
+from beryltiller.sessions.single_statements import SingleStatementRunner
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -59,7 +59,7 @@
         self._executor = StatementExecutor(fleet, placer, clock, read_log or ReadLog())
         self._transactions = SessionTransactionRunner(self._executor)
         self._single_statements = SingleStatementRunner(self._executor)
-        self._budget = StateBudget(max_state_bytes, clock)
+        self._budget = MemoryBudget(STATE_PURPOSE, max_state_bytes, clock)
         self._refuses_transactions = False
 
     @property
@@ -75,7 +75,7 @@
         """Return a new session, or None if no route has the database name."""
         if self._executor.route(database_name) is None:
             return None
-        return Session(database_name, account=StateAccount(self._budget))
+        return Session(database_name, account=MemoryAccount(self._budget))
 
     async def answer(
         self, session: Session, identifier: str, statement: Statement, arrived: float
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -281,6 +281,81 @@
         transport.connection.data_received(data.encode())
 
 
+TOTAL_BYTES = 2_000_000
+PART_OF_A_MESSAGE = b"QUERY 1 WRITE i " + b"x" * 900_000
+
+
+class ReceivedMemoryTest(unittest.TestCase):
+    """What all callers have sent and is not answered takes limited memory."""
+
+    def test_incomplete_messages_of_many_callers_are_refused(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            callers = await self._connect(fixture, ingress, 10)
+            for caller in callers:
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+            closed = [each for each in callers if each.transport.is_closed]
+            self.assertEqual(len(closed), 8)
+            self.assertIn(b"ERROR BUSY", closed[0].transport.written)
+
+        self._run(work)
+
+    def test_small_messages_are_served_when_the_memory_is_used_up(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            callers = await self._connect(fixture, ingress, 40)
+            for caller in callers[:4]:
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+            for caller in callers[4:]:
+                answer = await caller.send_line("QUERY 1 WRITE i " + "d" * 4000)
+                self.assertEqual(answer[0], "COMPLETE signed")
+
+        self._run(work)
+
+    def test_memory_is_free_once_messages_are_answered_or_callers_left(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            for _ in range(5):
+                callers = await self._connect(fixture, ingress, 2)
+                callers[0].connection.data_received(PART_OF_A_MESSAGE + b"\r\n")
+                callers[1].connection.data_received(PART_OF_A_MESSAGE)
+                await asyncio.sleep(0.5)
+                self.assertIn("COMPLETE signed", callers[0].lines())
+                callers[1].connection.connection_lost(None)
+                self.assertEqual(ingress.received.used_bytes, 0)
+
+        self._run(work)
+
+    def test_statement_at_work_is_answered_when_the_memory_is_used_up(self) -> None:
+        """Guards against a promise that is taken for the answer to a write."""
+
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            callers = await self._connect(fixture, ingress, 4)
+            last = callers[3]
+            last.connection.data_received(b"QUERY 1 WRITE i d\r\n")
+            for caller in callers:
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+            self.assertFalse(last.transport.is_reading())
+            await asyncio.sleep(0.5)
+            self.assertEqual(last.lines()[-2:], ["COMPLETE signed", "READY I 1.11"])
+            last.connection.data_received(b"x")
+            self.assertTrue(last.transport.is_closed)
+
+        self._run(work)
+
+    def _run(self, work: Callable[[GroupFixture, Ingress], Awaitable[None]]) -> None:
+        async def run_work(fixture: GroupFixture, _: Ingress, __: Caller) -> None:
+            ingress = Ingress(fixture.service, virtual_now, TOTAL_BYTES)
+            await work(fixture, ingress)
+
+        run_with_caller(run_work)
+
+    async def _connect(
+        self, fixture: GroupFixture, ingress: Ingress, count: int
+    ) -> list[Caller]:
+        callers = [Caller(ingress, fixture) for _ in range(count)]
+        for each in callers:
+            await each.send_line("STARTUP db u1", seconds=0.01)
+        return callers
+
+
 class SecondStartupTest(unittest.TestCase):
     """A connection has one session, and what that holds ends with it."""
 
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -11,13 +11,13 @@
 from beryltiller.platform.ingress import CallerConnection, Ingress
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.session import MAX_VALUES, Session
-from beryltiller.sessions.session_service import SessionService
-from beryltiller.sessions.state_budget import (
+from beryltiller.sessions.memory_budget import (
     LOG_INTERVAL_SECONDS,
     MAX_SESSION_BYTES,
-    StateBudget,
+    MemoryBudget,
 )
+from beryltiller.sessions.session import MAX_VALUES, Session
+from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
@@ -196,13 +196,13 @@
 
     def test_refusals_are_logged_once_a_minute(self) -> None:
         times = [0.0]
-        budget = StateBudget(10, lambda: times[0])
+        budget = MemoryBudget("state", 10, lambda: times[0])
         with captured_events() as events:
             for _ in range(5):
                 budget.try_change(11)
             times[0] = LOG_INTERVAL_SECONDS
             budget.try_change(11)
-        found = [cast(session_events.SessionStateRefused, each) for each in events]
+        found = [cast(session_events.MemoryRefused, each) for each in events]
         self.assertEqual([each.refusals for each in found], [1, 5])
 
 
