Escape the arguments of operator commands in request paths

`beryltiller failover ../drain` drained the proxy, as the client resolves the path `/v1/failover/../drain` to `/v1/drain`. `failover g1?x` asked for a failover of `g1`, and an escaped identifier named another request or trace.

Cause: the argument was joined into the path unescaped. Each segment is now escaped, so it reads back as given; a segment that no path can hold is refused before anything is sent.

--- a/src/beryltiller/commands/operator_commands.py
+++ b/src/beryltiller/commands/operator_commands.py
@@ -12,6 +12,7 @@
 from beryltiller.commands.command_errors import CommandError, ExitCode
 from beryltiller.commands.configuration_commands import read_newest_version
 from beryltiller.commands.operator_client import OperatorClient, get_from_all
+from beryltiller.core.paths import PathError, url_path
 from beryltiller.core.text import columns
 from beryltiller.observability.trace_text import render_trace
 from beryltiller.process.operator_models import (
@@ -107,7 +108,7 @@
 
     The lines come from the proxy that has the request's admission record.
     """
-    path = f"/v1/explain/{arguments.request}"
+    path = _path("explain", arguments.request)
     for found in _fetch_answers(arguments, path, ExplanationModel):
         print(*found.lines, sep="\n")
         return ExitCode.OK
@@ -118,7 +119,7 @@
 
 def trace(arguments: Namespace) -> ExitCode:
     """Print the spans of one trace or request from all proxies, as a tree or JSON."""
-    answers = _fetch_answers(arguments, f"/v1/trace/{arguments.id}", TraceModel)
+    answers = _fetch_answers(arguments, _path("trace", arguments.id), TraceModel)
     spans = [span for answer in answers for span in answer.spans]
     if not spans:
         cause = f"no proxy has a span of {arguments.id}"
@@ -141,7 +142,7 @@
     """
     client = _clients(arguments)[0]
     failover_request = FailoverRequestModel(arguments.to or "")
-    path = f"/v1/failover/{arguments.group}"
+    path = _path("failover", arguments.group)
     answer = asyncio.run(client.post(path, FailoverModel, failover_request))
     if answer is None:
         cause = f'no group "{arguments.group}" at {client.address}'
@@ -157,6 +158,15 @@
     raise CommandError(ExitCode.FAILED, cause, remedy)
 
 
+def _path(operation: str, name: str) -> str:
+    """Return the path of an operation on what `name` names."""
+    try:
+        return url_path("v1", operation, name)
+    except PathError as error:
+        cause = f"{operation}: {error}"
+        raise CommandError(ExitCode.USAGE, cause, "check the argument") from error
+
+
 def _clients(arguments: Namespace) -> list[OperatorClient]:
     return [
         OperatorClient(address, arguments.timeout_seconds)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -76,8 +76,9 @@
     yield parser
 
 
-def _make_canned_proxy() -> web.Application:
+def _make_canned_proxy(received: list[str]) -> web.Application:
     async def answer(request: web.Request) -> web.Response:
+        received.append(f"{request.method} {request.raw_path}")
         canned_answer = _ANSWERS.get(f"{request.method} {request.path}")
         if canned_answer is None:
             raise web.HTTPNotFound
@@ -116,7 +117,8 @@
         asyncio.get_running_loop().slow_callback_duration = 60.0
         self.platform = PlatformStandin()
         self.platform_address = await self.serve(self.platform.app)
-        self.proxy_address = await self.serve(_make_canned_proxy())
+        self.received: list[str] = []
+        self.proxy_address = await self.serve(_make_canned_proxy(self.received))
         self.directory = Path(self.enterContext(TemporaryDirectory()))
         self.environment = {
             "BERYLTILLER_PLATFORM_ADDRESS": self.platform_address,
@@ -248,6 +250,28 @@
                 if expected is not ExitCode.NOT_YET:
                     self.assertEqual(bool(errors), expected is not ExitCode.OK)
 
+    async def test_argument_reaches_no_other_operation(self) -> None:
+        """Guards against a failover of a group `../drain` that drains the proxy."""
+        cases = (
+            ("failover", "../drain", ["POST /v1/failover/..%2Fdrain"]),
+            ("failover", "g1?x", ["POST /v1/failover/g1%3Fx"]),
+            ("explain", "../status#", ["GET /v1/explain/..%2Fstatus%23"]),
+            ("trace", "%72%31", ["GET /v1/trace/%2572%2531"]),
+        )
+        for command, argument, expected in cases:
+            with self.subTest(command=command, argument=argument):
+                self.received.clear()
+                code, _, errors = await self.run_command(command, argument)
+                self.assertEqual(self.received, expected)
+                self.assertEqual(code, ExitCode.NOT_FOUND, errors)
+
+    async def test_argument_that_no_path_can_hold_is_refused_unsent(self) -> None:
+        for argument in ("", ".", "..", "\udcff"):
+            with self.subTest(argument=argument):
+                code, _, errors = await self.run_command("failover", argument)
+                self.assertEqual((code, self.received), (ExitCode.USAGE, []), errors)
+                self.assertEqual(len(errors.splitlines()), 1)
+
     async def test_config_status_reports_a_proxy_with_an_older_version(self) -> None:
         await self.apply(_DOCUMENT)
         await self.apply({**_DOCUMENT, "routes": []}, "--expect", "1")
