Refuse a line end after a proxy's name, zone or key

A host name with a line end at its end was accepted, as `$` also matches before a last line end. Each metric's line was then split in two, and every answer failed, as the name is part of its headers. The pattern now ends at the end of the text. The test fails on the code before.

--- a/src/beryltiller/process/settings.py
+++ b/src/beryltiller/process/settings.py
@@ -24,8 +24,8 @@
 
 _KIBIBYTE = 1024
 _MEBIBYTE = 1024 * _KIBIBYTE
-_NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
-_CURVE_KEY_PATTERN = r"^[0-9A-Za-z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}$"
+_NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z"
+_CURVE_KEY_PATTERN = r"^[0-9A-Za-z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}\Z"
 _PATTERN_DESCRIPTIONS = {
     _NAME_PATTERN: "1 to 64 letters, digits, dots, dashes and underscores",
     _CURVE_KEY_PATTERN: "40 characters of Z85",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,18 @@
     would start with a value that its operator did not intend.
     """
 
+    def test_line_end_after_a_name_or_key_is_refused(self) -> None:
+        """Guards against a name that makes two lines of one and fails each answer."""
+        for name, value in (
+            ("host_name", "entry-1\n"),
+            ("availability_zone", "perth-a\n"),
+            ("curve_server_public_key", f"{_CURVE_KEY}\n"),
+        ):
+            with self.subTest(name):
+                variable = f"BERYLTILLER_{name.upper()}"
+                result = read_settings({}, {**_ENVIRONMENT, variable: value})
+                self.assertEqual(result.failure().field, name)
+
     def test_flag_wins_over_environment_over_default(self) -> None:
         variables = {"BERYLTILLER_LEASE_SECONDS": "2"}
         cases: tuple[tuple[tuple[str, ...], dict[str, str], float, Source], ...] = (
