Escape table, key and object names in request paths

A read of key `a%2Fb` returned the row `a/b`, `../g1` named another path, `a?x` the object `a`, and a key with a slash was never found, though commits wrote it. The names of today's configuration hold no such character; the client is the only place that joined them into a path unescaped. Names that no path can hold are refused unsent. The tests fail on the code before.

--- a/src/beryltiller/adapters/platform_client.py
+++ b/src/beryltiller/adapters/platform_client.py
@@ -12,6 +12,7 @@
 
 from beryltiller.adapters import transport
 from beryltiller.core.decoding import Count, DecodingError, decode_items, decode_json
+from beryltiller.core.paths import PathError, url_path
 from beryltiller.core.ports import (
     Host,
     HostKind,
@@ -72,6 +73,13 @@
         raise LostAnswerError(f"answer has an unreadable body: {error}") from error
 
 
+def _path(*segments: str) -> str:
+    try:
+        return url_path(*segments)
+    except PathError as error:
+        raise RefusedError("name", str(error)) from error
+
+
 def _to_row(model: RowModel) -> Row:
     try:
         value = base64.b64decode(model.value, validate=True)
@@ -105,14 +113,15 @@
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return the row, or None if it does not exist."""
-        reply = await self._send("GET", f"/tables/{table}/rows/{key}")
+        reply = await self._send("GET", _path("tables", table, "rows", key))
         if reply.status == NOT_FOUND:
             return None
         return _to_row(_decode(reply.body, RowModel))
 
     async def scan(self, table: str, since: int = 0) -> TableRows:
         """Return the rows whose last write is after revision `since`."""
-        reply = await self._send("GET", f"/tables/{table}/rows?since={since}")
+        path = _path("tables", table, "rows")
+        reply = await self._send("GET", f"{path}?since={since}")
         model = _decode(reply.body, ScanModel)
         return TableRows(model.revision, tuple(map(_to_row, model.rows)))
 
@@ -129,12 +138,12 @@
 
     async def get(self, name: str) -> bytes | None:
         """Return the object, or None if it does not exist."""
-        reply = await self._send("GET", f"/objects/{name}")
+        reply = await self._send("GET", _path("objects", name))
         return None if reply.status == NOT_FOUND else reply.body
 
     async def put(self, name: str, data: bytes) -> None:
         """Create or replace the object; raise `RefusedError` if it has no place."""
-        reply = await self._send("PUT", f"/objects/{name}", data)
+        reply = await self._send("PUT", _path("objects", name), data)
         if reply.status == NOT_FOUND:
             raise RefusedError("not-found", f"object {name}")
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -27,6 +27,26 @@
         assert row is not None
         self.assertEqual((row.version, row.value), (version, b"\x00one"))
 
+    async def test_odd_names_are_read_back(self) -> None:
+        """Guards against an odd key that names another row, table or operation."""
+        keys = ("a/b", "a?since=0", "a#b", "a%2Fb", "../g1", "a b\r\n", "\u00e9")
+        for table, key in (
+            (table, key) for table in ("terms", "t/rows") for key in keys
+        ):
+            with self.subTest(table=table, key=key):
+                await self.platform.commit([Write(table, key, 0, key.encode())])
+                row = await self.platform.read(table, key)
+                assert row is not None
+                self.assertEqual((row.key, row.value), (key, key.encode()))
+                scan = await self.platform.scan(table)
+                self.assertIn(key, [each.key for each in scan.rows])
+
+    async def test_name_that_no_path_can_hold_is_refused_unsent(self) -> None:
+        await self.platform.commit([Write("terms", "g1", 0, b"one")])
+        for key in ("", ".", ".."):
+            with self.subTest(key), self.assertRaises(RefusedError):
+                await self.platform.read("terms", key)
+
     async def test_a_conflict_commits_nothing(self) -> None:
         await self.platform.commit([Write("terms", "g1", 0, b"one")])
         writes = [Write("terms", "g2", 0, b"new"), Write("terms", "g1", 0, b"two")]
@@ -72,6 +92,14 @@
         await self.platform.put("snapshot", b"\x00bytes")
         self.assertEqual(await self.platform.get("snapshot"), b"\x00bytes")
 
+    async def test_odd_object_names_are_read_back(self) -> None:
+        names = ("a", "a/b", "a?b", "a#b", "a%2Fb", "../hosts", "\u00e9")
+        for name in names:
+            await self.platform.put(name, name.encode())
+        for name in names:
+            with self.subTest(name):
+                self.assertEqual(await self.platform.get(name), name.encode())
+
     async def test_an_object_that_cannot_be_stored_is_refused(self) -> None:
         """Guards against a snapshot that is taken to be stored."""
         elsewhere = await servers.start(self.stack, web.Application())
