Refuse a connection whose identifier no header can hold

The database chooses the identifier, and the proxy sends it back in a header with each statement. With a line end or NUL in it every statement ended with a `ValueError` of the HTTP client, which is no error of the port; a blank at its start was dropped. Opening such a connection now fails as an answer that cannot be read. The test fails on the code before.

--- a/src/beryltiller/adapters/endpoints.py
+++ b/src/beryltiller/adapters/endpoints.py
@@ -1,7 +1,7 @@
 """HTTP client of a database: its connections, status and terms."""
 
 from contextlib import AsyncExitStack
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import aiohttp
 import msgspec
@@ -27,10 +27,14 @@
 TRANSACTION_TIMEOUT_SECONDS = 60.0
 
 
+# The identifier is sent back in a header, which holds visible ASCII safely.
+_Identifier = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,128}\Z")]
+
+
 class ConnectionModel(msgspec.Struct, frozen=True):
     """The database's answer to opening a connection, with its identifier."""
 
-    connection: str
+    connection: _Identifier
 
 
 def parse_load(text: str) -> Load:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -5,8 +5,9 @@
 from contextlib import AsyncExitStack
 
 import msgspec
+from aiohttp import web
 
-from beryltiller.adapters.endpoints import HttpConnection
+from beryltiller.adapters.endpoints import HttpConnection, HttpEndpoint
 from beryltiller.core.outcome import Kind
 from beryltiller.core.ports import LostAnswerError, RefusedError, Role, Statement
 from beryltiller.core.position import ORIGIN, Position
@@ -213,6 +214,35 @@
         self.assertFalse(self.first[0].model.contains(Position(1, 2)))
 
 
+class ConnectionIdentifierTest(unittest.IsolatedAsyncioTestCase):
+    """A connection's identifier is text of the database, sent back in a header."""
+
+    async def connect(self, identifier: str) -> HttpConnection:
+        async def answer(request: web.Request) -> web.Response:
+            return web.json_response({"connection": identifier})
+
+        stack = await self.enterAsyncContext(AsyncExitStack())
+        app = web.Application()
+        app.router.add_post("/connections", answer)
+        address = await servers.start(stack, app)
+        client = await servers.client(stack)
+        connection = await HttpEndpoint(client, address, servers.LOOPBACK).connect()
+        stack.push_async_callback(connection.close)
+        return connection
+
+    async def test_identifier_that_no_header_can_hold_opens_no_connection(self) -> None:
+        """Guards against a connection whose every statement ends in an odd error."""
+        for identifier in ("", "c\r\nTerm: 9", "c\0", " c", "c\u00e9", "c" * 129):
+            with self.subTest(identifier), self.assertRaises(LostAnswerError):
+                await self.connect(identifier)
+
+    async def test_identifier_that_a_header_can_hold_is_kept(self) -> None:
+        for identifier in ("d1-1", "c" * 128):
+            with self.subTest(identifier):
+                found = await self.connect(identifier)
+                self.assertEqual(found.identifier, identifier)
+
+
 class CutAddressTest(unittest.IsolatedAsyncioTestCase):
     """Tests that a request from an address that is cut off has no effect."""
 
