Refuse a host name that no claim of the duty can hold

With a line end, each promotion request ended with a `ValueError` of the HTTP client, and blanks at the ends were dropped from the header. The settings file with such a name is now refused, with the field. The test fails on the code before.

--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from beryltiller.core.addresses import Address
-from beryltiller.core.decoding import DecodingError, decode_json
+from beryltiller.core.decoding import (
+    MAX_NAME_CHARACTERS,
+    DecodingError,
+    decode_json,
+    shorten,
+)
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 MAX_DURATION_SECONDS = 86_400
@@ -104,7 +109,7 @@
     except DecodingError as error:
         raise SettingsFileError(f"{path}: {error}") from error
     return PlatformSettings(
-        host_name=model.node_name,
+        host_name=_checked_name("node_name", model.node_name),
         source_ip=model.ip_address,
         availability_zone=model.zone,
         caller_address=_parse_address(
@@ -152,6 +157,17 @@
     return _parse_remote("internal_port_range", f"{model.ip_address}:{port}")
 
 
+def _checked_name(field: str, text: str) -> str:
+    """Return a name, unless a header or a row of the store would not keep it."""
+    is_kept = text.isprintable() and text == text.strip()
+    if not 0 < len(text) <= MAX_NAME_CHARACTERS or not is_kept:
+        raise SettingsFileError(
+            f"{field}: {shorten(text)!r} is empty, too long, or contains blanks at an"
+            " end or unprintable characters"
+        )
+    return text
+
+
 def _parse_address(field: str, text: str) -> Address:
     return _parse(field, text, Address.parse)
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -54,6 +54,21 @@
                 with self.assertRaisesRegex(SettingsFileError, field):
                     read_settings_file(path)
 
+    def test_host_name_that_no_claim_can_hold_is_refused(self) -> None:
+        """Guards against a claim of the duty that others cannot read and pass over."""
+        names = ("", " a", "a ", "a\r\nb", "a\0", "a\n", "x" * 1001, "a\u2028")
+        for name in names:
+            with self.subTest(name[:20]):
+                path = self.write({**SETTINGS, "node_name": name})
+                with self.assertRaisesRegex(SettingsFileError, "node_name"):
+                    read_settings_file(path)
+
+    def test_host_name_of_any_script_is_read(self) -> None:
+        for name in ("front-\u010dakovec a|1:2", "x" * 1000):
+            with self.subTest(name[:20]):
+                found = read_settings_file(self.write({**SETTINGS, "node_name": name}))
+                self.assertEqual(found.host_name, name)
+
     def test_missing_file_and_unset_variable_are_refused(self) -> None:
         for path in ("", "/nonexistent/local.json"):
             with self.subTest(path), self.assertRaises(SettingsFileError):
