Use no process of a row whose names no line can hold

The row of a service keeps the processes in sync, and a proxy asks them by `STARTUP` lines with the identifier and the service. Entries of databases are refused if these hold blanks or line ends; the row's were not checked, so a row of another writer could put a message of its own on a connection to a database. Such a row now counts as unreadable, as other odd rows do. The tests fail on the code before.

--- a/src/beryltiller/core/decoding.py
+++ b/src/beryltiller/core/decoding.py
@@ -27,6 +27,13 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+# A name without blanks, line ends and control characters.
+Word = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^[^\s\x00-\x1f\x7f-\x9f]{{1,{MAX_NAME_CHARACTERS}}}\Z",
+    ),
+]
 
 _MAX_DIGITS = len(str(MAX_NUMBER))
 _GAP = "..."
@@ -59,6 +66,20 @@
     )
 
 
+def check_word(text: str) -> None:
+    """Raise `DecodingError` unless a text is a `Word`.
+
+    >>> check_word("s t")
+    Traceback (most recent call last):
+        ...
+    beryltiller.core.decoding.DecodingError: Expected `str` matching regex ...
+    """
+    try:
+        msgspec.convert(text, Word)
+    except msgspec.ValidationError as error:
+        raise DecodingError(shorten(str(error))) from error
+
+
 def decode_items(
     items: Iterable[msgspec.Raw], model: type[_T]
 ) -> tuple[list[_T], list[str]]:
--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from beryltiller.core.decoding import Count, DecodingError, decode_json
+from beryltiller.core.decoding import (
+    Count,
+    DecodingError,
+    Word,
+    check_word,
+    decode_json,
+)
 from beryltiller.core.ports import Row, Write
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.observability import logs, session_events
@@ -23,7 +29,7 @@
 class InSyncModel(msgspec.Struct, frozen=True):
     """A process in sync; `born` is the Unix time of its start in milliseconds."""
 
-    id: str
+    id: Word
     born: Count
     address: str
     zone: str
@@ -118,6 +124,7 @@
     Only proxies write these rows, so an unreadable row does not stop a promotion.
     """
     try:
+        check_word(row.key)
         model = decode_json(row.value, AnnouncementModel)
     except DecodingError as error:
         logs.log(session_events.AnnouncementFailed(row.key, str(error)))
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -1,5 +1,6 @@
 """Tests of announced changes of primary as rows of the platform's store."""
 
+import json
 import unittest
 from collections.abc import Sequence
 from dataclasses import replace
@@ -81,6 +82,51 @@
             with self.subTest(value[:20]):
                 self.assertTrue(decode_announcement(Row("s", 4, value)).is_withdrawn)
 
+    def test_identifier_that_no_line_can_hold_names_no_process(self) -> None:
+        """Guards against a row whose identifier is sent as a message of its own."""
+        model = {
+            "token": 1,
+            "replaced_term": 2,
+            "log_end_term": 2,
+            "log_end_index": 9,
+        }
+        process = {"born": 7, "address": "127.0.0.1:1", "zone": "a", "slots": 2}
+        odd = (
+            "",
+            "a b",
+            "a\r\nQUERY - STEPDOWN 9",
+            "a\n",
+            "a\0",
+            "a\u00a0b",
+            "x" * 1001,
+        )
+        for identifier in odd:
+            with self.subTest(identifier[:20]):
+                row = {**model, "in_sync": [{"id": identifier, **process}]}
+                found = decode_announcement(Row("s", 4, json.dumps(row).encode()))
+                self.assertEqual((found.in_sync, found.is_withdrawn), ((), True))
+        for identifier in ("i-7f3a91c2", "a/b;c,d", "\u010d", "x" * 1000):
+            with self.subTest(identifier[:20]):
+                row = {**model, "in_sync": [{"id": identifier, **process}]}
+                found = decode_announcement(Row("s", 4, json.dumps(row).encode()))
+                self.assertEqual(found.in_sync[0].identifier, identifier)
+
+    def test_row_of_a_service_that_no_line_can_hold_names_no_process(self) -> None:
+        process = {"id": "a", "born": 7, "address": "127.0.0.1:1", "zone": "a"}
+        row = {
+            "token": 1,
+            "replaced_term": 2,
+            "log_end_term": 2,
+            "log_end_index": 9,
+            "in_sync": [{**process, "slots": 2}],
+        }
+        value = json.dumps(row).encode()
+        self.assertEqual(len(decode_announcement(Row("s", 4, value)).in_sync), 1)
+        for service in ("", "s t", "s\r\nQUERY - STEPDOWN 9"):
+            with self.subTest(service):
+                found = decode_announcement(Row(service, 4, value))
+                self.assertEqual((found.in_sync, found.is_withdrawn), ((), True))
+
     def test_row_without_an_objection(self) -> None:
         value = b'{"token":1,"replaced_term":2,"log_end_term":2,"log_end_index":9}'
         found = decode_announcement(Row("s", 6, value))
