Shorten the refusal of a malformed forwarded statement

A peer refuses a forwarded statement that it cannot read with the reason, which may hold the odd field. A reason of over 256 characters can be sent but not received, so that the sender took a refusal, which proves that nothing was run, for an unknown outcome. The reason is shortened now. The test fails with the reason unshortened.

--- a/src/beryltiller/dispatching/forwarding.py
+++ b/src/beryltiller/dispatching/forwarding.py
@@ -17,7 +17,7 @@
 from beryltiller.adapters.peers import Peers
 from beryltiller.admission.tickets import Ticket
 from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
-from beryltiller.core.decoding import parse_count
+from beryltiller.core.decoding import parse_count, shorten
 from beryltiller.core.outcome import Kind, Outcome
 from beryltiller.core.ports import EndpointAnswer, Statement
 from beryltiller.core.position import Position
@@ -125,6 +125,11 @@
     return Answered(EndpointAnswer(body, position, load, is_repeat))
 
 
+def refuse_malformed(error: Exception) -> PeerRefusal:
+    """Return the refusal of a message that `error` shows to be malformed."""
+    return PeerRefusal("malformed", shorten(repr(error)))
+
+
 class Forwarder:
     """Sends statements to peers, and runs those that peers forward to this proxy."""
 
@@ -209,7 +214,7 @@
         try:
             forwarded = from_message(message, self._clock())
         except (KeyError, ValueError) as error:
-            self._peers.reply(reply_to, PeerRefusal("malformed", repr(error)))
+            self._peers.reply(reply_to, refuse_malformed(error))
             return
         trace_parent = forwarded.statement.trace_parent
         with self._hop_recorder.record(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from beryltiller.admission.tickets import Ticket
 from beryltiller.consistency.attempts import Answered, Lost, Refused, Result
 from beryltiller.core.outcome import Kind
@@ -10,6 +12,7 @@
 from beryltiller.dispatching.forwarding import (
     from_message,
     from_reply,
+    refuse_malformed,
     to_message,
     to_reply,
 )
@@ -59,6 +62,18 @@
             with self.subTest(reply=reply):
                 self.assertIsInstance(from_reply(reply), Lost)
 
+    def test_refusal_of_a_long_malformed_statement_can_be_read(self) -> None:
+        """Guards against a refusal that the sender takes for an unknown outcome."""
+        valid = to_message("g1-d1", STATEMENT, TICKET)
+        for name in ("kind", "term", "at-least"):
+            headers = {**valid.headers, name: "\u00e9" * 600}
+            with self.subTest(name), self.assertRaises(ValueError) as caught:
+                from_message(replace(valid, headers=headers), now=10.0)
+            sent = messages.encode(refuse_malformed(caught.exception))
+            found = from_reply(messages.decode(sent).unwrap())
+            assert isinstance(found, Refused)
+            self.assertEqual(found.code, "malformed")
+
     def test_refusal_by_a_peer_is_refused(self) -> None:
         result = from_reply(messages.Refused("busy", "queue"))
         self.assertEqual(result, Refused("busy", "queue"))
