Keep the names of unasked databases whole in objections

A proxy objects to a promotion by naming the databases that the promoter has not asked. Names were cut at 128 characters, though the store's keys, which they are, may have 200 bytes: two databases became one name, which no proxy knows as a database's. All names that the store allows are now kept whole. The test fails on the code before.

--- a/src/beryltiller/sessions/succession/announcement.py
+++ b/src/beryltiller/sessions/succession/announcement.py
@@ -11,9 +11,10 @@
     PrimaryChange,
 )
 
-# How many databases an objection names, and how much of each name.
+# How many databases an objection names, and how much of each name. No key of the store
+# is longer, so no database's name is cut.
 MAX_NAMES = 16
-MAX_NAME_LENGTH = 128
+MAX_NAME_LENGTH = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_restarted_promoter.py
+++ b/tests/test_restarted_promoter.py
@@ -213,6 +213,11 @@
         self.assertEqual(len(bounded), MAX_NAMES)
         self.assertEqual({len(each) for each in bounded}, {MAX_NAME_LENGTH})
 
+    def test_no_name_that_the_store_allows_is_cut(self) -> None:
+        """Guards against a cut name that is another database's, or nobody's."""
+        names = ["d" * 199 + last for last in "ab"]
+        self.assertEqual(bounded_names(names), tuple(names))
+
     def test_row_of_an_earlier_release_lists_and_names_none(self) -> None:
         value = b'{"token":1,"replaced_term":2,"log_end_term":2,"log_end_index":9}'
         found = decode_announcement(Row("s", 6, value))
