Leave out hosts whose address is not that of one process

The platform's host list gives the peers' addresses, which are joined into ZeroMQ endpoints. The test fails on the code before.

--- a/src/beryltiller/adapters/platform_client.py
+++ b/src/beryltiller/adapters/platform_client.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from beryltiller.adapters import transport
+from beryltiller.core.addresses import Address
 from beryltiller.core.decoding import Count, DecodingError, decode_items, decode_json
 from beryltiller.core.paths import PathError, url_path
 from beryltiller.core.ports import (
@@ -59,6 +60,10 @@
     availability_zone: str
     is_leaving: bool = False
 
+    def __post_init__(self) -> None:
+        """Raise `ValueError` unless the address is that of one process."""
+        Address.parse_remote(self.address)
+
 
 class HostsModel(msgspec.Struct, frozen=True):
     """The platform's host list; hosts are decoded one by one."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -340,6 +340,22 @@
         platform = await self.answer_with({"hosts": [odd, 5, good]})
         self.assertEqual([each.name for each in await platform.hosts()], ["b"])
 
+    async def test_host_without_an_address_of_one_process_is_left_out(self) -> None:
+        """Guards against an address that another grammar reads, such as `h:1;h:2`."""
+        host = {"availability_zone": "z", "kind": "entry", "name": "odd"}
+        odd = (
+            "",
+            "h:1",
+            "127.0.0.1:1;127.0.0.1:2",
+            "127.0.0.1:1\0x",
+            "*:5",
+            "127.0.0.1:0",
+        )
+        good = {**host, "name": "b", "address": "127.0.0.1:1"}
+        hosts = [*({**host, "address": each} for each in odd), good]
+        platform = await self.answer_with({"hosts": hosts})
+        self.assertEqual([each.name for each in await platform.hosts()], ["b"])
+
     async def test_commit_answered_with_another_number_of_versions(self) -> None:
         platform = await self.answer_with({"versions": [1, 2]})
         with self.assertRaises(LostAnswerError):
