Leave out marks that don't fit into a session token

A token of 16 groups with the longest names, terms above 65,535 and indexes above 2**32 had 2,063 characters. The proxy gave it out and refused it in the next request, as it accepts 2,048. Marks that don't fit are now left out, the least recently used groups' first, and the token says that it is not complete, as it does for a 17th group. The test fails on the code before.

--- a/src/beryltiller/consistency/tokens.py
+++ b/src/beryltiller/consistency/tokens.py
@@ -151,7 +151,18 @@
 
 
 def encode_token(session: Session, keys: TokenKeys) -> str:
-    """Return the session's token, signed with the current key."""
+    """Return the session's token, signed with the current key.
+
+    Marks that do not fit are left out, those of the least recently used groups first.
+    """
+    text = _encode(session, keys)
+    while len(text) > MAX_TOKEN_CHARACTERS and session.marks:
+        session = session.without_group(next(iter(session.marks)))
+        text = _encode(session, keys)
+    return text
+
+
+def _encode(session: Session, keys: TokenKeys) -> str:
     marks = {
         name: (
             mark.written.term,
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -19,6 +19,7 @@
     decode_token,
     encode_token,
 )
+from beryltiller.core.decoding import MAX_NUMBER
 from beryltiller.core.position import Position
 
 OLD = b"old key, old key"
@@ -102,6 +103,20 @@
         text = encode_token(session, keys)
         self.assertEqual(decode_token(text, keys).unwrap(), session)
 
+    def test_token_of_the_longest_marks_is_accepted(self) -> None:
+        """Guards against a token that the proxy refuses in the next request."""
+        session, keys = Session("s" * 16), TokenKeys(OLD)
+        names = [f"{number:063d}" for number in range(MAX_GROUPS)]
+        for name in names:
+            session = session.after_write(name, Position(MAX_NUMBER, MAX_NUMBER))
+            session = session.after_read(name, Position(MAX_NUMBER, MAX_NUMBER))
+        text = encode_token(session, keys)
+        self.assertLessEqual(len(text), MAX_TOKEN_CHARACTERS)
+        found = decode_token(text, keys).unwrap()
+        self.assertFalse(found.is_complete)
+        self.assertIsNone(found.mark(names[0]))
+        self.assertEqual(found.mark(names[-1]), session.mark(names[-1]))
+
     def test_mark_removed_after_a_reported_loss_is_unknown(self) -> None:
         session = Session("s").after_write("g", Position(1, 5)).without_group("g")
         self.assertIsNone(session.mark("g"))
