Record admissions at any number of databases

A record held its database as a number of 16 bits, and each new name took the next one, also names that the configuration had dropped. The 65,537th name in the life of a process made every further admission at it fail with a `struct.error`, and the names were never released. A record now refers to the name, which goes with the record. The test fails on the code before.

--- a/src/beryltiller/admission/records.py
+++ b/src/beryltiller/admission/records.py
@@ -1,9 +1,9 @@
 """Admission records: a ring buffer from which the order of grants is explained later.
 
-Each ticket, granted or refused, has one packed record of `RECORD_BYTES` bytes and a
-reference to its caller's name. The ring holds the newest `capacity` records of all
-databases: 32,768 records take about 3 MB and reach back 17 s at 1,880 statements/s, or
-11 minutes at 50.
+Each ticket, granted or refused, has one packed record of `RECORD_BYTES` bytes and
+references to the names of its caller and database. The ring holds the newest `capacity`
+records of all databases: 32,768 records take about 3 MB and reach back 17 s at 1,880
+statements/s, or 11 minutes at 50.
 """
 
 import sys
@@ -16,16 +16,14 @@
 from beryltiller.admission.tickets import Cause, Drop, Grant, Lane, Ticket
 from beryltiller.core.outcome import Kind, Outcome
 
-_LAYOUT = Struct("<QQQdddddddIHBBBB")
+_LAYOUT = Struct("<QQQdddddddIBBBB")
 RECORD_BYTES = _LAYOUT.size
 _NUMBER = Struct("<Q")
 _FINISHED = Struct("<d")
-_DATABASE = Struct("<H")
 _STATE = Struct("<B")
 _NUMBER_OFFSET = 8
 _FINISHED_OFFSET = 40
-_DATABASE_OFFSET = 84
-_STATE_OFFSET = 88
+_STATE_OFFSET = 86
 
 _KINDS = tuple(Kind)
 _OUTCOMES = (None, *Outcome)
@@ -66,7 +64,7 @@
         self._capacity = capacity
         self._ring = bytearray(capacity * RECORD_BYTES)
         self._callers: list[str] = [""] * capacity
-        self._databases: dict[str, int] = {}
+        self._databases: list[str] = [""] * capacity
         self._written = 0
 
     @property
@@ -78,11 +76,12 @@
         """Record a grant; return the index by which to record its outcome."""
         held_back = _NO_LANE if grant.held_back is None else grant.held_back
         return self._write(
+            database,
             grant.ticket,
             grant.number,
             grant.grants_at_arrival,
             (grant.arrived, nan, grant.granted, grant.order, grant.service, grant.cost),
-            (connection, self._database_number(database)),
+            connection,
             (held_back, 0, grant.is_pinned),
         )
 
@@ -100,11 +99,12 @@
         # A refused ticket has no cost, so its record holds `wait_seconds` there.
         rejection = drop.rejection
         self._write(
+            database,
             drop.ticket,
             0,
             0,
             (drop.arrived, now, now, 0.0, 0.0, rejection.wait_seconds),
-            (0, self._database_number(database)),
+            0,
             (_NO_LANE, _REFUSED + rejection.cause, False),
         )
 
@@ -129,13 +129,12 @@
         grant = record.grant
         if grant is None:
             return []
-        database = self._databases[record.database]
         between = []
         for index in range(record.index - 1, self._oldest - 1, -1):
-            offset = index % self._capacity * RECORD_BYTES
+            slot = index % self._capacity
+            offset = slot * RECORD_BYTES
             number = _NUMBER.unpack_from(self._ring, offset + _NUMBER_OFFSET)[0]
-            found = _DATABASE.unpack_from(self._ring, offset + _DATABASE_OFFSET)[0]
-            if found != database or number == 0:
+            if self._databases[slot] != record.database or number == 0:
                 continue
             if number <= grant.grants_at_arrival:
                 break
@@ -148,11 +147,12 @@
 
     def _write(
         self,
+        database: str,
         ticket: Ticket,
         number: int,
         grants_at_arrival: int,
         times: tuple[float, float, float, float, float, float],
-        connection_and_database: tuple[int, int],
+        connection: int,
         flags: tuple[int, int, bool],
     ) -> int:
         index = self._written
@@ -172,19 +172,17 @@
             order,
             service,
             cost,
-            *connection_and_database,
+            connection,
             _KINDS.index(ticket.kind),
             held_back,
             state,
             is_pinned,
         )
         self._callers[slot] = sys.intern(ticket.caller)
+        self._databases[slot] = sys.intern(database)
         self._written = index + 1
         return index
 
-    def _database_number(self, name: str) -> int:
-        return self._databases.setdefault(name, len(self._databases))
-
     def _index_of(self, slot: int) -> int:
         """Return the index of the newest record in a slot."""
         newest = self._written - 1
@@ -194,11 +192,11 @@
         slot = index % self._capacity
         values = _LAYOUT.unpack_from(self._ring, slot * RECORD_BYTES)
         _, number, grants_at_arrival, arrived, granted, finished, *rest = values
-        deadline, order, service, cost, connection, database, *flags = rest
+        deadline, order, service, cost, connection, *flags = rest
         kind, held_back, state, is_pinned = flags
         caller = self._callers[slot]
         ticket = Ticket(request_id, caller, _KINDS[kind], deadline)
-        name = tuple(self._databases)[database]
+        name = self._databases[slot]
         if state >= _REFUSED:
             cause = Cause(state - _REFUSED)
             return AdmissionRecord(
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -64,6 +64,15 @@
 class AdmissionRecordsTest(unittest.TestCase):
     """Records return every fact that was written, and use a fixed amount of memory."""
 
+    def test_any_number_of_databases_can_be_recorded(self) -> None:
+        """Guards against names of former databases that end all admissions."""
+        records = AdmissionRecords(capacity=10)
+        for number in range(70_000):
+            records.record_grant(f"d{number}", grant(f"r{number}"), connection=1)
+        found = [records.find(f"r{number}") for number in (69_989, 69_990, 69_999)]
+        names = [[each.database for each in one] for one in found]
+        self.assertEqual(names, [[], ["d69990"], ["d69999"]])
+
     def test_record_returns_the_facts_of_a_grant(self) -> None:
         records = AdmissionRecords(8)
         original = grant(number=7, grants_at_arrival=4)
