Forget a database without statements in flight

Each database that ever had a statement in flight left an empty set, and the search for writes of former terms went through all of them. The test fails on the code before, with a count of the sets added to it.

--- a/src/beryltiller/dispatching/in_flight.py
+++ b/src/beryltiller/dispatching/in_flight.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -40,9 +39,11 @@
 class InFlightStatements:
     """The statements in flight, by database."""
 
-    _by_database: defaultdict[str, set[InFlightStatement]] = field(
-        default_factory=lambda: defaultdict(set)
-    )
+    _by_database: dict[str, set[InFlightStatement]] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return the number of databases that have statements in flight."""
+        return len(self._by_database)
 
     @contextmanager
     def track(
@@ -50,11 +51,14 @@
     ) -> Iterator[InFlightStatement]:
         """Track a statement while the context is open."""
         statement = InFlightStatement(group, term, timeout)
-        self._by_database[database].add(statement)
+        self._by_database.setdefault(database, set()).add(statement)
         try:
             yield statement
         finally:
-            self._by_database[database].discard(statement)
+            statements = self._by_database[database]
+            statements.discard(statement)
+            if not statements:
+                del self._by_database[database]
 
     def cancel_writes_before(self, group: str, term: int) -> None:
         """End the waits for the group's writes in terms below `term`."""
--- a/tests/test_in_flight.py
+++ b/tests/test_in_flight.py
@@ -53,6 +53,16 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         return are_done
 
+    async def test_ended_statements_leave_nothing_behind(self) -> None:
+        """Guards against growth with each name of a former database."""
+        for number in range(3):
+            async with asyncio.timeout(None) as timeout:
+                with self.in_flight.track(f"d{number}", "g1", 1, timeout):
+                    self.assertEqual(len(self.in_flight), 1)
+            self.assertEqual(len(self.in_flight), 0)
+        self.in_flight.cancel_reads("d9")
+        self.assertEqual(len(self.in_flight), 0)
+
     async def test_newer_term_cancels_older_writes_of_its_group(self) -> None:
         statements = (
             ("d1", "g1", 1),
