Keep lines logged before a test out of the line that it reads

The first destination of eliot in a process also receives what was logged before there was one, so the property of logged texts failed when other tests had logged, as in 'unittest tests.test_session_state_limits tests.test_joined_text_properties'. The stream is emptied once it is a destination; the check itself is unchanged.

--- a/tests/test_joined_text_properties.py
+++ b/tests/test_joined_text_properties.py
@@ -172,6 +172,9 @@
         stream = io.StringIO()
         destination = eliot.FileDestination(file=stream)
         eliot.add_destinations(destination)
+        # The first destination of a process also gets what was logged before.
+        stream.truncate(0)
+        stream.seek(0)
         try:
             logs.log(events.WorkFailed("work", text))
         finally:
