Set up again what a database may have undone or lost

What is set up inside a transaction was taken to stay after its rollback. A connection that was set up inside a transaction is now reset after its rollback, also if a commit was refused. One on which nothing was set up inside costs nothing more.

A database that does not know a name which it prepared, for whatever reason, had the caller told 'no such statement', although its own PREPARE was acknowledged. The statement has not run: the connection is closed, the answer promises that nothing is kept, and a read is tried elsewhere.

test_set_up_in_a_transaction_does_not_outlive_its_rollback fails with the rule taken out, test_statement_that_a_database_has_lost_is_not_unknown_to_its_caller on the code before (run).

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -10,9 +10,11 @@
 from typing import Protocol
 
 from beryltiller.sessions.connections.prepared_names import PreparedNames
-from beryltiller.sessions.errors import SetUpRefusedError
+from beryltiller.sessions.errors import SetUpRefusedError, StatementLostError
 from beryltiller.sessions.statements import (
     Begin,
+    Code,
+    Commit,
     DatabaseStatus,
     Deallocate,
     Execute,
@@ -21,6 +23,7 @@
     Reply,
     Request,
     Reset,
+    Rollback,
     SetValue,
     Statement,
 )
@@ -80,6 +83,7 @@
         self._connection = connection
         self._values: dict[str, str] | None = {}
         self._names = PreparedNames()
+        self._was_set_up_since_begin = False
         self.opened_at = opened_at
         self.serial = serial
 
@@ -108,7 +112,8 @@
 
         If the connection lacks any of these, they are set up first. If the database
         refuses that, the connection is closed, and `SetUpRefusedError` raised: the
-        statement has not run.
+        statement has not run. Nor has it if the database has lost a prepared statement,
+        for which `StatementLostError` is raised.
         """
         before = (len(self._values or ()), len(self._names))
         setup = self._setup_requests(values)
@@ -118,6 +123,18 @@
         known, self._values = self._values, None
         reply = await self._send_after(setup, last, before)
         self._values = dict(values) if setup or known is None else known
+        self._record_reply(request.statement, bool(setup), reply)
+        return reply
+
+    async def roll_back(self) -> Reply:
+        """Roll back the open transaction.
+
+        A database may undo values and prepared statements with it, so those that were
+        set up in the transaction are set up again.
+        """
+        (reply,) = await self._connection.send_requests((Request(Rollback()),))
+        if self._was_set_up_since_begin:
+            self._forget()
         return reply
 
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
@@ -146,8 +163,25 @@
         values = self._values or {}
         size = sum(len(name) + len(value) for name, value in values.items())
         if size > MAX_IDLE_VALUE_CHARACTERS or self._names.has_long_shape:
-            self._values = None
-            self._names.clear()
+            self._forget()
+
+    def _forget(self) -> None:
+        self._values = None
+        self._names.clear()
+
+    def _record_reply(
+        self, statement: Statement, was_set_up: bool, reply: Reply
+    ) -> None:
+        match statement:
+            case Begin():
+                self._was_set_up_since_begin = False
+                return
+            case Commit() if reply.code is not None:
+                self._forget()
+            case Execute() if reply.code is Code.NO_SUCH_STATEMENT:
+                self._connection.close()
+                raise StatementLostError
+        self._was_set_up_since_begin |= was_set_up
 
     async def _send_after(
         self, setup: list[Request], request: Request, before: tuple[int, int]
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -57,3 +57,11 @@
         self.refusal = refusal.value
         self.values = values
         self.prepared = prepared
+
+
+class StatementLostError(NotSentError):
+    """A database that has lost a prepared statement, which has therefore not run."""
+
+    def __init__(self) -> None:
+        """Create an error that promises that the caller's statement has not run."""
+        super().__init__(Code.ABORTED, "the database has lost a prepared statement")
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -32,7 +32,6 @@
     Execute,
     Reply,
     Request,
-    Rollback,
     SessionState,
     Write,
 )
@@ -368,9 +367,7 @@
             return
         try:
             async with asyncio.timeout(transaction.route.timeout_seconds):
-                (reply,) = await acquired.connection.send_requests(
-                    (Request(Rollback()),)
-                )
+                reply = await acquired.connection.roll_back()
         except (SessionError, TimeoutError):
             acquired.pool.discard(acquired.connection)
             return
--- a/tests/page_database.py
+++ b/tests/page_database.py
@@ -42,7 +42,8 @@
     """One connection's end at a database.
 
     `refuse` returns the code with which a statement is refused without an effect, or
-    empty text.
+    empty text. If it `undoes_set_up`, a rollback also undoes the values and prepared
+    statements of its transaction; the page leaves that open.
     """
 
     refuse: Callable[[Query], str] = never_refuse
@@ -50,6 +51,8 @@
     state: SessionState = field(default_factory=SessionState)
     transaction: str = "I"
     lines: int = 0
+    undoes_set_up: bool = False
+    before_begin: SessionState = field(default_factory=SessionState)
 
     def receive(self, data: bytes) -> bytes:
         """Return the replies to complete lines."""
@@ -79,7 +82,12 @@
         match query.word:
             case "BEGIN":
                 self.transaction = "T"
-            case "COMMIT" | "ROLLBACK":
+                self.before_begin = self.state.copy()
+            case "ROLLBACK":
+                self.transaction = "I"
+                if self.undoes_set_up:
+                    self.state = self.before_begin.copy()
+            case "COMMIT":
                 self.transaction = "I"
             case "READ" | "WRITE" | "EXECUTE":
                 return self._run(query)
--- a/tests/page_reader.py
+++ b/tests/page_reader.py
@@ -60,6 +60,10 @@
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Prepared] = field(default_factory=dict)
 
+    def copy(self) -> "SessionState":
+        """Return a copy that later statements don't change."""
+        return SessionState(dict(self.values), dict(self.prepared))
+
     def apply(self, query: Query) -> str:
         """Apply a statement that changes the state; return an error's code or ''."""
         match query.word, query.fields:
--- a/tests/test_prepared_names.py
+++ b/tests/test_prepared_names.py
@@ -4,8 +4,8 @@
 
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.connections.prepared_names import PreparedNames
-from beryltiller.sessions.errors import SessionError
-from beryltiller.sessions.statements import Execute, Prepare, Request
+from beryltiller.sessions.errors import SessionError, StatementLostError
+from beryltiller.sessions.statements import Begin, Code, Execute, Prepare, Request
 from tests.page_database import PageConnection, PageDatabase
 
 
@@ -55,6 +55,48 @@
         self.assertEqual(len(self.database.ran), 20)
 
 
+class LostSetUpTest(unittest.IsolatedAsyncioTestCase):
+    """What a database may have undone or lost is set up again before it is used."""
+
+    def setUp(self) -> None:
+        self.database = PageDatabase(undoes_set_up=True)
+        self.pooled = PooledConnection(PageConnection(self.database), 0.0)
+        self.prepared = {"s1": Prepare("s1", False, "q1")}
+
+    async def execute(self, identifier: str, values: dict[str, str]) -> None:
+        request = Request(Execute("s1", "1a4"), identifier)
+        await self.pooled.run(request, values, self.prepared)
+
+    async def test_set_up_in_a_transaction_does_not_outlive_its_rollback(self) -> None:
+        """Guards against values that are undone at the database only."""
+        await self.pooled.run(Request(Begin()), {}, {})
+        await self.execute("a", {"v": "1"})
+        await self.pooled.roll_back()
+        await self.execute("b", {"v": "1"})
+        ran = [(each.identifier, each.shape, each.values) for each in self.database.ran]
+        values = (("v", "1"),)
+        self.assertEqual(ran, [("a", "q1", values), ("b", "q1", values)])
+
+    async def test_rollback_without_a_set_up_costs_no_other_line(self) -> None:
+        await self.execute("a", {"v": "1"})
+        await self.pooled.run(Request(Begin()), {"v": "1"}, {})
+        await self.execute("b", {"v": "1"})
+        await self.pooled.roll_back()
+        before = self.database.lines
+        await self.execute("c", {"v": "1"})
+        self.assertEqual(self.database.lines, before + 1)
+
+    async def test_statement_that_a_database_has_lost_is_not_unknown_to_its_caller(
+        self,
+    ) -> None:
+        await self.execute("a", {})
+        self.database.state.prepared.clear()
+        with self.assertRaises(StatementLostError) as caught:
+            await self.execute("b", {})
+        self.assertIs(caught.exception.code, Code.ABORTED)
+        self.assertFalse(self.pooled.is_open)
+
+
 class NamesTest(unittest.TestCase):
     """Names are given once, and the least recently used are removed."""
 
