Read on from a caller whose transaction has expired

While a transaction that was idle for too long was rolled back, no more was read from its caller once the memory for messages was used up. Only the answer to a statement started the reading again, so that the caller was never read again, and was not closed either: without a statement, there was none to answer.

Reading goes on behind the rollback now.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -154,10 +154,16 @@
             if self._session is not None:
                 await self._service.end_session(self._session)
             return
+        self._read_on()
+        self._start_idle_timer_or_close()
+
+    def _read_on(self) -> None:
+        """Read from the caller again if all that it has sent is answered."""
         self._count_received()
-        if not self._messages and not self._transport.is_reading():
+        if self._transport is None or self._messages:
+            return
+        if not self._transport.is_reading():
             self._transport.resume_reading()
-        self._start_idle_timer_or_close()
 
     def _start_idle_timer_or_close(self) -> None:
         session = self._session
@@ -234,6 +240,7 @@
         if self._transport is None:
             await self._service.end_session(session)
         else:
+            self._read_on()
             self._start_serving()
 
     def _stop_timer(self) -> None:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -340,6 +340,24 @@
 
         self._run(work)
 
+    def test_caller_is_read_again_after_its_transaction_expired(self) -> None:
+        """Guards against a caller whose further messages are never read."""
+
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            callers = await self._connect(fixture, ingress, 3)
+            for caller in callers[:2]:
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+            last = callers[2]
+            await last.send_line("QUERY 1 BEGIN")
+            await last.send_line("QUERY 2 WRITE i d")
+            ingress.end_transactions()
+            last.connection.data_received(PART_OF_A_MESSAGE)
+            self.assertFalse(last.transport.is_reading())
+            await asyncio.sleep(0.5)
+            self.assertTrue(last.transport.is_reading())
+
+        self._run(work)
+
     def _run(self, work: Callable[[GroupFixture, Ingress], Awaitable[None]]) -> None:
         async def run_work(fixture: GroupFixture, _: Ingress, __: Caller) -> None:
             ingress = Ingress(fixture.service, virtual_now, TOTAL_BYTES)
