Send a refused commit again without a reset before it

A commit that a database has no capacity for is sent again, as its transaction stays open. The connection forgot its values and names with each refused commit, so that a RESET and all values were sent before the second try, inside the transaction. A database that refuses a reset there, or ends the transaction, loses the commit.

The connection forgets them only if the refused commit has ended the transaction; one that stays open is committed or rolled back later.

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -24,6 +24,7 @@
     Request,
     Reset,
     Rollback,
+    SessionState,
     SetValue,
     Statement,
 )
@@ -177,7 +178,9 @@
                 self._was_set_up_since_begin = False
                 return
             case Commit() if reply.code is not None:
-                self._forget()
+                # A transaction that stays open is committed again or rolled back.
+                if reply.state is SessionState.IDLE:
+                    self._forget()
             case Execute() if reply.code is Code.NO_SUCH_STATEMENT:
                 self._connection.close()
                 raise StatementLostError
--- a/tests/test_prepared_names.py
+++ b/tests/test_prepared_names.py
@@ -5,8 +5,16 @@
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.connections.prepared_names import PreparedNames
 from beryltiller.sessions.errors import SessionError, StatementLostError
-from beryltiller.sessions.statements import Begin, Code, Execute, Prepare, Request
+from beryltiller.sessions.statements import (
+    Begin,
+    Code,
+    Commit,
+    Execute,
+    Prepare,
+    Request,
+)
 from tests.page_database import PageConnection, PageDatabase
+from tests.page_reader import SessionState
 
 
 class SharedConnectionTest(unittest.IsolatedAsyncioTestCase):
@@ -86,6 +94,28 @@
         await self.execute("c", {"v": "1"})
         self.assertEqual(self.database.lines, before + 1)
 
+    async def test_commit_that_is_sent_again_is_sent_without_a_reset(self) -> None:
+        """Guards against a reset inside the transaction that is to be committed."""
+        await self.pooled.run(Request(Begin()), {"v": "1"}, {})
+        await self.execute("a", {"v": "1"})
+        self.database.refuse = lambda query: "BUSY" if query.word == "COMMIT" else ""
+        await self.pooled.run(Request(Commit(), "c"), {"v": "1"}, {})
+        before = self.database.lines
+        await self.pooled.run(Request(Commit(), "c"), {"v": "1"}, {})
+        self.assertEqual(self.database.lines, before + 1)
+
+    async def test_set_up_in_a_transaction_does_not_outlive_its_refused_commit(
+        self,
+    ) -> None:
+        await self.pooled.run(Request(Begin()), {}, {})
+        await self.execute("a", {"v": "1"})
+        self.database.transaction = "I"
+        self.database.state = SessionState()
+        self.database.refuse = lambda query: "FAILED" if query.word == "COMMIT" else ""
+        await self.pooled.run(Request(Commit(), "c"), {"v": "1"}, {})
+        await self.execute("b", {"v": "1"})
+        self.assertEqual(self.database.ran[-1].values, (("v", "1"),))
+
     async def test_statement_that_a_database_has_lost_is_not_unknown_to_its_caller(
         self,
     ) -> None:
