Refuse a write in a transaction that reads, without asking a database

A caller who began a transaction that only reads and then wrote in it had the write sent to one database after the other, and again until its time was over: 15 statements in 0.21 s at a group of three. A primary that refuses it as read-only, as replicas do, was taken for one that has lost the lead.

The protocol doesn't say what a primary answers, so that is shown at a database of the tests' own. No database may accept such a write, and it is refused as malformed at once, in a transaction that stays open.

--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -77,6 +77,8 @@
         """Run a statement of the open transaction on the transaction's connection."""
         transaction = session.transaction
         assert transaction is not None
+        if transaction.is_read_only and session.is_write(statement):
+            return session.refuse(Code.MALFORMED, "the transaction only reads")
         request = Request(statement, identifier)
         deadline = arrived + transaction.route.timeout_seconds
         try:
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -184,6 +184,25 @@
 
         run_with_fixture(work)
 
+    def test_write_in_a_transaction_that_reads_is_refused(self) -> None:
+        """Guards against a caller who makes a primary count as none for all others."""
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Prepare("s1", True, "q1"))
+            await fixture.run(session, Begin(is_read_only=True))
+            for statement in (Write("i", "d"), Execute("s1", "i d")):
+                reply = await fixture.run(session, statement)
+                self.assertEqual((reply.code, reply.state), (Code.MALFORMED, OPEN))
+            reply = await fixture.run(session, Read("i"))
+            self.assertEqual((reply.code, reply.state), (None, OPEN))
+            reply = await fixture.run(session, Commit())
+            self.assertEqual((reply.code, reply.state), (None, IDLE))
+
+        ran = run_with_fixture(work).leader.statement_names()
+        self.assertNotIn("Write", ran)
+        self.assertNotIn("Execute", ran)
+
     def test_first_statement_waits_for_the_begin(self) -> None:
         """Guards against a statement that runs outside its transaction.
 
