Send no statement to a database that has no transaction open

Behind such a BEGIN nothing is sent now. Behind another such answer the connection is closed and the caller's transaction has failed; what the last statement did is unknown. A statement that a database runs after it has ended the transaction in silence can't be prevented, only those behind it.

--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -65,3 +65,15 @@
     def __init__(self) -> None:
         """Create an error that promises that the caller's statement has not run."""
         super().__init__(Code.ABORTED, "the database has lost a prepared statement")
+
+
+class TransactionEndedError(SessionError):
+    """A transaction that its database has ended before its caller did.
+
+    The last statement may have run outside of it.
+    """
+
+    def __init__(self, refusal: Code | None) -> None:
+        """Create an error with the code of the refusal, or for an unknown outcome."""
+        code = Code.UNKNOWN_OUTCOME if refusal is None else refusal
+        super().__init__(code, "the database has ended the transaction")
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -22,6 +22,7 @@
     NotSentError,
     SessionError,
     SetUpRefusedError,
+    TransactionEndedError,
 )
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
@@ -268,10 +269,12 @@
 
         A database without capacity refuses a statement without running it, and leaves
         its transaction open. The statement is then sent again until `retry_until`, as
-        failing the transaction would waste the work that it has done.
+        failing the transaction would waste the work that it has done. Raise
+        `TransactionEndedError` if the database has ended the transaction.
         """
         while True:
             reply = await self.run(session, group, acquired, request, deadline)
+            _check_still_open(acquired, request, reply)
             can_retry = reply.code is Code.BUSY and reply.state is SessionState.OPEN
             retry_at = self._clock() + TRANSACTION_RETRY_PAUSE_SECONDS
             if not can_retry or retry_at >= retry_until:
@@ -388,6 +391,15 @@
         acquired.pool.discard(acquired.connection)
 
 
+def _check_still_open(
+    acquired: AcquiredConnection, request: Request, reply: Reply
+) -> None:
+    """Close the connection if the next statement would run outside its transaction."""
+    if reply.state is SessionState.IDLE and not isinstance(request.statement, Commit):
+        acquired.pool.discard(acquired.connection)
+        raise TransactionEndedError(reply.code)
+
+
 def may_run_elsewhere(code: Code) -> bool:
     """Return True if a refused statement has not run and may run elsewhere."""
     return code.has_not_run and code is not Code.NO_SUCH_STATEMENT
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -10,7 +10,12 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement
-from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
+from beryltiller.sessions.errors import (
+    BrokenError,
+    NotSentError,
+    SessionError,
+    TransactionEndedError,
+)
 from beryltiller.sessions.execution import (
     StatementExecutor,
     may_run_elsewhere,
@@ -85,7 +90,9 @@
             reply = await self._run(session, transaction, request, deadline)
         except SessionError as error:
             await self.roll_back_open(session)
-            code = error.code if isinstance(error, NotSentError) else Code.ABORTED
+            code = Code.ABORTED
+            if isinstance(error, NotSentError | TransactionEndedError):
+                code = error.code
             failed = SessionState.FAILED
             return Reply(
                 failed, code=code, text=error.reason, position=session.position
@@ -233,7 +240,7 @@
                 )
             except BrokenError:
                 return None
-            if not begun.is_success:
+            if not begun.is_success or begun.state is not SessionState.OPEN:
                 release_acquired(acquired, begun)
                 return None
             reply = await self._executor.run_in_transaction(
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from unittest import mock
 
 from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
 from beryltiller.sessions.statements import (
@@ -14,13 +15,14 @@
     Execute,
     Prepare,
     Read,
+    Request,
     Reset,
     Rollback,
     SessionState,
     SetValue,
     Write,
 )
-from tests.fake_group import GroupFixture, call_after
+from tests.fake_group import FakeConnection, GroupFixture, call_after
 from tests.virtual_loop import run_virtual, virtual_now
 
 Work = Callable[[GroupFixture], Awaitable[None]]
@@ -323,6 +325,56 @@
         )
 
 
+class EndedTransactionTest(unittest.TestCase):
+    """Databases whose answers say that no transaction is open."""
+
+    def test_no_statement_is_sent_if_the_begin_opened_no_transaction(self) -> None:
+        """Guards against statements that take effect without a commit."""
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            with mock.patch.object(FakeConnection, "_advance"):
+                reply = await fixture.run(session, Write("i", "d"))
+            self.assertEqual((reply.code, reply.state), (Code.BUSY, FAILED))
+
+        ran = run_with_fixture(work).leader.statement_names()
+        self.assertEqual(set(ran), {"Begin"})
+
+    def test_no_statement_is_sent_behind_the_end_of_its_transaction(self) -> None:
+        for is_first in (True, False):
+            with self.subTest(is_first=is_first):
+
+                async def work(
+                    fixture: GroupFixture, is_first: bool = is_first
+                ) -> None:
+                    session = fixture.session()
+                    await fixture.run(session, Begin())
+                    if not is_first:
+                        await fixture.run(session, Write("i", "c"))
+                    with mock.patch.object(FakeConnection, "_advance", _end):
+                        reply = await fixture.run(session, Write("i", "d"))
+                    self.assertEqual(reply.code, Code.UNKNOWN_OUTCOME)
+                    self.assertEqual(reply.state, FAILED)
+                    reply = await fixture.run(session, Write("i", "e"))
+                    self.assertEqual(reply.code, Code.MALFORMED)
+                    reply = await fixture.run(session, Commit())
+                    self.assertEqual((reply.code, reply.state), (Code.ABORTED, IDLE))
+
+                fixture = run_with_fixture(work)
+                ran = [each.statement for _, each in fixture.leader.ran]
+                self.assertNotIn(Write("i", "e"), ran)
+                self.assertNotIn(Commit(), ran)
+                self.assertEqual(fixture.leader.connections, fixture.leader.closed)
+
+
+def _end(connection: FakeConnection, request: Request) -> None:
+    if not isinstance(request.statement, Begin):
+        connection.state = SessionState.IDLE
+    else:
+        connection.state = SessionState.OPEN
+
+
 class SessionValuesTest(unittest.TestCase):
     """Values and prepared statements follow the session, not the connection."""
 
