Close a connection whose database sends what nobody asked for

Lines that a database sent while no request was pending stayed in the decoder, and became part of the reply to the next request on the connection, of whichever session: rows of another statement (MIXED), or a refusal beside the signature of a write that had run, which promises its caller that nothing is kept (REFUSED) and is sent again (TWICE). Only a whole reply without a request closed the connection.

Class: state that sessions share, left behind by one for the next. Any data without a pending request closes the connection now.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -64,6 +64,7 @@
         self._splitter = wire.LineSplitter()
         self._decoder = wire.ReplyDecoder()
         self._pending: deque[_Batch] = deque()
+        self._has_sent = False
 
     @property
     def is_open(self) -> bool:
@@ -79,9 +80,12 @@
         """Decode the received bytes and pass complete replies to their batches."""
         try:
             for line in self._splitter.feed(data):
+                self._check_awaited()
                 reply = self._decoder.feed(line)
                 if reply is not None:
                     self._record_reply(reply)
+            if self._splitter.incomplete_bytes:
+                self._check_awaited()
         except wire.WireError as error:
             self._break(str(error))
 
@@ -149,9 +153,15 @@
             raise NoCapacityError(Code.BUSY, "the connection is closed")
         batch = _Batch(replies)
         self._pending.append(batch)
+        self._has_sent = True
         self._transport.write(data)
         return batch.future
 
+    def _check_awaited(self) -> None:
+        """Raise `WireError` for data that would become part of the next reply."""
+        if self._has_sent and not self._pending:
+            raise wire.WireError("the database sent data without a request")
+
     def _record_reply(self, reply: Reply) -> None:
         if not self._pending:
             self._break("the database sent a reply without a request")
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -135,6 +135,26 @@
             await connection.send_requests((Request(Read("a"), "q1"),))
         self.assertFalse(connection.is_open)
 
+    async def test_data_without_a_request_is_no_part_of_the_next_reply(self) -> None:
+        """Guards against rows and refusals that are given to another session."""
+        whole = b"COMPLETE x\r\n" + READY
+        for extra in (b"DATAROW one\r\n", b"ERROR BUSY no\r\n", b"DATAROW on", READY):
+            with self.subTest(extra):
+                script = {"STARTUP": READY, "READ": whole + extra, "WRITE": whole}
+                _, connection = await self.connect({**script})
+                (reply,) = await connection.send_requests((Request(Read("a"), "q1"),))
+                self.assertEqual((reply.rows, reply.code), ((), None))
+                self.assertFalse(connection.is_open)
+
+    async def test_data_on_an_idle_connection_closes_it(self) -> None:
+        for extra in (b"DATAROW one\r\n", b"ERROR BUSY no\r\n", b"DATAROW on", READY):
+            with self.subTest(extra):
+                _, connection = await self.connect({"STARTUP": READY})
+                connection.data_received(extra)
+                self.assertFalse(connection.is_open)
+                _, connection = await self.connect({"STARTUP": READY + extra})
+                self.assertFalse(connection.is_open)
+
     async def test_status_is_decoded(self) -> None:
         row = b"DATAROW replica 3 3.1209 4 12 2 17\r\nCOMPLETE -\r\n"
         _, connection = await self.connect({"STARTUP": READY, "STATUS": row + READY})
