Limit the memory and time that requests' bodies take

Nothing bounded the bodies that a proxy held while they arrived, and a body might take any time: the caller's timeout counts, but is only checked once the body is there.

--- a/src/beryltiller/process/proxy.py
+++ b/src/beryltiller/process/proxy.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers: takes requests and returns complete answers."""
 
+import asyncio
 import itertools
 import logging
 import math
@@ -33,6 +34,7 @@
 )
 from beryltiller.observability.metrics import Counter, Metrics, Timer
 from beryltiller.observability.traces import Hop, Tracer
+from beryltiller.process.body_budget import BodyBudget, BodyBudgetError, BodyPolicy
 from beryltiller.process.caller_answers import (
     CallerAnswer,
     bad_input_answer,
@@ -129,11 +131,14 @@
         tracer: Tracer,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        body_policy: BodyPolicy | None = None,
     ) -> None:
         """Create a proxy that refuses all requests until it has a configuration.
 
         `name` is its name in answers and request identifiers.
         """
+        self._body_policy = body_policy or BodyPolicy()
+        self._bodies = BodyBudget(self._body_policy)
         self._name = name
         self._statement_runner = statement_runner
         self._transactions = transactions
@@ -222,6 +227,20 @@
         ):
             refusal = Refusal(f"POST {STATEMENTS_PATH} is served here", "path")
             return error_answer(404, Outcome.NOT_RUN, refusal, request_id)
+        try:
+            with self._bodies.reserved(request.content_length):
+                return await self._serve_body(request, request_id, started, step)
+        except BodyBudgetError as error:
+            refusal = Refusal(str(error), "body")
+            return error_answer(429, Outcome.NOT_RUN, refusal, request_id)
+
+    async def _serve_body(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        started: float,
+        step: Step | None,
+    ) -> CallerAnswer:
         body = await self._read_body(request, request_id)
         headers = request.headers.items()
         accepted = self._accept_request(headers, body, request_id, started, step)
@@ -279,11 +298,17 @@
         return CallerAnswer(status, Outcome.DONE, result.body, headers)
 
     async def _read_body(self, request: web.BaseRequest, request_id: str) -> bytes:
+        seconds = self._body_policy.receive_seconds
         try:
-            return await request.read()
+            async with asyncio.timeout(seconds):
+                return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
             refusal = Refusal("the statement is too long", "body")
             raise RequestRefusedError(bad_input_answer(refusal, request_id)) from error
+        except TimeoutError as error:
+            refusal = Refusal(f"it did not arrive within {seconds:g} s", "body")
+            answer = error_answer(503, Outcome.NOT_RUN, refusal, request_id)
+            raise RequestRefusedError(answer) from error
 
     def _accept_request(
         self,
--- a/tests/proxy_fixture.py
+++ b/tests/proxy_fixture.py
@@ -38,6 +38,7 @@
 from beryltiller.observability.traces import Tracer
 from beryltiller.primaries.evidence import Evidence
 from beryltiller.primaries.term_rows import TermRow, TermState
+from beryltiller.process.body_budget import BodyPolicy
 from beryltiller.process.proxy import Proxy
 from beryltiller.standins.database_standin import DatabaseCapacity, DatabaseStandin
 from tests import servers
@@ -112,7 +113,9 @@
     return Configuration(1, routes, (Pool("pool", ("g1",)),), (Group("g1", databases),))
 
 
-async def start(stack: AsyncExitStack) -> ProxyFixture:
+async def start(
+    stack: AsyncExitStack, body_policy: BodyPolicy | None = None
+) -> ProxyFixture:
     """Start three databases, the first the primary of term 1, and one proxy."""
     started = {name: await servers.database(stack, name, CAPACITY) for name in NAMES}
     addresses = {name: each[2] for name, each in started.items()}
@@ -155,7 +158,16 @@
         statement_runner,
         lambda name: databases.connected[name].transactions,
     )
-    proxy = Proxy("p1", statement_runner, transactions, KEYS, metrics, tracer, rng)
+    proxy = Proxy(
+        "p1",
+        statement_runner,
+        transactions,
+        KEYS,
+        metrics,
+        tracer,
+        rng,
+        body_policy=body_policy,
+    )
     adopted = configuration(addresses)
     await databases.configure(adopted)
     planner.configure("g1", (DatabaseView(name, "zone-a") for name in NAMES))
