Log no error for a caller that leaves amid its body

Each such caller left a traceback of an error in the proxy in the log, and counted as an unknown outcome, though nothing was run. The test fails on the code before.

--- a/src/beryltiller/process/proxy.py
+++ b/src/beryltiller/process/proxy.py
@@ -305,6 +305,9 @@
         except web.HTTPRequestEntityTooLarge as error:
             refusal = Refusal("the statement is too long", "body")
             raise RequestRefusedError(bad_input_answer(refusal, request_id)) from error
+        except ConnectionError as error:
+            refusal = Refusal("the connection ended before it arrived", "body")
+            raise RequestRefusedError(bad_input_answer(refusal, request_id)) from error
         except TimeoutError as error:
             refusal = Refusal(f"it did not arrive within {seconds:g} s", "body")
             answer = error_answer(503, Outcome.NOT_RUN, refusal, request_id)
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -90,6 +90,19 @@
         writer.write(b"x")
         self.assertEqual(await self.status(reader), (b"400", b"not-run"))
 
+    async def test_caller_that_leaves_amid_its_body_fails_nothing(self) -> None:
+        """Guards against a log of one traceback for each such caller."""
+        proxy = await proxy_fixture.start(self.stack, POLICY)
+        with self.assertNoLogs("beryltiller.process.proxy"):
+            _, writer = await self.start_body(proxy)
+
+            async def has_taken(count: int) -> bool:
+                return proxy.proxy.in_flight == count
+
+            await servers.until(lambda: has_taken(1))
+            writer.close()
+            await servers.until(lambda: has_taken(0))
+
     async def test_body_that_does_not_arrive_is_not_run(self) -> None:
         policy = BodyPolicy(receive_seconds=0.2)
         proxy = await proxy_fixture.start(self.stack, policy)
