Refuse a forwarded statement with text that no header can hold

The key and the trace context of a forwarded statement are sent to the database in headers. Only the proxy that receives the request checked them. With a line end in one, the peer's HTTP client raised a `ValueError`, which no one caught, and the peer sent no reply. Such a message is now refused as malformed, which tells the sender that nothing was run.

--- a/src/beryltiller/dispatching/forwarding.py
+++ b/src/beryltiller/dispatching/forwarding.py
@@ -76,13 +76,20 @@
         message.body,
         parse_count(headers["term"]),
         Position.parse(headers["at-least"]),
-        headers["key"],
-        headers["traceparent"],
+        _header_text(headers["key"]),
+        _header_text(headers["traceparent"]),
         seconds,
     )
     return ForwardedStatement(message.database, ticket, statement)
 
 
+def _header_text(text: str) -> str:
+    """Return a text that is sent in a header; raise ValueError if none can hold it."""
+    if not text.isascii() or not text.isprintable() or text != text.strip():
+        raise ValueError(f"not the text of a header: {shorten(text)!r}")
+    return text
+
+
 def to_reply(result: Result) -> ForwardReply:
     """Encode a result as the reply to a forwarded statement or step."""
     match result:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -74,6 +74,15 @@
             assert isinstance(found, Refused)
             self.assertEqual(found.code, "malformed")
 
+    def test_text_that_no_header_can_hold_is_malformed(self) -> None:
+        """Guards against a statement that is never answered, as it cannot be sent."""
+        valid = to_message("g1-d1", STATEMENT, TICKET)
+        for name in ("key", "traceparent"):
+            for text in ("a\r\nTerm: 9", "a\0", "a\n", "\u00e9", " a", "a "):
+                headers = {**valid.headers, name: text}
+                with self.subTest(name, text=text), self.assertRaises(ValueError):
+                    from_message(replace(valid, headers=headers), now=10.0)
+
     def test_refusal_by_a_peer_is_refused(self) -> None:
         result = from_reply(messages.Refused("busy", "queue"))
         self.assertEqual(result, Refused("busy", "queue"))
