--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -38,7 +38,12 @@
 LINE_END = b"\r\n"
 NO_VALUE = "-"
 
-_TRANSACTION_WORDS = frozenset({"BEGIN", "COMMIT", "ROLLBACK"})
+_TRANSACTION_TEXTS: dict[str, CallerStatement] = {
+    "BEGIN": Begin(),
+    "BEGIN READ": Begin(is_read_only=True),
+    "COMMIT": Commit(),
+    "ROLLBACK": Rollback(),
+}
 _STATE_TO_WORD = {
     SessionState.IDLE: "I",
     SessionState.OPEN: "T",
@@ -111,44 +116,44 @@
 
 
 def decode_statement(text: str) -> CallerStatement | None:
-    """Decode a caller's statement; return None if the text is not a statement."""
-    word, _, rest = text.partition(" ")
-    fields = rest.split(" ", 2) if rest else []
-    if word in _TRANSACTION_WORDS:
-        return _decode_transaction(word, fields)
-    return _decode_other_statement(word, fields)
-
-
-def _decode_transaction(word: str, fields: list[str]) -> CallerStatement | None:
-    match word, fields:
-        case "BEGIN", []:
-            return Begin()
-        case "BEGIN", ["READ"]:
-            return Begin(is_read_only=True)
-        case "COMMIT", []:
-            return Commit()
-        case "ROLLBACK", []:
-            return Rollback()
-    return None
+    """Decode a caller's statement; return None if it cannot run at any database."""
+    word, blank, rest = text.partition(" ")
+    if word in _TRANSACTION_TEXTS:
+        return _TRANSACTION_TEXTS.get(text)
+    if not blank or not rest:
+        return None
+    return _decode_fields(word, rest)
 
 
-def _decode_other_statement(word: str, fields: list[str]) -> CallerStatement | None:
-    match word, fields:
-        case "READ", [item]:
-            return Read(item)
-        case "WRITE", [item, _, *_]:
-            return Write(item, " ".join(fields[1:]))
-        case "EXECUTE", [name, *arguments]:
-            return Execute(name, " ".join(arguments))
-        case "SET", [name, *value]:
-            return SetValue(name, " ".join(value))
-        case "PREPARE", [name, "READ" | "WRITE" as mode, shape]:
-            return Prepare(name, mode == "WRITE", shape)
-        case "DEALLOCATE", [name]:
-            return Deallocate(name)
+def _decode_fields(word: str, rest: str) -> CallerStatement | None:
+    """Decode the fields of a statement; the last one extends to the end of `rest`."""
+    match word:
+        case "READ":
+            return Read(rest)
+        case "DEALLOCATE":
+            return Deallocate(rest)
+    first, blank, last = rest.partition(" ")
+    if not first or not blank:
+        return None
+    match word:
+        case "WRITE":
+            return Write(first, last)
+        case "SET" if last:
+            return SetValue(first, last)
+        case "EXECUTE" if last and not last.startswith(" "):
+            return Execute(first, last)
+        case "PREPARE":
+            return _decode_prepare(first, last)
     return None
 
 
+def _decode_prepare(name: str, rest: str) -> Prepare | None:
+    mode, _, shape = rest.partition(" ")
+    if mode not in ("READ", "WRITE") or not shape:
+        return None
+    return Prepare(name, mode == "WRITE", shape)
+
+
 def statement_text(statement: Statement) -> str:
     """Return the text of a statement as it is sent to a database."""
     match statement:
--- /dev/null
+++ b/tests/test_wire_statements.py
@@ -0,0 +1,91 @@
+"""Tests of what callers' statements are read as, and of the text that is sent on."""
+
+import unittest
+
+from beryltiller.platform import wire
+from beryltiller.platform.ingress import Ingress
+from beryltiller.sessions.statements import (
+    CallerStatement,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    SetValue,
+    Write,
+)
+from tests.fake_group import GroupFixture
+from tests.page_reader import UnreadableError, read_statement
+from tests.test_platform_ingress import Caller, run_with_caller
+
+# Statements that no database can run.
+INCOMPLETE = (
+    *("READ", "READ ", "WRITE i", "WRITE  d", "WRITE ", "DEALLOCATE", "DEALLOCATE "),
+    *("SET a", "SET a ", "SET  v", "SET ", "SET"),
+    *("PREPARE  READ q", "PREPARE s READ", "PREPARE s READ ", "PREPARE s MAYBE q"),
+    *("EXECUTE s", "EXECUTE s ", "EXECUTE  i", "EXECUTE s  d", "EXECUTE "),
+    *("BEGIN ", "BEGIN READ ", "BEGIN  READ", "COMMIT ", "COMMIT x", "ROLLBACK "),
+    *("", " READ i", "SINCE 3.1207 READ i", "RESET", "STATUS", "PAUSE 4"),
+)
+# Odd statements that a database can run, with what they mean by the page.
+ODD: tuple[tuple[str, CallerStatement], ...] = (
+    ("READ a b", Read("a b")),
+    ("READ  a", Read(" a")),
+    ("READ SINCE 3.1 READ a ", Read("SINCE 3.1 READ a ")),
+    ("DEALLOCATE a b", Deallocate("a b")),
+    ("WRITE i ", Write("i", "")),
+    ("WRITE i  d ", Write("i", " d ")),
+    ("SET a  ", SetValue("a", " ")),
+    ("SET a v\tw\0\x85\u2028\xa0", SetValue("a", "v\tw\0\x85\u2028\xa0")),
+    ("PREPARE s READ q READ x ", Prepare("s", False, "q READ x ")),
+    ("EXECUTE s i ", Execute("s", "i ")),
+    ("EXECUTE s i  d", Execute("s", "i  d")),
+)
+
+
+class StatementTest(unittest.TestCase):
+    """A statement is sent on as it was sent, or refused where it arrives."""
+
+    def test_incomplete_statements_are_refused(self) -> None:
+        for text in INCOMPLETE:
+            with self.subTest(text):
+                self.assertIsNone(wire.decode_statement(text))
+
+    def test_last_field_extends_to_the_end_of_the_line(self) -> None:
+        for text, statement in ODD:
+            with self.subTest(text):
+                self.assertEqual(wire.decode_statement(text), statement)
+                self.assertEqual(wire.statement_text(statement), text)
+                self.assertEqual(" ".join(_flat(read_statement(text))), text)
+
+    def test_incomplete_statements_are_unreadable_by_the_page(self) -> None:
+        proxy_words = {"RESET", "STATUS", "PAUSE 4"}
+        for text in set(INCOMPLETE) - proxy_words:
+            with self.subTest(text), self.assertRaises(UnreadableError):
+                read_statement(text)
+
+
+class RefusedTest(unittest.TestCase):
+    """A refused statement reaches no database and leaves the session usable."""
+
+    def test_session_goes_on_after_statements_that_cannot_run(self) -> None:
+        queries = [f"1 {text}" for text in INCOMPLETE]
+
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            await caller.send_line("STARTUP db u1")
+            for query in queries:
+                answer = await caller.send_line(f"QUERY {query}")
+                with self.subTest(query):
+                    self.assertEqual(answer[0].split(" ")[:2], ["ERROR", "MALFORMED"])
+                    self.assertEqual(answer[1:], ["READY I -"])
+            answer = await caller.send_line("QUERY 2 READ i")
+            self.assertEqual(answer[:2], ["DATAROW row", "COMPLETE signed"])
+
+        fixture = run_with_caller(work)
+        ran = [each for database in fixture.databases.values() for each in database.ran]
+        found = [request.statement for _, request in ran if request.identifier]
+        self.assertEqual(found, [Read("i")])
+
+
+def _flat(found: tuple[str, tuple[str, ...]]) -> tuple[str, ...]:
+    word, fields = found
+    return (word, *fields)
