Refuse statements of callers under the identifier of the proxy

'QUERY - READ i', and one with an empty identifier, were accepted and sent to a database as 'QUERY - READ i'. So a database recorded a read or write of a caller as a statement of the proxy itself, and whatever is proved by identifier did not hold for it.

Both are refused as malformed where they arrive now; the session remains usable.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -82,7 +82,8 @@
 class Query:
     """A caller's statement, with the identifier that the caller chose for it.
 
-    `statement` is None if its text cannot be decoded.
+    `statement` is None if it cannot run: its text cannot be decoded, or its identifier
+    is empty or the one of the proxy's own statements.
     """
 
     identifier: str
@@ -106,8 +107,7 @@
     word, _, rest = text.partition(" ")
     match word:
         case "QUERY":
-            identifier, _, query = rest.partition(" ")
-            return Query(identifier, decode_statement(query))
+            return _decode_query(rest)
         case "STARTUP":
             return Startup(rest.partition(" ")[0])
         case "TERMINATE":
@@ -115,6 +115,13 @@
     raise WireError(f"unknown word {word[:40]!r}")
 
 
+def _decode_query(rest: str) -> Query:
+    identifier, _, text = rest.partition(" ")
+    # The proxy's own statements carry NO_VALUE.
+    is_valid = identifier not in ("", NO_VALUE)
+    return Query(identifier, decode_statement(text) if is_valid else None)
+
+
 def decode_statement(text: str) -> CallerStatement | None:
     """Decode a caller's statement; return None if it cannot run at any database."""
     word, blank, rest = text.partition(" ")
--- a/tests/test_wire_statements.py
+++ b/tests/test_wire_statements.py
@@ -64,11 +64,27 @@
                 read_statement(text)
 
 
+class IdentifierTest(unittest.TestCase):
+    """The identifier of the proxy's own statements is not taken by a caller's."""
+
+    def test_caller_does_not_use_the_identifier_of_the_proxy(self) -> None:
+        for line in (
+            b"QUERY - READ i",
+            b"QUERY  READ i",
+            b"QUERY",
+        ):
+            with self.subTest(line):
+                message = wire.decode_message(line)
+                assert isinstance(message, wire.Query)
+                self.assertIsNone(message.statement)
+
+
 class RefusedTest(unittest.TestCase):
     """A refused statement reaches no database and leaves the session usable."""
 
     def test_session_goes_on_after_statements_that_cannot_run(self) -> None:
         queries = [f"1 {text}" for text in INCOMPLETE]
+        queries += ["- READ i", " READ i"]
 
         async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
             await caller.send_line("STARTUP db u1")
