Refuse statements of callers that hold a bare CR or LF

Only CR LF ends a line, so a statement may hold one of the two alone, and it was sent on so. A reader at the far end that splits at LF, as many do, runs what follows as a message of its own: 'WRITE i d' LF 'QUERY - PAUSE 9' is a command of the proxy to it.

Such a statement, or identifier, is refused as malformed where it arrives; the session remains usable. Other control characters and separators (NUL, U+0085, U+2028, no-break space) are sent on unchanged.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -117,13 +117,16 @@
 
 def _decode_query(rest: str) -> Query:
     identifier, _, text = rest.partition(" ")
-    # The proxy's own statements carry NO_VALUE.
-    is_valid = identifier not in ("", NO_VALUE)
+    # The proxy's own statements carry NO_VALUE. Another reader may split a line at a
+    # line end of its own.
+    is_valid = identifier not in ("", NO_VALUE) and _is_one_line(identifier)
     return Query(identifier, decode_statement(text) if is_valid else None)
 
 
 def decode_statement(text: str) -> CallerStatement | None:
     """Decode a caller's statement; return None if it cannot run at any database."""
+    if not _is_one_line(text):
+        return None
     word, blank, rest = text.partition(" ")
     if word in _TRANSACTION_TEXTS:
         return _TRANSACTION_TEXTS.get(text)
@@ -161,6 +164,10 @@
     return Prepare(name, mode == "WRITE", shape)
 
 
+def _is_one_line(text: str) -> bool:
+    return "\r" not in text and "\n" not in text
+
+
 def statement_text(statement: Statement) -> str:
     """Return the text of a statement as it is sent to a database."""
     match statement:
--- a/tests/test_wire_statements.py
+++ b/tests/test_wire_statements.py
@@ -57,6 +57,12 @@
                 self.assertEqual(wire.statement_text(statement), text)
                 self.assertEqual(" ".join(_flat(read_statement(text))), text)
 
+    def test_line_ends_within_a_statement_are_refused(self) -> None:
+        """Guards against a reader at the far end that splits on CR or on LF."""
+        for text in ("READ a\nREAD b", "WRITE i d\r", "SET a \n", "EXECUTE s i\r\r"):
+            with self.subTest(text):
+                self.assertIsNone(wire.decode_statement(text))
+
     def test_incomplete_statements_are_unreadable_by_the_page(self) -> None:
         proxy_words = {"RESET", "STATUS", "PAUSE 4"}
         for text in set(INCOMPLETE) - proxy_words:
@@ -72,6 +78,7 @@
             b"QUERY - READ i",
             b"QUERY  READ i",
             b"QUERY",
+            b"QUERY a\nb READ i",
         ):
             with self.subTest(line):
                 message = wire.decode_message(line)
@@ -84,7 +91,7 @@
 
     def test_session_goes_on_after_statements_that_cannot_run(self) -> None:
         queries = [f"1 {text}" for text in INCOMPLETE]
-        queries += ["- READ i", " READ i"]
+        queries += ["- READ i", " READ i", "1 READ a\nb", "1 SET a \r"]
 
         async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
             await caller.send_line("STARTUP db u1")
