Refuse to write a request that a database would read otherwise

The encoder joined the fields of a request by blanks, whatever they held: a blank in a field that is not the last, a line end, or an empty field gave a line with other fields, or two lines. That is the class of the reported fault: the name of a prepared statement with blanks was such a field.

It raises a typed error now when the request is made. The connection has sent nothing and remains open; the statement fails as malformed and has not run. The identifier '-' is written only for the proxy's own statements, and a line is at most 1 MiB. The line that opens a session is checked too, and no longer loses separators at its end.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -33,6 +33,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 900
 # The kernel probes an idle connection after this long, and again at this interval.
 KEEPALIVE_SECONDS = 1
+_START_ERRORS = (OSError, ValueError, TimeoutError, BrokenError, wire.WireError)
 
 
 class _Batch:
@@ -111,8 +112,14 @@
         await self._send(startup, 1)
 
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
-        """Send all requests at once and return their replies in the same order."""
-        data = b"".join(map(wire.encode_request, requests))
+        """Send all requests at once and return their replies in the same order.
+
+        Raise `NotSentError` if one of them cannot be written as a line.
+        """
+        try:
+            data = b"".join(map(wire.encode_request, requests))
+        except wire.WireError as error:
+            raise NotSentError(Code.MALFORMED, str(error)) from error
         return await self._send(data, len(requests))
 
     async def command(self, statement: ProxyCommand) -> DatabaseStatus:
@@ -206,7 +213,7 @@
             )
             enable_peer_timeout(transport)
             await connection.start(database)
-    except (OSError, ValueError, TimeoutError, BrokenError) as error:
+    except _START_ERRORS as error:
         connection.close()
         reason = f"{type(error).__name__}: {error}"
         if isinstance(error, ConnectionRefusedError):
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -5,10 +5,12 @@
 unfencing a database are PAUSE and RESUME, and INDOUBT is an unknown outcome.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from beryltiller.core.decoding import parse_count, shorten
 from beryltiller.core.position import Position
+from beryltiller.sessions.databases.catalog import ANY_DATABASE
 from beryltiller.sessions.statements import (
     NO_POSITION,
     AskStatus,
@@ -170,47 +172,51 @@
 
 def statement_text(statement: Statement) -> str:
     """Return the text of a statement as it is sent to a database."""
+    return " ".join(_statement_fields(statement))
+
+
+def _statement_fields(statement: Statement) -> tuple[str, ...]:
     match statement:
         case Read(item):
-            return f"READ {item}"
+            return ("READ", item)
         case Write(item, data):
-            return f"WRITE {item} {data}"
+            return ("WRITE", item, data)
         case Execute(name, arguments):
-            return f"EXECUTE {name} {arguments}" if arguments else f"EXECUTE {name}"
+            return ("EXECUTE", name, *arguments.split(" ", 1))
         case Begin(is_read_only):
-            return "BEGIN READ" if is_read_only else "BEGIN"
+            return ("BEGIN", "READ") if is_read_only else ("BEGIN",)
         case Commit():
-            return "COMMIT"
+            return ("COMMIT",)
         case Rollback():
-            return "ROLLBACK"
+            return ("ROLLBACK",)
         case _:
-            return _setup_text(statement)
+            return _setup_fields(statement)
 
 
-def _setup_text(statement: Statement) -> str:
+def _setup_fields(statement: Statement) -> tuple[str, ...]:
     match statement:
         case SetValue(name, value):
-            return f"SET {name} {value}"
+            return ("SET", name, value)
         case Prepare(name, is_write, shape):
-            return f"PREPARE {name} {'WRITE' if is_write else 'READ'} {shape}"
+            return ("PREPARE", name, "WRITE" if is_write else "READ", shape)
         case Deallocate(name):
-            return f"DEALLOCATE {name}"
+            return ("DEALLOCATE", name)
         case Reset():
-            return "RESET"
+            return ("RESET",)
         case _:
-            return _command_text(statement)
+            return _command_fields(statement)
 
 
-def _command_text(statement: Statement) -> str:
+def _command_fields(statement: Statement) -> tuple[str, ...]:
     match statement:
         case AskStatus():
-            return "STATUS"
+            return ("STATUS",)
         case Fence(term):
-            return f"PAUSE {term}"
+            return ("PAUSE", str(term))
         case Unfence():
-            return "RESUME"
+            return ("RESUME",)
         case StepDown(term):
-            return f"STEPDOWN {term}"
+            return ("STEPDOWN", str(term))
     raise WireError(f"statement has no text form: {statement!r}")
 
 
@@ -218,19 +224,59 @@
     """Return the line that sends a request to a database.
 
     The database refuses the statement if its log has not reached the position after
-    `SINCE`.
+    `SINCE`. Raise `WireError` if the database would read other fields in the line.
     """
-    since = f"SINCE {encode_position(request.since)} " if request.since else ""
-    text = statement_text(request.statement)
-    return f"QUERY {request.identifier or NO_VALUE} {since}{text}\r\n".encode()
+    if request.identifier == NO_VALUE:
+        raise WireError("the identifier is the one of the proxy's own statements")
+    words = ["QUERY", request.identifier or NO_VALUE]
+    if request.since:
+        words += ["SINCE", encode_position(request.since)]
+    words += _statement_fields(request.statement)
+    return _encode_line(words, _has_data(request.statement))
+
+
+def _has_data(statement: Statement) -> bool:
+    """Return True if the last field is data, which may be empty."""
+    match statement:
+        case Write():
+            return True
+        case Execute(_, arguments):
+            return " " in arguments
+    return False
 
 
 def encode_startup(service: str, identifier: str) -> bytes:
     """Return the line that opens a session at a database.
 
-    With `ANY_DATABASE` as identifier it is opened at any database of the service.
+    With `ANY_DATABASE` as identifier it is opened at any database of the service. Raise
+    `WireError` if the database would read other fields in the line.
     """
-    return f"STARTUP {service} beryltiller {identifier}".rstrip().encode() + LINE_END
+    words = ["STARTUP", service, "beryltiller"]
+    if identifier != ANY_DATABASE:
+        words.append(identifier)
+    return _encode_line(words)
+
+
+def _encode_line(words: Sequence[str], can_end_empty: bool = False) -> bytes:
+    """Return a line whose fields are read as they are given, or raise `WireError`.
+
+    Only the last field may hold blanks, and be empty if `can_end_empty`.
+    """
+    *before, last = words
+    if not all(before) or not (last or can_end_empty):
+        raise WireError("a field is empty")
+    if any(" " in word for word in before):
+        raise WireError("a field other than the last one holds a blank")
+    line = " ".join(words)
+    if not _is_one_line(line):
+        raise WireError("a field holds a line end")
+    try:
+        data = line.encode() + LINE_END
+    except UnicodeEncodeError as error:
+        raise WireError(f"not UTF-8: {error.reason}") from error
+    if len(data) > MAX_LINE_BYTES:
+        raise WireError(f"a message is longer than {MAX_LINE_BYTES} bytes")
+    return data
 
 
 def encode_reply(reply: Reply) -> bytes:
