Limit complete lines, and split a line in pieces in linear time

A line was limited to 1 MiB only while it was incomplete: a longer one that arrived with its end was accepted and sent on.

Both are in LineSplitter.feed.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -392,7 +392,7 @@
 
     def __init__(self) -> None:
         """Create a splitter that is at the beginning of a line."""
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def incomplete_bytes(self) -> int:
@@ -402,10 +402,17 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Return the lines that `data` completes.
 
-        Raise `WireError` if the incomplete line after them is longer than
-        `MAX_LINE_BYTES`.
+        Raise `WireError` if one of them, or the incomplete line after them, is longer
+        than `MAX_LINE_BYTES` with its end.
         """
-        *lines, self._rest = (self._rest + data).split(LINE_END)
-        if len(self._rest) > MAX_LINE_BYTES:
-            raise WireError(f"an incomplete line is longer than {MAX_LINE_BYTES} bytes")
+        # What was searched before is not searched again, but for half a line end.
+        start = max(0, len(self._rest) - 1)
+        self._rest += data
+        lines: list[bytes] = []
+        if self._rest.find(LINE_END, start) >= 0:
+            *lines, rest = bytes(self._rest).split(LINE_END)
+            self._rest = bytearray(rest)
+        longest = max(map(len, lines), default=0) + len(LINE_END)
+        if max(longest, len(self._rest) + 1) > MAX_LINE_BYTES:
+            raise WireError(f"a line is longer than {MAX_LINE_BYTES} bytes")
         return lines
--- a/tests/test_wire_requests.py
+++ b/tests/test_wire_requests.py
@@ -1,6 +1,7 @@
 """Tests of the lines that are written to databases."""
 
 import asyncio
+import time
 import unittest
 
 from beryltiller.core.position import Position
@@ -85,3 +86,36 @@
             line = wire.encode_request(request).removesuffix(b"\r\n")
             query = read_query(line)
             self.assertEqual((query.since, query.fields), ("3.4", fields))
+
+
+class LineLengthTest(unittest.TestCase):
+    """A message is at most 1 MiB, with its line end."""
+
+    LONGEST = b"x" * (wire.MAX_LINE_BYTES - 2)
+
+    def test_complete_line_that_is_too_long_is_an_error(self) -> None:
+        for data in (self.LONGEST + b"x\r\n", b"a\r\n" + self.LONGEST + b"x\r\nb\r\n"):
+            with self.assertRaises(wire.WireError):
+                wire.LineSplitter().feed(data)
+
+    def test_longest_line_is_complete_in_any_pieces(self) -> None:
+        for size in (1 << 12, wire.MAX_LINE_BYTES - 1):
+            splitter = wire.LineSplitter()
+            data = self.LONGEST + b"\r\nb\r\n"
+            pieces = [data[n : n + size] for n in range(0, len(data), size)]
+            lines = [line for piece in pieces for line in splitter.feed(piece)]
+            self.assertEqual(lines, [self.LONGEST, b"b"])
+
+    def test_line_in_many_pieces_is_split_in_linear_time(self) -> None:
+        """Guards against a caller that occupies the processor with one long line."""
+        short, long = (min(map(_split_seconds, [size] * 3)) for size in (4096, 16384))
+        self.assertLess(long / short, 8)
+
+
+def _split_seconds(pieces: int) -> float:
+    """Return the processor time in which an incomplete line is received."""
+    splitter = wire.LineSplitter()
+    started = time.process_time()
+    for _ in range(pieces):
+        splitter.feed(b"x" * 60)
+    return time.process_time() - started
