Refuse statements that do not fit in a message to a database

A read may be sent with the position after SINCE, and an executed or prepared statement has a name of the proxy's, so that a line of a caller of at most 1 MiB became a longer one on its way to the database, which ends a connection that sessions share for it.

Such a statement is refused as malformed where it arrives, with room for the longest position and name; the session remains usable and nothing is sent. Only lines of more than a quarter of the limit are checked, as others cannot be too long. Writes and values of exactly 1 MiB are sent on.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from beryltiller.core.decoding import parse_count, shorten
+from beryltiller.core.decoding import MAX_NUMBER, parse_count, shorten
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import ANY_DATABASE
 from beryltiller.sessions.statements import (
@@ -39,6 +39,13 @@
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 NO_VALUE = "-"
+# What the proxy adds to a statement is shorter than this.
+_MAX_ADDED_BYTES = 128
+_MAX_BYTES_PER_CHARACTER = 4
+_CHECKED_CHARACTERS = (MAX_LINE_BYTES - _MAX_ADDED_BYTES) // _MAX_BYTES_PER_CHARACTER
+_LONGEST_POSITION = Position(MAX_NUMBER, MAX_NUMBER)
+# Names that the proxy gives to prepared statements are not longer.
+_LONGEST_NAME = "p" + str(MAX_NUMBER)
 
 _TRANSACTION_TEXTS: dict[str, CallerStatement] = {
     "BEGIN": Begin(),
@@ -122,7 +129,30 @@
     # The proxy's own statements carry NO_VALUE. Another reader may split a line at a
     # line end of its own.
     is_valid = identifier not in ("", NO_VALUE) and _is_one_line(identifier)
-    return Query(identifier, decode_statement(text) if is_valid else None)
+    statement = decode_statement(text) if is_valid else None
+    if len(rest) > _CHECKED_CHARACTERS and not _fits(identifier, statement):
+        statement = None
+    return Query(identifier, statement)
+
+
+def _fits(identifier: str, statement: CallerStatement | None) -> bool:
+    """Return True if the longest request for a statement fits in a message."""
+    match statement:
+        case Read():
+            request = Request(statement, identifier, _LONGEST_POSITION)
+        case Execute(_, arguments):
+            named = Execute(_LONGEST_NAME, arguments)
+            request = Request(named, identifier, _LONGEST_POSITION)
+        case Prepare(_, is_write, shape):
+            request = Request(Prepare(_LONGEST_NAME, is_write, shape))
+        case _:
+            # The request is not longer than the line that has arrived.
+            return True
+    try:
+        encode_request(request)
+    except WireError:
+        return False
+    return True
 
 
 def decode_statement(text: str) -> CallerStatement | None:
--- a/tests/test_wire_statements.py
+++ b/tests/test_wire_statements.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from beryltiller.core.position import Position
 from beryltiller.platform import wire
 from beryltiller.platform.ingress import Ingress
 from beryltiller.sessions.statements import (
@@ -10,6 +11,7 @@
     Execute,
     Prepare,
     Read,
+    Request,
     SetValue,
     Write,
 )
@@ -86,18 +88,62 @@
                 self.assertIsNone(message.statement)
 
 
+class LengthTest(unittest.TestCase):
+    """A statement is refused if it does not fit in a message to a database.
+
+    What is sent on may be longer than what arrived.
+    """
+
+    LONGEST_POSITION = Position(2**62, 2**62)
+
+    def query(self, text: str, length: int) -> wire.Query:
+        """Decode a line of a length with its end, padded with its last character."""
+        line = f"QUERY 5 {text}"
+        padding = line[-1] * (length - len(line) - len(wire.LINE_END))
+        message = wire.decode_message(f"{line}{padding}".encode())
+        assert isinstance(message, wire.Query)
+        return message
+
+    def test_statement_that_does_not_fit_is_refused_where_it_arrives(self) -> None:
+        for text in ("READ x", "EXECUTE s i", "EXECUTE s i d", "PREPARE s READ q"):
+            with self.subTest(text):
+                query = self.query(text, wire.MAX_LINE_BYTES)
+                self.assertIsNone(query.statement)
+
+    def test_longest_statements_that_fit_are_written(self) -> None:
+        read = self.query("READ x", wire.MAX_LINE_BYTES - 46).statement
+        write = self.query("WRITE i d", wire.MAX_LINE_BYTES).statement
+        assert read is not None and write is not None
+        request = Request(read, "5", self.LONGEST_POSITION)
+        self.assertEqual(len(wire.encode_request(request)), wire.MAX_LINE_BYTES)
+        line = wire.encode_request(Request(write, "5"))
+        self.assertEqual(len(line), wire.MAX_LINE_BYTES)
+
+    def test_value_fits_in_the_message_that_sets_it(self) -> None:
+        statement = self.query("SET a v", wire.MAX_LINE_BYTES).statement
+        assert statement is not None
+        self.assertTrue(wire.encode_request(Request(statement)))
+
+    def test_prepared_name_has_room_for_any_number(self) -> None:
+        statement = self.query("PREPARE s READ q", wire.MAX_LINE_BYTES - 19).statement
+        assert isinstance(statement, Prepare)
+        named = Prepare(f"p{10**18}", False, statement.shape)
+        self.assertTrue(wire.encode_request(Request(named)))
+
+
 class RefusedTest(unittest.TestCase):
     """A refused statement reaches no database and leaves the session usable."""
 
     def test_session_goes_on_after_statements_that_cannot_run(self) -> None:
         queries = [f"1 {text}" for text in INCOMPLETE]
+        queries += [f"1 READ {'i' * (wire.MAX_LINE_BYTES - 15)}"]
         queries += ["- READ i", " READ i", "1 READ a\nb", "1 SET a \r"]
 
         async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
             await caller.send_line("STARTUP db u1")
             for query in queries:
                 answer = await caller.send_line(f"QUERY {query}")
-                with self.subTest(query):
+                with self.subTest(query[:80]):
                     self.assertEqual(answer[0].split(" ")[:2], ["ERROR", "MALFORMED"])
                     self.assertEqual(answer[1:], ["READY I -"])
             answer = await caller.send_line("QUERY 2 READ i")
