Forward rows byte for byte, and errors as one printable line

The text of an error was passed on as it was, with control characters, bare line ends and any length. The proxy's own texts quote what a caller or another program sent: the name in a refused startup may hold a bare LF, and a lone surrogate ended the connection with an encoding error. Each such text is a short line of printable characters now.

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -39,6 +39,8 @@
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 NO_VALUE = "-"
+# Bytes of databases that are not UTF-8 are kept as lone surrogates.
+_ANY_BYTES = "surrogateescape"
 # What the proxy adds to a statement is shorter than this.
 _MAX_ADDED_BYTES = 128
 _MAX_BYTES_PER_CHARACTER = 4
@@ -310,15 +312,18 @@
 
 
 def encode_reply(reply: Reply) -> bytes:
-    """Return the lines of a reply to a caller."""
+    """Return the lines of a reply to a caller.
+
+    Rows and signatures are the bytes that the database has sent.
+    """
     lines = [f"DATAROW {row}" for row in reply.rows]
     if reply.code is None:
         lines.append(f"COMPLETE {reply.signature}")
     else:
-        lines.append(f"ERROR {_CODE_TO_WORD[reply.code]} {reply.text}")
+        lines.append(f"ERROR {_CODE_TO_WORD[reply.code]} {_printable(reply.text)}")
     position = encode_position(reply.position)
     lines.append(f"READY {_STATE_TO_WORD[reply.state]} {position}\r\n")
-    return "\r\n".join(lines).encode()
+    return "\r\n".join(lines).encode(errors=_ANY_BYTES)
 
 
 def encode_closing_error(code: Code, text: str) -> bytes:
@@ -326,7 +331,18 @@
 
     The connection is to be closed after it.
     """
-    return f"ERROR {_CODE_TO_WORD[code]} {text}\r\n".encode()
+    return f"ERROR {_CODE_TO_WORD[code]} {_printable(text)}\r\n".encode()
+
+
+def _printable(text: str) -> str:
+    """Return the text of an error as a short line of printable characters.
+
+    It may quote what another program sent, and is read by people only.
+    """
+    text = shorten(text)
+    if text.isprintable():
+        return text
+    return "".join(each if each.isprintable() else ascii(each)[1:-1] for each in text)
 
 
 def encode_position(position: Position | None) -> str:
@@ -379,14 +395,15 @@
 
     def feed(self, line: bytes) -> Reply | None:
         """Decode one line; return the reply if this line completes it, else None."""
-        word, _, rest = line.decode(errors="replace").partition(" ")
+        word, _, rest = line.decode(errors=_ANY_BYTES).partition(" ")
         match word:
             case "DATAROW":
                 self._rows.append(rest)
             case "COMPLETE":
                 self._signature = rest
             case "ERROR":
-                code, _, self._text = rest.partition(" ")
+                code, _, text = rest.partition(" ")
+                self._text = _printable(text)
                 self._code = _WORD_TO_CODE.get(code, Code.FAILED)
             case "READY":
                 return self._complete(rest)
