Break a connection whose replies are malformed

A reply without a signature or an error counted as success, and so did one with two signatures, or with rows behind its signature. So a caller could be told that a statement succeeded that had not run. A session that was refused with an error and a state counted as open.

The decoder kept whatever came and looked at it with the state line. It accepts rows, then one signature or error, then the state, and nothing else now. Only a startup is answered by a state alone.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -99,17 +99,17 @@
         code = self._decoder.pending_error()
         reason = str(exc or "closed by the database")
         self._transport = None
-        if code is Code.WRONG_DATABASE:
-            self._fail(ReplacedError(code, "another database answers at the address"))
-        elif code is not None:
-            self._fail(NotSentError(code, "the database refused the session"))
-        else:
-            self._fail(BrokenError(reason))
+        self._fail(BrokenError(reason) if code is None else _refusal(code))
 
     async def start(self, database: Database) -> None:
-        """Start the session and wait until the database accepts it."""
+        """Start the session and wait until the database accepts it.
+
+        Raise `NotSentError` if it refuses.
+        """
         startup = wire.encode_startup(database.service, database.identifier)
-        await self._send(startup, 1)
+        (reply,) = await self._send(startup, 1)
+        if reply.code is not None:
+            raise _refusal(reply.code)
 
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
         """Send all requests at once and return their replies in the same order.
@@ -191,6 +191,13 @@
             self._pending.popleft().fail(error)
 
 
+def _refusal(code: Code) -> NotSentError:
+    """Return the error of a session that the database refuses."""
+    if code is Code.WRONG_DATABASE:
+        return ReplacedError(code, "another database answers at the address")
+    return NotSentError(code, "the database refused the session")
+
+
 async def connect(
     database: Database,
     source_ip: str,
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -384,31 +384,40 @@
 
 
 class ReplyDecoder:
-    """A decoder of a database's replies, which consist of several lines each."""
+    """A decoder of a database's replies, which consist of several lines each.
+
+    Rows come first, then one signature or error, then the state. Only the first reply
+    may be a state alone, as the one to a startup is.
+    """
 
     def __init__(self) -> None:
         """Create a decoder that expects the first line of a reply."""
+        self._is_first = True
         self._rows: list[str] = []
         self._signature = ""
         self._code: Code | None = None
         self._text = ""
 
+    @property
+    def _has_result(self) -> bool:
+        return self._signature != "" or self._code is not None
+
     def feed(self, line: bytes) -> Reply | None:
         """Decode one line; return the reply if this line completes it, else None."""
         word, _, rest = line.decode(errors=_ANY_BYTES).partition(" ")
         match word:
-            case "DATAROW":
+            case "DATAROW" if not self._has_result:
                 self._rows.append(rest)
-            case "COMPLETE":
+            case "COMPLETE" if rest and not self._has_result:
                 self._signature = rest
-            case "ERROR":
+            case "ERROR" if not self._has_result:
                 code, _, text = rest.partition(" ")
                 self._text = _printable(text)
                 self._code = _WORD_TO_CODE.get(code, Code.FAILED)
-            case "READY":
+            case "READY" if self._has_result or (self._is_first and not self._rows):
                 return self._complete(rest)
             case _:
-                raise WireError(f"unknown word {word[:40]!r}")
+                raise WireError(f"unexpected word {word[:40]!r}")
         return None
 
     def pending_error(self) -> Code | None:
@@ -430,7 +439,9 @@
             self._text,
             decode_position(position),
         )
-        self.__init__()  # type: ignore[misc]
+        self._is_first = False
+        self._rows = []
+        self._signature, self._code, self._text = "", None, ""
         return reply
 
 
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -37,6 +37,9 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def abort(self) -> None:
+        self.is_closed = True
+
     def is_closing(self) -> bool:
         return self.is_closed
 
--- a/tests/test_wire_replies.py
+++ b/tests/test_wire_replies.py
@@ -1,13 +1,20 @@
 """Tests of replies of databases on their way to callers."""
 
+import asyncio
 import unittest
 
 from beryltiller.platform import wire
+from beryltiller.platform.databases import LineConnection
+from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
 from beryltiller.sessions.statements import (
     Code,
+    Read,
     Reply,
+    Request,
     SessionState,
 )
+from tests.test_platform_ingress import FakeTransport
 
 READY = b"READY I 1.5"
 ODD_BYTES = (b"\xff\xfe", b"a\xc3", b"\0\t \xa0", b"a\r", b"\n", b" ", b"\xed\xb3\xbf")
@@ -52,3 +59,79 @@
             lines = data.decode().split("\r\n")
             self.assertEqual(len(lines), count + 1)
             self.assertTrue(all(map(str.isprintable, lines)))
+
+
+MALFORMED = (
+    (READY,),
+    (b"DATAROW a", READY),
+    (b"COMPLETE ", READY),
+    (b"COMPLETE", READY),
+    (b"COMPLETE s", b"DATAROW a", READY),
+    (b"COMPLETE s", b"COMPLETE t", READY),
+    (b"COMPLETE s", b"ERROR BUSY full", READY),
+    (b"ERROR BUSY full", b"COMPLETE s", READY),
+    (b"ERROR BUSY full", b"DATAROW a", READY),
+    (b"ERROR BUSY full", b"ERROR BUSY full", READY),
+    (b"COMPLETE s", b"READY X 1.5"),
+    (b"COMPLETE s", b"READY I"),
+    (b"COMPLETE s", b"READY I 1.5 x"),
+    (b"COMPLETE s", "READY I 1.\u0665".encode()),
+    (b"COMPLETE s", b"READY I \xff"),
+    (b"complete s", READY),
+    (b"", READY),
+)
+
+
+class MalformedTest(unittest.IsolatedAsyncioTestCase):
+    """A malformed reply is nobody's success; the connection is not used again."""
+
+    async def connect(self) -> tuple[LineConnection, FakeTransport]:
+        """Return a connection whose session was accepted."""
+        connection, transport = LineConnection(), FakeTransport()
+        connection.connection_made(transport)
+        database = Database("i-1", "s", "127.0.0.1:1", "a", 3, True, False)
+        started = asyncio.create_task(connection.start(database))
+        await asyncio.sleep(0)
+        connection.data_received(READY + b"\r\n")
+        await started
+        return connection, transport
+
+    async def ask(self, connection: LineConnection, data: bytes) -> list[Reply]:
+        """Send a read, and return what `data` is taken for."""
+        asked = asyncio.create_task(
+            connection.send_requests((Request(Read("i"), "1"),))
+        )
+        await asyncio.sleep(0)
+        connection.data_received(data)
+        async with asyncio.timeout(1.0):
+            return await asked
+
+    async def test_malformed_reply_breaks_the_connection(self) -> None:
+        for lines in MALFORMED:
+            with self.subTest(lines):
+                connection, transport = await self.connect()
+                data = b"".join(line + b"\r\n" for line in lines)
+                with self.assertRaises(BrokenError):
+                    await self.ask(connection, data)
+                self.assertTrue(transport.is_closed)
+
+    async def test_lines_before_a_request_are_not_part_of_its_reply(self) -> None:
+        """Guards against a row that another statement read (MIXED)."""
+        for early in (b"DATAROW old", b"COMPLETE old", b"ERROR BUSY old"):
+            with self.subTest(early):
+                connection, transport = await self.connect()
+                connection.data_received(early + b"\r\n")
+                with self.assertRaises(SessionError):
+                    await self.ask(connection, b"COMPLETE s\r\nREADY I 1.5\r\n")
+                self.assertTrue(transport.is_closed)
+
+    async def test_session_is_not_open_after_an_error(self) -> None:
+        connection = LineConnection()
+        connection.connection_made(FakeTransport())
+        database = Database("i-1", "s", "127.0.0.1:1", "a", 3, True, False)
+        started = asyncio.create_task(connection.start(database))
+        await asyncio.sleep(0)
+        connection.data_received(b"ERROR CONNLIMIT full\r\nREADY I -\r\n")
+        with self.assertRaises(NotSentError) as raised:
+            await started
+        self.assertIs(raised.exception.code, Code.CONNECTION_LIMIT)
