Do not take an error of a statement that has run for a refused session

A reply may be cut off before it ends. If that was behind its error line, the statement failed as not sent, whatever the error was: a write that was answered with FAILED or TIMEOUT, and so may have run, was tried at another primary (TWICE).

An error line and a close refuse a session only in answer to its startup, or if the code promises that nothing has run. With any other code, the connection has broken and the outcome is unknown.

test_error_without_the_end_of_its_reply_promises_what_it_says fails on the code before (run): FAILED, TIMEOUT, INDOUBT and an unknown code. That a caller's write ran twice was not observed.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -66,6 +66,7 @@
         self._decoder = wire.ReplyDecoder()
         self._pending: deque[_Batch] = deque()
         self._has_sent = False
+        self._is_started = False
 
     @property
     def is_open(self) -> bool:
@@ -94,12 +95,15 @@
         """Fail the batches that still wait for replies.
 
         A database refuses a session by an error line, after which it closes the
-        connection. The batches then fail as not sent.
+        connection. The batches then fail as not sent, unless a statement may have run.
         """
         code = self._decoder.pending_error()
         reason = str(exc or "closed by the database")
         self._transport = None
-        self._fail(BrokenError(reason) if code is None else _refusal(code))
+        if code is None or (self._is_started and not _promises_no_run(code)):
+            self._fail(BrokenError(reason))
+        else:
+            self._fail(_refusal(code))
 
     async def start(self, database: Database) -> None:
         """Start the session and wait until the database accepts it.
@@ -110,6 +114,7 @@
         (reply,) = await self._send(startup, 1)
         if reply.code is not None:
             raise _refusal(reply.code)
+        self._is_started = True
 
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
         """Send all requests at once and return their replies in the same order.
@@ -198,6 +203,10 @@
     return NotSentError(code, "the database refused the session")
 
 
+def _promises_no_run(code: Code) -> bool:
+    return code.has_not_run or code.promises_no_effect
+
+
 async def connect(
     database: Database,
     source_ip: str,
--- a/tests/test_wire_replies.py
+++ b/tests/test_wire_replies.py
@@ -13,6 +13,7 @@
     Reply,
     Request,
     SessionState,
+    Write,
 )
 from tests.test_platform_ingress import FakeTransport
 
@@ -135,3 +136,23 @@
         with self.assertRaises(NotSentError) as raised:
             await started
         self.assertIs(raised.exception.code, Code.CONNECTION_LIMIT)
+
+    async def test_error_without_the_end_of_its_reply_promises_what_it_says(
+        self,
+    ) -> None:
+        """Guards against a write that runs twice, after an error that is cut off."""
+        for word, has_run in (
+            *(("FAILED", True), ("TIMEOUT", True), ("INDOUBT", True), ("ODD", True)),
+            *(("BUSY", False), ("LAGGING", False), ("CONNLIMIT", False)),
+        ):
+            with self.subTest(word):
+                connection, _ = await self.connect()
+                request = Request(Write("i", "d"), "1")
+                asked = asyncio.create_task(connection.send_requests((request,)))
+                await asyncio.sleep(0)
+                connection.data_received(f"ERROR {word} x\r\n".encode())
+                connection.connection_lost(None)
+                with self.assertRaises(SessionError) as raised:
+                    await asked
+                is_broken = isinstance(raised.exception, BrokenError)
+                self.assertEqual(is_broken, has_run)
