Refuse a malformed line behind the statements before it

An error for a malformed line was written at once, and the connection closed. If a statement was at work, its caller read the error as the answer to it: a write that then succeeded had been answered with MALFORMED. Statements queued before the line were lost.

The refusal is queued now like an answer to any other message. What follows the line is dropped.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -67,8 +67,7 @@
             for line in self._splitter.feed(data):
                 self._messages.add(wire.decode_message(line), now, len(line))
         except wire.WireError as error:
-            self._refuse(Code.MALFORMED, str(error))
-            return
+            self._messages.add(wire.Malformed(str(error)), now, 0)
         has_room = self._count_received()
         if not has_room and self._work is None:
             self._refuse(Code.BUSY, "the proxy has no memory left for messages")
@@ -182,6 +181,8 @@
                 self._refuse(Code.MALFORMED, "the session has begun already")
             case wire.Startup(database_name):
                 self._open(database_name)
+            case wire.Malformed(reason):
+                self._refuse(Code.MALFORMED, reason)
             case wire.Terminate():
                 self._messages.clear()
                 self.close()
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -106,7 +106,14 @@
     """A caller's last message, which closes the session."""
 
 
-Message = Startup | Query | Terminate
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """What a caller sent instead of a message, for which the session is closed."""
+
+    reason: str
+
+
+Message = Startup | Query | Terminate | Malformed
 
 
 def decode_message(line: bytes) -> Message:
@@ -461,7 +468,7 @@
         """Return the lines that `data` completes.
 
         Raise `WireError` if one of them, or the incomplete line after them, is longer
-        than `MAX_LINE_BYTES` with its end.
+        than `MAX_LINE_BYTES` with its end; what has arrived is dropped then.
         """
         # What was searched before is not searched again, but for half a line end.
         start = max(0, len(self._rest) - 1)
@@ -472,5 +479,6 @@
             self._rest = bytearray(rest)
         longest = max(map(len, lines), default=0) + len(LINE_END)
         if max(longest, len(self._rest) + 1) > MAX_LINE_BYTES:
+            self._rest.clear()
             raise WireError(f"a line is longer than {MAX_LINE_BYTES} bytes")
         return lines
