Take a failure that is cut off for one of a statement that has run

If a database sent the error line of a failed statement and the connection then ended, the statement counted as refused before it was sent, as a session is at its start. A write that had run could so be sent to another database (TWICE), and its outcome was not recorded as unknown. Only errors that say that nothing has run are taken so now; behind the others the connection counts as broken.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -93,14 +93,15 @@
         """Fail the batches that still wait for replies.
 
         A database refuses a session by an error line, after which it closes the
-        connection. The batches then fail as not sent.
+        connection. The batches then fail as not sent, unless the error is one of a
+        statement that has run.
         """
         code = self._decoder.pending_error()
         reason = str(exc or "closed by the database")
         self._transport = None
         if code is Code.WRONG_DATABASE:
             self._fail(ReplacedError(code, "another database answers at the address"))
-        elif code is not None:
+        elif code is not None and code.has_not_run:
             self._fail(NotSentError(code, "the database refused the session"))
         else:
             self._fail(BrokenError(reason))
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -19,19 +19,22 @@
     Read,
     Request,
     SessionState,
+    Write,
 )
 
 IP = "127.0.0.1"
 READY = b"READY I 1.5\r\n"
 REFUSAL = b"ERROR CONNLIMIT full\r\n"
 OTHER_REFUSAL = b"ERROR WRONGNODE i-2\r\n"
+CUT_FAILURE = b"ERROR FAILED no\r\n"
 
 
 class LineServer:
     """A server that answers each line from a script.
 
     A line gets the answer of the first key that it contains. None stands for no answer;
-    after a refusal or b"" the connection is closed.
+    after a refusal,
+    `CUT_FAILURE` or b"" the connection is closed.
     """
 
     def __init__(self, script: dict[str, bytes | None]) -> None:
@@ -49,7 +52,7 @@
             if answer == b"":
                 break
             writer.write(answer or b"")
-            if answer in (REFUSAL, OTHER_REFUSAL):
+            if answer in (REFUSAL, OTHER_REFUSAL, CUT_FAILURE):
                 break
         writer.close()
         await writer.wait_closed()
@@ -135,6 +138,12 @@
             await connection.send_requests((Request(Read("a"), "q1"),))
         self.assertFalse(connection.is_open)
 
+    async def test_failure_that_is_cut_off_does_not_count_as_not_sent(self) -> None:
+        """Guards against a write that has run and is sent to another database."""
+        _, connection = await self.connect({"STARTUP": READY, "WRITE": CUT_FAILURE})
+        with self.assertRaises(BrokenError):
+            await connection.send_requests((Request(Write("a", "b"), "q1"),))
+
     async def test_data_without_a_request_is_no_part_of_the_next_reply(self) -> None:
         """Guards against rows and refusals that are given to another session."""
         whole = b"COMPLETE x\r\n" + READY
