Leave descriptors to databases when many callers connect

Nothing limited how many callers could be connected, and one needs no startup for it.

Class: state that sessions share, here descriptors, that one can fill for all others.

Callers take seven eighths of the process's descriptors at most; others are refused for the connection limit, which promises that nothing is kept, so that they try another proxy. The event loop accepts 16 connections at once instead of 1,024, as it can refuse none before it has accepted all of them; the kernel still queues 1,024. The tests use the new limit, so that they don't run on the code before.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -1,6 +1,10 @@
 """Server for callers, who connect over the platform's line protocol."""
 
 import asyncio
+import os
+import resource
+import socket
+import sys
 import time
 from collections.abc import Callable
 
@@ -19,8 +23,20 @@
 
 # The kernel queues this many new connections until the proxy accepts them.
 BACKLOG_CONNECTIONS = 1024
+# They are accepted before the first of them can be refused.
+ACCEPTS_AT_ONCE = 16
 # No caller reaches it: reading is paused earlier, or the message is too long.
 MAX_RECEIVED_BYTES = 4 * wire.MAX_LINE_BYTES
+# The other descriptors of the process are left to databases, the store and files.
+CALLERS_SHARE_OF_DESCRIPTORS = 0.875
+
+
+def max_callers_of_process() -> int:
+    """Return how many callers may be connected with the descriptors of the process."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(descriptors * CALLERS_SHARE_OF_DESCRIPTORS)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -58,7 +74,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_peer_timeout(transport)
-        self._ingress.add(self)
+        if not self._ingress.add(self):
+            self._refuse(Code.CONNECTION_LIMIT, "the proxy has no place for callers")
 
     def data_received(self, data: bytes) -> None:
         """Decode the received bytes, and queue and answer the complete messages."""
@@ -257,14 +274,17 @@
         service: SessionService,
         clock: Callable[[], float] = time.monotonic,
         max_received_bytes: int = DEFAULT_TOTAL_BYTES,
+        max_callers: int | None = None,
     ) -> None:
         """Create a server whose callers are all answered by `service`.
 
         What callers have sent and is not answered takes `max_received_bytes` at most.
+        Without `max_callers`, the descriptors of the process limit their number.
         """
         self._service = service
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._max_callers = max_callers or max_callers_of_process()
         self._is_closing_idle = False
         self._is_ending_transactions = False
         self.clock = clock
@@ -298,12 +318,16 @@
             lambda: CallerConnection(self._service, self),
             ip,
             port,
-            backlog=BACKLOG_CONNECTIONS,
+            backlog=ACCEPTS_AT_ONCE,
         )
+        _set_backlog(self._server.sockets[0].fileno())
 
-    def add(self, connection: CallerConnection) -> None:
-        """Register a caller's connection as open."""
+    def add(self, connection: CallerConnection) -> bool:
+        """Register a caller's connection; return False if there are too many."""
+        if len(self._connections) >= self._max_callers:
+            return False
         self._connections.add(connection)
+        return True
 
     def remove(self, connection: CallerConnection) -> None:
         """Remove a caller's connection after it was lost."""
@@ -338,3 +362,9 @@
         self.stop_listening()
         for connection in tuple(self._connections):
             connection.give_up()
+
+
+def _set_backlog(listener: int) -> None:
+    """Let the kernel queue more connections than the event loop accepts at once."""
+    with socket.socket(fileno=os.dup(listener)) as same:
+        same.listen(BACKLOG_CONNECTIONS)
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -1,12 +1,18 @@
 """Tests of callers' connections to a fake database group, on a virtual clock."""
 
 import asyncio
+import resource
+import sys
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
-from beryltiller.platform.ingress import CallerConnection, Ingress
+from beryltiller.platform.ingress import (
+    CallerConnection,
+    Ingress,
+    max_callers_of_process,
+)
 from beryltiller.sessions.statements import Commit, Read, Reply, Write
 from tests.fake_group import GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
@@ -374,6 +380,31 @@
         return callers
 
 
+class CallerCountTest(unittest.TestCase):
+    """Callers leave descriptors of the process to its other connections."""
+
+    def test_callers_beyond_the_limit_are_refused_until_others_leave(self) -> None:
+        """Guards against callers with whom no database can be connected any more."""
+
+        async def work(fixture: GroupFixture, _: Ingress, __: Caller) -> None:
+            ingress = Ingress(fixture.service, virtual_now, max_callers=2)
+            callers = [Caller(ingress, fixture) for _ in range(3)]
+            closed = [each.transport.is_closed for each in callers]
+            self.assertEqual(closed, [False, False, True])
+            self.assertIn("ERROR CONNLIMIT", callers[2].lines()[0])
+            for each in callers[1:]:
+                each.connection.connection_lost(None)
+            answer = await Caller(ingress, fixture).send_line("STARTUP db u1")
+            self.assertEqual(answer, ["READY I -"])
+
+        run_with_caller(work)
+
+    def test_limit_leaves_an_eighth_of_the_descriptors(self) -> None:
+        for soft, expected in ((1024, 896), (resource.RLIM_INFINITY, sys.maxsize)):
+            with mock.patch.object(resource, "getrlimit", return_value=(soft, soft)):
+                self.assertEqual(max_callers_of_process(), expected)
+
+
 class SecondStartupTest(unittest.TestCase):
     """A connection has one session, and what that holds ends with it."""
 
