End callers whose message stays incomplete

A message that is incomplete for ten seconds now ends its connection; the time does not run while the proxy itself lets the caller wait.

--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -27,6 +27,8 @@
 ACCEPTS_AT_ONCE = 16
 # No caller reaches it: reading is paused earlier, or the message is too long.
 MAX_RECEIVED_BYTES = 4 * wire.MAX_LINE_BYTES
+# A caller that takes longer for one message holds memory that others need.
+MAX_MESSAGE_SECONDS = 10.0
 # The other descriptors of the process are left to databases, the store and files.
 CALLERS_SHARE_OF_DESCRIPTORS = 0.875
 
@@ -58,6 +60,7 @@
         self._transport: asyncio.Transport | None = None
         self._work: asyncio.Task[None] | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
+        self._message_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -82,6 +85,7 @@
         now = self._ingress.clock()
         try:
             for line in self._splitter.feed(data):
+                self._stop_message_timer()
                 self._messages.add(wire.decode_message(line), now, len(line))
         except wire.WireError as error:
             self._refuse(Code.MALFORMED, str(error))
@@ -92,6 +96,7 @@
             return
         if self._transport and (self._messages.is_full or not has_room):
             self._transport.pause_reading()
+        self._start_message_timer()
         self._start_serving()
 
     def pause_writing(self) -> None:
@@ -109,6 +114,7 @@
         self._messages.clear()
         self._received.clear()
         self._stop_timer()
+        self._stop_message_timer()
         self._ingress.remove(self)
         if self._work is None and self._session is not None:
             self._work = asyncio.create_task(self._service.end_session(self._session))
@@ -147,6 +153,28 @@
         size = self._messages.size + self._splitter.incomplete_bytes
         return self._received.change(size - self._received.used_bytes) is None
 
+    def _start_message_timer(self) -> None:
+        """Wait for the end of an incomplete message for a limited time."""
+        if self._splitter.incomplete_bytes and self._message_timer is None:
+            loop = asyncio.get_running_loop()
+            self._message_timer = loop.call_later(
+                MAX_MESSAGE_SECONDS, self._end_incomplete
+            )
+
+    def _stop_message_timer(self) -> None:
+        if self._message_timer is not None:
+            self._message_timer.cancel()
+            self._message_timer = None
+
+    def _end_incomplete(self) -> None:
+        """Close the connection, unless the caller had to wait for its answers."""
+        self._message_timer = None
+        is_read = self._transport is not None and self._transport.is_reading()
+        if self._work is None and not self._messages and is_read:
+            self._refuse(Code.TIMEOUT, "the end of a message did not arrive")
+        else:
+            self._start_message_timer()
+
     def _start_serving(self) -> None:
         if self._work is None and self._messages and not self._is_writing_paused:
             self._work = asyncio.create_task(self._serve())
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from beryltiller.platform.ingress import (
+    MAX_MESSAGE_SECONDS,
     CallerConnection,
     Ingress,
     max_callers_of_process,
@@ -346,6 +347,36 @@
 
         self._run(work)
 
+    def test_incomplete_message_does_not_hold_memory_for_long(self) -> None:
+        """Guards against silent callers who refuse the messages of all others."""
+
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            silent, slow = await self._connect(fixture, ingress, 2)
+            silent.connection.data_received(PART_OF_A_MESSAGE)
+            for _ in range(20):
+                slow.connection.data_received(b"QUERY 1 READ i\r\nQUERY 1 READ")
+                await asyncio.sleep(MAX_MESSAGE_SECONDS / 10)
+                slow.connection.data_received(b" i\r\n")
+                await asyncio.sleep(0.1)
+            self.assertTrue(silent.transport.is_closed)
+            self.assertIn("ERROR TIMEOUT", silent.lines()[-1])
+            self.assertEqual(slow.transport.written.count(b"DATAROW"), 40)
+            self.assertFalse(slow.transport.is_closed)
+
+        self._run(work)
+
+    def test_message_behind_a_statement_at_work_may_take_longer(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            (caller,) = await self._connect(fixture, ingress, 1)
+            with mock.patch.object(caller.connection, "_work", asyncio.Event()):
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+                await asyncio.sleep(1.5 * MAX_MESSAGE_SECONDS)
+                self.assertFalse(caller.transport.is_closed)
+            await asyncio.sleep(MAX_MESSAGE_SECONDS)
+            self.assertTrue(caller.transport.is_closed)
+
+        self._run(work)
+
     def test_caller_is_read_again_after_its_transaction_expired(self) -> None:
         """Guards against a caller whose further messages are never read."""
 
