--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -1,6 +1,10 @@
 """Server for callers, who connect over the platform's line protocol."""
 
 import asyncio
+import os
+import resource
+import socket
+import sys
 import time
 from collections.abc import Callable
 
@@ -19,8 +23,22 @@
 
 # The kernel queues this many new connections until the proxy accepts them.
 BACKLOG_CONNECTIONS = 1024
+# They are accepted before the first of them can be refused.
+ACCEPTS_AT_ONCE = 16
 # No caller reaches it: reading is paused earlier, or the message is too long.
 MAX_RECEIVED_BYTES = 4 * wire.MAX_LINE_BYTES
+# A caller that takes longer for one message holds memory that others need.
+MAX_MESSAGE_SECONDS = 10.0
+# The other descriptors of the process are left to databases, the store and files.
+CALLERS_SHARE_OF_DESCRIPTORS = 0.875
+
+
+def max_callers_of_process() -> int:
+    """Return how many callers may be connected with the descriptors of the process."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(descriptors * CALLERS_SHARE_OF_DESCRIPTORS)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -42,6 +60,7 @@
         self._transport: asyncio.Transport | None = None
         self._work: asyncio.Task[None] | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
+        self._message_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -58,13 +77,15 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         enable_peer_timeout(transport)
-        self._ingress.add(self)
+        if not self._ingress.add(self):
+            self._refuse(Code.CONNECTION_LIMIT, "the proxy has no place for callers")
 
     def data_received(self, data: bytes) -> None:
         """Decode the received bytes, and queue and answer the complete messages."""
         now = self._ingress.clock()
         try:
             for line in self._splitter.feed(data):
+                self._stop_message_timer()
                 self._messages.add(wire.decode_message(line), now, len(line))
         except wire.WireError as error:
             self._messages.add(wire.Malformed(str(error)), now, 0)
@@ -74,6 +95,7 @@
             return
         if self._transport and (self._messages.is_full or not has_room):
             self._transport.pause_reading()
+        self._start_message_timer()
         self._start_serving()
 
     def pause_writing(self) -> None:
@@ -91,6 +113,7 @@
         self._messages.clear()
         self._received.clear()
         self._stop_timer()
+        self._stop_message_timer()
         self._ingress.remove(self)
         if self._work is None and self._session is not None:
             self._work = asyncio.create_task(self._service.end_session(self._session))
@@ -129,6 +152,28 @@
         size = self._messages.size + self._splitter.incomplete_bytes
         return self._received.change(size - self._received.used_bytes) is None
 
+    def _start_message_timer(self) -> None:
+        """Wait for the end of an incomplete message for a limited time."""
+        if self._splitter.incomplete_bytes and self._message_timer is None:
+            loop = asyncio.get_running_loop()
+            self._message_timer = loop.call_later(
+                MAX_MESSAGE_SECONDS, self._end_incomplete
+            )
+
+    def _stop_message_timer(self) -> None:
+        if self._message_timer is not None:
+            self._message_timer.cancel()
+            self._message_timer = None
+
+    def _end_incomplete(self) -> None:
+        """Close the connection, unless the caller had to wait for its answers."""
+        self._message_timer = None
+        is_read = self._transport is not None and self._transport.is_reading()
+        if self._work is None and not self._messages and is_read:
+            self._refuse(Code.TIMEOUT, "the end of a message did not arrive")
+        else:
+            self._start_message_timer()
+
     def _start_serving(self) -> None:
         if self._work is None and self._messages and not self._is_writing_paused:
             self._work = asyncio.create_task(self._serve())
@@ -258,14 +303,17 @@
         service: SessionService,
         clock: Callable[[], float] = time.monotonic,
         max_received_bytes: int = DEFAULT_TOTAL_BYTES,
+        max_callers: int | None = None,
     ) -> None:
         """Create a server whose callers are all answered by `service`.
 
         What callers have sent and is not answered takes `max_received_bytes` at most.
+        Without `max_callers`, the descriptors of the process limit their number.
         """
         self._service = service
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._max_callers = max_callers or max_callers_of_process()
         self._is_closing_idle = False
         self._is_ending_transactions = False
         self.clock = clock
@@ -299,12 +347,16 @@
             lambda: CallerConnection(self._service, self),
             ip,
             port,
-            backlog=BACKLOG_CONNECTIONS,
+            backlog=ACCEPTS_AT_ONCE,
         )
+        _set_backlog(self._server.sockets[0].fileno())
 
-    def add(self, connection: CallerConnection) -> None:
-        """Register a caller's connection as open."""
+    def add(self, connection: CallerConnection) -> bool:
+        """Register a caller's connection; return False if there are too many."""
+        if len(self._connections) >= self._max_callers:
+            return False
         self._connections.add(connection)
+        return True
 
     def remove(self, connection: CallerConnection) -> None:
         """Remove a caller's connection after it was lost."""
@@ -339,3 +391,9 @@
         self.stop_listening()
         for connection in tuple(self._connections):
             connection.give_up()
+
+
+def _set_backlog(listener: int) -> None:
+    """Let the kernel queue more connections than the event loop accepts at once."""
+    with socket.socket(fileno=os.dup(listener)) as same:
+        same.listen(BACKLOG_CONNECTIONS)
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -1,12 +1,19 @@
 """Tests of callers' connections to a fake database group, on a virtual clock."""
 
 import asyncio
+import resource
+import sys
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
-from beryltiller.platform.ingress import CallerConnection, Ingress
+from beryltiller.platform.ingress import (
+    MAX_MESSAGE_SECONDS,
+    CallerConnection,
+    Ingress,
+    max_callers_of_process,
+)
 from beryltiller.sessions.statements import Commit, Read, Reply, Write
 from tests.fake_group import GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
@@ -343,6 +350,36 @@
 
         self._run(work)
 
+    def test_incomplete_message_does_not_hold_memory_for_long(self) -> None:
+        """Guards against silent callers who refuse the messages of all others."""
+
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            silent, slow = await self._connect(fixture, ingress, 2)
+            silent.connection.data_received(PART_OF_A_MESSAGE)
+            for _ in range(20):
+                slow.connection.data_received(b"QUERY 1 READ i\r\nQUERY 1 READ")
+                await asyncio.sleep(MAX_MESSAGE_SECONDS / 10)
+                slow.connection.data_received(b" i\r\n")
+                await asyncio.sleep(0.1)
+            self.assertTrue(silent.transport.is_closed)
+            self.assertIn("ERROR TIMEOUT", silent.lines()[-1])
+            self.assertEqual(slow.transport.written.count(b"DATAROW"), 40)
+            self.assertFalse(slow.transport.is_closed)
+
+        self._run(work)
+
+    def test_message_behind_a_statement_at_work_may_take_longer(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress) -> None:
+            (caller,) = await self._connect(fixture, ingress, 1)
+            with mock.patch.object(caller.connection, "_work", asyncio.Event()):
+                caller.connection.data_received(PART_OF_A_MESSAGE)
+                await asyncio.sleep(1.5 * MAX_MESSAGE_SECONDS)
+                self.assertFalse(caller.transport.is_closed)
+            await asyncio.sleep(MAX_MESSAGE_SECONDS)
+            self.assertTrue(caller.transport.is_closed)
+
+        self._run(work)
+
     def test_caller_is_read_again_after_its_transaction_expired(self) -> None:
         """Guards against a caller whose further messages are never read."""
 
@@ -377,6 +414,31 @@
         return callers
 
 
+class CallerCountTest(unittest.TestCase):
+    """Callers leave descriptors of the process to its other connections."""
+
+    def test_callers_beyond_the_limit_are_refused_until_others_leave(self) -> None:
+        """Guards against callers with whom no database can be connected any more."""
+
+        async def work(fixture: GroupFixture, _: Ingress, __: Caller) -> None:
+            ingress = Ingress(fixture.service, virtual_now, max_callers=2)
+            callers = [Caller(ingress, fixture) for _ in range(3)]
+            closed = [each.transport.is_closed for each in callers]
+            self.assertEqual(closed, [False, False, True])
+            self.assertIn("ERROR CONNLIMIT", callers[2].lines()[0])
+            for each in callers[1:]:
+                each.connection.connection_lost(None)
+            answer = await Caller(ingress, fixture).send_line("STARTUP db u1")
+            self.assertEqual(answer, ["READY I -"])
+
+        run_with_caller(work)
+
+    def test_limit_leaves_an_eighth_of_the_descriptors(self) -> None:
+        for soft, expected in ((1024, 896), (resource.RLIM_INFINITY, sys.maxsize)):
+            with mock.patch.object(resource, "getrlimit", return_value=(soft, soft)):
+                self.assertEqual(max_callers_of_process(), expected)
+
+
 class SecondStartupTest(unittest.TestCase):
     """A connection has one session, and what that holds ends with it."""
 
