Check in the process soak what its databases run

The soak's databases took the codec's view of a line, kept no values and no prepared statements, and nobody compared what they ran with what callers had sent: they could not see statements run with other words.

They now read lines by the page, keep a session's state, and report each statement that runs with its text, shape, values, connection and transaction. Signatures and rows are given once. A checker compares them at the end with what callers sent and were answered: PINNED, UNASKED, MIXED. A database no longer has a limit of 64 KiB for a line, but the page's 1 MiB; a longer line that a proxy sends is a finding.

--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -2,32 +2,18 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
 
+from tests.soak_caller_connection import CallerConnection, CallerEndedError
 from tests.soak_checker import Checker
 from tests.soak_proxies import ProxyProcess
+from tests.soak_statement_checker import Answer
 
-ANSWER_SECONDS = 5.0
-CONNECT_SECONDS = 2.0
 RETRY_SECONDS = 0.05
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 WRITING_DATABASE = "orders"
 READING_DATABASE = "stock"
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """The end of an answer: its word, the code or signature, and the state."""
-
-    word: str
-    text: str
-    state: str
-
-
-class CallerEndedError(Exception):
-    """The connection has ended, or an answer has not arrived in time."""
-
-
 class Caller:
     """A caller who reconnects to the same proxy whenever a connection ends."""
 
@@ -40,8 +26,7 @@
         self._checker = checker
         self._rng = rng
         self._statements = 0
-        self._reader = asyncio.StreamReader()
-        self._writer: asyncio.StreamWriter | None = None
+        self._connection: CallerConnection | None = None
         self._database = READING_DATABASE if number % 4 == 3 else WRITING_DATABASE
 
     async def run(self) -> None:
@@ -58,20 +43,15 @@
                 self._close()
 
     async def _connect(self) -> None:
-        front = self._proxy.front
-        async with asyncio.timeout(CONNECT_SECONDS):
-            self._reader, self._writer = await asyncio.open_connection(
-                front.ip, front.port
-            )
-            self._writer.write(f"STARTUP {self._database} soak\r\n".encode())
-            line = await self._reader.readuntil(b"\r\n")
-        if not line.startswith(b"READY"):
-            raise CallerEndedError(line.decode())
+        session = self._checker.statements.open_session(f"caller {self._number}")
+        self._connection = await CallerConnection.open(
+            self._proxy, self._database, session
+        )
 
     def _close(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._writer = None
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
 
     async def _operate(self) -> None:
         if self._database == READING_DATABASE:
@@ -93,27 +73,14 @@
     async def _finish(self, identifier: str, answer: Answer) -> None:
         if answer.word == "COMPLETE" and answer.text != "-":
             self._checker.record_report(identifier, self._proxy.name)
-        elif answer.text.partition(" ")[0] in PROMISES:
+        elif answer.code in PROMISES:
             self._checker.record_promise(identifier)
         if answer.state != "I":
             await self._send("ROLLBACK")
 
     async def _send(self, text: str) -> tuple[str, Answer]:
         """Send a statement; return its identifier and the answer."""
-        assert self._writer is not None
+        assert self._connection is not None
         self._statements += 1
         identifier = f"{self._number}-{self._statements}"
-        self._writer.write(f"QUERY {identifier} {text}\r\n".encode())
-        async with asyncio.timeout(ANSWER_SECONDS):
-            word, rest = await self._read_line()
-            while word == "DATAROW":
-                word, rest = await self._read_line()
-            last, state = await self._read_line()
-        if last != "READY":
-            raise CallerEndedError(f"{word} {rest}, then {last}")
-        return identifier, Answer(word, rest, state.partition(" ")[0])
-
-    async def _read_line(self) -> tuple[str, str]:
-        line = (await self._reader.readuntil(b"\r\n")).decode()
-        word, _, rest = line.removesuffix("\r\n").partition(" ")
-        return word, rest
+        return identifier, await self._connection.run(identifier, text)
--- a/tests/soak_checker.py
+++ b/tests/soak_checker.py
@@ -7,6 +7,7 @@
 
 from tests.soak_database import Commit, SoakDatabase
 from tests.soak_record import Record
+from tests.soak_statement_checker import StatementChecker
 
 
 @dataclass
@@ -17,7 +18,8 @@
     replaced primary has acknowledged, `kept` those that are in the log although the
     caller was promised that nothing is kept, `twice` those that are in it twice.
     `tokens` are promotion calls with a wrong fencing token, `unserved` proxies that
-    serve no write at the end.
+    serve no write at the end. `statements` are findings of the `StatementChecker`,
+    each with the name of its rule.
     """
 
     lost: list[str] = field(default_factory=list)
@@ -26,6 +28,7 @@
     twice: list[str] = field(default_factory=list)
     tokens: list[str] = field(default_factory=list)
     unserved: list[str] = field(default_factory=list)
+    statements: list[str] = field(default_factory=list)
     reported: int = 0
     promotions: int = 0
 
@@ -39,7 +42,8 @@
             "TOKEN": self.tokens,
             "UNSERVED": self.unserved,
         }
-        return [f"{name} {each}" for name, found in checks.items() for each in found]
+        texts = [f"{name} {each}" for name, found in checks.items() for each in found]
+        return texts + self.statements
 
     def outages(self) -> list[str]:
         """Return the findings that tell of proxies which serve no write."""
@@ -60,6 +64,7 @@
     def __init__(self, record: Record) -> None:
         """Check a group that `watch` names later."""
         self.findings = Findings()
+        self.statements = StatementChecker(self._find_statement)
         self._record = record
         self._leader = SoakDatabase("", "", "")
         self._promoted_at = 0.0
@@ -127,7 +132,8 @@
         self._promised.add(identifier)
 
     def finish(self) -> None:
-        """Check the log of the leader at the end."""
+        """Check the log of the leader at the end, and the statements that ran."""
+        self.statements.finish()
         self._check_log("at the end")
         seen: set[str] = set()
         for commit in self._leader.log:
@@ -146,6 +152,10 @@
             text = f"{identifier}, reported by {reported.proxy} {ago:.3f} s ago"
             self._find(self.findings.lost, "LOST", f"{text}, {moment}")
 
+    def _find_statement(self, text: str) -> None:
+        self.findings.statements.append(text)
+        self._record.add(text)
+
     def _find(self, found: list[str], name: str, text: str) -> None:
         found.append(text)
         self._record.add(f"{name} {text}")
--- a/tests/soak_connections.py
+++ b/tests/soak_connections.py
@@ -1,17 +1,32 @@
 """The servers of a soak's databases, for proxies, over the platform's line protocol."""
 
 import asyncio
+import itertools
 import time
 from contextlib import AsyncExitStack
 from typing import Any
 
+from tests.page_reader import (
+    MAX_MESSAGE_BYTES,
+    Prepared,
+    Query,
+    SessionState,
+    UnreadableError,
+    read_query,
+)
 from tests.soak_database import SERVICE, Commit, SoakDatabase
 from tests.soak_databases import SoakGroup
+from tests.soak_statement_checker import Ran
 
 WORK_SECONDS = 0.002
 MAX_CONNECTIONS = 40
 LINE_END = b"\r\n"
 COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
+STATE_WORDS = ("SET", "PREPARE", "DEALLOCATE", "RESET")
+# Ends of rows: blanks, words of the protocol and separators of other kinds.
+ROW_ENDS = ("", " ", "  READY I -", "\u2028\u0085\xa0x\0")
+
+_serials = itertools.count(1)
 
 
 class DatabaseServers:
@@ -39,7 +54,9 @@
             task.add_done_callback(sessions.discard)
             task.add_done_callback(lambda _: writer.transport.abort())
 
-        server = await asyncio.start_server(accept, database.ip, database.port)
+        server = await asyncio.start_server(
+            accept, database.ip, database.port, limit=MAX_MESSAGE_BYTES
+        )
         database.port = server.sockets[0].getsockname()[1]
         database.born_ms = database.born_ms or round(time.time() * 1000)
         database.is_running = True
@@ -84,21 +101,26 @@
         self._is_plain = False
         self._has_written = False
         self._signatures = 0
+        self._serial = next(_serials)
+        self._transactions = 0
+        self._held = SessionState()
 
     async def serve(self, is_full: bool) -> None:
         """Answer statements until the connection ends."""
         try:
             if await self._accept(is_full):
                 while True:
-                    line = await self._read_line()
-                    _, identifier, text = line.split(" ", 2)
-                    lines = await self._answer(identifier, text)
+                    lines = await self._answer(await self._read_line())
                     await self._write(*lines, self._ready())
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        except asyncio.LimitOverrunError:
+            # A message is at most 1 MiB: the connection ends.
+            self._group.statements.record_overlong_line()
 
     async def _accept(self, is_full: bool) -> bool:
-        word, service, *rest = (await self._read_line()).split(" ")
+        line = (await self._read_line()).decode(errors="replace")
+        word, service, *rest = line.split(" ")
         is_named = len(rest) < 2 or rest[1] == self._database.identifier
         if word != "STARTUP" or service != SERVICE or not is_named:
             await self._write(f"ERROR WRONGNODE {self._database.identifier}")
@@ -109,14 +131,15 @@
         await self._write(self._ready())
         return True
 
-    async def _read_line(self) -> str:
+    async def _read_line(self) -> bytes:
         line = await self._reader.readuntil(LINE_END)
         await self._database.heard.wait()
-        return line.decode().removesuffix("\r\n")
+        return line.removesuffix(LINE_END)
 
     async def _write(self, *lines: str) -> None:
         await self._database.heard.wait()
-        self._writer.write("\r\n".join([*lines, ""]).encode())
+        text = "\r\n".join([*lines, ""])
+        self._writer.write(text.encode(errors="surrogateescape"))
         await self._writer.drain()
 
     def _position(self, length: int) -> str:
@@ -126,27 +149,24 @@
     def _ready(self) -> str:
         return f"READY {self._state} {self._position(self._database.applied)}"
 
-    def _sign(self) -> str:
-        self._signatures += 1
-        database = self._database
-        return f"COMPLETE {database.identifier}.{id(self):x}.{self._signatures}"
-
-    async def _answer(self, identifier: str, text: str) -> list[str]:
-        word, _, rest = text.partition(" ")
-        if word in COMMANDS:
-            return self._command(word, rest)
-        if word == "SINCE":
-            position, _, text = rest.partition(" ")
-            if not self._has_applied(position):
-                return ["ERROR LAGGING behind"]
-            word, _, rest = text.partition(" ")
-        if word == "ROLLBACK":
+    async def _answer(self, line: bytes) -> list[str]:
+        try:
+            query = read_query(line)
+        except UnreadableError as error:
+            return [f"ERROR MALFORMED {error}"]
+        if query.word in COMMANDS:
+            return self._command(query)
+        if query.since and not self._has_applied(query.since):
+            return ["ERROR LAGGING behind"]
+        if query.word == "ROLLBACK":
             self._state = "I"
-        elif self._state == "E":
-            return ["ERROR MALFORMED the transaction has failed"]
-        if word in ("ROLLBACK", "RESET"):
             return ["COMPLETE -"]
-        return await self._run(word, rest, identifier)
+        if self._state == "E":
+            return ["ERROR MALFORMED the transaction has failed"]
+        if query.word in STATE_WORDS:
+            code = self._held.apply(query)
+            return [f"ERROR {code} refused" if code else "COMPLETE -"]
+        return await self._run(query)
 
     def _has_applied(self, position: str) -> bool:
         term, _, index = position.partition(".")
@@ -154,38 +174,70 @@
         last = self._database.log[length - 1].term if length else 0
         return (last, length) >= (int(term), int(index))
 
-    async def _run(self, word: str, rest: str, identifier: str) -> list[str]:
+    async def _run(self, query: Query) -> list[str]:
         await asyncio.sleep(WORK_SECONDS)
         is_replica = not self._database.is_primary
-        if word == "BEGIN":
-            if is_replica and rest != "READ":
-                return ["ERROR READONLY a replica"]
-            self._state, self._is_plain = "T", rest != "READ"
-            self._has_written = False
-            return ["COMPLETE -"]
+        if query.word == "BEGIN":
+            return self._begin(is_plain=not query.fields)
+        prepared = None
+        if query.word == "EXECUTE":
+            prepared = self._held.prepared.get(query.fields[0])
+            if prepared is None:
+                return ["ERROR NOSUCHSTMT unknown"]
+        is_write = query.word == "WRITE" or (prepared is not None and prepared.is_write)
         is_in_plain = self._state == "T" and self._is_plain
-        if is_replica and is_in_plain and (word != "COMMIT" or self._has_written):
+        is_commit = query.word == "COMMIT"
+        if is_replica and is_in_plain and (not is_commit or self._has_written):
             self._state = "E"
             return ["ERROR READONLY a replica"]
-        if is_replica and word == "WRITE":
+        if is_replica and is_write:
             return ["ERROR READONLY a replica"]
-        return await self._work(word, identifier)
-
-    async def _work(self, word: str, identifier: str) -> list[str]:
-        match word:
-            case "READ":
-                return [f"DATAROW {self._database.applied}", self._sign()]
-            case "WRITE" if self._state == "T":
-                self._has_written = True
-            case "WRITE":
-                await self._commit(identifier)
-            case "COMMIT":
-                self._state = "I"
-                if self._has_written:
-                    await self._commit(identifier)
-            case _:
-                return ["ERROR MALFORMED unknown statement"]
-        return [self._sign()]
+        return await self._work(query, prepared, is_write)
+
+    def _begin(self, is_plain: bool) -> list[str]:
+        if is_plain and not self._database.is_primary:
+            return ["ERROR READONLY a replica"]
+        self._state, self._is_plain = "T", is_plain
+        self._has_written = False
+        self._transactions += 1
+        return ["COMPLETE -"]
+
+    async def _work(
+        self, query: Query, prepared: Prepared | None, is_write: bool
+    ) -> list[str]:
+        """Run and report a statement; its signature and rows are given once."""
+        ran = self._report(query, prepared, is_write or query.word == "COMMIT")
+        is_inside, has_written = self._state == "T", self._has_written
+        if query.word == "COMMIT":
+            self._state, self._has_written = "I", False
+        elif is_write and is_inside:
+            self._has_written = True
+        if (query.word == "COMMIT" and has_written) or (is_write and not is_inside):
+            await self._commit(query.identifier)
+        return [*(f"DATAROW {row}" for row in ran.rows), f"COMPLETE {ran.signature}"]
+
+    def _report(
+        self, query: Query, prepared: Prepared | None, is_without_rows: bool
+    ) -> Ran:
+        self._signatures += 1
+        signature = f"{self._database.identifier}.{self._serial}.{self._signatures}"
+        ends = (
+            ()
+            if is_without_rows
+            else ROW_ENDS[: self._signatures % (len(ROW_ENDS) + 1)]
+        )
+        ran = Ran(
+            query.identifier,
+            query.text,
+            signature,
+            tuple(f"{self._database.applied} {signature}{end}" for end in ends),
+            self._serial,
+            self._transactions if self._state == "T" else 0,
+            dict(self._held.values),
+            prepared,
+        )
+        self._group.statements.record_run(ran)
+        return ran
 
     async def _commit(self, identifier: str) -> None:
         """Append a commit, and wait until a replica has received it."""
@@ -195,10 +247,11 @@
         database.waiting.append((len(database.log), received))
         await received
 
-    def _command(self, word: str, rest: str) -> list[str]:
+    def _command(self, query: Query) -> list[str]:
         """Run a status query, or a command that changes the role or the fence."""
         database = self._database
-        match word:
+        rest = "".join(query.fields)
+        match query.word:
             case "PAUSE" if not database.is_primary and int(rest) > database.term:
                 database.fenced_term = max(database.fenced_term, int(rest))
             case "RESUME":
--- a/tests/soak_databases.py
+++ b/tests/soak_databases.py
@@ -44,6 +44,7 @@
         self.store = SoakStore(record, self._answer_promotion)
         self.databases: list[SoakDatabase] = []
         self.leader = SoakDatabase("", "", "")
+        self.statements = checker.statements
         # Set by each promotion call.
         self.called = asyncio.Event()
         self._rng = rng
