Soak proxies with callers of the whole grammar, and with hostile ones

No test on real processes prepared, set or executed anything. Hostile callers beside them send odd and malformed text, large and many shapes, identifiers that are the proxy's, read nothing, leave and connect again. STATEMENT_SOAK_SEEDS and STATEMENT_SOAK_CALLERS choose what is played.

--- a/tests/soak_deployment.py
+++ b/tests/soak_deployment.py
@@ -1,8 +1,10 @@
 """A deployment for a soak: a store, one service of three databases, and proxies."""
 
+import itertools
 import json
 import os
 import random
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -13,10 +15,12 @@
 from tests.soak_databases import SoakGroup
 from tests.soak_proxies import Proxies
 from tests.soak_record import Record
+from tests.soak_statement_callers import StatementCaller
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 PROXY_ZONES = ("zone-a", "zone-a", "zone-b", "zone-c")
-CALLERS_PER_PROXY = 4
+# The callers of each proxy.
+CALLERS = (Caller,) * 4
 RECOVERY_SECONDS = 30.0
 
 
@@ -51,8 +55,14 @@
 class Deployment:
     """All parts of a soak; what it starts ends with the stack that is passed in."""
 
-    def __init__(self, rng: random.Random, folder: Path, stack: AsyncExitStack) -> None:
-        """Create the parts; files are kept in `folder`."""
+    def __init__(
+        self,
+        rng: random.Random,
+        folder: Path,
+        stack: AsyncExitStack,
+        callers: Sequence[type[Caller | StatementCaller]] = CALLERS,
+    ) -> None:
+        """Create the parts; files are kept in `folder`, each proxy has `callers`."""
         self.record = Record()
         self.checker = Checker(self.record)
         self.group = SoakGroup(random.Random(rng.random()), self.record, self.checker)
@@ -63,6 +73,7 @@
         }
         self.proxies = Proxies(hosts, folder, self.record)
         self._rng = rng
+        self._callers = callers
         self._stack = stack
         self._folder = folder
         self._database_count = 0
@@ -84,10 +95,10 @@
             await self.servers.start(database)
         self.group.spawn(self.group.run())
         await self.proxies.start(self._stack, address)
-        for number in range(CALLERS_PER_PROXY * len(self.proxies.all)):
-            proxy = self.proxies.all[number // CALLERS_PER_PROXY]
+        pairs = itertools.product(self.proxies.all, self._callers)
+        for number, (proxy, kind) in enumerate(pairs):
             caller_rng = random.Random(self._rng.random())
-            caller = Caller(number, proxy, self.checker, caller_rng)
+            caller = kind(number, proxy, self.checker, caller_rng)
             self.group.spawn(caller.run())
         await self.wait_for_writes()
 
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -20,12 +20,13 @@
 DISRUPTED_SECONDS = 12.0
 
 
-def _seeds(text: str) -> range:
+def seeds_of(text: str) -> range:
+    """Return the seeds that an environment variable names."""
     first, _, end = text.rpartition("-")
     return range(int(first or 0), int(end))
 
 
-SEEDS = _seeds(os.environ.get("PROCESS_SOAK_SEEDS", "1-3"))
+SEEDS = seeds_of(os.environ.get("PROCESS_SOAK_SEEDS", "1-3"))
 
 
 async def _play(seed: int, folder: Path) -> Findings:
