Let the soak's databases refuse statements as busy, and cut off batches

Outside of calm times each connection refuses one statement of 40 without running it, also begins, commits and first statements of transactions. Hostile callers end their sessions behind statements in progress and inside transactions.

--- a/tests/soak_connections.py
+++ b/tests/soak_connections.py
@@ -20,6 +20,8 @@
 
 WORK_SECONDS = 0.002
 MAX_CONNECTIONS = 40
+# Outside of calm times, a connection refuses one statement of this many as busy.
+STATEMENTS_PER_REFUSAL = 40
 LINE_END = b"\r\n"
 COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
 STATE_WORDS = ("SET", "PREPARE", "DEALLOCATE", "RESET")
@@ -101,6 +103,7 @@
         self._is_plain = False
         self._has_written = False
         self._signatures = 0
+        self._received = 0
         self._serial = next(_serials)
         self._transactions = 0
         self._held = SessionState()
@@ -176,6 +179,10 @@
 
     async def _run(self, query: Query) -> list[str]:
         await asyncio.sleep(WORK_SECONDS)
+        self._received += 1
+        is_calm = self._group.statements.is_calm
+        if not is_calm and self._received % STATEMENTS_PER_REFUSAL == 0:
+            return ["ERROR BUSY no slot is free"]
         is_replica = not self._database.is_primary
         if query.word == "BEGIN":
             return self._begin(is_plain=not query.fields)
--- a/tests/soak_hostile_callers.py
+++ b/tests/soak_hostile_callers.py
@@ -78,6 +78,9 @@
         await self._open.answer()
 
     async def _send_raw(self) -> None:
+        """Send no statement, also behind others and in a transaction."""
+        for text in self._rng.choice(((), ("BEGIN",), ("BEGIN", "READ item"))):
+            self._send(text)
         await self._hang_up_after(self._rng.choice(RAW))
 
     async def _hang_up_after(self, data: bytes) -> None:
