Take no odd status row or error for an answer

A status row whose role is neither primary nor replica was read as one of a replica, and an error without a code as a statement that has run and failed. Both answers are malformed now, and nothing is concluded from them.

The cases in test_wire_replies fail on the code before (run).

--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -376,7 +376,7 @@
     """
     fields = rows[0].split(" ") if rows else []
     match fields:
-        case [role, term, received, fenced_term, _, _, _, *_]:
+        case ["primary" | "replica" as role, term, received, fenced_term, _, _, _, *_]:
             position = decode_position(received) or NO_POSITION
             try:
                 return DatabaseStatus(
@@ -387,7 +387,7 @@
                 )
             except ValueError as error:
                 raise WireError(f"malformed status row: {rows[0][:80]!r}") from error
-    raise WireError(f"status row lacks fields: {shorten(repr(rows[:1]))}")
+    raise WireError(f"malformed status row: {shorten(repr(rows[:1]))}")
 
 
 class ReplyDecoder:
@@ -417,7 +417,7 @@
                 self._rows.append(rest)
             case "COMPLETE" if rest and not self._has_result:
                 self._signature = rest
-            case "ERROR" if not self._has_result:
+            case "ERROR" if rest.partition(" ")[0] and not self._has_result:
                 code, _, text = rest.partition(" ")
                 self._text = _printable(text)
                 self._code = _WORD_TO_CODE.get(code, Code.FAILED)
--- a/tests/test_wire_replies.py
+++ b/tests/test_wire_replies.py
@@ -79,10 +79,22 @@
     (b"COMPLETE s", "READY I 1.\u0665".encode()),
     (b"COMPLETE s", b"READY I \xff"),
     (b"complete s", READY),
+    (b"ERROR", READY),
+    (b"ERROR ", READY),
+    (b"ERROR  full", READY),
     (b"", READY),
 )
 
 
+class StatusTest(unittest.TestCase):
+    """A status row that is not of the page's form tells nothing."""
+
+    def test_database_of_an_unknown_role_is_not_taken_for_a_replica(self) -> None:
+        for role in ("king", "", "Primary", "primary\0", "primary\xa0"):
+            with self.subTest(role), self.assertRaises(wire.WireError):
+                wire.decode_status((f"{role} 3 3.1209 0 12 2 17",))
+
+
 class MalformedTest(unittest.IsolatedAsyncioTestCase):
     """A malformed reply is nobody's success; the connection is not used again."""
 
