--- a/tests/page_reader.py
+++ b/tests/page_reader.py
@@ -116,3 +116,73 @@
     if word == "PREPARE" and fields[1] not in ("READ", "WRITE"):
         raise UnreadableError(f"no kind of statement: {text[:80]!r}")
     return word, fields
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A reply to a `QUERY`; `code` or `signature` is empty."""
+
+    rows: tuple[str, ...]
+    signature: str
+    code: str
+    text: str
+    state: str
+    position: str
+
+
+def read_reply(data: bytes) -> Answer:
+    """Read the lines of one reply, or raise `UnreadableError`."""
+    lines, rest = split_lines(data)
+    texts = [line.decode(errors="surrogateescape") for line in lines]
+    if rest or len(texts) < 2:
+        raise UnreadableError(f"incomplete reply: {data[:80]!r}")
+    *rows, result, ready = texts
+    if not all(row.split(" ")[0] == "DATAROW" for row in rows):
+        raise UnreadableError(f"no row: {data[:80]!r}")
+    word, _, fields = result.partition(" ")
+    if word not in ("COMPLETE", "ERROR") or not fields:
+        raise UnreadableError(f"no result: {result[:80]!r}")
+    is_error = word == "ERROR"
+    code, _, text = fields.partition(" ") if is_error else ("", "", "")
+    if is_error and not code:
+        raise UnreadableError(f"no code: {result[:80]!r}")
+    match ready.split(" ", 2):
+        case ["READY", "I" | "T" | "E" as state, position]:
+            read_position(position)
+        case _:
+            raise UnreadableError(f"no state: {ready[:80]!r}")
+    found = tuple(row.partition(" ")[2] for row in rows)
+    return Answer(found, "" if is_error else fields, code, text, state, position)
+
+
+def read_position(text: str) -> tuple[int, int] | None:
+    """Read TERM.NUMBER, or return None for `-`; else raise `UnreadableError`."""
+    if text == "-":
+        return None
+    match text.split("."):
+        case [term, number]:
+            return read_number(term), read_number(number)
+    raise UnreadableError(f"no position: {text[:80]!r}")
+
+
+def read_number(text: str) -> int:
+    """Read a number of ASCII digits that fits in 62 bits and a bit."""
+    if not text or len(text) > 19 or any(each not in "0123456789" for each in text):
+        raise UnreadableError(f"no number: {text[:80]!r}")
+    if int(text) > 1 << 62:
+        raise UnreadableError(f"too large a number: {text}")
+    return int(text)
+
+
+def read_status(row: str) -> tuple[bool, int, tuple[int, int], int]:
+    """Read role, term, position received and term held of a `STATUS` row.
+
+    Other fields are not looked at, and further ones may follow.
+    """
+    fields = row.split(" ")
+    if len(fields) < 7 or fields[0] not in ("primary", "replica"):
+        raise UnreadableError(f"no status: {row[:80]!r}")
+    role, term, received, held = fields[:4]
+    position = read_position(received) or (0, 0)
+    held_term = 0 if held == "-" else read_number(held)
+    return role == "primary", read_number(term), position, held_term
