Keep a trace of what a soak's databases received, and test outages apart

A finding that shows once could not be traced: the lines of the connections that findings name are now kept with the state that each met, and a loss of a caller is told with how late the soak's event loop was.

--- a/tests/soak_caller_connection.py
+++ b/tests/soak_caller_connection.py
@@ -60,6 +60,8 @@
 
     def send(self, identifier: str, text: str) -> Sent:
         """Send a statement without waiting for its answer."""
+        if self._writer.is_closing():
+            raise CallerEndedError("closed by the proxy")
         sent = self._session.send(identifier, text)
         self._unanswered.append(sent)
         self._writer.write(f"QUERY {identifier} {text}\r\n".encode())
--- a/tests/soak_connections.py
+++ b/tests/soak_connections.py
@@ -157,6 +157,7 @@
             query = read_query(line)
         except UnreadableError as error:
             return [f"ERROR MALFORMED {error}"]
+        self._group.statements.record_line(self._serial, self._state, query)
         if query.word in COMMANDS:
             return self._command(query)
         if query.since and not self._has_applied(query.since):
--- a/tests/soak_databases.py
+++ b/tests/soak_databases.py
@@ -71,7 +71,10 @@
     async def run(self) -> None:
         """Replicate, send heartbeats and let entries lapse, for ever."""
         while True:
+            began = time.monotonic()
             await asyncio.sleep(REPLICATION_SECONDS)
+            late = time.monotonic() - began - REPLICATION_SECONDS
+            self.statements.record_delay(late)
             for database in self.databases:
                 self._exchange(database)
                 self._send_heartbeat(database)
--- a/tests/soak_statement_checker.py
+++ b/tests/soak_statement_checker.py
@@ -9,9 +9,11 @@
 on how those before it were answered.
 """
 
-from collections import Counter, defaultdict
+import time
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from tests.page_reader import (
     Prepared,
@@ -23,6 +25,11 @@
 
 # The identifier of statements that the system issues itself.
 SYSTEM = "-"
+# A delay of the soak's event loop from which on a caller's loss is told with it, and
+# for how long. Proxies take a database that answers nothing for 0.25 s as silent.
+NOTED_DELAY_SECONDS = 0.05
+DELAY_MEMORY_SECONDS = 1.5
+MAX_DELAYS = 100
 RUNNING_WORDS = frozenset({"READ", "WRITE", "EXECUTE", "COMMIT"})
 
 
@@ -89,12 +96,17 @@
         self.find = find
         # Whether a caller who keeps to the rules may lose nothing at present.
         self.is_calm = False
+        # When the soak itself was late, and by how much.
+        self._delays: deque[tuple[float, float]] = deque(maxlen=MAX_DELAYS)
         # How many statements of each word ran, and how answers ended.
         self.ran_words: Counter[str] = Counter()
         self.answers: Counter[str] = Counter()
+        # What each connection of a database received, with the state before it.
+        self.lines: defaultdict[int, list[str]] = defaultdict(list)
         self._sessions: list[SentSession] = []
         self._ran: defaultdict[str, list[Ran]] = defaultdict(list)
         self._transactions: dict[tuple[int, int], tuple[int, int]] = {}
+        self._suspects: set[int] = set()
         self._places: dict[tuple[int, int], tuple[int, int]] = {}
 
     def open_session(self, caller: str) -> SentSession:
@@ -114,8 +126,32 @@
 
     def record_loss(self, caller: str, what: str) -> None:
         """Record that a caller who keeps to the rules was refused or cut off."""
-        if self.is_calm:
-            self.find(f"HURT {caller}: {what}")
+        if not self.is_calm:
+            return
+        since = time.monotonic() - DELAY_MEMORY_SECONDS
+        delay = max((late for at, late in self._delays if at > since), default=0.0)
+        self.find(f"HURT {caller}: {what} (soak late by {delay:.2f} s)")
+
+    def record_delay(self, seconds: float) -> None:
+        """Record that the soak's event loop was late."""
+        if seconds > NOTED_DELAY_SECONDS:
+            self._delays.append((time.monotonic(), seconds))
+
+    def record_line(self, connection: int, state: str, query: Query) -> None:
+        """Record what a connection of a database received, and in which state."""
+        text = f"{state} {query.identifier!r} {query.text[:60]!r}"
+        self.lines[connection].append(f"{time.time():.3f} {text}")
+
+    def write_lines(self, path: Path) -> None:
+        """Write what was received on the connections that findings name."""
+        path.write_text(
+            "\n".join(
+                f"{number} {line}"
+                for number in sorted(self._suspects)
+                for line in self.lines[number]
+            ),
+            "utf-8",
+        )
 
     def finish(self) -> None:
         """Check all that was recorded."""
@@ -130,6 +166,10 @@
             for ran in each:
                 self.find(f"UNASKED nobody sent {ran.identifier!r} {ran.text[:80]!r}")
 
+    def suspect(self, connection: int) -> None:
+        """Note that a statement has broken a rule on a connection."""
+        self._suspects.add(connection)
+
     def is_in_its_place(self, transaction: tuple[int, int], ran: Ran) -> bool:
         """Return True if a transaction's statement ran where the others of it did."""
         place = (ran.connection, ran.transaction)
@@ -155,6 +195,7 @@
         for ran in runs:
             broken = self._broken_rule(sent, query, ran)
             if broken:
+                self._checker.suspect(ran.connection)
                 self._find(broken, sent, f"ran {ran}"[:600])
         self._check_answer(sent, query, runs)
         self._follow(sent, query)
--- a/tests/test_statement_soak.py
+++ b/tests/test_statement_soak.py
@@ -15,9 +15,10 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import ClassVar
 
 from tests.soak_callers import Caller
-from tests.soak_checker import Checker
+from tests.soak_checker import Checker, Findings
 from tests.soak_deployment import Deployment
 from tests.soak_disruptions import Disruptions
 from tests.soak_hostile_callers import HostileCaller
@@ -53,15 +54,23 @@
 
 
 class StatementSoakTest(unittest.IsolatedAsyncioTestCase):
-    """Databases run what callers sent, and as those prepared and set it."""
+    """Databases run what callers sent, and as those prepared and set it.
 
-    async def test_statements_run_as_they_were_sent_prepared_and_set(self) -> None:
-        broken = {}
+    Each seed is played once, for all tests.
+    """
+
+    _played: ClassVar[dict[int, Findings]] = {}
+    _folders: ClassVar[dict[int, Path]] = {}
+
+    async def _play_all(self) -> dict[int, Findings]:
         for seed in SEEDS:
+            if seed in self._played:
+                continue
             folder = Path(tempfile.mkdtemp(prefix=f"statement-soak-{seed}-"))
             checker = await _play(seed, folder)
+            self._played[seed] = checker.findings
             found = checker.findings.texts()
-            rules = Counter(text.partition(" ")[0] for text in found)
+            rules = Counter(text.split()[0].strip(":") for text in found)
             statements = checker.statements
             print(
                 f"seed {seed}: ran {dict(statements.ran_words)},"
@@ -69,8 +78,24 @@
                 flush=True,
             )
             if found:
-                broken[seed] = (str(folder), found[:10])
+                self._folders[seed] = folder
+                statements.write_lines(folder / "lines.txt")
                 (folder / "findings.txt").write_text("\n".join(found), "utf-8")
             else:
                 shutil.rmtree(folder)
-        self.assertEqual(broken, {})
+        return self._played
+
+    async def test_statements_run_as_they_were_sent_prepared_and_set(self) -> None:
+        played = await self._play_all()
+        broken = {
+            seed: [each for each in found.texts() if each not in found.outages()][:10]
+            for seed, found in played.items()
+        }
+        shown = {seed: found for seed, found in broken.items() if found}
+        self.assertEqual(shown, {}, self._folders)
+
+    async def test_each_proxy_serves_writes_at_the_end(self) -> None:
+        played = await self._play_all()
+        outages = {seed: found.outages() for seed, found in played.items()}
+        shown = {seed: found for seed, found in outages.items() if found}
+        self.assertEqual(shown, {}, self._folders)
