--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -10,7 +10,16 @@
 from beryltiller.sessions.databases.catalog import Directory, RouteKind
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.receipt_queries import MAX_WAIT_SECONDS
-from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Read, Write
+from beryltiller.sessions.statements import (
+    AskStatus,
+    Begin,
+    Code,
+    Commit,
+    DatabaseStatus,
+    Read,
+    SessionState,
+    Write,
+)
 from tests.fake_announcements import FakeAnnouncementFeed
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
@@ -151,6 +160,21 @@
 
         run_with_fixture(work)
 
+    def test_transaction_has_ended_behind_a_commit_that_is_not_reported(self) -> None:
+        """Guards against later statements that run outside of a transaction."""
+
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.followers = ()
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"))
+            reply = await fixture.run(session, Commit())
+            self.assertIs(reply.code, Code.UNKNOWN_OUTCOME)
+            self.assertIs(reply.state, SessionState.IDLE)
+            self.assertIs(session.state, SessionState.IDLE)
+
+        run_with_fixture(work)
+
     def test_commit_is_reported_once_the_second_replica_shows_it(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.leader.followers = (fixture.far,)
