Show by a failing test that endless transactions take a database from others

A caller may hold a connection with a transaction of any number of statements, which are sent before all others.

Class: state that sessions share, here connections and places in a queue, that one can fill for others. A limit needs a decision: how long a transaction may take, or what part of the connections transactions may hold together.

--- a/tests/test_session_capacity.py
+++ b/tests/test_session_capacity.py
@@ -10,6 +10,7 @@
     Code,
     Commit,
     Read,
+    Rollback,
     Write,
 )
 from tests.fake_group import GroupFixture, call_after
@@ -102,6 +103,36 @@
         run_with_fixture(work)
 
 
+class EndlessTransactionTest(unittest.TestCase):
+    """Callers whose transactions never end leave a part of a database to others."""
+
+    def test_single_writes_are_served_beside_transactions_that_never_end(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            endless = [asyncio.create_task(self._write(fixture)) for _ in range(8)]
+            await asyncio.sleep(1.0)
+            served = 0
+            for _ in range(30):
+                reply = await fixture.run(fixture.session(), Write("i", "d"))
+                served += reply.is_success
+                await asyncio.sleep(0.1)
+            for each in endless:
+                each.cancel()
+            self.assertGreaterEqual(served, 15)
+
+        run_with_fixture(work)
+
+    async def _write(self, fixture: GroupFixture) -> None:
+        """Write in one transaction without end, and begin another if it fails."""
+        session = fixture.session()
+        await fixture.run(session, Begin())
+        while True:
+            reply = await fixture.run(session, Write("i", "d"))
+            if not reply.is_success:
+                await fixture.run(session, Rollback())
+                await fixture.run(session, Begin())
+                await asyncio.sleep(0.01)
+
+
 class ConnectionSupplyTest(unittest.TestCase):
     """Reads prefer databases to which a connection is available."""
 
