Answer an unconfirmed commit with an ended transaction

If a commit that a database had carried out could not be confirmed, as when no replica was seen to have received it or the primary was being changed, its caller was told that the transaction is still open. A ROLLBACK behind it was refused, again with an open transaction, and the next read or write, which its caller takes for one of a transaction, ran outside of any and took effect at once (PINNED).

The transaction was gone, but the session's state was that of before the commit, and the refusal passed it on. The state is set as soon as the database has answered the commit.

--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/transactions.py
@@ -302,6 +302,7 @@
                 code = Code.ABORTED
             return session.refuse(code, error.reason)
         session.transaction = None
+        session.state = SessionState.IDLE
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
         # At a refused commit, the transaction ends with its connection.
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -6,7 +6,9 @@
 from dataclasses import replace
 from unittest import mock
 
+from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
+from beryltiller.sessions.errors import BrokenError
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -186,6 +188,24 @@
 
         run_with_fixture(work)
 
+    def test_statement_behind_an_unconfirmed_commit_is_not_taken_for_part_of_it(
+        self,
+    ) -> None:
+        """Guards against a session whose transaction seems open for ever."""
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            await fixture.run(session, Begin())
+            await fixture.run(session, Write("i", "d"))
+            error = BrokenError("no replica has received the commit")
+            with mock.patch.object(CommitReports, "confirm", side_effect=error):
+                reply = await fixture.run(session, Commit())
+            self.assertEqual((reply.code, reply.state), (Code.UNKNOWN_OUTCOME, IDLE))
+            reply = await fixture.run(session, Begin())
+            self.assertEqual((reply.code, reply.state), (None, OPEN))
+
+        run_with_fixture(work)
+
     def test_write_in_a_transaction_that_reads_is_refused(self) -> None:
         """Guards against a caller who makes a primary count as none for all others."""
 
