Limit the size of a database's reply that is kept in memory

A reply was kept until its end, whatever the number of its rows; a statement with many rows, or a database that never ends one, could fill the proxy.

A reply of over 16 MiB, with 64 bytes counted for each line, closes its connection with ReplyTooLargeError. The caller's statement fails (FAILED, which promises nothing): it has run, and neither is it sent to the other databases, whose connections it would break too, nor does it count against the database.

The server of these tests sets its end also if its peer resets the connection, as the tests waited for it in vain.

--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -15,6 +15,7 @@
     NotRunningError,
     NotSentError,
     ReplacedError,
+    ReplyTooLargeError,
 )
 from beryltiller.sessions.statements import (
     Begin,
@@ -28,6 +29,10 @@
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.6
+# A longer reply, which may hold many rows, ends the connection.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+# What a line of a reply takes in memory beside its text.
+LINE_OVERHEAD_BYTES = 64
 # If the peer's host becomes unreachable, the kernel ends the connection after data has
 # been unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 900
@@ -67,6 +72,7 @@
         self._pending: deque[_Batch] = deque()
         self._has_sent = False
         self._is_started = False
+        self._reply_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -83,13 +89,13 @@
         try:
             for line in self._splitter.feed(data):
                 self._check_awaited()
-                reply = self._decoder.feed(line)
-                if reply is not None:
-                    self._record_reply(reply)
+                self._receive_line(line)
             if self._splitter.incomplete_bytes:
                 self._check_awaited()
         except wire.WireError as error:
-            self._break(str(error))
+            self._break(BrokenError(str(error)))
+        except ReplyTooLargeError as error:
+            self._break(error)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the batches that still wait for replies.
@@ -174,9 +180,21 @@
         if self._has_sent and not self._pending:
             raise wire.WireError("the database sent data without a request")
 
+    def _receive_line(self, line: bytes) -> None:
+        self._reply_bytes += len(line) + LINE_OVERHEAD_BYTES
+        if self._reply_bytes > MAX_REPLY_BYTES:
+            raise ReplyTooLargeError(
+                f"the reply is longer than {MAX_REPLY_BYTES} bytes"
+            )
+        reply = self._decoder.feed(line)
+        if reply is not None:
+            self._reply_bytes = 0
+            self._record_reply(reply)
+
     def _record_reply(self, reply: Reply) -> None:
         if not self._pending:
-            self._break("the database sent a reply without a request")
+            reason = "the database sent a reply without a request"
+            self._break(BrokenError(reason))
             return
         batch = self._pending[0]
         batch.replies.append(reply)
@@ -186,9 +204,9 @@
         if not batch.future.done():
             batch.future.set_result(batch.replies)
 
-    def _break(self, reason: str) -> None:
-        """Close the connection after a violation of the protocol."""
-        self._fail(BrokenError(reason))
+    def _break(self, error: BrokenError) -> None:
+        """Close the connection after a violation of the protocol or of a limit."""
+        self._fail(error)
         self.close()
 
     def _fail(self, error: Exception) -> None:
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -40,6 +40,10 @@
         super().__init__(Code.UNKNOWN_OUTCOME, reason)
 
 
+class ReplyTooLargeError(BrokenError):
+    """A reply that is longer than the proxy keeps in memory; the statement has run."""
+
+
 class SetUpRefusedError(NotSentError):
     """A database's refusal of a statement that sets up a session's state.
 
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -20,6 +20,7 @@
     BrokenError,
     NoCapacityError,
     NotSentError,
+    ReplyTooLargeError,
     SessionError,
     SetUpRefusedError,
     TransactionEndedError,
@@ -199,7 +200,8 @@
         """Run a statement on the connection and record what the reply says.
 
         Raise `BrokenError` if the connection breaks or no reply arrives by the
-        deadline; the connection is closed then.
+        deadline, and `SessionError` as for a failed statement if the reply is too
+        large; the connection is closed then.
         """
         member = acquired.placement.member
         asked_at = acquired.asked_at = self._clock()
@@ -219,6 +221,10 @@
             raise BrokenError(
                 "the database did not reply before the deadline"
             ) from error
+        except ReplyTooLargeError as error:
+            # The same statement would break a connection to each other database too.
+            acquired.pool.discard(acquired.connection)
+            raise SessionError(Code.FAILED, error.reason) from error
         except BrokenError:
             acquired.pool.discard(acquired.connection)
             self._record_lost_answer(acquired.placement, asked_at)
--- a/tests/test_platform_databases.py
+++ b/tests/test_platform_databases.py
@@ -5,13 +5,19 @@
 import unittest
 from contextlib import AsyncExitStack
 
-from beryltiller.platform.databases import LineConnection, connect
+from beryltiller.platform.databases import (
+    LINE_OVERHEAD_BYTES,
+    MAX_REPLY_BYTES,
+    LineConnection,
+    connect,
+)
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import (
     BrokenError,
     NotRunningError,
     NotSentError,
     ReplacedError,
+    ReplyTooLargeError,
 )
 from beryltiller.sessions.statements import (
     AskStatus,
@@ -44,6 +50,18 @@
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._serve(reader, writer)
+        except ConnectionResetError:
+            # The peer has closed the connection before it had read all.
+            pass
+        finally:
+            writer.close()
+            self.closed.set()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while data := await reader.readline():
             line = data.decode().rstrip()
@@ -56,7 +74,6 @@
                 break
         writer.close()
         await writer.wait_closed()
-        self.closed.set()
 
     def answer(self, line: str) -> bytes | None:
         for part, answer in self.script.items():
@@ -164,6 +181,20 @@
                 _, connection = await self.connect({"STARTUP": READY + extra})
                 self.assertFalse(connection.is_open)
 
+    async def test_endless_reply_closes_the_connection(self) -> None:
+        rows = b"DATAROW x\r\n" * (MAX_REPLY_BYTES // LINE_OVERHEAD_BYTES)
+        _, connection = await self.connect({"STARTUP": READY, "READ": rows})
+        with self.assertRaises(ReplyTooLargeError):
+            await connection.send_requests((Request(Read("a"), "q1"),))
+        self.assertFalse(connection.is_open)
+
+    async def test_replies_of_any_number_are_limited_one_by_one(self) -> None:
+        reply = b"DATAROW " + b"x" * 1_000_000 + b"\r\nCOMPLETE x\r\n" + READY
+        _, connection = await self.connect({"STARTUP": READY, "READ": reply})
+        for _ in range(2 * MAX_REPLY_BYTES // len(reply)):
+            (found,) = await connection.send_requests((Request(Read("a"), "q1"),))
+            self.assertTrue(found.is_success)
+
     async def test_status_is_decoded(self) -> None:
         row = b"DATAROW replica 3 3.1209 4 12 2 17\r\nCOMPLETE -\r\n"
         _, connection = await self.connect({"STARTUP": READY, "STATUS": row + READY})
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
+from beryltiller.sessions.errors import ReplyTooLargeError
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -100,6 +101,24 @@
 
         run_with_fixture(work)
 
+    def test_too_large_reply_fails_the_statement_and_no_database(self) -> None:
+        """Guards against a read that breaks a connection to each database in turn."""
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            error = ReplyTooLargeError("too large")
+            await fixture.run(session, Write("i", "d"))
+            with mock.patch.object(FakeConnection, "_run", side_effect=error):
+                for statement in (Read("i"), Write("i", "d")):
+                    reply = await fixture.run(session, statement)
+                    self.assertEqual((reply.code, reply.state), (Code.FAILED, IDLE))
+                closed = [each.closed for each in fixture.databases.values()]
+                self.assertLessEqual(sum(closed), 2)
+            reply = await fixture.run(session, Write("i", "d"))
+            self.assertTrue(reply.is_success)
+
+        run_with_fixture(work)
+
     def test_read_sees_the_sessions_own_commit(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.leader.zone = "b"
