Keep a connection whose database refuses a session's value or shape

A database that refuses to set a value or to prepare a shape had its connection closed, and a read went on to the next database.

Outside of a transaction, the connection is kept now and reset before its next use with a session's state; the statement behind the refused set-up still does not run. It is closed as before in a transaction, if a reset or a deallocation is refused, or if the database says that it is not idle.

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -112,9 +112,10 @@
         """Run a statement with the session's values and prepared statements.
 
         If the connection lacks any of these, they are set up first. If the database
-        refuses that, the connection is closed, and `SetUpRefusedError` raised: the
-        statement has not run. Nor has it if the database has lost a prepared statement,
-        for which `StatementLostError` is raised.
+        refuses that, `SetUpRefusedError` is raised: the statement has not run. The
+        connection is closed then unless it is idle and a reset makes it usable. Nor has
+        the statement run if the database has lost a prepared statement, for which
+        `StatementLostError` is raised.
         """
         before = (len(self._values or ()), len(self._names))
         setup = self._setup_requests(values)
@@ -200,7 +201,7 @@
             return reply
         if isinstance(request.statement, Begin):
             *replies, reply = await self._connection.send_requests((*setup, request))
-            self._check_setup(setup, replies, before)
+            self._check_setup(setup, replies, before, is_begin=True)
             return reply
         replies = await self._connection.send_requests(setup)
         self._check_setup(setup, replies, before)
@@ -208,14 +209,31 @@
         return reply
 
     def _check_setup(
-        self, setup: list[Request], replies: list[Reply], before: tuple[int, int]
+        self,
+        setup: list[Request],
+        replies: list[Reply],
+        before: tuple[int, int],
+        is_begin: bool = False,
     ) -> None:
         for sent, reply in zip(setup, replies, strict=True):
             if reply.code is not None:
-                self._connection.close()
+                self._keep_or_close(sent.statement, replies, is_begin)
                 kind = type(sent.statement).__name__
                 raise SetUpRefusedError(kind, reply.code, *before)
 
+    def _keep_or_close(
+        self, refused: Statement, replies: list[Reply], is_begin: bool
+    ) -> None:
+        """Keep a connection that a reset makes usable, or close it.
+
+        One caller could otherwise end the connections that all share, with each
+        statement.
+        """
+        is_idle = all(reply.state is SessionState.IDLE for reply in replies)
+        if is_begin or not is_idle or not isinstance(refused, SetValue | Prepare):
+            self._connection.close()
+        self._forget()
+
     def _setup_requests(self, values: Mapping[str, str]) -> list[Request]:
         setup: list[Request] = []
         if self._values is None or self._values.keys() - values.keys():
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -230,7 +230,10 @@
             self._record_lost_answer(acquired.placement, asked_at)
             raise
         except SetUpRefusedError as error:
-            acquired.pool.discard(acquired.connection)
+            if session.transaction is None:
+                acquired.pool.release(acquired.connection)
+            else:
+                acquired.pool.discard(acquired.connection)
             _log_refused_set_up(member, error)
             raise
         except BaseException:
--- a/tests/page_group.py
+++ b/tests/page_group.py
@@ -55,10 +55,12 @@
 class Trouble:
     """Faults to come: words of statements, each with a code or kind of fault.
 
-    Each is used up by the next statement with the word, at any database.
+    Each is used up by the next statement with the word, at any database. Values and
+    shapes that are among `refused_texts` are refused each time.
     """
 
     next_faults: dict[str, str] = field(default_factory=dict)
+    refused_texts: set[str] = field(default_factory=set)
 
     def take(self, word: str, kinds: Sequence[str] = ()) -> str:
         """Return and use up the fault of a word, or return empty text.
@@ -110,6 +112,8 @@
             raise BrokenError(str(error)) from error
 
     def _refusal(self, query: Query) -> str:
+        if query.fields and query.fields[-1] in self._trouble.refused_texts:
+            return "FAILED"
         return self._trouble.take(query.word, REFUSALS)
 
     def _answer(self, query: Query) -> str:
@@ -190,7 +194,7 @@
     def __init__(self) -> None:
         self.record = Record()
         self.trouble = Trouble()
-        self._opened = 0
+        self.opened = 0
         super().__init__()
         for each in self.databases.values():
             # The position that `PageDatabase` answers with.
@@ -201,6 +205,6 @@
         fake = self._find(database)
         if self.trouble.take("STARTUP"):
             raise NotSentError(Code.CONNECTION_LIMIT, "refused")
-        self._opened += 1
-        page = SharedDatabase(self._opened, self.record, self.trouble)
+        self.opened += 1
+        page = SharedDatabase(self.opened, self.record, self.trouble)
         return SharedConnection(fake, page, self.trouble)
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -25,6 +25,7 @@
     Deallocate,
     Execute,
     Prepare,
+    Read,
     Rollback,
     SetValue,
     Write,
@@ -258,6 +259,39 @@
         return kept
 
 
+class RefusedSetUpTest(unittest.TestCase):
+    """A caller whose state a database refuses ends no connection that others use."""
+
+    def test_refused_value_or_shape_leaves_connections_open(self) -> None:
+        cases: dict[str, tuple[CallerStatement, CallerStatement]] = {
+            "SET": (SetValue("v", "bad"), Read("i")),
+            "PREPARE": (Prepare("s1", False, "bad"), Execute("s1", "i")),
+        }
+        for word, statements in cases.items():
+            with self.subTest(word):
+                opened, ran = run_virtual(self._refuse(statements))
+                self.assertLessEqual(opened, 3)
+                self.assertEqual(ran, [("tame", (("v", "1"),))] * 20)
+
+    async def _refuse(
+        self, statements: tuple[CallerStatement, CallerStatement]
+    ) -> tuple[int, list[tuple[str, tuple[tuple[str, str], ...]]]]:
+        """Return how many connections were opened, and what ran."""
+        group = PageGroup()
+        group.trouble.refused_texts.add("bad")
+        tame, other = group.session(), group.session()
+        await group.run(tame, SetValue("v", "1"))
+        for _ in range(20):
+            reply = await group.run(tame, Write("i", "d"), "tame")
+            self.assertTrue(reply.is_success)
+            for statement in statements:
+                reply = await group.run(other, statement, "other")
+            self.assertIs(reply.code, Code.ABORTED)
+        group.fleet.close()
+        ran = [(each.ran.identifier, each.ran.values) for each in group.record.ran]
+        return group.opened, ran
+
+
 class ConnectionEndTest(unittest.TestCase):
     """A caller's connection that breaks gives the session's memory back."""
 
