Check promises in the model of whole sessions

A refusal that promises that nothing is kept must be true: no write of it ran outside of a transaction, and no commit of it ended a transaction that had written (REFUSED).

--- a/tests/test_session_model.py
+++ b/tests/test_session_model.py
@@ -197,11 +197,27 @@
         if len(mine.ran_in) > 1 or owners.setdefault(there, mine) is not mine:
             self.problems.append(f"PINNED {here}: in another transaction")
 
+    def _check_promise(
+        self, identifier: str, reply: Reply, runs: list[RanHere]
+    ) -> None:
+        is_promise = reply.code is not None and reply.code.promises_no_effect
+        ended = [
+            each.transaction
+            for each in self.group.record.committed
+            if each.identifier == identifier
+        ]
+        writes = [each for each in self.group.record.ran if each.ran.is_write]
+        has_kept = any(each.transaction is None for each in runs if each in writes)
+        has_kept |= any(each.transaction in ended for each in writes)
+        if is_promise and has_kept:
+            self.problems.append(f"REFUSED {identifier}: {reply.code}")
+
     def _check_reply(self, identifier: str, reply: Reply) -> None:
         sent = self.sent[identifier]
         runs = [r for r in self.group.record.ran if r.ran.identifier == identifier]
         if sum(r.ran.is_write for r in runs) > 1:
             self.problems.append(f"TWICE {identifier}")
+        self._check_promise(identifier, reply, runs)
         if not reply.is_success:
             return
         if isinstance(sent.statement, Read | Write | Execute):
