Promise that a statement behind a lost set-up has not run

A write whose set-up was not answered, or broke the connection, got the unknown outcome, which its caller must not repeat. It is sent only after the answer to its set-up, so it is known not to have run: it is tried elsewhere now, or refused with a promise.

--- a/src/beryltiller/sessions/connections/pooled_connection.py
+++ b/src/beryltiller/sessions/connections/pooled_connection.py
@@ -85,6 +85,7 @@
         self._values: dict[str, str] | None = {}
         self._names = PreparedNames()
         self._was_set_up_since_begin = False
+        self._is_setting_up = False
         self.opened_at = opened_at
         self.serial = serial
 
@@ -98,6 +99,14 @@
         """Return the session values set at the database, or None if unknown."""
         return self._values
 
+    @property
+    def is_setting_up(self) -> bool:
+        """Return True if a set-up was sent that is not answered.
+
+        The statement behind it is not sent then, also if the connection breaks.
+        """
+        return self._is_setting_up
+
     @property
     def shape_bytes(self) -> int:
         """Return the size in bytes of the shapes that are known to be prepared."""
@@ -203,7 +212,9 @@
             *replies, reply = await self._connection.send_requests((*setup, request))
             self._check_setup(setup, replies, before, is_begin=True)
             return reply
+        self._is_setting_up = True
         replies = await self._connection.send_requests(setup)
+        self._is_setting_up = False
         self._check_setup(setup, replies, before)
         (reply,) = await self._connection.send_requests((request,))
         return reply
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -63,6 +63,14 @@
         self.prepared = prepared
 
 
+class SetUpLostError(NotSentError):
+    """A connection that broke, or did not answer, before the caller's statement."""
+
+    def __init__(self, reason: str) -> None:
+        """Create an error that promises that the caller's statement has not run."""
+        super().__init__(Code.ABORTED, reason)
+
+
 class StatementLostError(NotSentError):
     """A database that has lost a prepared statement, which has therefore not run."""
 
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -22,6 +22,7 @@
     NotSentError,
     ReplyTooLargeError,
     SessionError,
+    SetUpLostError,
     SetUpRefusedError,
     TransactionEndedError,
 )
@@ -200,8 +201,9 @@
         """Run a statement on the connection and record what the reply says.
 
         Raise `BrokenError` if the connection breaks or no reply arrives by the
-        deadline, and `SessionError` as for a failed statement if the reply is too
-        large; the connection is closed then.
+        deadline, `SetUpLostError` if that happens before the statement is sent, and
+        `SessionError` as for a failed statement if the reply is too large. The
+        connection is closed then.
         """
         member = acquired.placement.member
         asked_at = acquired.asked_at = self._clock()
@@ -218,17 +220,16 @@
             self._record_lost_answer(acquired.placement, asked_at)
             if _is_commit_of_write(session, request):
                 member.record_unacknowledged_write(asked_at, self._clock())
-            raise BrokenError(
-                "the database did not reply before the deadline"
-            ) from error
+            reason = "the database did not reply before the deadline"
+            raise _lost_answer(acquired.connection, reason) from error
         except ReplyTooLargeError as error:
             # The same statement would break a connection to each other database too.
             acquired.pool.discard(acquired.connection)
             raise SessionError(Code.FAILED, error.reason) from error
-        except BrokenError:
+        except BrokenError as error:
             acquired.pool.discard(acquired.connection)
             self._record_lost_answer(acquired.placement, asked_at)
-            raise
+            raise _lost_answer(acquired.connection, error.reason) from error
         except SetUpRefusedError as error:
             if session.transaction is None:
                 acquired.pool.release(acquired.connection)
@@ -414,6 +415,13 @@
     return code.has_not_run and code is not Code.NO_SUCH_STATEMENT
 
 
+def _lost_answer(connection: PooledConnection, reason: str) -> SessionError:
+    """Return the error of a statement without an answer, which may have run or not."""
+    if connection.is_setting_up:
+        return SetUpLostError(reason)
+    return BrokenError(reason)
+
+
 def _log_refused_set_up(member: Member, error: SetUpRefusedError) -> None:
     database = member.database
     logs.log(
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -409,6 +409,23 @@
             fixture.leader.statement_names(), ["SetValue", "Write", "Reset", "Write"]
         )
 
+    def test_write_behind_a_set_up_without_an_answer_is_known_not_to_have_run(
+        self,
+    ) -> None:
+        for fault in ("hang", "cut"):
+            with self.subTest(fault):
+
+                async def work(fixture: GroupFixture, fault: str = fault) -> None:
+                    session = fixture.session()
+                    await fixture.run(session, SetValue("v", "1"))
+                    getattr(fixture.leader, fault).add(SetValue)
+                    reply = await fixture.run(session, Write("i", "d"))
+                    assert reply.code is not None
+                    self.assertTrue(reply.code.promises_no_effect, reply)
+
+                ran = run_with_fixture(work).leader.statement_names()
+                self.assertNotIn("Write", ran)
+
     def test_prepared_names_of_two_sessions_do_not_collide(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             for shape in ("q1", "q2"):
