Log refused set-ups at most once a second

A caller whose value or shape databases refuse made the proxy write a log line with each statement: 100 lines for 100 reads. One line a second tells as much; it says how many refusals there were since the last one. test_refused_set_ups_do_not_fill_the_log fails without the interval (run).

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -310,7 +310,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetUpRefused:
-    """A database refused to set up a session's state on a connection."""
+    """A database refused to set up a session's state; logged once a second at most."""
 
     service: str
     database: str
@@ -320,3 +320,5 @@
     # How many values and prepared statements the connection had.
     values: int
     prepared: int
+    # How many were refused since the last line, with this one.
+    refusals: int
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
-from beryltiller.observability import logs, session_events
 from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
@@ -28,6 +27,7 @@
 )
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
+from beryltiller.sessions.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -71,6 +71,7 @@
         self._clock = clock
         self._read_log = read_log
         self._commits = CommitReports(fleet, clock)
+        self._refusal_log = SetUpRefusalLog()
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -235,7 +236,7 @@
                 acquired.pool.release(acquired.connection)
             else:
                 acquired.pool.discard(acquired.connection)
-            _log_refused_set_up(member, error)
+            self._refusal_log.record(member.database, error, self._clock())
             raise
         except BaseException:
             acquired.pool.discard(acquired.connection)
@@ -422,20 +423,6 @@
     return BrokenError(reason)
 
 
-def _log_refused_set_up(member: Member, error: SetUpRefusedError) -> None:
-    database = member.database
-    logs.log(
-        session_events.SetUpRefused(
-            database.service,
-            database.identifier,
-            error.statement,
-            error.refusal,
-            error.values,
-            error.prepared,
-        )
-    )
-
-
 def _is_commit_of_write(session: Session, request: Request) -> bool:
     match request.statement:
         case Commit():
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from beryltiller.observability import logs, session_events
+from beryltiller.observability.session_events import SetUpRefused
 from beryltiller.platform.ingress import CallerConnection, Ingress
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.isolation import IsolationMonitor
@@ -273,6 +274,25 @@
                 self.assertLessEqual(opened, 3)
                 self.assertEqual(ran, [("tame", (("v", "1"),))] * 20)
 
+    def test_refused_set_ups_do_not_fill_the_log(self) -> None:
+        async def work() -> None:
+            group = PageGroup()
+            group.trouble.refused_texts.add("bad")
+            session = group.session()
+            await group.run(session, SetValue("v", "bad"))
+            with captured_events() as events:
+                began = virtual_now()
+                for _ in range(100):
+                    await group.run(session, Read("i"))
+                seconds = virtual_now() - began
+            found = [each for each in events if isinstance(each, SetUpRefused)]
+            self.assertLessEqual(len(found), 1 + seconds)
+            self.assertEqual(found[0].refusals, 1)
+            self.assertGreater(found[1].refusals, 5)
+            group.fleet.close()
+
+        run_virtual(work())
+
     async def _refuse(
         self, statements: tuple[CallerStatement, CallerStatement]
     ) -> tuple[int, list[tuple[str, tuple[tuple[str, str], ...]]]]:
