--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
-from beryltiller.observability import logs, session_events
 from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
@@ -20,12 +19,15 @@
     BrokenError,
     NoCapacityError,
     NotSentError,
+    ReplyTooLargeError,
     SessionError,
+    SetUpLostError,
     SetUpRefusedError,
     TransactionEndedError,
 )
 from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
+from beryltiller.sessions.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -69,6 +71,7 @@
         self._clock = clock
         self._read_log = read_log
         self._commits = CommitReports(fleet, clock)
+        self._refusal_log = SetUpRefusalLog()
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -199,7 +202,9 @@
         """Run a statement on the connection and record what the reply says.
 
         Raise `BrokenError` if the connection breaks or no reply arrives by the
-        deadline; the connection is closed then.
+        deadline, `SetUpLostError` if that happens before the statement is sent, and
+        `SessionError` as for a failed statement if the reply is too large. The
+        connection is closed then.
         """
         member = acquired.placement.member
         asked_at = acquired.asked_at = self._clock()
@@ -216,16 +221,22 @@
             self._record_lost_answer(acquired.placement, asked_at)
             if _is_commit_of_write(session, request):
                 member.record_unacknowledged_write(asked_at, self._clock())
-            raise BrokenError(
-                "the database did not reply before the deadline"
-            ) from error
-        except BrokenError:
+            reason = "the database did not reply before the deadline"
+            raise _lost_answer(acquired.connection, reason) from error
+        except ReplyTooLargeError as error:
+            # The same statement would break a connection to each other database too.
+            acquired.pool.discard(acquired.connection)
+            raise SessionError(Code.FAILED, error.reason) from error
+        except BrokenError as error:
             acquired.pool.discard(acquired.connection)
             self._record_lost_answer(acquired.placement, asked_at)
-            raise
+            raise _lost_answer(acquired.connection, error.reason) from error
         except SetUpRefusedError as error:
-            acquired.pool.discard(acquired.connection)
-            _log_refused_set_up(member, error)
+            if session.transaction is None:
+                acquired.pool.release(acquired.connection)
+            else:
+                acquired.pool.discard(acquired.connection)
+            self._refusal_log.record(member.database, error, self._clock())
             raise
         except BaseException:
             acquired.pool.discard(acquired.connection)
@@ -405,18 +416,11 @@
     return code.has_not_run and code is not Code.NO_SUCH_STATEMENT
 
 
-def _log_refused_set_up(member: Member, error: SetUpRefusedError) -> None:
-    database = member.database
-    logs.log(
-        session_events.SetUpRefused(
-            database.service,
-            database.identifier,
-            error.statement,
-            error.refusal,
-            error.values,
-            error.prepared,
-        )
-    )
+def _lost_answer(connection: PooledConnection, reason: str) -> SessionError:
+    """Return the error of a statement without an answer, which may have run or not."""
+    if connection.is_setting_up:
+        return SetUpLostError(reason)
+    return BrokenError(reason)
 
 
 def _is_commit_of_write(session: Session, request: Request) -> bool:
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -8,7 +8,7 @@
 
 from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
-from beryltiller.sessions.errors import BrokenError
+from beryltiller.sessions.errors import BrokenError, ReplyTooLargeError
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -102,6 +102,24 @@
 
         run_with_fixture(work)
 
+    def test_too_large_reply_fails_the_statement_and_no_database(self) -> None:
+        """Guards against a read that breaks a connection to each database in turn."""
+
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            error = ReplyTooLargeError("too large")
+            await fixture.run(session, Write("i", "d"))
+            with mock.patch.object(FakeConnection, "_run", side_effect=error):
+                for statement in (Read("i"), Write("i", "d")):
+                    reply = await fixture.run(session, statement)
+                    self.assertEqual((reply.code, reply.state), (Code.FAILED, IDLE))
+                closed = [each.closed for each in fixture.databases.values()]
+                self.assertLessEqual(sum(closed), 2)
+            reply = await fixture.run(session, Write("i", "d"))
+            self.assertTrue(reply.is_success)
+
+        run_with_fixture(work)
+
     def test_read_sees_the_sessions_own_commit(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.leader.zone = "b"
@@ -410,6 +428,23 @@
             fixture.leader.statement_names(), ["SetValue", "Write", "Reset", "Write"]
         )
 
+    def test_write_behind_a_set_up_without_an_answer_is_known_not_to_have_run(
+        self,
+    ) -> None:
+        for fault in ("hang", "cut"):
+            with self.subTest(fault):
+
+                async def work(fixture: GroupFixture, fault: str = fault) -> None:
+                    session = fixture.session()
+                    await fixture.run(session, SetValue("v", "1"))
+                    getattr(fixture.leader, fault).add(SetValue)
+                    reply = await fixture.run(session, Write("i", "d"))
+                    assert reply.code is not None
+                    self.assertTrue(reply.code.promises_no_effect, reply)
+
+                ran = run_with_fixture(work).leader.statement_names()
+                self.assertNotIn("Write", ran)
+
     def test_prepared_names_of_two_sessions_do_not_collide(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             for shape in ("q1", "q2"):
