Take no database for silent that had no time to answer

Callers lost statements to others who send many at once: for some tenths of a second one proxy refused all of them, as 'no primary is known' and 'no database can serve the read', while all databases worked.

Cause: the time of a statement begins when it arrives. The last ones of a long queue were sent with next to none left, timed out at once, and each database that was tried counted as silent, so that it was avoided; its connection was closed, too.

A statement whose time is over is refused at once and not sent, which promises that it has not run. A timeout counts against a database only if it had 0.25 s to answer, or half of the route's timeout if that is less.

--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -48,6 +48,9 @@
 # that open transactions obtain a place in the database's queue before new statements.
 TRANSACTION_RETRY_PAUSE_SECONDS = 0.01
 _RETRIED_CODES = frozenset({Code.BUSY, Code.CONNECTION_LIMIT, Code.LAGGING})
+# A database that left a statement unanswered counts as silent if it had this long, or
+# half of the route's timeout if that is less: a statement may be sent late.
+MIN_SILENCE_SECONDS = 0.25
 # No survey, which queries the log positions that the databases have received, is made
 # for a read that must see commits acknowledged less than this long ago.
 SURVEY_MIN_AGE_SECONDS = 0.1
@@ -163,8 +166,11 @@
         """Wait for this proxy's turn to send a statement to the database.
 
         Raise `NoCapacityError` after `wait` seconds. The database counts as overloaded
-        then: proxies that are few overload it without it ever refusing a statement.
+        then: proxies that are few overload it without it ever refusing a statement. If
+        no time is left to wait, the statement has come late, and is refused at once.
         """
+        if wait <= 0:
+            raise NoCapacityError(Code.BUSY, "the time of the statement is over")
         try:
             await pool.semaphore.acquire(priority, wait)
         except NoCapacityError:
@@ -218,9 +224,8 @@
             is_answered = True
         except TimeoutError as error:
             acquired.pool.discard(acquired.connection)
-            self._record_lost_answer(acquired.placement, asked_at)
-            if _is_commit_of_write(session, request):
-                member.record_unacknowledged_write(asked_at, self._clock())
+            if self._clock() >= asked_at + self._silence_seconds(session):
+                self._record_silence(session, acquired, request)
             reason = "the database did not reply before the deadline"
             raise _lost_answer(acquired.connection, reason) from error
         except ReplyTooLargeError as error:
@@ -292,6 +297,22 @@
                 return reply
             await asyncio.sleep(TRANSACTION_RETRY_PAUSE_SECONDS)
 
+    def _silence_seconds(self, session: Session) -> float:
+        """Return how long a database must be silent to count as such."""
+        transaction = session.transaction
+        route = transaction.route if transaction else self.route(session.database_name)
+        if route is None:
+            return MIN_SILENCE_SECONDS
+        return min(MIN_SILENCE_SECONDS, route.timeout_seconds / 2)
+
+    def _record_silence(
+        self, session: Session, acquired: AcquiredConnection, request: Request
+    ) -> None:
+        member, asked_at = acquired.placement.member, acquired.asked_at
+        self._record_lost_answer(acquired.placement, asked_at)
+        if _is_commit_of_write(session, request):
+            member.record_unacknowledged_write(asked_at, self._clock())
+
     def _record_lost_answer(self, placement: Placement, asked_at: float) -> None:
         """Record that a statement sent at `asked_at` ended without an answer.
 
--- a/tests/test_session_capacity.py
+++ b/tests/test_session_capacity.py
@@ -7,6 +7,7 @@
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import (
     Begin,
+    CallerStatement,
     Code,
     Commit,
     Read,
@@ -103,6 +104,49 @@
         run_with_fixture(work)
 
 
+class LateStatementTest(unittest.TestCase):
+    """A statement whose time is nearly over says nothing of the databases."""
+
+    def test_late_statements_keep_no_database_from_other_callers(self) -> None:
+        """Guards against one caller's queue that makes databases count as silent."""
+
+        async def work(fixture: GroupFixture) -> None:
+            statements: tuple[CallerStatement, ...] = (Read("i"), Write("i", "d"))
+            for statement in statements:
+                for left in (-1.0, 0.0, 0.001, 0.005):
+                    arrived = virtual_now() - 1.0 + left
+                    session = fixture.session()
+                    late = await fixture.service.answer(
+                        session, "late", statement, arrived
+                    )
+                    self.assertFalse(late.is_success)
+                    reply = await fixture.run(fixture.session(), statement)
+                    self.assertTrue(reply.is_success, (statement, left, reply.text))
+
+        run_with_fixture(work)
+
+    def test_statement_whose_time_is_over_is_not_sent(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            session = fixture.session()
+            reply = await fixture.service.answer(
+                session, "late", Write("i", "d"), virtual_now() - 1.5
+            )
+            self.assertIs(reply.code, Code.BUSY)
+            self.assertEqual(fixture.leader.statement_names(), [])
+
+        run_with_fixture(work)
+
+    def test_database_that_is_silent_for_long_is_avoided(self) -> None:
+        async def work(fixture: GroupFixture) -> None:
+            fixture.leader.hang.add(Write)
+            await fixture.run(fixture.session(), Write("i", "d"))
+            leader = fixture.fleet.group("s").leader
+            assert leader is not None
+            self.assertFalse(leader.is_available(virtual_now()))
+
+        run_with_fixture(work)
+
+
 class EndlessTransactionTest(unittest.TestCase):
     """Callers whose transactions never end leave a part of a database to others."""
 
