--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from beryltiller.core.addresses import Address
-from beryltiller.platform import wire
+from beryltiller.platform import wire, wire_replies
+from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import (
     BrokenError,
@@ -67,8 +68,8 @@
     def __init__(self) -> None:
         """Create a connection that cannot send until it has a transport."""
         self._transport: asyncio.Transport | None = None
-        self._splitter = wire.LineSplitter()
-        self._decoder = wire.ReplyDecoder()
+        self._splitter = LineSplitter()
+        self._decoder = wire_replies.ReplyDecoder()
         self._pending: deque[_Batch] = deque()
         self._has_sent = False
         self._is_started = False
@@ -143,7 +144,7 @@
         if reply.code is not None:
             raise NotSentError(reply.code, reply.text)
         try:
-            return wire.decode_status(reply.rows)
+            return wire_replies.decode_status(reply.rows)
         except wire.WireError as error:
             raise BrokenError(str(error)) from error
 
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable
 
 from beryltiller.observability import events, logs
-from beryltiller.platform import wire
+from beryltiller.platform import wire, wire_replies
 from beryltiller.platform.databases import enable_peer_timeout
+from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.platform.message_queue import MessageQueue
 from beryltiller.sessions.memory_budget import (
     DEFAULT_TOTAL_BYTES,
@@ -51,7 +52,7 @@
         """
         self._service = service
         self._ingress = ingress
-        self._splitter = wire.LineSplitter()
+        self._splitter = LineSplitter()
         self._messages = MessageQueue()
         self._received = MemoryAccount(ingress.received, MAX_RECEIVED_BYTES)
         self._is_writing_paused = False
@@ -132,7 +133,7 @@
             self._work.cancel()
         if self._session is not None:
             for reply in self._final_replies(self._session):
-                self._write(wire.encode_reply(reply))
+                self._write(wire_replies.encode_reply(reply))
         self._messages.clear()
         self.close()
 
@@ -238,7 +239,7 @@
                 self._in_progress = message
                 reply = await self._answer(self._session, message, arrived)
                 self._in_progress = None
-                self._write(wire.encode_reply(reply))
+                self._write(wire_replies.encode_reply(reply))
 
     async def _answer(
         self, session: Session, query: wire.Query, arrived: float
@@ -266,12 +267,14 @@
             return
         self._session = session
         # The reply to a startup consists of the last line only, the one with READY.
-        self._write(wire.encode_reply(session.accept()).partition(wire.LINE_END)[2])
+        self._write(
+            wire_replies.encode_reply(session.accept()).partition(wire.LINE_END)[2]
+        )
 
     def _refuse(self, code: Code, text: str) -> None:
         """Refuse a message that no session can answer, and close the connection."""
         self._messages.clear()
-        self._write(wire.encode_closing_error(code, text))
+        self._write(wire_replies.encode_closing_error(code, text))
         self.close()
 
     def _write(self, data: bytes) -> None:
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -8,27 +8,22 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from beryltiller.core.decoding import MAX_NUMBER, parse_count, shorten
+from beryltiller.core.decoding import MAX_NUMBER, parse_count
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import ANY_DATABASE
 from beryltiller.sessions.statements import (
-    NO_POSITION,
     AskStatus,
     Begin,
     CallerStatement,
-    Code,
     Commit,
-    DatabaseStatus,
     Deallocate,
     Execute,
     Fence,
     Prepare,
     Read,
-    Reply,
     Request,
     Reset,
     Rollback,
-    SessionState,
     SetValue,
     Statement,
     StepDown,
@@ -39,8 +34,6 @@
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 NO_VALUE = "-"
-# Bytes of databases that are not UTF-8 are kept as lone surrogates.
-_ANY_BYTES = "surrogateescape"
 # What the proxy adds to a statement is shorter than this.
 _MAX_ADDED_BYTES = 128
 _MAX_BYTES_PER_CHARACTER = 4
@@ -55,27 +48,6 @@
     "COMMIT": Commit(),
     "ROLLBACK": Rollback(),
 }
-_STATE_TO_WORD = {
-    SessionState.IDLE: "I",
-    SessionState.OPEN: "T",
-    SessionState.FAILED: "E",
-}
-_WORD_TO_STATE = {word: state for state, word in _STATE_TO_WORD.items()}
-_CODE_TO_WORD = {
-    Code.BUSY: "BUSY",
-    Code.ABORTED: "ABORTED",
-    Code.LAGGING: "LAGGING",
-    Code.READ_ONLY: "READONLY",
-    Code.WRONG_DATABASE: "WRONGNODE",
-    Code.CONNECTION_LIMIT: "CONNLIMIT",
-    Code.UNKNOWN_OUTCOME: "INDOUBT",
-    Code.TIMEOUT: "TIMEOUT",
-    Code.FAILED: "FAILED",
-    Code.MALFORMED: "MALFORMED",
-    Code.NO_SUCH_STATEMENT: "NOSUCHSTMT",
-    Code.NO_ROUTE: "NODATABASE",
-}
-_WORD_TO_CODE = {word: code for code, word in _CODE_TO_WORD.items()}
 
 
 class WireError(Exception):
@@ -318,40 +290,6 @@
     return data
 
 
-def encode_reply(reply: Reply) -> bytes:
-    """Return the lines of a reply to a caller.
-
-    Rows and signatures are the bytes that the database has sent.
-    """
-    lines = [f"DATAROW {row}" for row in reply.rows]
-    if reply.code is None:
-        lines.append(f"COMPLETE {reply.signature}")
-    else:
-        lines.append(f"ERROR {_CODE_TO_WORD[reply.code]} {_printable(reply.text)}")
-    position = encode_position(reply.position)
-    lines.append(f"READY {_STATE_TO_WORD[reply.state]} {position}\r\n")
-    return "\r\n".join(lines).encode(errors=_ANY_BYTES)
-
-
-def encode_closing_error(code: Code, text: str) -> bytes:
-    """Return an error line that refuses or ends a session, without a `READY` line.
-
-    The connection is to be closed after it.
-    """
-    return f"ERROR {_CODE_TO_WORD[code]} {_printable(text)}\r\n".encode()
-
-
-def _printable(text: str) -> str:
-    """Return the text of an error as a short line of printable characters.
-
-    It may quote what another program sent, and is read by people only.
-    """
-    text = shorten(text)
-    if text.isprintable():
-        return text
-    return "".join(each if each.isprintable() else ascii(each)[1:-1] for each in text)
-
-
 def encode_position(position: Position | None) -> str:
     """Return a position's text form, such as `3.1207`, or `-` for None."""
     return f"{position.term}.{position.index}" if position else NO_VALUE
@@ -366,119 +304,3 @@
         return Position(parse_count(term), parse_count(index))
     except ValueError as error:
         raise WireError(f"malformed position: {text[:40]!r}") from error
-
-
-def decode_status(rows: tuple[str, ...]) -> DatabaseStatus:
-    """Decode a database's status from its row, or raise `WireError`.
-
-    The row's fields are role, term, position received, term that it is fenced at, lag
-    in ms, busy slots and connections. The last three are not used.
-    """
-    fields = rows[0].split(" ") if rows else []
-    match fields:
-        case ["primary" | "replica" as role, term, received, fenced_term, _, _, _, *_]:
-            position = decode_position(received) or NO_POSITION
-            try:
-                return DatabaseStatus(
-                    role == "primary",
-                    parse_count(term),
-                    position,
-                    parse_count(fenced_term) if fenced_term != NO_VALUE else 0,
-                )
-            except ValueError as error:
-                raise WireError(f"malformed status row: {rows[0][:80]!r}") from error
-    raise WireError(f"malformed status row: {shorten(repr(rows[:1]))}")
-
-
-class ReplyDecoder:
-    """A decoder of a database's replies, which consist of several lines each.
-
-    Rows come first, then one signature or error, then the state. Only the first reply
-    may be a state alone, as the one to a startup is.
-    """
-
-    def __init__(self) -> None:
-        """Create a decoder that expects the first line of a reply."""
-        self._is_first = True
-        self._rows: list[str] = []
-        self._signature = ""
-        self._code: Code | None = None
-        self._text = ""
-
-    @property
-    def _has_result(self) -> bool:
-        return self._signature != "" or self._code is not None
-
-    def feed(self, line: bytes) -> Reply | None:
-        """Decode one line; return the reply if this line completes it, else None."""
-        word, _, rest = line.decode(errors=_ANY_BYTES).partition(" ")
-        match word:
-            case "DATAROW" if not self._has_result:
-                self._rows.append(rest)
-            case "COMPLETE" if rest and not self._has_result:
-                self._signature = rest
-            case "ERROR" if rest.partition(" ")[0] and not self._has_result:
-                code, _, text = rest.partition(" ")
-                self._text = _printable(text)
-                self._code = _WORD_TO_CODE.get(code, Code.FAILED)
-            case "READY" if self._has_result or (self._is_first and not self._rows):
-                return self._complete(rest)
-            case _:
-                raise WireError(f"unexpected word {word[:40]!r}")
-        return None
-
-    def pending_error(self) -> Code | None:
-        """Return the code of an `ERROR` line that no `READY` line has followed.
-
-        If the connection ends after it, the database has refused the session.
-        """
-        return self._code
-
-    def _complete(self, rest: str) -> Reply:
-        state, _, position = rest.partition(" ")
-        if state not in _WORD_TO_STATE:
-            raise WireError(f"unknown state {state[:40]!r}")
-        reply = Reply(
-            _WORD_TO_STATE[state],
-            tuple(self._rows),
-            self._signature,
-            self._code,
-            self._text,
-            decode_position(position),
-        )
-        self._is_first = False
-        self._rows = []
-        self._signature, self._code, self._text = "", None, ""
-        return reply
-
-
-class LineSplitter:
-    """A splitter of a byte stream into lines, which limits their length."""
-
-    def __init__(self) -> None:
-        """Create a splitter that is at the beginning of a line."""
-        self._rest = bytearray()
-
-    @property
-    def incomplete_bytes(self) -> int:
-        """Return the size of the incomplete line."""
-        return len(self._rest)
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the lines that `data` completes.
-
-        Raise `WireError` if one of them, or the incomplete line after them, is longer
-        than `MAX_LINE_BYTES` with its end; what has arrived is dropped then.
-        """
-        # What was searched before is not searched again, but for half a line end.
-        start = max(0, len(self._rest) - 1)
-        self._rest += data
-        lines: list[bytes] = []
-        if self._rest.find(LINE_END, start) >= 0:
-            *lines, rest = bytes(self._rest).split(LINE_END)
-            self._rest = bytearray(rest)
-        longest = max(map(len, lines), default=0) + len(LINE_END)
-        if max(longest, len(self._rest) + 1) > MAX_LINE_BYTES:
-            self._rest.clear()
-            raise WireError(f"a line is longer than {MAX_LINE_BYTES} bytes")
-        return lines
--- a/tests/page_database.py
+++ b/tests/page_database.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from beryltiller.platform import wire
+from beryltiller.platform import wire, wire_replies
 from beryltiller.sessions.errors import BrokenError
 from beryltiller.sessions.statements import DatabaseStatus, ProxyCommand, Reply, Request
 from tests.page_reader import (
@@ -128,7 +128,7 @@
     async def send_requests(self, requests: Sequence[Request]) -> list[Reply]:
         data = b"".join(map(wire.encode_request, requests))
         lines = self.database.receive(data).split(b"\r\n")[:-1]
-        decoder = wire.ReplyDecoder()
+        decoder = wire_replies.ReplyDecoder()
         replies = [reply for line in lines if (reply := decoder.feed(line))]
         if len(replies) != len(requests):
             raise BrokenError(f"{len(replies)} replies to {len(requests)} requests")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -30,7 +30,7 @@
 from beryltiller.core.position import Position
 from beryltiller.membership import messages
 from beryltiller.observability import events, logs, session_events
-from beryltiller.platform import databases, records, wire
+from beryltiller.platform import databases, records, wire, wire_replies
 from beryltiller.platform.settings import SettingsFileError, read_settings_file
 from beryltiller.primaries import term_rows
 from beryltiller.sessions.errors import NotSentError
@@ -271,7 +271,7 @@
                     wire.decode_position(f"3.{odd}")
                 for row in status:
                     with self.assertRaises(wire.WireError) as caught:
-                        wire.decode_status((row,))
+                        wire_replies.decode_status((row,))
                     self.assertLess(len(str(caught.exception)), 300)
                 with self.assertRaises(ValueError):
                     Position.parse(f"{odd}:1")
@@ -281,7 +281,7 @@
     @derandomized
     @given(st.lists(line_parts.map(" ".join), max_size=6))
     def test_any_lines_of_a_database_or_caller(self, texts: list[str]) -> None:
-        decoder = wire.ReplyDecoder()
+        decoder = wire_replies.ReplyDecoder()
         for text in texts:
             for line in (text.encode(), text.encode("utf-16")):
                 with contextlib.suppress(wire.WireError):
@@ -289,7 +289,7 @@
                 with contextlib.suppress(wire.WireError):
                     wire.decode_message(line)
         with contextlib.suppress(wire.WireError):
-            wire.decode_status(tuple(texts))
+            wire_replies.decode_status(tuple(texts))
 
     def test_term_above_which_none_can_be_written_is_invalid(self) -> None:
         """Guard against a promotion whose row cannot be encoded."""
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -5,7 +5,8 @@
 
 from beryltiller.core.ports import Row
 from beryltiller.core.position import Position
-from beryltiller.platform import records, wire
+from beryltiller.platform import records, wire, wire_replies
+from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.sessions.databases.catalog import ANY_DATABASE, RouteKind
 from beryltiller.sessions.statements import (
     Begin,
@@ -94,20 +95,20 @@
         )
         for reply in replies:
             with self.subTest(reply):
-                decoder = wire.ReplyDecoder()
-                lines = wire.LineSplitter().feed(wire.encode_reply(reply))
+                decoder = wire_replies.ReplyDecoder()
+                lines = LineSplitter().feed(wire_replies.encode_reply(reply))
                 found = [decoder.feed(line) for line in lines]
                 self.assertEqual(found[-1], reply)
 
     def test_lines_are_complete_across_chunks_of_bytes(self) -> None:
-        splitter = wire.LineSplitter()
+        splitter = LineSplitter()
         self.assertEqual(splitter.feed(b"RE"), [])
         self.assertEqual(splitter.feed(b"ADY I -\r"), [])
         self.assertEqual(splitter.feed(b"\nX"), [b"READY I -"])
 
     def test_line_that_is_too_long_is_an_error(self) -> None:
         with self.assertRaises(wire.WireError):
-            wire.LineSplitter().feed(b"x" * (wire.MAX_LINE_BYTES + 1))
+            LineSplitter().feed(b"x" * (wire.MAX_LINE_BYTES + 1))
 
 
 CONFIGURATION: dict[str, object] = {
--- a/tests/test_wire_properties.py
+++ b/tests/test_wire_properties.py
@@ -8,7 +8,8 @@
 
 from beryltiller.core.decoding import MAX_NUMBER
 from beryltiller.core.position import Position
-from beryltiller.platform import wire
+from beryltiller.platform import wire, wire_replies
+from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.sessions.statements import (
     AskStatus,
     Begin,
@@ -247,9 +248,9 @@
     @given(hostile, st.sampled_from(list(Code)))
     def test_error_of_the_proxy_has_one_line(self, text: str, code: Code) -> None:
         reply = Reply(SessionState.IDLE, code=code, text=text)
-        found = read_reply(wire.encode_reply(reply))
+        found = read_reply(wire_replies.encode_reply(reply))
         self.assertEqual((found.rows, found.signature, found.state), ((), "", "I"))
-        closing = wire.encode_closing_error(code, text)
+        closing = wire_replies.encode_closing_error(code, text)
         self.assertEqual(closing.splitlines(keepends=True), [closing])
 
     @derandomized
@@ -283,7 +284,7 @@
         self, parts: list[bytes], size: int
     ) -> None:
         data = b"\r\n".join(part[:2000] for part in parts) + b"\r\n"
-        splitter = wire.LineSplitter()
+        splitter = LineSplitter()
         found = [
             line
             for start in range(0, len(data), size)
@@ -295,7 +296,7 @@
         """Return what a caller receives of a reply on a started connection."""
         replies = self.decode(data)
         self.assertEqual(len(replies), 1)
-        return wire.encode_reply(replies[0])
+        return wire_replies.encode_reply(replies[0])
 
     def results(self, data: bytes) -> int:
         """Return how many replies data consists of, or -1 if it is malformed."""
@@ -307,9 +308,9 @@
         return len(replies) if is_complete else -1
 
     def decode(self, data: bytes) -> Sequence[Reply]:
-        decoder = wire.ReplyDecoder()
+        decoder = wire_replies.ReplyDecoder()
         decoder.feed(b"READY I -")
-        replies = map(decoder.feed, wire.LineSplitter().feed(data))
+        replies = map(decoder.feed, LineSplitter().feed(data))
         return [reply for reply in replies if reply is not None]
 
 
@@ -351,9 +352,9 @@
             expected = read_status(row)
         except UnreadableError:
             with self.assertRaises(wire.WireError):
-                wire.decode_status((row,))
+                wire_replies.decode_status((row,))
             return
-        found = wire.decode_status((row,))
+        found = wire_replies.decode_status((row,))
         received = (found.received.term, found.received.index)
         self.assertEqual(
             (found.is_primary, found.term, received, found.fenced_term), expected
--- a/tests/test_wire_replies.py
+++ b/tests/test_wire_replies.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from beryltiller.platform import wire
+from beryltiller.platform import wire, wire_replies
 from beryltiller.platform.databases import LineConnection
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
@@ -23,10 +23,10 @@
 
 def forward(lines: list[bytes]) -> bytes:
     """Return what a caller receives of the lines of a database's reply."""
-    decoder = wire.ReplyDecoder()
+    decoder = wire_replies.ReplyDecoder()
     *_, reply = [decoder.feed(line) for line in lines]
     assert reply is not None
-    return wire.encode_reply(reply)
+    return wire_replies.encode_reply(reply)
 
 
 class ForwardedTest(unittest.TestCase):
@@ -54,8 +54,8 @@
         odd = "a\r\nREADY I -\r\n\udcff\x1b"
         reply = Reply(SessionState.IDLE, code=Code.BUSY, text=odd)
         for data, count in (
-            (wire.encode_reply(reply), 2),
-            (wire.encode_closing_error(Code.NO_ROUTE, odd), 1),
+            (wire_replies.encode_reply(reply), 2),
+            (wire_replies.encode_closing_error(Code.NO_ROUTE, odd), 1),
         ):
             lines = data.decode().split("\r\n")
             self.assertEqual(len(lines), count + 1)
@@ -92,7 +92,7 @@
     def test_database_of_an_unknown_role_is_not_taken_for_a_replica(self) -> None:
         for role in ("king", "", "Primary", "primary\0", "primary\xa0"):
             with self.subTest(role), self.assertRaises(wire.WireError):
-                wire.decode_status((f"{role} 3 3.1209 0 12 2 17",))
+                wire_replies.decode_status((f"{role} 3 3.1209 0 12 2 17",))
 
 
 class MalformedTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_wire_requests.py
+++ b/tests/test_wire_requests.py
@@ -6,8 +6,9 @@
 from unittest.mock import patch
 
 from beryltiller.core.position import Position
-from beryltiller.platform import wire
+from beryltiller.platform import line_splitter, wire
 from beryltiller.platform.databases import LineConnection
+from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import (
     Code,
@@ -108,11 +109,11 @@
     def test_complete_line_that_is_too_long_is_an_error(self) -> None:
         for data in (self.LONGEST + b"x\r\n", b"a\r\n" + self.LONGEST + b"x\r\nb\r\n"):
             with self.assertRaises(wire.WireError):
-                wire.LineSplitter().feed(data)
+                LineSplitter().feed(data)
 
     def test_longest_line_is_complete_in_any_pieces(self) -> None:
         for size in (1 << 12, wire.MAX_LINE_BYTES - 1):
-            splitter = wire.LineSplitter()
+            splitter = LineSplitter()
             data = self.LONGEST + b"\r\nb\r\n"
             pieces = [data[n : n + size] for n in range(0, len(data), size)]
             lines = [line for piece in pieces for line in splitter.feed(piece)]
@@ -120,8 +121,8 @@
 
     def test_line_in_many_pieces_is_searched_once(self) -> None:
         """Guards against a caller that occupies the processor with one long line."""
-        with patch.object(wire, "bytearray", SearchedBytes, create=True):
-            splitter = wire.LineSplitter()
+        with patch.object(line_splitter, "bytearray", SearchedBytes, create=True):
+            splitter = LineSplitter()
         SearchedBytes.searched = 0
         for _ in range(4096):
             splitter.feed(b"x" * 60)
