--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/execution.py
@@ -7,6 +7,12 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.answer_records import (
+    is_commit_of_write,
+    record_lost_answer,
+    record_reply,
+    record_silence,
+)
 from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
@@ -29,14 +35,11 @@
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
 from beryltiller.sessions.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.statements import (
-    Begin,
     Code,
     Commit,
-    Execute,
     Reply,
     Request,
     SessionState,
-    Write,
 )
 
 # A statement that waits longer than this share of the route's latency objective is
@@ -225,7 +228,7 @@
         except TimeoutError as error:
             acquired.pool.discard(acquired.connection)
             if self._clock() >= asked_at + self._silence_seconds(session):
-                self._record_silence(session, acquired, request)
+                record_silence(session, acquired, request, self._clock())
             reason = "the database did not reply before the deadline"
             raise _lost_answer(acquired.connection, reason) from error
         except ReplyTooLargeError as error:
@@ -234,7 +237,7 @@
             raise SessionError(Code.FAILED, error.reason) from error
         except BrokenError as error:
             acquired.pool.discard(acquired.connection)
-            self._record_lost_answer(acquired.placement, asked_at)
+            record_lost_answer(acquired.placement, asked_at, self._clock())
             raise _lost_answer(acquired.connection, error.reason) from error
         except SetUpRefusedError as error:
             if session.transaction is None:
@@ -248,9 +251,9 @@
             raise
         finally:
             member.record_end(self._clock(), is_answered)
-        if reply.code is None and _is_commit_of_write(session, request):
+        if reply.code is None and is_commit_of_write(session, request):
             self._check_commit(group, acquired, reply)
-        self._record_reply(session, group, acquired, request, reply)
+        record_reply(session, group, acquired, request, reply, self._clock())
         return reply
 
     def _check_commit(
@@ -305,63 +308,6 @@
             return MIN_SILENCE_SECONDS
         return min(MIN_SILENCE_SECONDS, route.timeout_seconds / 2)
 
-    def _record_silence(
-        self, session: Session, acquired: AcquiredConnection, request: Request
-    ) -> None:
-        member, asked_at = acquired.placement.member, acquired.asked_at
-        self._record_lost_answer(acquired.placement, asked_at)
-        if _is_commit_of_write(session, request):
-            member.record_unacknowledged_write(asked_at, self._clock())
-
-    def _record_lost_answer(self, placement: Placement, asked_at: float) -> None:
-        """Record that a statement sent at `asked_at` ended without an answer.
-
-        A replica is avoided for a moment, as another database can serve its reads. The
-        leader is not, if it answers other statements.
-        """
-        if placement.needs_proof:
-            placement.member.record_lost_answer(asked_at, self._clock())
-        else:
-            placement.member.record_failure(self._clock())
-
-    def _record_reply(
-        self,
-        session: Session,
-        group: Group,
-        acquired: AcquiredConnection,
-        request: Request,
-        reply: Reply,
-    ) -> None:
-        placement, asked_at = acquired.placement, acquired.asked_at
-        member = placement.member
-        now = self._clock()
-        match reply.code:
-            case None:
-                member.record_latency(now - asked_at)
-                if _is_commit_of_write(session, request):
-                    member.record_acknowledged_write(asked_at)
-                elif isinstance(request.statement, Begin) and placement.needs_proof:
-                    self._record_begun(group, member, request.statement, asked_at)
-            case Code.LAGGING if placement.needs_proof:
-                # It has lost what it answered with while it led.
-                group.record_lead_denied(member)
-            case Code.LAGGING:
-                member.record_lag_refusal(now)
-            case Code.BUSY:
-                member.record_load_refusal(now)
-            case Code.READ_ONLY if member is group.leader:
-                group.record_lead_denied(member)
-        # Recorded last, as the reply decides whose position it is.
-        opened_at = acquired.connection.opened_at
-        group.record_position(member, reply.position, asked_at, opened_at)
-
-    def _record_begun(
-        self, group: Group, member: Member, begin: Begin, asked_at: float
-    ) -> None:
-        """Record a begin, which only a primary accepts unless it is read-only."""
-        if not begin.is_read_only:
-            group.record_lead(member, asked_at)
-
     def log_read(
         self,
         request: Request,
@@ -442,14 +388,3 @@
     if connection.is_setting_up:
         return SetUpLostError(reason)
     return BrokenError(reason)
-
-
-def _is_commit_of_write(session: Session, request: Request) -> bool:
-    match request.statement:
-        case Commit():
-            transaction = session.transaction
-            return transaction is not None and transaction.has_written
-        case Write() | Execute():
-            return session.transaction is None and session.is_write(request.statement)
-        case _:
-            return False
