Move the modules of sessions/ into two packages

sessions/ had 15 modules beside its packages, from the text of statements to the shutdown of a proxy. running/ holds what runs a statement at a database, serving/ what serves callers; statements, the session and its errors stay at the top, as all use them.

--- a/src/beryltiller/platform/drain.py
+++ b/src/beryltiller/platform/drain.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from beryltiller.platform.ingress import Ingress
-from beryltiller.sessions.shutdown import shutdown_step
+from beryltiller.sessions.serving.shutdown import shutdown_step
 
 STEP_SECONDS = 0.05
 
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -13,13 +13,13 @@
 from beryltiller.platform.databases import enable_peer_timeout
 from beryltiller.platform.line_splitter import LineSplitter
 from beryltiller.platform.message_queue import MessageQueue
-from beryltiller.sessions.memory_budget import (
+from beryltiller.sessions.serving.memory_budget import (
     DEFAULT_TOTAL_BYTES,
     MemoryAccount,
     MemoryBudget,
 )
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
-from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import Code, Reply, SessionState
 
 # The kernel queues this many new connections until the proxy accepts them.
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -34,11 +34,11 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
-from beryltiller.sessions.isolation import IsolationMonitor, IsolationWatch
-from beryltiller.sessions.memory_budget import total_bytes
-from beryltiller.sessions.read_log import ReadLog
-from beryltiller.sessions.session_service import SessionService
-from beryltiller.sessions.shutdown import BALANCER_SECONDS
+from beryltiller.sessions.running.read_log import ReadLog
+from beryltiller.sessions.serving.isolation import IsolationMonitor, IsolationWatch
+from beryltiller.sessions.serving.memory_budget import total_bytes
+from beryltiller.sessions.serving.session_service import SessionService
+from beryltiller.sessions.serving.shutdown import BALANCER_SECONDS
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.in_sync_keeper import InSyncKeeper
 from beryltiller.sessions.succession.runner import SuccessionRunner
--- /dev/null
+++ b/src/beryltiller/sessions/running/__init__.py
@@ -0,0 +1,1 @@
+"""Run statements at databases: placement, connections, retries and records."""
--- a/src/beryltiller/sessions/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -7,13 +7,6 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.answer_records import (
-    is_commit_of_write,
-    record_lost_answer,
-    record_reply,
-    record_silence,
-)
-from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.databases.catalog import Configuration, Route
@@ -31,9 +24,16 @@
     SetUpRefusedError,
     TransactionEndedError,
 )
-from beryltiller.sessions.read_log import ReadLog
+from beryltiller.sessions.running.answer_records import (
+    is_commit_of_write,
+    record_lost_answer,
+    record_reply,
+    record_silence,
+)
+from beryltiller.sessions.running.commits import CommitReports
+from beryltiller.sessions.running.read_log import ReadLog
+from beryltiller.sessions.running.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
-from beryltiller.sessions.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.statements import (
     Code,
     Commit,
--- a/src/beryltiller/sessions/single_statements.py
+++ b/src/beryltiller/sessions/running/single_statements.py
@@ -14,7 +14,7 @@
     ReadRequirement,
 )
 from beryltiller.sessions.errors import BrokenError, NotSentError, SessionError
-from beryltiller.sessions.execution import (
+from beryltiller.sessions.running.execution import (
     StatementExecutor,
     may_run_elsewhere,
     release_acquired,
--- a/src/beryltiller/sessions/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -16,7 +16,7 @@
     SessionError,
     TransactionEndedError,
 )
-from beryltiller.sessions.execution import (
+from beryltiller.sessions.running.execution import (
     StatementExecutor,
     may_run_elsewhere,
     release_acquired,
--- /dev/null
+++ b/src/beryltiller/sessions/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: sessions, their limits, isolation and shutdown."""
--- a/src/beryltiller/sessions/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -2,16 +2,17 @@
 
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
-from beryltiller.sessions.execution import Clock, StatementExecutor
-from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.memory_budget import (
+from beryltiller.sessions.running.execution import Clock, StatementExecutor
+from beryltiller.sessions.running.read_log import ReadLog
+from beryltiller.sessions.running.single_statements import SingleStatementRunner
+from beryltiller.sessions.running.transactions import SessionTransactionRunner
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.memory_budget import (
     DEFAULT_TOTAL_BYTES,
     MemoryAccount,
     MemoryBudget,
 )
-from beryltiller.sessions.read_log import ReadLog
 from beryltiller.sessions.session import STATE_PURPOSE, Session
-from beryltiller.sessions.single_statements import SingleStatementRunner
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -27,7 +28,6 @@
     Statement,
     Write,
 )
-from beryltiller.sessions.transactions import SessionTransactionRunner
 
 # Refusals that any proxy would give, so they say nothing about this proxy's health.
 _CALLER_ERRORS = frozenset({Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE})
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -12,7 +12,7 @@
     ReadRequirement,
     read_requirement,
 )
-from beryltiller.sessions.memory_budget import (
+from beryltiller.sessions.serving.memory_budget import (
     Excess,
     MemoryAccount,
     MemoryBudget,
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -22,10 +22,10 @@
     NotSentError,
     ReplacedError,
 )
-from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.read_log import ReadLog
+from beryltiller.sessions.running.read_log import ReadLog
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
-from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
     AskStatus,
     Begin,
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -19,8 +19,8 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.session_service import SessionService
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -9,8 +9,8 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
-from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.session_service import SessionService
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.succession.announcer import Announcer
 from beryltiller.sessions.succession.in_sync_keeper import InSyncKeeper
 from beryltiller.sessions.succession.runner import ObserveGroups, SuccessionRunner
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -25,7 +25,7 @@
     "databases.evidence",
     "databases.groups",
     "databases.leadership",
-    "shutdown",
+    "serving.shutdown",
     "connections.connection_limits",
     "databases.member",
     "databases.placement",
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -6,7 +6,7 @@
 
 from beryltiller.sessions.databases.fleet import SILENCE_SECONDS, ServiceReachability
 from beryltiller.sessions.errors import NoCapacityError
-from beryltiller.sessions.isolation import (
+from beryltiller.sessions.serving.isolation import (
     MIN_OUTCOMES,
     STORE_CHECK_INTERVAL_SECONDS,
     WINDOW_SECONDS,
--- a/tests/test_read_log.py
+++ b/tests/test_read_log.py
@@ -10,7 +10,7 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement, ReadRequirement
-from beryltiller.sessions.read_log import ReadLog
+from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 from unittest import mock
 
-from beryltiller.sessions.commits import CommitReports
 from beryltiller.sessions.databases.catalog import Departed, Directory, RouteKind
 from beryltiller.sessions.errors import BrokenError, ReplyTooLargeError
+from beryltiller.sessions.running.commits import CommitReports
 from beryltiller.sessions.statements import (
     Begin,
     Code,
--- a/tests/test_session_shutdown.py
+++ b/tests/test_session_shutdown.py
@@ -4,7 +4,7 @@
 import unittest
 
 from beryltiller.platform.ingress import Ingress
-from beryltiller.sessions.shutdown import (
+from beryltiller.sessions.serving.shutdown import (
     BALANCER_SECONDS,
     LAST_ADMISSION_SECONDS,
     STOP_MARGIN_SECONDS,
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -11,14 +11,14 @@
 from beryltiller.observability.session_events import SetUpRefused
 from beryltiller.platform.ingress import CallerConnection, Ingress
 from beryltiller.sessions.databases.placement import Placer
-from beryltiller.sessions.isolation import IsolationMonitor
-from beryltiller.sessions.memory_budget import (
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.memory_budget import (
     LOG_INTERVAL_SECONDS,
     MAX_SESSION_BYTES,
     MemoryBudget,
 )
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import MAX_VALUES, Session
-from beryltiller.sessions.session_service import SessionService
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -13,7 +13,7 @@
 
 from beryltiller.platform.drain import drain_ingress
 from beryltiller.platform.ingress import Ingress
-from beryltiller.sessions.shutdown import shutdown_step
+from beryltiller.sessions.serving.shutdown import shutdown_step
 from beryltiller.sessions.statements import Commit, Read, Write
 from tests.fake_group import FakeDatabase, GroupFixture
 from tests.test_platform_ingress import Caller
