Serve callers by the organisation that holds their key

Callers of every key were served as one, databases were told 'beryltiller', and all callers shared connections. Where the configuration has tenants, a session belongs to the organisation whose key it was opened with: an unknown key is denied unless its route is public, a key that is removed is denied with the next statement of an open session, whose transaction is rolled back, and databases are told the organisation's name. Connections are pooled by organisation within the one limit that a proxy has at a database; the connection that has been idle for longest gives way.

--- a/src/beryltiller/admission/ledgers.py
+++ b/src/beryltiller/admission/ledgers.py
@@ -67,6 +67,11 @@
         """Return the number of idle connections, which can be acquired at once."""
         return len(self._idle)
 
+    @property
+    def idle_since(self) -> float | None:
+        """Return since when the connection that is idle for longest is, or None."""
+        return self._idle[0][1] if self._idle else None
+
     @property
     def idle_serials(self) -> frozenset[int]:
         """Return the serial numbers of the idle connections."""
@@ -176,6 +181,10 @@
         live = len(self._idle) + len(self._in_use) + len(self._opening)
         return self._start_closing(max(0, min(old, live - self._policy.minimum)))
 
+    def evict_longest_idle(self) -> list[int]:
+        """Return the connection to close that was idle for longest, if there is one."""
+        return self._start_closing(min(1, len(self._idle)))
+
     def record_closed(self, serial: int) -> None:
         """Record that a connection was closed and the database no longer counts it."""
         self._closing.remove(serial)
--- a/src/beryltiller/platform/databases.py
+++ b/src/beryltiller/platform/databases.py
@@ -18,6 +18,7 @@
     ReplacedError,
     ReplyTooLargeError,
 )
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.statements import (
     Begin,
     Code,
@@ -112,12 +113,16 @@
         else:
             self._fail(_refusal(code))
 
-    async def start(self, database: Database) -> None:
-        """Start the session and wait until the database accepts it.
+    async def start(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> None:
+        """Start the session for an organisation, and wait until it is accepted.
 
-        Raise `NotSentError` if it refuses.
+        Raise `NotSentError` if the database refuses.
         """
-        startup = wire.encode_startup(database.service, database.identifier)
+        startup = wire.encode_startup(
+            database.service, database.identifier, organisation or wire.PROXY_USER
+        )
         (reply,) = await self._send(startup, 1)
         if reply.code is not None:
             raise _refusal(reply.code)
@@ -230,8 +235,9 @@
     database: Database,
     source_ip: str,
     timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    organisation: str = NO_ORGANISATION,
 ) -> LineConnection:
-    """Return an open connection to a database.
+    """Return an open connection to a database, for the callers of an organisation.
 
     Raise `ReplacedError` if another database answers at the address, and
     `NotRunningError` if the host is reached but no process listens. Raise
@@ -247,7 +253,7 @@
                 lambda: connection, address.ip, address.port, local_addr=(source_ip, 0)
             )
             enable_peer_timeout(transport)
-            await connection.start(database)
+            await connection.start(database, organisation)
     except _START_ERRORS as error:
         connection.close()
         reason = f"{type(error).__name__}: {error}"
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -146,6 +146,21 @@
         if self._work is None and session and session.state is SessionState.OPEN:
             self._work = asyncio.create_task(self._expire(session))
 
+    def end_if_denied(self) -> None:
+        """Close the session if its key gives no access any more.
+
+        A statement in progress is answered first; the next one is refused.
+        """
+        session = self._session
+        if self._work is not None or session is None:
+            return
+        if not self._service.is_denied(session):
+            return
+        if session.state is SessionState.IDLE:
+            self._refuse(Code.DENIED, "the key gives no access")
+        else:
+            self.expire()
+
     def _count_received(self) -> bool:
         """Count what is received and unanswered; return False if it is too much."""
         if self._transport is None:
@@ -225,8 +240,8 @@
         match message:
             case wire.Startup() if self._session is not None:
                 self._refuse(Code.MALFORMED, "the session has begun already")
-            case wire.Startup(database_name):
-                self._open(database_name)
+            case wire.Startup(database_name, key):
+                self._open(database_name, key)
             case wire.Malformed(reason):
                 self._refuse(Code.MALFORMED, reason)
             case wire.Terminate():
@@ -240,6 +255,9 @@
                 reply = await self._answer(self._session, message, arrived)
                 self._in_progress = None
                 self._write(wire_replies.encode_reply(reply))
+                if reply.code is Code.DENIED:
+                    self._messages.clear()
+                    self.close()
 
     async def _answer(
         self, session: Session, query: wire.Query, arrived: float
@@ -260,10 +278,12 @@
                 replies.append(session.refuse(Code.BUSY, "the proxy is stopping"))
         return replies
 
-    def _open(self, database_name: str) -> None:
-        session = self._service.open_session(database_name)
-        if session is None:
-            self._refuse(Code.NO_ROUTE, database_name)
+    def _open(self, database_name: str, key: str) -> None:
+        session = self._service.open_session(database_name, key)
+        if isinstance(session, Code):
+            is_denied = session is Code.DENIED
+            reason = "the key gives no access" if is_denied else database_name
+            self._refuse(session, reason)
             return
         self._session = session
         # The reply to a startup consists of the last line only, the one with READY.
@@ -378,6 +398,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def end_denied(self) -> None:
+        """Close the sessions whose keys give no access in the present configuration."""
+        for connection in tuple(self._connections):
+            connection.end_if_denied()
+
     def stop_listening(self) -> None:
         """Accept no more callers; the kernel refuses new connections at once."""
         if self._server is not None:
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -34,6 +34,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.serving.isolation import IsolationMonitor, IsolationWatch
 from beryltiller.sessions.serving.memory_budget import total_bytes
@@ -202,8 +203,12 @@
         self._store.address = str(settings.store_address)
         self._duty.address = str(settings.duty_address)
 
-    async def _connect(self, database: Database) -> DatabaseConnection:
-        return await databases.connect(database, self._settings.source_ip)
+    async def _connect(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> DatabaseConnection:
+        return await databases.connect(
+            database, self._settings.source_ip, organisation=organisation
+        )
 
     def _follow(self, table: str, on_rows: Callable[[Rows], None]) -> TableFollower:
         relay_runner = self._relay_runner
@@ -257,6 +262,7 @@
             return
         if self._fleet.adopt(configuration):
             logs.log(events.ConfigurationInForce(configuration.version, "store"))
+            self._ingress.end_denied()
 
     def _update_registry(self, rows: Rows) -> None:
         found = records.decode_databases(rows.values(), self._entries_refused)
--- a/src/beryltiller/platform/records.py
+++ b/src/beryltiller/platform/records.py
@@ -11,6 +11,7 @@
     Count,
     DecodingError,
     Name,
+    Word,
     decode_json,
     shorten,
 )
@@ -23,12 +24,21 @@
     RouteKind,
     Service,
 )
+from beryltiller.sessions.organisations import (
+    DEFAULT_PRIORITY,
+    Organisation,
+    OrganisationError,
+    Organisations,
+    Quota,
+)
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 DATABASES_TABLE = "servers"
 
 MAX_SLOTS = 10_000
+# Operations a second, and operations of a burst.
+MAX_RATE = 10**9
 # The end of the year 9999.
 MAX_UNIX_MS = 253_402_300_799_999
 # Longer than any process runs, and short enough for exact arithmetic in seconds.
@@ -37,6 +47,7 @@
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 _UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 _DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 
 _T = TypeVar("_T")
 _KINDS = {
@@ -66,6 +77,7 @@
     target_latency_ms: _DurationMs = 1000
     priority: Count = 1
     max_staleness_ms: _DurationMs = 0
+    public_route: bool = False
 
 
 class ServiceModel(msgspec.Struct, frozen=True):
@@ -85,16 +97,32 @@
     transaction_idle_ms: _DurationMs = 3000
 
 
+class TenantModel(msgspec.Struct, frozen=True):
+    """An organisation of the configuration row, with the keys of its callers.
+
+    `rate_per_s` and `burst` count operations over all proxies; without a rate they are
+    not limited. Priority 0 is the highest.
+    """
+
+    name: Word
+    api_keys: tuple[str, ...] = ()
+    priority: Count = DEFAULT_PRIORITY
+    rate_per_s: _Rate | None = None
+    burst: _Rate = 0.0
+
+
 class ConfigurationModel(msgspec.Struct, frozen=True):
     """The operator's configuration row.
 
-    `config_version` is the version of the configuration, not that of the row.
+    `config_version` is the version of the configuration, not that of the row. Without
+    `tenants`, the deployment has no organisations.
     """
 
     config_version: Count
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
     limits: LimitsModel = LimitsModel()
+    tenants: tuple[TenantModel, ...] | None = None
 
 
 class DatabaseModel(msgspec.Struct, frozen=True):
@@ -131,7 +159,13 @@
         for service in model.services
     }
     idle_seconds = model.limits.transaction_idle_ms / 1000
-    return Configuration(model.config_version, routes, services, idle_seconds)
+    return Configuration(
+        model.config_version,
+        routes,
+        services,
+        idle_seconds,
+        _decode_organisations(model.tenants),
+    )
 
 
 def decode_database(row: Row) -> Database:
@@ -207,6 +241,26 @@
         )
 
 
+def _decode_organisations(
+    tenants: tuple[TenantModel, ...] | None,
+) -> Organisations | None:
+    if tenants is None:
+        return None
+    try:
+        return Organisations.of(
+            (_decode_organisation(each), each.api_keys) for each in tenants
+        )
+    except OrganisationError as error:
+        raise RecordError(f"tenants: {error}") from error
+
+
+def _decode_organisation(model: TenantModel) -> Organisation:
+    quota = None
+    if model.rate_per_s is not None:
+        quota = Quota(model.rate_per_s, model.burst)
+    return Organisation(model.name, model.priority, quota)
+
+
 def _decode_route(model: RouteModel) -> Route:
     kind = _KINDS.get(model.route_kind)
     if kind is None:
@@ -219,6 +273,7 @@
         model.target_latency_ms / 1000,
         model.priority,
         model.max_staleness_ms / 1000,
+        model.public_route,
     )
 
 
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from beryltiller.core.decoding import MAX_NUMBER, parse_count
 from beryltiller.core.position import Position
@@ -34,6 +34,8 @@
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 NO_VALUE = "-"
+# Who connects to a database for callers of no organisation, or for the proxy itself.
+PROXY_USER = "beryltiller"
 # What the proxy adds to a statement is shorter than this.
 _MAX_ADDED_BYTES = 128
 _MAX_BYTES_PER_CHARACTER = 4
@@ -56,9 +58,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Startup:
-    """A caller's first message, which opens a session on a database name."""
+    """A caller's first message, which opens a session on a database name.
+
+    `key` identifies the caller's organisation, and stands in no log or error.
+    """
 
     database_name: str
+    key: str = field(default="", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +105,8 @@
         case "QUERY":
             return _decode_query(rest)
         case "STARTUP":
-            return Startup(rest.partition(" ")[0])
+            database_name, _, key = rest.partition(" ")
+            return Startup(database_name, key)
         case "TERMINATE":
             return Terminate()
     raise WireError(f"unknown word {word[:40]!r}")
@@ -256,13 +263,13 @@
     return False
 
 
-def encode_startup(service: str, identifier: str) -> bytes:
-    """Return the line that opens a session at a database.
+def encode_startup(service: str, identifier: str, user: str = PROXY_USER) -> bytes:
+    """Return the line that opens a session at a database, in the name of `user`.
 
     With `ANY_DATABASE` as identifier it is opened at any database of the service. Raise
     `WireError` if the database would read other fields in the line.
     """
-    words = ["STARTUP", service, "beryltiller"]
+    words = ["STARTUP", service, user]
     if identifier != ANY_DATABASE:
         words.append(identifier)
     return _encode_line(words)
--- a/src/beryltiller/platform/wire_replies.py
+++ b/src/beryltiller/platform/wire_replies.py
@@ -41,6 +41,7 @@
     Code.MALFORMED: "MALFORMED",
     Code.NO_SUCH_STATEMENT: "NOSUCHSTMT",
     Code.NO_ROUTE: "NODATABASE",
+    Code.DENIED: "DENIED",
 }
 _WORD_TO_CODE = {word: code for code, word in _CODE_TO_WORD.items()}
 
--- a/src/beryltiller/sessions/connections/connection_limits.py
+++ b/src/beryltiller/sessions/connections/connection_limits.py
@@ -33,11 +33,12 @@
     When the database refuses a connection because its cap is reached, the pool opens
     no connection for `refusal_pause_seconds`, and lowers its limit to one less than
     the connections it has. The limit then grows by one every `growth_seconds`, up to
-    `max_connections`. All connections but one are closed after `idle_seconds`
+    `max_connections`. All connections but `min_idle` are closed after `idle_seconds`
     without use, as the cap may leave another proxy without any.
     """
 
     max_connections: int
+    min_idle: int = 1
     idle_seconds: float = 1.0
     refusal_pause_seconds: float = 0.15
     growth_seconds: float = 1.0
--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -1,13 +1,13 @@
-"""A pool of connections to one database, shared by the sessions of a proxy.
+"""A pool of connections to one database, shared by the sessions of an organisation.
 
 A session acquires a connection for one statement or one transaction.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Protocol
 
 from beryltiller.admission.ledgers import ConnectionLedger, ConnectionLedgerPolicy
-from beryltiller.sessions.clocks import loop_time
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionLimit,
     ConnectionPoolPolicy,
@@ -24,11 +24,51 @@
 Connect = Callable[[], Awaitable[DatabaseConnection]]
 
 
+class SharedLimit(Protocol):
+    """The limit on connections to a database, which several pools share."""
+
+    @property
+    def limit(self) -> ConnectionLimit:
+        """Return the limit of all pools together."""
+        ...
+
+    @property
+    def in_use(self) -> int:
+        """Return how many connections of all pools are acquired."""
+        ...
+
+    @property
+    def size(self) -> int:
+        """Return how many connections of all pools are open or being opened."""
+        ...
+
+    def share_of(self, pool: "ConnectionPool", now: float) -> int:
+        """Return how many connections a pool may have, beside those of the others."""
+        ...
+
+    def make_room(self, pool: "ConnectionPool", now: float) -> None:
+        """Close an idle connection of another pool if the limit is reached."""
+        ...
+
+    def can_replace(self, pool: "ConnectionPool") -> bool:
+        """Return True if an idle connection of another pool can be closed for one."""
+        ...
+
+    def shrink(self, now: float) -> None:
+        """Close idle connections beyond the limit, also as they are released."""
+        ...
+
+    def pass_on_room(self, pool: "ConnectionPool") -> bool:
+        """Let another pool that waits open a connection; return True if one does."""
+        ...
+
+
 class ConnectionPool:
-    """One proxy's pool of connections to one database.
+    """One proxy's pool of connections to one database, for one organisation.
 
     Use it on a single event loop. A ledger tracks open, idle and acquired connections;
-    a `ConnectionLimit` decides how many may be open.
+    a limit that is shared with the pools of other organisations decides how many may
+    be open.
     """
 
     def __init__(
@@ -36,17 +76,19 @@
         connect: Connect,
         semaphore: PrioritySemaphore,
         policy: ConnectionPoolPolicy,
-        clock: Callable[[], float] = loop_time,
+        clock: Callable[[], float],
+        shared: SharedLimit,
     ) -> None:
-        """Create an empty pool; connections are opened on demand.
+        """Create an empty pool; connections are opened on demand, as `shared` allows.
 
         `clock` dates their openings.
         """
         self._connect = connect
         self._clock = clock
-        self._limit = ConnectionLimit(policy)
+        self._shared = shared
+        self._limit = shared.limit
         ledger_policy = ConnectionLedgerPolicy(
-            minimum=1, spare=0, idle_seconds=policy.idle_seconds
+            minimum=policy.min_idle, spare=0, idle_seconds=policy.idle_seconds
         )
         self._ledger = ConnectionLedger(ledger_policy, policy.max_connections)
         self._connections: dict[int, PooledConnection] = {}
@@ -64,6 +106,21 @@
         """Return the number of connections that are acquired."""
         return self._ledger.in_use
 
+    @property
+    def has_idle(self) -> bool:
+        """Return True if a connection can be acquired at once."""
+        return self._ledger.idle > 0
+
+    @property
+    def idle_since(self) -> float | None:
+        """Return since when the connection that is idle for longest is, or None."""
+        return self._ledger.idle_since
+
+    @property
+    def is_unused(self) -> bool:
+        """Return True if there is no connection and nobody waits for one."""
+        return not self._ledger.held and not self._waiting
+
     def supply(self, now: float) -> ConnectionSupply:
         """Estimate how soon a connection can be acquired, without acquiring one."""
         if self._ledger.idle:
@@ -91,13 +148,15 @@
             found = self._take_idle(values)
             if found is not None:
                 return found
-            is_paused = self._limit.is_paused(loop.time())
+            is_paused = self._limit.is_paused(loop.time()) and (
+                not self._shared.can_replace(self)
+            )
             serial = None if is_paused else self._reserve_serial(loop.time())
             if serial is not None:
                 opened = await self._try_open(serial, deadline - loop.time())
                 if opened is not None:
                     return opened
-            if is_paused and not self.in_use:
+            if is_paused and not self._shared.in_use:
                 reason = "all connections of the database are in use"
                 raise NoCapacityError(Code.CONNECTION_LIMIT, reason)
             handed_over = await self._wait(max(0.0, deadline - loop.time()))
@@ -138,7 +197,10 @@
         if self._notify_waiter(pooled):
             return
         now = asyncio.get_running_loop().time()
-        if not self._ledger.release(pooled.serial, now, is_clean=True):
+        is_wanted = self._shared.size >= self._limit.max_open(now) and (
+            self._shared.pass_on_room(self)
+        )
+        if not self._ledger.release(pooled.serial, now, is_clean=not is_wanted):
             self._close_connections((pooled.serial,))
 
     def discard(self, pooled: PooledConnection) -> None:
@@ -150,6 +212,18 @@
         """Close connections that exceeded the idle time, but keep at least one."""
         self._close_connections(self._ledger.evict(now))
 
+    def close_longest_idle(self) -> None:
+        """Close the connection that has been idle for longest, if there is one."""
+        self._close_connections(self._ledger.evict_longest_idle())
+
+    def fit_share(self, now: float) -> None:
+        """Close connections beyond this pool's share, those in use when released."""
+        self._close_connections(self._ledger.resize(self._shared.share_of(self, now)))
+
+    def notify_room(self) -> bool:
+        """Let the first waiter open a connection; return False if nobody waits."""
+        return self._notify_waiter(None)
+
     def close(self) -> None:
         """Close idle connections now, and acquired ones when they are released."""
         self._is_closed = True
@@ -179,7 +253,8 @@
 
     def _reserve_serial(self, now: float) -> int | None:
         """Reserve a serial number for a new connection; return None at the limit."""
-        self._close_connections(self._ledger.resize(self._limit.max_open(now)))
+        self._shared.make_room(self, now)
+        self.fit_share(now)
         return self._ledger.begin_opening_one()
 
     async def _try_open(
@@ -196,14 +271,14 @@
             if error.code is not Code.CONNECTION_LIMIT:
                 raise
             self._record_cap_reached(asyncio.get_running_loop().time())
-            if not self.in_use:
+            if not self._shared.in_use:
                 raise
             return None
 
     def _record_cap_reached(self, now: float) -> None:
         """Lower the limit, to leave connections to other proxies that share the cap."""
-        self._limit.record_refusal(self.size, now)
-        self._close_connections(self._ledger.resize(self._limit.max_open(now)))
+        self._limit.record_refusal(self._shared.size, now)
+        self._shared.shrink(now)
 
     async def _open(self, serial: int, wait_seconds: float | None) -> PooledConnection:
         try:
--- a/src/beryltiller/sessions/databases/catalog.py
+++ b/src/beryltiller/sessions/databases/catalog.py
@@ -8,6 +8,12 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from beryltiller.sessions.organisations import (
+    NO_ORGANISATION,
+    Credential,
+    Organisations,
+)
+
 # The identifier of whichever database of a service answers at an address.
 ANY_DATABASE = ""
 # The entry of a database that replaces another one at its address may come this long
@@ -36,7 +42,8 @@
 
     `timeout_seconds` limits one statement; `objective_seconds` is the latency objective
     for the complete operation. Priority 0 is the highest. A read may return data that
-    is up to `max_staleness_seconds` old, unless the route's kind is PRIMARY.
+    is up to `max_staleness_seconds` old, unless the route's kind is PRIMARY. A public
+    route also serves callers that no organisation's key identifies.
     """
 
     database_name: str
@@ -46,6 +53,7 @@
     objective_seconds: float
     priority: int
     max_staleness_seconds: float
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,12 +67,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """A complete version of the operator's configuration."""
+    """A complete version of the operator's configuration.
+
+    With `organisations`, callers are identified by their keys; None means that the
+    deployment has none.
+    """
 
     version: int
     routes: Mapping[str, Route]
     services: Mapping[str, Service]
     transaction_idle_seconds: float
+    organisations: Organisations | None = None
+
+    def caller_organisation(
+        self, route: Route, credential: Credential | None
+    ) -> str | None:
+        """Return the name of the organisation as which a caller is served on a route.
+
+        It is `NO_ORGANISATION` in a deployment without organisations, and for a caller
+        of a public route whose key is not known. Return None for one to be denied.
+        """
+        if self.organisations is None:
+            return NO_ORGANISATION
+        found = self.organisations.find(credential) if credential else None
+        if found is not None:
+            return found.name
+        return NO_ORGANISATION if route.is_public else None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/databases/connection_pools.py
+++ b/src/beryltiller/sessions/databases/connection_pools.py
@@ -1,12 +1,14 @@
-"""One proxy's connection pools, one for each process of a database."""
+"""One proxy's connection pools, for each process of a database that it uses."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from typing import Protocol
 
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
-from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.catalog import Database, Directory, Service
+from beryltiller.sessions.organisations import NO_ORGANISATION
 
 # A proxy may run this many statements at a database beyond its number of slots.
 EXTRA_STATEMENTS = 1
@@ -17,7 +19,17 @@
 # The connection cap of a service that the configuration does not have yet.
 DEFAULT_MAX_CONNECTIONS = 20
 
-Connect = Callable[[Database], Awaitable[DatabaseConnection]]
+
+class Connect(Protocol):
+    """Opens a connection to a database, for the callers of an organisation."""
+
+    def __call__(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> Awaitable[DatabaseConnection]:
+        """Return the connection, or raise `NotSentError`."""
+        ...
+
+
 PoolKey = tuple[str, str, int]
 
 
@@ -31,19 +43,19 @@
         """Open connections with `connect`; `clock` dates their openings."""
         self._connect = connect
         self._clock = clock
-        self._pools: dict[PoolKey, ConnectionPool] = {}
+        self._pools: dict[PoolKey, DatabasePools] = {}
 
-    def pool(
+    def pools(
         self, database: Database, services: Mapping[str, Service]
-    ) -> ConnectionPool:
-        """Return a database's pool; `services` states the cap of a new one."""
+    ) -> DatabasePools:
+        """Return a database's pools; `services` states the cap of new ones."""
         key = _pool_key(database)
-        pool = self._pools.get(key)
-        if pool is None:
+        pools = self._pools.get(key)
+        if pools is None:
             service = services.get(database.service)
             cap = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
-            pool = self._pools[key] = self._create(database, cap)
-        return pool
+            pools = self._pools[key] = self._create(database, cap)
+        return pools
 
     def close_removed(self, directory: Directory) -> None:
         """Close the pools of databases that are not registered any more."""
@@ -53,18 +65,18 @@
 
     def close_idle(self, now: float) -> None:
         """Close pooled connections that exceeded their idle time."""
-        for pool in self._pools.values():
-            pool.close_idle(now)
+        for pools in self._pools.values():
+            pools.close_idle(now)
 
     def close(self) -> None:
         """Close all pools."""
-        for pool in self._pools.values():
-            pool.close()
+        for pools in self._pools.values():
+            pools.close()
 
-    def _create(self, database: Database, cap: int) -> ConnectionPool:
+    def _create(self, database: Database, cap: int) -> DatabasePools:
         share = max(MIN_CONNECTIONS, round(cap * CONNECTION_SHARE))
-        return ConnectionPool(
-            lambda: self._connect(database),
+        return DatabasePools(
+            lambda organisation: self._connect(database, organisation),
             PrioritySemaphore(database.slots + EXTRA_STATEMENTS),
             ConnectionPoolPolicy(share),
             self._clock,
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -6,6 +6,7 @@
 
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
 from beryltiller.sessions.databases.announced import (
     AnnouncementFeed,
@@ -34,6 +35,7 @@
 )
 from beryltiller.sessions.databases.surveys import Surveys
 from beryltiller.sessions.errors import NoCapacityError, SessionError
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.statements import (
     AskStatus,
     Code,
@@ -75,9 +77,7 @@
         self._connection_pools = ConnectionPools(connect, clock)
         self._entries = PresentEntries(clock)
         self._announced = KnownAnnouncements()
-        self._status_queries = StatusQueries(
-            self.connection_pool, self._announced, clock
-        )
+        self._status_queries = StatusQueries(self._query_pool, self._announced, clock)
         self._surveys = Surveys(
             self._status_queries, lambda: self._directory, self._entries, clock
         )
@@ -212,15 +212,29 @@
             group.update(self._directory.of_service(service), self._clock())
         return group
 
-    def connection_pool(self, database: Database) -> ConnectionPool:
-        """Return the connection pool of a database, creating it if necessary."""
-        services = self._configuration.services if self._configuration else {}
-        return self._connection_pools.pool(database, services)
+    def connection_pool(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> ConnectionPool:
+        """Return an organisation's connection pool of a database.
+
+        It is created if necessary.
+        """
+        return self._pools_of(database).pool(organisation)
 
-    def supply(self, member: Member) -> ConnectionSupply:
-        """Estimate how soon a connection to a database can be acquired."""
+    def supply(
+        self, member: Member, organisation: str = NO_ORGANISATION
+    ) -> ConnectionSupply:
+        """Estimate how soon an organisation can acquire a connection to a database."""
         now = asyncio.get_running_loop().time()
-        return self.connection_pool(member.database).supply(now)
+        return self.connection_pool(member.database, organisation).supply(now)
+
+    def _query_pool(self, database: Database) -> ConnectionPool:
+        """Return the pool from which a query of this proxy takes a connection."""
+        return self._pools_of(database).for_queries()
+
+    def _pools_of(self, database: Database) -> DatabasePools:
+        services = self._configuration.services if self._configuration else {}
+        return self._connection_pools.pools(database, services)
 
     async def prove_term(
         self, group: Group, moment: float, wait_seconds: float
@@ -270,7 +284,7 @@
         limits could otherwise not be told from one that has failed. Raise
         `NoCapacityError` if the connection was opened only after `deadline`.
         """
-        pool = self.connection_pool(database)
+        pool = self._query_pool(database)
         async with asyncio.timeout(timeout_seconds):
             connection = await pool.acquire_for_command()
             if self._clock() > deadline:
@@ -280,7 +294,7 @@
 
     async def is_primary(self, database: Database, timeout_seconds: float) -> bool:
         """Ask a database whether it is primary, which takes no slot of it."""
-        pool = self.connection_pool(database)
+        pool = self._query_pool(database)
         async with asyncio.timeout(timeout_seconds):
             connection = await pool.acquire_for_command()
             return await run_query(pool, connection, connection.is_primary())
--- a/src/beryltiller/sessions/running/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -94,9 +94,11 @@
             return None
         return configuration.routes.get(database_name)
 
-    def connection_pool(self, placement: Placement) -> ConnectionPool:
-        """Return the connection pool of the placement's database."""
-        return self._fleet.connection_pool(placement.member.database)
+    def connection_pool(
+        self, placement: Placement, organisation: str
+    ) -> ConnectionPool:
+        """Return an organisation's connection pool of the placement's database."""
+        return self._fleet.connection_pool(placement.member.database, organisation)
 
     def queue_seconds(self, route: Route, deadline: float) -> float:
         """Return for how many seconds a statement may wait before it is sent."""
@@ -114,14 +116,18 @@
         return self._placer.place_leader(group, self._clock(), tried)
 
     async def place_read(
-        self, group: Group, requirement: ReadRequirement, tried: set[str]
+        self,
+        group: Group,
+        requirement: ReadRequirement,
+        tried: set[str],
+        organisation: str,
     ) -> Placement | None:
-        """Place a read at a database that is recent enough.
+        """Place a read of an organisation at a database that is recent enough.
 
         If no database can serve it, and no known position covers the commits that it
         must see, the group is surveyed once and the placement tried again.
         """
-        placement = self._place_read(group, requirement, tried)
+        placement = self._place_read(group, requirement, tried, organisation)
         if (
             placement is not None
             or group.covering_position(requirement.acknowledged_before) is not None
@@ -130,14 +136,21 @@
         if requirement.acknowledged_before >= self._clock() - SURVEY_MIN_AGE_SECONDS:
             return None
         await self._fleet.survey(group, requirement.acknowledged_before)
-        return self._place_read(group, requirement, tried)
+        return self._place_read(group, requirement, tried, organisation)
 
     def _place_read(
-        self, group: Group, requirement: ReadRequirement, tried: set[str]
+        self,
+        group: Group,
+        requirement: ReadRequirement,
+        tried: set[str],
+        organisation: str,
     ) -> Placement | None:
-        now = self._clock()
         return self._placer.place_read(
-            group, requirement, now, tried, self._fleet.supply
+            group,
+            requirement,
+            self._clock(),
+            tried,
+            lambda member: self._fleet.supply(member, organisation),
         )
 
     async def retry(
--- a/src/beryltiller/sessions/running/single_statements.py
+++ b/src/beryltiller/sessions/running/single_statements.py
@@ -89,7 +89,9 @@
         group = self._executor.group(route.service)
         tried: set[str] = set()
         for _ in range(MAX_READ_ATTEMPTS):
-            placement = await self._executor.place_read(group, requirement, tried)
+            placement = await self._executor.place_read(
+                group, requirement, tried, session.organisation
+            )
             if placement is None:
                 break
             tried.add(placement.member.database.identifier)
@@ -171,7 +173,7 @@
 
         A read at the leader is returned only with proof of the leader's term.
         """
-        pool = self._executor.connection_pool(placement)
+        pool = self._executor.connection_pool(placement, session.organisation)
         wait = self._executor.queue_seconds(route, deadline)
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
         try:
--- a/src/beryltiller/sessions/running/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -185,7 +185,7 @@
         group = self._executor.group(transaction.route.service)
         tried: set[str] = set()
         for _ in range(MAX_PLACEMENTS):
-            placement = await self._place(transaction, group, tried)
+            placement = await self._place(session, transaction, group, tried)
             if placement is None:
                 break
             tried.add(placement.member.database.identifier)
@@ -202,11 +202,15 @@
         return last
 
     async def _place(
-        self, transaction: Transaction, group: Group, tried: set[str]
+        self,
+        session: Session,
+        transaction: Transaction,
+        group: Group,
+        tried: set[str],
     ) -> Placement | None:
         if transaction.is_read_only:
             return await self._executor.place_read(
-                group, transaction.requirement, tried
+                group, transaction.requirement, tried, session.organisation
             )
         return await self._executor.place_leader(group, tried)
 
@@ -221,7 +225,7 @@
     ) -> Reply | None:
         """Begin and run the first statement at one database; return None if refused."""
         route = transaction.route
-        pool = self._executor.connection_pool(placement)
+        pool = self._executor.connection_pool(placement, session.organisation)
         wait = self._executor.queue_seconds(route, deadline)
         retry_until = self._executor.now() + wait
         await self._executor.acquire_slot(placement, pool, route.priority, wait)
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -2,6 +2,7 @@
 
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
+from beryltiller.sessions.organisations import Credential
 from beryltiller.sessions.running.execution import Clock, StatementExecutor
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
@@ -30,7 +31,9 @@
 )
 
 # Refusals that any proxy would give, so they say nothing about this proxy's health.
-_CALLER_ERRORS = frozenset({Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE})
+_CALLER_ERRORS = frozenset(
+    {Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE, Code.DENIED}
+)
 
 
 class SessionService:
@@ -71,11 +74,43 @@
         """Begin no further transactions, as there is no time left for them."""
         self._refuses_transactions = True
 
-    def open_session(self, database_name: str) -> Session | None:
-        """Return a new session, or None if no route has the database name."""
+    def open_session(self, database_name: str, key: str = "") -> Session | Code:
+        """Return a new session, or the code with which the caller is refused.
+
+        That is `NO_ROUTE` if no route has the database name, and `DENIED` if the key
+        gives no access to it.
+        """
         if self._executor.route(database_name) is None:
-            return None
-        return Session(database_name, account=MemoryAccount(self._budget))
+            return Code.NO_ROUTE
+        session = Session(
+            database_name,
+            credential=Credential.of_key(key),
+            account=MemoryAccount(self._budget),
+        )
+        return Code.DENIED if self.is_denied(session) else session
+
+    def is_denied(self, session: Session) -> bool:
+        """Return True if the session's key gives no access any more.
+
+        A key that has passed to another organisation gives access again outside of a
+        transaction, whose connection belongs to the former one.
+        """
+        configuration = self._fleet.configuration
+        if configuration is None or session.checked_version == configuration.version:
+            return False
+        route = configuration.routes.get(session.database_name)
+        if route is None:
+            # Each statement is refused for that reason.
+            return False
+        name = configuration.caller_organisation(route, session.credential)
+        if name is None:
+            return True
+        if name != session.organisation:
+            if session.transaction is not None:
+                return True
+            session.organisation = name
+        session.checked_version = configuration.version
+        return False
 
     async def answer(
         self, session: Session, identifier: str, statement: Statement, arrived: float
@@ -85,6 +120,8 @@
         The caller chose `identifier` for the statement; `arrived` is when it arrived,
         in seconds on the service's clock.
         """
+        if self.is_denied(session):
+            return await self._deny(session)
         reply = await self._answer(session, identifier, statement, arrived)
         session.state = reply.state
         if not _is_caller_error(statement, reply):
@@ -161,6 +198,12 @@
                     Code.MALFORMED, "callers may not send this statement"
                 )
 
+    async def _deny(self, session: Session) -> Reply:
+        """End an open transaction, and return the reply to a caller without access."""
+        await self._transactions.roll_back_open(session)
+        session.state = SessionState.IDLE
+        return session.refuse(Code.DENIED, "the key gives no access")
+
     async def _answer_failed(self, session: Session, statement: Statement) -> Reply:
         match statement:
             case Rollback():
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -12,6 +12,7 @@
     ReadRequirement,
     read_requirement,
 )
+from beryltiller.sessions.organisations import NO_ORGANISATION, Credential
 from beryltiller.sessions.serving.memory_budget import (
     Excess,
     MemoryAccount,
@@ -80,6 +81,8 @@
 class Session:
     """The session of one open caller connection.
 
+    `organisation` names that of the caller, whose key `credential` was made from; both
+    were checked against the configuration of `checked_version`.
     `account` counts the memory that its values and prepared statements take.
     `committed` maps a service to the log position of the session's last commit there,
     and `unplaced_commits` to when the last one without a position was acknowledged.
@@ -87,6 +90,9 @@
     """
 
     database_name: str
+    organisation: str = NO_ORGANISATION
+    credential: Credential | None = None
+    checked_version: int | None = None
     state: SessionState = SessionState.IDLE
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Prepare] = field(default_factory=dict)
--- a/src/beryltiller/sessions/statements.py
+++ b/src/beryltiller/sessions/statements.py
@@ -147,6 +147,7 @@
     MALFORMED = "malformed"
     NO_SUCH_STATEMENT = "no such statement"
     NO_ROUTE = "no route"
+    DENIED = "denied"
 
     @property
     def promises_no_effect(self) -> bool:
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -22,6 +22,7 @@
     NotSentError,
     ReplacedError,
 )
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.session_service import SessionService
@@ -267,7 +268,7 @@
 
     def session(self) -> Session:
         session = self.service.open_session("db")
-        assert session is not None
+        assert isinstance(session, Session)
         return session
 
     async def run(
@@ -291,7 +292,9 @@
         found = next(at_address)
         return found.replacement or found
 
-    async def _connect(self, database: Database) -> FakeConnection:
+    async def _connect(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> FakeConnection:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         fake = self._find(database)
         fake.attempts += 1
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -19,8 +19,10 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import NotSentError
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.session_service import SessionService
+from beryltiller.sessions.session import Session
 from beryltiller.sessions.statements import (
     Begin,
     CallerStatement,
@@ -183,7 +185,9 @@
         for fleet in self.fleets:
             fleet.register(Directory(entries))
 
-    async def _connect(self, database: Database) -> LoadedConnection:
+    async def _connect(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> LoadedConnection:
         loaded = self.databases[database.identifier]
         await asyncio.sleep(HOP_SECONDS)
         if loaded.connections >= loaded.cap:
@@ -261,7 +265,7 @@
         self, service: SessionService, statements: tuple[CallerStatement, ...]
     ) -> bool:
         session = service.open_session(ROUTE)
-        assert session is not None
+        assert isinstance(session, Session)
         for statement in statements:
             reply = await service.answer(session, "q", statement, virtual_now())
             if not reply.is_success:
--- a/tests/page_group.py
+++ b/tests/page_group.py
@@ -11,6 +11,7 @@
 from beryltiller.platform import wire
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.errors import BrokenError, NotSentError
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.statements import Code, DatabaseStatus, ProxyCommand, Reply
 from beryltiller.sessions.statements import Request as SentRequest
 from tests.fake_group import ROUND_TRIP_SECONDS, FakeDatabase, GroupFixture
@@ -200,7 +201,9 @@
             # The position that `PageDatabase` answers with.
             each.index = 5
 
-    async def _connect(self, database: Database) -> SharedConnection:  # type: ignore[override]
+    async def _connect(  # type: ignore[override]
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> SharedConnection:
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         fake = self._find(database)
         if self.trouble.take("STARTUP"):
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -9,6 +9,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
+from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.succession.announcer import Announcer
@@ -107,7 +108,9 @@
         while virtual_now() < self.frozen_until:
             await asyncio.sleep(self.frozen_until - virtual_now())
 
-    async def _connect(self, database: Database) -> SimulatedConnection:
+    async def _connect(
+        self, database: Database, organisation: str = NO_ORGANISATION
+    ) -> SimulatedConnection:
         return await connect(self._simulation.group, self, database)
 
     async def _follow_entries(self) -> None:
--- a/tests/simulated_sessions.py
+++ b/tests/simulated_sessions.py
@@ -16,6 +16,7 @@
     RouteKind,
     Service,
 )
+from beryltiller.sessions.session import Session
 from tests.simulated_callers import CallerSession
 from tests.simulated_checker import STALENESS_SECONDS, Checker, Findings
 from tests.simulated_databases import PROMOTE_SECONDS, SERVICE, SimulatedGroup
@@ -146,7 +147,7 @@
                 await asyncio.sleep(REFUSED_SECONDS)
                 continue
             session = proxy.service.open_session(kind.name)
-            assert session is not None
+            assert isinstance(session, Session)
             caller = CallerSession(self, proxy, session, kind, number)
             await caller.use()
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -59,7 +59,9 @@
         self.assertEqual(
             wire.decode_message(b"QUERY 5c READ 1a4"), wire.Query("5c", Read("1a4"))
         )
-        self.assertEqual(wire.decode_message(b"STARTUP db u1"), wire.Startup("db"))
+        self.assertEqual(
+            wire.decode_message(b"STARTUP db u1"), wire.Startup("db", "u1")
+        )
         self.assertEqual(wire.decode_message(b"TERMINATE"), wire.Terminate())
         for line in (b"HELLO", b"\xff"):
             with self.subTest(line), self.assertRaises(wire.WireError):
@@ -83,6 +85,10 @@
             wire.encode_startup("s", "i-1"), b"STARTUP s beryltiller i-1\r\n"
         )
 
+    def test_database_is_told_the_name_of_the_organisation(self) -> None:
+        line = wire.encode_startup("s", "i-1", "acme")
+        self.assertEqual(line, b"STARTUP s acme i-1\r\n")
+
 
 class ReplyTest(unittest.TestCase):
     """Replies are encoded, and decoded to equal values."""
--- a/tests/test_session_connections.py
+++ b/tests/test_session_connections.py
@@ -14,7 +14,7 @@
     ignore_large,
 )
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
-from beryltiller.sessions.connections.connection_pool import ConnectionPool
+from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.errors import NotSentError
@@ -35,11 +35,12 @@
         self.database = FakeDatabase("d")
         self.cap = cap
         self.attempts = 0
-        self.pool = ConnectionPool(
+        self.pools = DatabasePools(
             self.connect, PrioritySemaphore(3), ConnectionPoolPolicy(share)
         )
+        self.pool = self.pools.pool()
 
-    async def connect(self) -> DatabaseConnection:
+    async def connect(self, organisation: str) -> DatabaseConnection:
         self.attempts += 1
         await asyncio.sleep(0.01)
         if self.database.connections >= self.cap:
--- a/tests/test_session_serving.py
+++ b/tests/test_session_serving.py
@@ -134,7 +134,7 @@
 
     def test_unknown_route_and_prepared_name_are_refused(self) -> None:
         async def work(fixture: GroupFixture) -> None:
-            self.assertIsNone(fixture.service.open_session("nothing"))
+            self.assertIs(fixture.service.open_session("nothing"), Code.NO_ROUTE)
             reply = await fixture.run(fixture.session(), Execute("s1", "i"))
             self.assertIs(reply.code, Code.NO_SUCH_STATEMENT)
             reply = await fixture.run(fixture.session(), Deallocate("s1"))
