--- a/src/beryltiller/adapters/peers.py
+++ b/src/beryltiller/adapters/peers.py
@@ -75,10 +75,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
-    """Settings of `Peers`; `bind_address` is `ip:port`, with port 0 for any port."""
+    """Settings of `Peers`; `bind_address` is `ip:port`, with port 0 for any port.
+
+    Without `keys` messages are neither encrypted nor authenticated, as on a network
+    that only the deployment's hosts can reach.
+    """
 
     bind_address: str
-    keys: PeerKeys
+    keys: PeerKeys | None
     idle_seconds: float = IDLE_SECONDS
     max_open_peers: int = MAX_OPEN_PEERS
     max_unanswered_requests: int = MAX_UNANSWERED_REQUESTS
@@ -158,12 +162,13 @@
     async def open(self, stack: AsyncExitStack) -> None:
         """Bind the server socket and serve requests until `stack` closes."""
         stack.callback(self._context.destroy, linger=0)
-        authenticator = AsyncioAuthenticator(self._context)
-        authenticator.start()
-        stack.push_async_callback(_stop, authenticator)
-        authenticator.configure_curve_callback(
-            "*", _ClientKeyVerifier(self._settings.keys)
-        )
+        if self._settings.keys is not None:
+            authenticator = AsyncioAuthenticator(self._context)
+            authenticator.start()
+            stack.push_async_callback(_stop, authenticator)
+            authenticator.configure_curve_callback(
+                "*", _ClientKeyVerifier(self._settings.keys)
+            )
         self._server = self._open_server()
         stack.callback(self._server.close, linger=0)
         stack.push_async_callback(self._close_channels)
@@ -174,9 +179,11 @@
     def _open_server(self) -> zmq.asyncio.Socket:
         socket = self._context.socket(zmq.ROUTER)
         configure_socket(socket)
-        socket.curve_server = True
-        socket.curve_secretkey = self._settings.keys.server_secret.encode("ascii")
-        socket.curve_publickey = self._settings.keys.server_public.encode("ascii")
+        keys = self._settings.keys
+        if keys is not None:
+            socket.curve_server = True
+            socket.curve_secretkey = keys.server_secret.encode("ascii")
+            socket.curve_publickey = keys.server_public.encode("ascii")
         socket.bind(f"tcp://{self._settings.bind_address}")
         endpoint = bytes(socket.getsockopt(zmq.LAST_ENDPOINT))
         self.address = endpoint.rstrip(b"\0").decode("ascii").removeprefix("tcp://")
@@ -259,9 +266,10 @@
         configure_socket(socket)
         socket.immediate = True
         keys = self._settings.keys
-        socket.curve_serverkey = keys.server_public.encode("ascii")
-        socket.curve_publickey = keys.client_public.encode("ascii")
-        socket.curve_secretkey = keys.client_secret.encode("ascii")
+        if keys is not None:
+            socket.curve_serverkey = keys.server_public.encode("ascii")
+            socket.curve_publickey = keys.client_public.encode("ascii")
+            socket.curve_secretkey = keys.client_secret.encode("ascii")
         try:
             socket.connect(f"tcp://{self._settings.source_ip}:0;{address}")
         except zmq.ZMQError as error:
--- a/src/beryltiller/membership/dissemination.py
+++ b/src/beryltiller/membership/dissemination.py
@@ -15,7 +15,7 @@
 
 MEMBER_UPDATE_BYTES = 280  # at most, for the updates selected for one message
 MAX_ENDPOINT_UPDATES = 4
-_ENTRY_OVERHEAD_BYTES = 22  # of an encoded entry, besides its three text fields
+_ENTRY_OVERHEAD_BYTES = 25  # of an encoded entry, besides its three text fields
 _SENDS_PER_DOUBLING = 3  # sends of an update, for each doubling of the members
 
 
@@ -71,6 +71,7 @@
         member.revision,
         int(member.state),
         member.is_draining,
+        member.weight,
     )
 
 
@@ -84,6 +85,7 @@
         entry.revision,
         MemberState(entry.state),
         entry.is_draining,
+        entry.weight,
     )
 
 
--- a/src/beryltiller/membership/members.py
+++ b/src/beryltiller/membership/members.py
@@ -15,6 +15,8 @@
 
 from xxhash import xxh64_intdigest
 
+DEFAULT_WEIGHT = 100
+
 
 @unique
 class MemberState(IntEnum):
@@ -28,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A description of one proxy; `address` is its peer address as `ip:port`."""
+    """A description of one proxy; `address` is its peer address as `ip:port`.
+
+    `weight` is its capacity in hundredths of an ordinary host's.
+    """
 
     address: str
     name: str
@@ -37,6 +42,7 @@
     revision: int = 0
     state: MemberState = MemberState.ALIVE
     is_draining: bool = False
+    weight: int = DEFAULT_WEIGHT
 
     @property
     def is_live(self) -> bool:
--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -22,6 +22,8 @@
 MAX_MESSAGE_BYTES = 2_097_152
 MAX_MEMBERS_IN_MESSAGE = 4_096
 UNKNOWN_AGE_MS = -1
+# The greatest capacity of a proxy, in hundredths of an ordinary host's.
+MAX_WEIGHT = 1_000_000
 # The least version of a configuration, which stands for none.
 MIN_VERSION = -1
 
@@ -50,6 +52,8 @@
     revision: Count
     state: _State
     is_draining: bool = False
+    # Earlier releases send no weight, and ignore it.
+    weight: Annotated[int, msgspec.Meta(ge=1, le=MAX_WEIGHT)] = 100
 
 
 class Digest(_Part, frozen=True, array_like=True):
@@ -215,6 +219,84 @@
     body: bytes
 
 
+class ForwardedRoute(_Part, frozen=True, array_like=True):
+    """The route of a forwarded statement, as its sender has it in force.
+
+    `kind` is the value of a `RouteKind`.
+    """
+
+    database_name: str
+    service: str
+    kind: _Text
+    timeout_ms: Count
+    objective_ms: Count
+    priority: Count
+    max_staleness_ms: Count
+
+
+class ForwardedStatement(_Part, frozen=True, array_like=True):
+    """A session's statement: the name of its class, and its texts in order.
+
+    `prepared_shape` is that of the prepared statement that an execution names, which
+    writes if `is_write`.
+    """
+
+    kind: _Text
+    texts: tuple[str, ...] = ()
+    prepared_shape: str = ""
+    is_write: bool = False
+
+
+class SessionStatement(_Message, frozen=True, array_like=True):
+    """A statement of a session, to be run by a proxy that is connected to the service.
+
+    `sender` names the process that sends it. `committed` is the position of the
+    session's last commit at the service, if it has one; `unplaced_age_ms` is the age of
+    the last one without a position, or `UNKNOWN_AGE_MS`. `spent_ms` is the time since
+    the caller sent the statement. With a `transaction` number the statement belongs to
+    that transaction of the sender; if it `begins` one, `begun_ms` is the time since the
+    caller began it.
+    """
+
+    sender: _Text
+    route: ForwardedRoute
+    organisation: str
+    identifier: str
+    statement: ForwardedStatement
+    values: dict[str, str]
+    committed: _Text = ""
+    unplaced_age_ms: _Age = UNKNOWN_AGE_MS
+    spent_ms: Count = 0
+    transaction: Count = 0
+    begins: bool = False
+    is_read_only: bool = False
+    begun_ms: Count = 0
+
+
+class SessionEnd(_Message, frozen=True, array_like=True):
+    """A request to roll back a forwarded transaction, if it is still open."""
+
+    sender: _Text
+    transaction: Count
+
+
+class SessionReply(_Message, frozen=True, array_like=True):
+    """The reply to a `SessionStatement` or `SessionEnd`.
+
+    `state` and `code` are the values of a `SessionState` and of a `Code`, with an empty
+    `code` for a success. `is_open` tells whether the transaction is still open at the
+    sender of the reply.
+    """
+
+    state: _Text
+    rows: tuple[bytes, ...] = ()
+    signature: bytes = b""
+    code: _Text = ""
+    text: str = ""
+    position: _Text = ""
+    is_open: bool = False
+
+
 class PositionRequest(_Message, frozen=True, array_like=True):
     """A request for the newest known log position of a group's primary."""
 
@@ -251,6 +333,9 @@
     | Forward
     | ForwardTransaction
     | ForwardReply
+    | SessionStatement
+    | SessionEnd
+    | SessionReply
     | PositionRequest
     | PositionReply
     | Refused
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -43,6 +43,7 @@
     | session_events.StoreRestored
     | session_events.SlowRead
     | session_events.FeederLeaseTaken
+    | session_events.ForwardingChanged
     | session_events.RelayMessageRefused
     | session_events.EntryRefused
     | session_events.LeaderChanged
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -45,6 +45,19 @@
     former: str
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardingChanged:
+    """The services whose statements are forwarded have changed.
+
+    Their databases accept fewer connections than there are proxies, or pairs of proxy
+    and organisation.
+    """
+
+    # Separated by blanks; empty if each proxy runs its statements itself.
+    services: str
+    proxies: int
+
+
 @dataclass(frozen=True, slots=True)
 class RelayMessageRefused:
     """A relayed message cannot be decoded and is dropped; logged once a minute."""
--- a/src/beryltiller/platform/daemon.py
+++ b/src/beryltiller/platform/daemon.py
@@ -39,7 +39,10 @@
         self._settings = settings
         self._stop_requested = threading.Event()
         self._settings_watch = SettingsWatch(path)
-        self._node = PlatformNode(settings, self._stop_requested.set)
+        self._mailboxes = Mailboxes()
+        self._node = PlatformNode(
+            settings, self._mailboxes.send, self._stop_requested.set
+        )
 
     def run(self) -> int:
         """Serve until the proxy has drained, and return the exit code.
@@ -54,7 +57,7 @@
             loop.submit(self._node.open(sockets)).result(START_TIMEOUT_SECONDS)
             stack.callback(lambda: loop.submit(sockets.aclose()).result())
             supervisor = Supervisor.start(
-                self._node.parts(), loop, Mailboxes(), self._stop_requested.set
+                self._node.parts(), loop, self._mailboxes, self._stop_requested.set
             )
             stack.callback(supervisor.stop)
             self._install_signal_handlers(loop)
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -6,15 +6,18 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from contextlib import AsyncExitStack
 from typing import Any
 
 import aiohttp
+import zmq
 from aiohttp import web
 
 from beryltiller.adapters.broadcast import Broadcast, BroadcastError
+from beryltiller.core.addresses import Address
 from beryltiller.core.ports import Row
+from beryltiller.membership.members import DEFAULT_WEIGHT
 from beryltiller.observability import events, logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.announcements import (
@@ -25,7 +28,7 @@
 from beryltiller.platform.drain import drain_ingress
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
-from beryltiller.platform.settings import PlatformSettings
+from beryltiller.platform.settings import PEER_PORT_OFFSET, PlatformSettings
 from beryltiller.platform.store import IDLE_CONNECTION_SECONDS, StoreClient
 from beryltiller.process import periodic
 from beryltiller.process.actors import Part
@@ -34,6 +37,12 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
+from beryltiller.sessions.forwarding.holders import Regions
+from beryltiller.sessions.forwarding.peering import (
+    Peering,
+    PeeringSettings,
+    SendEvent,
+)
 from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.serving.isolation import IsolationMonitor, IsolationWatch
@@ -49,6 +58,8 @@
 
 READINESS_PATH = "/beryltiller/readiness"
 MAINTENANCE_INTERVAL_SECONDS = 0.3
+# A proxy that ends has this long to tell its peers.
+LEAVE_SECONDS = 0.05
 # Interval of the checks of the leaders, and of this proxy's own isolation.
 CHECK_INTERVAL_SECONDS = 0.1
 # The store removes an entry after this many heartbeats of silence, and a little later.
@@ -68,10 +79,17 @@
     """The state and the tasks of one proxy on the event loop; `open` starts it."""
 
     def __init__(
-        self, settings: PlatformSettings, on_drained: Callable[[], None]
+        self,
+        settings: PlatformSettings,
+        send_event: SendEvent,
+        on_drained: Callable[[], None],
     ) -> None:
-        """Create a proxy; it calls `on_drained` after draining or if a task fails."""
+        """Create a proxy; it calls `on_drained` after draining or if a task fails.
+
+        `send_event` sends an event to a part's actor by name.
+        """
         self._settings = settings
+        self._send_event = send_event
         self._on_drained = on_drained
         self._rng = random.Random()
         self._registry = Registry()
@@ -157,6 +175,7 @@
         )
         stack.callback(self._cancel_tasks)
         stack.callback(self._fleet.close)
+        self._peering = await self._open_peering(stack)
         self._relay_runner = self._open_relay(stack)
         self._follow(records.OPERATOR_TABLE, self._adopt_configuration)
         self._databases_follower = self._follow(
@@ -187,7 +206,10 @@
 
     def parts(self) -> tuple[Part[Any, Any, Any], ...]:
         """Return the parts whose actors a supervisor must run; call `open` first."""
-        return (self._succession_runner.part(),)
+        succession = self._succession_runner.part()
+        if self._peering is None:
+            return (succession,)
+        return succession, self._peering.part()
 
     def drain(self) -> None:
         """Start to close callers' connections step by step, then call `on_drained`."""
@@ -195,6 +217,8 @@
             return
         self._is_draining = True
         logs.log(events.Draining("asked", self._ingress.open_connections))
+        if self._peering is not None:
+            self._peering.drain()
         self._spawn(self._drain())
 
     def reconfigure(self, settings: PlatformSettings) -> None:
@@ -220,6 +244,49 @@
         self._spawn(periodic.run_forever(follower.run))
         return follower
 
+    async def _open_peering(self, stack: AsyncExitStack) -> Peering | None:
+        """Open the channel to other proxies.
+
+        Return None if no address is set for it or its port cannot be opened.
+        """
+        settings = self._settings
+        if settings.peer_address is None:
+            return None
+        peering_settings = PeeringSettings(
+            settings.host_name,
+            str(settings.peer_address),
+            settings.availability_zone,
+            Regions(settings.regions),
+            max(1, round(settings.cores * DEFAULT_WEIGHT)),
+        )
+        peering = Peering(
+            peering_settings,
+            self._fleet,
+            self._service,
+            self._send_event,
+            self._rng,
+            boot_clock,
+        )
+        try:
+            await peering.open(stack)
+        except zmq.ZMQError as error:
+            # The proxy then runs all statements itself.
+            logs.log(events.WorkFailed("peer channel", str(error)))
+            return None
+        self._spawn(periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, peering.maintain))
+        return peering
+
+    def _list_seeds(self, feeders: Sequence[Feeder]) -> None:
+        """Take the feeders of all zones as seeds of the membership."""
+        if self._peering is None:
+            return
+        addresses = []
+        for feeder in feeders:
+            relay = Address.parse_remote(feeder.address)
+            peer = Address(relay.ip, relay.port + PEER_PORT_OFFSET)
+            addresses.append(str(peer))
+        self._peering.list_seeds(addresses)
+
     def _open_relay(self, stack: AsyncExitStack) -> RelayRunner | None:
         """Start to exchange table changes with other proxies of the availability zone.
 
@@ -239,6 +306,7 @@
             logs.log(events.WorkFailed("relay", str(error)))
             return None
         relay_runner.connect(broadcast)
+        relay_runner.report_feeders(self._list_seeds)
         self._spawn(periodic.run_every(ANNOUNCE_SECONDS, relay_runner.announce))
         self._spawn(periodic.run_forever(relay_runner.maintain_lease))
         return relay_runner
@@ -263,6 +331,8 @@
         if self._fleet.adopt(configuration):
             logs.log(events.ConfigurationInForce(configuration.version, "store"))
             self._ingress.end_denied()
+            if self._peering is not None:
+                self._peering.update_plan()
 
     def _update_registry(self, rows: Rows) -> None:
         found = records.decode_databases(rows.values(), self._entries_refused)
@@ -327,7 +397,13 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _drain(self) -> None:
-        await drain_ingress(self._ingress, self._settings.grace_seconds, boot_clock)
+        forwarded = None if self._peering is None else self._peering.sessions
+        await drain_ingress(
+            self._ingress, self._settings.grace_seconds, boot_clock, forwarded
+        )
+        if self._peering is not None:
+            self._peering.leave()
+            await asyncio.sleep(LEAVE_SECONDS)
         self._on_drained()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -1,8 +1,8 @@
 """The part of the platform's settings file that the proxy uses."""
 
 import os
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -20,6 +20,10 @@
 MAX_DURATION_SECONDS = 86_400
 MAX_MEMORY_MB = 1 << 30
 MEGABYTE = 1_000_000
+MAX_CORES = 1_000
+
+# The port of the peer channel comes behind that of the relay, on all hosts.
+PEER_PORT_OFFSET = 1
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
@@ -56,7 +60,13 @@
 
 
 class LimitsModel(msgspec.Struct, frozen=True):
-    """Limits of the process; one that uses more than `memory_mb` is killed."""
+    """Limits of the process; one that uses more than `memory_mb` is killed.
+
+    It gets `cpu_share` of a core that is `cpu_cores` times as fast as an ordinary one.
+    """
+
+    cpu_share: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
+    cpu_cores: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
 
     memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEMORY_MB)] | None = None
 
@@ -65,7 +75,8 @@
     """The settings file; fields that the proxy does not use are ignored.
 
     `internal_port_range` begins with the port at which this proxy relays changes of the
-    store to other proxies; without a range it does not.
+    store to other proxies; the next one is that of its peer channel. Without a range it
+    has neither. `zones` maps the names of availability zones to those of their regions.
     """
 
     node_name: str
@@ -78,6 +89,7 @@
     limits: LimitsModel = LimitsModel()
     heartbeat_interval_ms: _Milliseconds = 1200.0
     internal_port_range: tuple[int, int] | None = None
+    zones: dict[str, str] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +98,9 @@
 
     Its connections to the store and to databases start from `source_ip`. It must stop
     within `grace_seconds`; a draining database stops after `drain_seconds`, and writes
-    its entry every `heartbeat_seconds`. Other
-    proxies receive its relayed changes from `relay_address`, if it has one. With
+    its entry every `heartbeat_seconds`. Other proxies receive its relayed changes from
+    `relay_address`, and send it requests at `peer_address`, if it has them. `regions`
+    maps availability zones to their regions. The host has `cores` ordinary cores. With
     `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
     """
 
@@ -101,6 +114,9 @@
     grace_seconds: float
     drain_seconds: float
     relay_address: Address | None = None
+    peer_address: Address | None = None
+    regions: Mapping[str, str] = field(default_factory=dict)
+    cores: float = 1.0
     logs_reads: bool = False
     heartbeat_seconds: float = 1.2
     memory_bytes: int | None = None
@@ -133,7 +149,10 @@
         grace_seconds=model.bounds.grace_period_s,
         drain_seconds=model.bounds.drain_timeout_ms / 1000,
         heartbeat_seconds=model.heartbeat_interval_ms / 1000,
-        relay_address=_relay_address(model),
+        relay_address=_internal_address(model, 0),
+        peer_address=_internal_address(model, PEER_PORT_OFFSET),
+        regions=model.zones,
+        cores=model.limits.cpu_share * model.limits.cpu_cores,
         memory_bytes=_memory_bytes(model.limits),
     )
 
@@ -164,12 +183,14 @@
     return None if limits.memory_mb is None else int(limits.memory_mb * MEGABYTE)
 
 
-def _relay_address(model: FileModel) -> Address | None:
-    """Return the address of the relay, or None if the file names no internal ports."""
+def _internal_address(model: FileModel, offset: int) -> Address | None:
+    """Return the address at an internal port, or None if the file has too few."""
     if model.internal_port_range is None:
         return None
-    port, _ = model.internal_port_range
-    return _parse_remote("internal_port_range", f"{model.ip_address}:{port}")
+    first, last = model.internal_port_range
+    if offset and first + offset > last:
+        return None
+    return _parse_remote("internal_port_range", f"{model.ip_address}:{first + offset}")
 
 
 def _checked_name(field: str, text: str) -> str:
--- a/src/beryltiller/sessions/connections/connection_limits.py
+++ b/src/beryltiller/sessions/connections/connection_limits.py
@@ -60,9 +60,16 @@
     def __init__(self, policy: ConnectionPoolPolicy) -> None:
         """Start at the policy's maximum."""
         self._policy = policy
+        self._maximum = policy.max_connections
         self._limit = policy.max_connections
         self._refused_at = float("-inf")
 
+    def set_maximum(self, connections: int | None) -> None:
+        """Change the maximum, or go back to the policy's with None."""
+        maximum = self._policy.max_connections if connections is None else connections
+        if maximum != self._maximum:
+            self._maximum = self._limit = maximum
+
     def is_paused(self, now: float) -> bool:
         """Return True if opening is paused after a refusal by the database."""
         return now < self._refused_at + self._policy.refusal_pause_seconds
@@ -73,7 +80,7 @@
 
     def max_open(self, now: float) -> int:
         """Return how many connections may be open now."""
-        maximum = self._policy.max_connections
+        maximum = self._maximum
         steps = (now - self._refused_at) / self._policy.growth_seconds
         return maximum if steps >= maximum else min(maximum, self._limit + int(steps))
 
--- a/src/beryltiller/sessions/connections/database_pools.py
+++ b/src/beryltiller/sessions/connections/database_pools.py
@@ -22,6 +22,9 @@
 # that has the pool may wait for its turn.
 UNUSED_POOL_SECONDS = 300.0
 
+# Connections within an agreed share of the database's cap are closed after this long.
+SHARE_IDLE_SECONDS = 30.0
+
 ConnectAs = Callable[[str], Awaitable[DatabaseConnection]]
 
 
@@ -49,12 +52,22 @@
         self._limit = ConnectionLimit(policy)
         self._pools: dict[str, ConnectionPool] = {}
         self._used_at: dict[str, float] = {}
+        self._keeps_idle = False
 
     @property
     def size(self) -> int:
         """Return the number of connections that are open or being opened."""
         return sum(pool.size for pool in self._pools.values())
 
+    def set_share(self, connections: int | None) -> None:
+        """Set how many connections all pools may have, or None for the policy's number.
+
+        Connections of an agreed share are kept for longer, as no other proxy needs
+        them.
+        """
+        self._limit.set_maximum(connections)
+        self._keeps_idle = connections is not None
+
     def pool(self, organisation: str = NO_ORGANISATION) -> ConnectionPool:
         """Return the pool of an organisation, creating it if necessary."""
         self._used_at[organisation] = loop_time()
@@ -81,6 +94,8 @@
 
     def close_idle(self, now: float) -> None:
         """Close connections that exceeded the idle time, and forget empty pools."""
+        if self._keeps_idle:
+            now -= SHARE_IDLE_SECONDS - self._policy.idle_seconds
         for organisation, pool in tuple(self._pools.items()):
             pool.close_idle(now)
             is_old = self._used_at[organisation] < now - UNUSED_POOL_SECONDS
--- a/src/beryltiller/sessions/databases/connection_pools.py
+++ b/src/beryltiller/sessions/databases/connection_pools.py
@@ -1,6 +1,7 @@
 """One proxy's connection pools, for each process of a database that it uses."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
@@ -30,7 +31,14 @@
         ...
 
 
-PoolKey = tuple[str, str, int]
+@dataclass(frozen=True, slots=True)
+class PoolKey:
+    """What identifies a process of a database."""
+
+    service: str
+    identifier: str
+    address: str
+    incarnation: int
 
 
 class ConnectionPools:
@@ -44,6 +52,7 @@
         self._connect = connect
         self._clock = clock
         self._pools: dict[PoolKey, DatabasePools] = {}
+        self._shares: Mapping[str, int] = {}
 
     def pools(
         self, database: Database, services: Mapping[str, Service]
@@ -55,8 +64,18 @@
             service = services.get(database.service)
             cap = service.max_connections if service else DEFAULT_MAX_CONNECTIONS
             pools = self._pools[key] = self._create(database, cap)
+            pools.set_share(self._shares.get(database.service))
         return pools
 
+    def set_shares(self, shares: Mapping[str, int]) -> None:
+        """Limit the connections to each database of some services.
+
+        The others keep the limit that their pools were created with.
+        """
+        self._shares = dict(shares)
+        for key, pools in self._pools.items():
+            pools.set_share(self._shares.get(key.service))
+
     def close_removed(self, directory: Directory) -> None:
         """Close the pools of databases that are not registered any more."""
         known = {_pool_key(database) for database in directory.databases.values()}
@@ -84,4 +103,6 @@
 
 
 def _pool_key(database: Database) -> PoolKey:
-    return database.identifier, database.address, database.incarnation
+    return PoolKey(
+        database.service, database.identifier, database.address, database.incarnation
+    )
--- a/src/beryltiller/sessions/databases/evidence.py
+++ b/src/beryltiller/sessions/databases/evidence.py
@@ -37,6 +37,7 @@
     COMMIT = "commit"
     STATUS = "status"
     REPLICA_POSITION = "replica position"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +74,14 @@
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class PeerCover:
+    """A position that, as a peer has proved, covers commits before `moment`."""
+
+    moment: float
+    position: Position
+
+
 @dataclass(frozen=True, slots=True)
 class Cover:
     """A position that covers what a read must see, and the evidence for it."""
@@ -142,6 +151,7 @@
         self._proofs = proofs
         self._samples: deque[Sample] = deque()
         self._surveys: deque[Survey] = deque()
+        self._peer_cover: PeerCover | None = None
         self._log_lost_at = NEVER
         self._lost_log_covered_by: Position | None = None
 
@@ -150,6 +160,31 @@
         """Return a position that covers what lost logs may have held, or None."""
         return self._lost_log_covered_by
 
+    @property
+    def peer_cover(self) -> PeerCover | None:
+        """Return the newest position that a peer has proved, or None."""
+        return self._peer_cover
+
+    def add_peer_cover(self, cover: PeerCover) -> None:
+        """Add a position that a peer has proved by a sample of its own.
+
+        It holds whatever is known here of databases, as a later primary's log holds
+        what the primary of a proved term had acknowledged.
+        """
+        if self._peer_cover is None or cover.moment > self._peer_cover.moment:
+            self._peer_cover = cover
+
+    def newest_proved_sample(self) -> Sample | None:
+        """Return the newest sample whose term is proved, or None."""
+        return next(
+            (
+                each
+                for each in reversed(self._samples)
+                if self._proofs.is_proved(each.term, each.asked_at)
+            ),
+            None,
+        )
+
     def newest_samples(self) -> Iterator[Sample]:
         """Yield the samples, the newest first."""
         yield from reversed(self._samples)
@@ -200,6 +235,9 @@
         if sample is not None:
             evidence = Evidence(EvidenceKind.SAMPLE, sample.source, sample.asked_at)
             return Cover(sample.position, evidence)
+        peers = self._peer_cover
+        if peers is not None and peers.moment >= moment:
+            return Cover(peers.position, Evidence(EvidenceKind.PEER, "", peers.moment))
         for survey in self._surveys:
             if survey.asked_at >= moment and survey.position >= surveyed_from:
                 evidence = Evidence(EvidenceKind.SURVEY, "", survey.asked_at)
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -1,7 +1,7 @@
 """The databases that one proxy uses: groups, connection pools and commands."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
@@ -83,6 +83,7 @@
         )
         self._follows_store = False
         self._keeps_in_sync_sets = False
+        self._is_connected: Callable[[str], bool] = lambda service: True
         self._entry_seconds = float("inf")
         self._followed_since: float | None = None
         self._receipts = ReceiptQueries(
@@ -108,6 +109,26 @@
         """Yield the groups of all services."""
         yield from self._groups.values()
 
+    def watched_groups(self) -> tuple[Group, ...]:
+        """Return the groups whose databases this proxy queries by itself.
+
+        They are those of the services that it is connected to; other proxies watch the
+        others.
+        """
+        groups = self._groups.values()
+        return tuple(each for each in groups if self._is_connected(each.service))
+
+    def watch_only(self, is_connected: Callable[[str], bool]) -> None:
+        """Query only the databases of services for which `is_connected` holds."""
+        self._is_connected = is_connected
+
+    def limit_connections(self, shares: Mapping[str, int]) -> None:
+        """Limit this proxy's connections to each database of some services.
+
+        Those of a service that is not in `shares` are limited to a part of the cap.
+        """
+        self._connection_pools.set_shares(shares)
+
     def adopt(self, configuration: Configuration) -> bool:
         """Activate a configuration; return False if it is not a newer version."""
         present = self._configuration
@@ -336,7 +357,7 @@
         shows whether they work.
         """
         now = self._clock()
-        leaders = [group.leader for group in self._groups.values() if group.leader]
+        leaders = [each.leader for each in self.watched_groups() if each.leader]
         unresponsive = [each for each in leaders if _is_unresponsive(each, now)]
         zones = {each.database.availability_zone for each in unresponsive}
         return tuple(
@@ -357,7 +378,7 @@
 
     async def confirm_leaders(self) -> None:
         """Query the status of databases that claim to lead but have stated no term."""
-        await self._status_queries.confirm_leaders(self._groups.values())
+        await self._status_queries.confirm_leaders(self.watched_groups())
 
     def is_local(self, member: Member) -> bool:
         """Return True if a database is in this proxy's availability zone."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -29,6 +29,7 @@
     Cover,
     Evidence,
     EvidenceKind,
+    PeerCover,
     Sample,
     TermProofs,
 )
@@ -365,6 +366,19 @@
         """
         return self._covers.cover(moment, self._changes.reported_anywhere)
 
+    @property
+    def peer_cover(self) -> PeerCover | None:
+        """Return the newest position that a peer has proved, or None."""
+        return self._covers.peer_cover
+
+    def record_peer_cover(self, cover: PeerCover) -> None:
+        """Record a position that a peer has proved."""
+        self._covers.add_peer_cover(cover)
+
+    def newest_proved_sample(self) -> Sample | None:
+        """Return the newest sample whose term is proved, or None."""
+        return self._covers.newest_proved_sample()
+
     def lag_seconds(self, replica: Member, now: float) -> float:
         """Return by how much a replica lagged at least when last asked.
 
--- /dev/null
+++ b/src/beryltiller/sessions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward statements to the proxies that are connected to their databases."""
--- /dev/null
+++ b/src/beryltiller/sessions/forwarding/holders.py
@@ -0,0 +1,99 @@
+"""Holders: the proxies that connect to a service's databases, for all others.
+
+Where a database accepts fewer connections than there are proxies, or pairs of proxy
+and organisation, only some proxies of each availability zone connect to it. Proxies
+with the same view of the members choose the same ones without a message. Where views
+differ, a proxy that is no holder in its own view still runs what it is sent, and the
+database's own cap limits the connections.
+
+Holders are ranked by weighted rendezvous hashing: a member that joins or leaves moves
+only its own part, and a host of twice the weight is chosen twice as often.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from beryltiller.membership.members import Member
+
+# Each holder may have at least this many connections to a database, so that it can
+# run several statements at once and keep connections of several organisations.
+MIN_CONNECTIONS = 6
+# The part of a database's cap that its holders use. The rest is for status queries and
+# commands, and for proxies with another view of the members.
+HELD_SHARE = 0.8
+_HASH_RANGE = 1 << 64
+
+
+@dataclass(frozen=True, slots=True)
+class Regions:
+    """The region of each availability zone; zones that are not listed form one region.
+
+    >>> regions = Regions({"a": "north", "b": "north", "c": "south"})
+    >>> regions.of("b"), regions.of("x")
+    ('north', '')
+    """
+
+    by_zone: Mapping[str, str]
+
+    def of(self, availability_zone: str) -> str:
+        """Return the region of an availability zone."""
+        return self.by_zone.get(availability_zone, "")
+
+    def zones_beside(self, availability_zone: str) -> int:
+        """Return how many zones the region of a zone has, at least one."""
+        region = self.of(availability_zone)
+        return max(1, sum(each == region for each in self.by_zone.values()))
+
+
+def is_forwarded(max_connections: int, proxies: int, organisations: int) -> bool:
+    """Return True if a database accepts too few connections for all proxies.
+
+    Connections are not shared between organisations, so each proxy needs one for each.
+
+    >>> is_forwarded(46, proxies=83, organisations=0)
+    True
+    >>> is_forwarded(46, proxies=5, organisations=0)
+    False
+    """
+    return max_connections < proxies * max(1, organisations)
+
+
+def holders(
+    service: str, max_connections: int, members: Iterable[Member], zones: int
+) -> tuple[Member, ...]:
+    """Return the members of one region that hold connections, in order of rank.
+
+    `members` are those of the region that serve, and `zones` is the number of its
+    availability zones. Each zone has holders of its own, to go on when it is cut off.
+    """
+    per_zone = max(1, max_connections // MIN_CONNECTIONS // zones)
+    by_zone: dict[str, list[Member]] = {}
+    for member in rank(service, members):
+        chosen = by_zone.setdefault(member.availability_zone, [])
+        if len(chosen) < per_zone:
+            chosen.append(member)
+    found = [member for chosen in by_zone.values() for member in chosen]
+    return rank(service, found)
+
+
+def share(max_connections: int, holding: int) -> int:
+    """Return how many connections to a database each of the holders may have.
+
+    >>> share(46, holding=6)
+    6
+    """
+    return max(1, int(max_connections * HELD_SHARE) // max(1, holding))
+
+
+def rank(key: str, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the members by weighted rendezvous hashing for a key, the first first."""
+    return tuple(sorted(members, key=lambda member: _cost(key, member)))
+
+
+def _cost(key: str, member: Member) -> float:
+    """Return a value that is lowest with a probability in proportion to the weight."""
+    digest = xxh3_64_intdigest(f"{key}\0{member.address}".encode())
+    return -math.log((digest + 1) / _HASH_RANGE) / member.weight
--- a/src/beryltiller/sessions/running/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
@@ -62,6 +63,18 @@
 Attempt = Callable[[NotSentError], Awaitable[Reply | NotSentError]]
 
 
+class PeerCoverSource(Protocol):
+    """Peers that know which log position covers all acknowledged commits."""
+
+    def refresh(self, group: Group) -> None:
+        """Ask for a newer position if the one that reads use is getting old."""
+        ...
+
+    async def learn(self, group: Group, moment: float) -> bool:
+        """Return True once a position is known that covers commits before `moment`."""
+        ...
+
+
 class StatementExecutor:
     """Place and run the statements of sessions.
 
@@ -78,6 +91,11 @@
         self._read_log = read_log
         self._commits = CommitReports(fleet, clock)
         self._refusal_log = SetUpRefusalLog()
+        self._peer_covers: PeerCoverSource | None = None
+
+    def learn_from(self, peer_covers: "PeerCoverSource") -> None:
+        """Ask peers for what covers a read, before the databases are queried."""
+        self._peer_covers = peer_covers
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -128,6 +146,11 @@
         must see, the group is surveyed once and the placement tried again.
         """
         placement = self._place_read(group, requirement, tried, organisation)
+        if self._peer_covers is not None:
+            if placement is not None:
+                self._peer_covers.refresh(group)
+            elif await self._peer_covers.learn(group, requirement.acknowledged_before):
+                placement = self._place_read(group, requirement, tried, organisation)
         if (
             placement is not None
             or group.covering_position(requirement.acknowledged_before) is not None
--- a/src/beryltiller/sessions/running/single_statements.py
+++ b/src/beryltiller/sessions/running/single_statements.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import replace
+from typing import Protocol
 
 from beryltiller.sessions.databases.catalog import Route
 from beryltiller.sessions.databases.groups import Group
@@ -34,6 +35,21 @@
 MAX_WRITE_ATTEMPTS = 2
 
 
+class PeerStatements(Protocol):
+    """Single statements at peers that are connected to the databases."""
+
+    async def run_single(
+        self,
+        session: Session,
+        route: Route,
+        identifier: str,
+        statement: Statement,
+        arrived: float,
+    ) -> Reply | None:
+        """Run a read or a write; return None to run it here."""
+        ...
+
+
 class SingleStatementRunner:
     """Runs single statements for all sessions.
 
@@ -43,14 +59,39 @@
     def __init__(self, executor: StatementExecutor) -> None:
         """Place and run statements with `executor`."""
         self._executor = executor
+        self._peers: PeerStatements | None = None
+
+    def forward_to(self, peers: PeerStatements) -> None:
+        """Let peers run statements from now on, where they are to."""
+        self._peers = peers
 
     async def run(
         self, session: Session, identifier: str, statement: Statement, arrived: float
     ) -> Reply:
-        """Run a read or a write that arrived at `arrived`, and return its reply."""
+        """Run a read or a write that arrived at `arrived`, and return its reply.
+
+        A peer runs it where it is connected to the databases and this proxy is not.
+        """
         route = self._executor.route(session.database_name)
         if route is None:
             return session.refuse(Code.NO_ROUTE, session.database_name)
+        if self._peers is not None:
+            forwarded = await self._peers.run_single(
+                session, route, identifier, statement, arrived
+            )
+            if forwarded is not None:
+                return forwarded
+        return await self.run_on_route(session, route, identifier, statement, arrived)
+
+    async def run_on_route(
+        self,
+        session: Session,
+        route: Route,
+        identifier: str,
+        statement: Statement,
+        arrived: float,
+    ) -> Reply:
+        """Run a read or a write of a route at a database, and return its reply."""
         request = Request(statement, identifier)
         try:
             if session.is_write(statement):
--- a/src/beryltiller/sessions/running/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from typing import Protocol
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import Group
@@ -40,6 +41,24 @@
 OPEN_TRANSACTION_PRIORITY = -1
 
 
+class PeerTransactions(Protocol):
+    """Transactions at peers that are connected to the databases."""
+
+    async def run_in_transaction(
+        self,
+        session: Session,
+        identifier: str,
+        statement: Statement,
+        arrived: float,
+    ) -> Reply | None:
+        """Run a statement or the commit; return None to run it here."""
+        ...
+
+    async def roll_back(self, transaction: Transaction) -> None:
+        """Roll back a transaction at the peer that runs it, if one does."""
+        ...
+
+
 class SessionTransactionRunner:
     """Runs the transactions of all sessions.
 
@@ -49,6 +68,11 @@
     def __init__(self, executor: StatementExecutor) -> None:
         """Place and run statements with `executor`."""
         self._executor = executor
+        self._peers: PeerTransactions | None = None
+
+    def forward_to(self, peers: PeerTransactions) -> None:
+        """Let peers run transactions from now on, where they are to."""
+        self._peers = peers
 
     def begin(self, session: Session, is_read_only: bool, arrived: float) -> Reply:
         """Open a transaction in the session, without contacting a database yet."""
@@ -58,7 +82,7 @@
         if route is None:
             return session.refuse(Code.NO_ROUTE, session.database_name)
         requirement = session.read_requirement(route, arrived)
-        session.transaction = Transaction(route, is_read_only, requirement)
+        session.transaction = Transaction(route, is_read_only, requirement, arrived)
         session.state = SessionState.OPEN
         return session.accept()
 
@@ -73,8 +97,11 @@
     async def roll_back_open(self, session: Session) -> None:
         """Roll back the session's transaction, if it has one, without a reply."""
         transaction, session.transaction = session.transaction, None
-        if transaction is not None:
-            await self._executor.roll_back(transaction)
+        if transaction is None:
+            return
+        if self._peers is not None:
+            await self._peers.roll_back(transaction)
+        await self._executor.roll_back(transaction)
 
     async def run(
         self, session: Session, identifier: str, statement: Statement, arrived: float
@@ -84,6 +111,9 @@
         assert transaction is not None
         if transaction.is_read_only and session.is_write(statement):
             return session.refuse(Code.MALFORMED, "the transaction only reads")
+        forwarded = await self._forward(session, identifier, statement, arrived)
+        if forwarded is not None:
+            return forwarded
         request = Request(statement, identifier)
         deadline = arrived + transaction.route.timeout_seconds
         try:
@@ -101,6 +131,17 @@
             transaction.has_written = True
         return reply
 
+    async def _forward(
+        self, session: Session, identifier: str, statement: Statement, arrived: float
+    ) -> Reply | None:
+        """Run a statement of the open transaction at a peer, or return None."""
+        transaction = session.transaction
+        if self._peers is None or transaction is None or transaction.acquired:
+            return None
+        return await self._peers.run_in_transaction(
+            session, identifier, statement, arrived
+        )
+
     async def _run(
         self,
         session: Session,
@@ -294,6 +335,9 @@
         transaction = session.transaction
         if transaction is None:
             return session.refuse(Code.MALFORMED, "no transaction is open")
+        forwarded = await self._forward(session, identifier, Commit(), arrived)
+        if forwarded is not None:
+            return forwarded
         request = Request(Commit(), identifier)
         deadline = arrived + transaction.route.timeout_seconds
         try:
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -2,8 +2,17 @@
 
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
+from beryltiller.sessions.forwarding.forwarded_sessions import (
+    ForwardedSessions,
+    SendReply,
+)
+from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.organisations import Credential
-from beryltiller.sessions.running.execution import Clock, StatementExecutor
+from beryltiller.sessions.running.execution import (
+    Clock,
+    PeerCoverSource,
+    StatementExecutor,
+)
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
 from beryltiller.sessions.running.transactions import SessionTransactionRunner
@@ -70,6 +79,27 @@
         """Return the memory that is counted for the state of all sessions."""
         return self._budget.used_bytes
 
+    def forward_to(
+        self, client: ForwardingClient, peer_covers: PeerCoverSource
+    ) -> None:
+        """Let peers run statements from now on, where they are to.
+
+        Reads that run here learn from `peer_covers` what they must see.
+        """
+        self._single_statements.forward_to(client)
+        self._transactions.forward_to(client)
+        self._executor.learn_from(peer_covers)
+
+    def forwarded_sessions(self, send_reply: SendReply) -> ForwardedSessions:
+        """Return a server for what peers forward, which forwards nothing itself."""
+        return ForwardedSessions(
+            SingleStatementRunner(self._executor),
+            SessionTransactionRunner(self._executor),
+            self._fleet,
+            send_reply,
+            self._clock,
+        )
+
     def refuse_transactions(self) -> None:
         """Begin no further transactions, as there is no time left for them."""
         self._refuses_transactions = True
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -59,18 +59,29 @@
     asked_at: float = NEVER
 
 
+@dataclass(frozen=True, slots=True)
+class RemoteTransaction:
+    """A transaction that a peer runs: its address, and this proxy's number for it."""
+
+    address: str
+    number: int
+
+
 @dataclass(slots=True)
 class Transaction:
     """An open transaction; it acquires a connection with its first statement.
 
-    `requirement` is what the route requires of the database's log.
+    `requirement` is what the route requires of the database's log. One that is
+    `remote` has no connection here.
     """
 
     route: Route
     is_read_only: bool
     requirement: ReadRequirement
+    begun_at: float
     has_written: bool = False
     acquired: AcquiredConnection | None = None
+    remote: RemoteTransaction | None = None
 
 
 def _account_of_its_own() -> MemoryAccount:
--- a/src/beryltiller/sessions/succession/in_sync_keeper.py
+++ b/src/beryltiller/sessions/succession/in_sync_keeper.py
@@ -114,7 +114,7 @@
         lapsed = self._fleet.directory.lapsed
         groups = [
             each
-            for each in self._fleet.groups()
+            for each in self._fleet.watched_groups()
             if not self._announcer.is_stored(each.service)
             or not in_sync.is_settled(each, lapsed)
         ]
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -55,7 +55,7 @@
 
     def observe(self, now: float) -> GroupsObserved:
         """Return an observation of all groups at `now`."""
-        views = tuple(self._view(group, now) for group in tuple(self._fleet.groups()))
+        views = tuple(self._view(group, now) for group in self._fleet.watched_groups())
         return GroupsObserved(views, self._is_store_reachable())
 
     def _view(self, group: Group, now: float) -> GroupView:
--- a/src/beryltiller/sessions/succession/runner.py
+++ b/src/beryltiller/sessions/succession/runner.py
@@ -314,7 +314,7 @@
         now = self._clock()
         replicas = tuple(
             (group, member)
-            for group in self._fleet.groups()
+            for group in self._fleet.watched_groups()
             for member in group.replicas
         )
         names = {member.database.identifier for _, member in replicas}
--- a/src/beryltiller/sessions/tables/relay_messages.py
+++ b/src/beryltiller/sessions/tables/relay_messages.py
@@ -64,6 +64,12 @@
     return tuple(_decode_lease(key, found.get(key)) for key in keys)
 
 
+def decode_feeders(rows: Sequence[Row]) -> tuple[Feeder, ...]:
+    """Return the holders of all leases; malformed rows are left out."""
+    leases = (_decode_lease(row.key, row) for row in rows)
+    return tuple(each.holder for each in leases if each.holder is not None)
+
+
 def _decode_lease(key: str, row: Row | None) -> FeederLease:
     if row is None:
         return FeederLease(key)
--- a/src/beryltiller/sessions/tables/relay_runner.py
+++ b/src/beryltiller/sessions/tables/relay_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from beryltiller.core.ports import PortError, TableRows, Write
@@ -82,12 +82,17 @@
         self._relay = Relay(own)
         self._followers: dict[str, TableFollower] = {}
         self._broadcast: BroadcastPort | None = None
+        self._report_feeders: Callable[[Sequence[Feeder]], None] | None = None
         self._next_refusal_log = float("-inf")
 
     def connect(self, broadcast: BroadcastPort) -> None:
         """Set the transport used to send and receive messages."""
         self._broadcast = broadcast
 
+    def report_feeders(self, report: Callable[[Sequence[Feeder]], None]) -> None:
+        """Pass the feeders of all availability zones to `report` once they are read."""
+        self._report_feeders = report
+
     def add_follower(self, follower: TableFollower) -> None:
         """Pass received changes to a follower, and announce the state of its table."""
         self._followers[follower.table] = follower
@@ -191,6 +196,8 @@
         scan = await self._store.read_all(FEEDER_LEASES_TABLE)
         leases = relay_messages.decode_leases(self._keys, scan.rows)
         self._relay.update_leases(leases, self._clock())
+        if self._report_feeders is not None:
+            self._report_feeders(relay_messages.decode_feeders(scan.rows))
         if self._broadcast is not None:
             self._broadcast.subscribe(
                 each.address for each in self._relay.other_feeders
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -73,7 +73,7 @@
             7.0,
             relay_address,
         )
-        return PlatformNode(settings, lambda: None)
+        return PlatformNode(settings, lambda name, event: None, lambda: None)
 
     async def wait_until_ready(self, node: PlatformNode) -> None:
         """Wait until the proxy is ready for callers."""
