--- a/src/beryltiller/sessions/forwarding/peer_covers.py
+++ b/src/beryltiller/sessions/forwarding/peer_covers.py
@@ -19,6 +19,8 @@
 
 # How long a read waits for an answer, beyond a round trip between regions.
 WAIT_SECONDS = 0.25
+# An answer that has come from another region is at least this old.
+MIN_AGE_SECONDS = 0.1
 # A position that is older is asked for again while reads use it, so that few wait.
 REFRESH_SECONDS = 0.5
 # Minimum time between two questions of one group that found nothing.
@@ -48,20 +50,24 @@
         for task in self._asking.values():
             task.cancel()
 
-    def refresh(self, group: Group) -> None:
-        """Ask for a newer position if the one that reads use is getting old."""
+    async def prepare(self, group: Group, moment: float) -> None:
+        """Learn what covers the commits before `moment`, if the primary is far.
+
+        A read could otherwise only be served by the primary itself. One that must see
+        the newest commits gains nothing, and does not wait.
+        """
+        now = self._clock()
+        if moment >= now - MIN_AGE_SECONDS:
+            return
+        if group.cover(moment) is None:
+            question = self._ask(group)
+            if question is not None:
+                await asyncio.wait((question,), timeout=WAIT_SECONDS)
+            return
         known = group.peer_cover
-        if known is not None and known.moment < self._clock() - REFRESH_SECONDS:
+        if known is not None and known.moment < now - REFRESH_SECONDS:
             self._ask(group)
 
-    async def learn(self, group: Group, moment: float) -> bool:
-        """Return True once a position is known that covers commits before `moment`."""
-        question = self._ask(group)
-        if question is None:
-            return False
-        await asyncio.wait((question,), timeout=WAIT_SECONDS)
-        return group.peer_cover is not None and group.peer_cover.moment >= moment
-
     def _ask(self, group: Group) -> asyncio.Task[None] | None:
         """Return the question under way, or begin one; None if there is nobody."""
         service = group.service
--- a/src/beryltiller/sessions/running/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -66,12 +66,8 @@
 class PeerCoverSource(Protocol):
     """Peers that know which log position covers all acknowledged commits."""
 
-    def refresh(self, group: Group) -> None:
-        """Ask for a newer position if the one that reads use is getting old."""
-        ...
-
-    async def learn(self, group: Group, moment: float) -> bool:
-        """Return True once a position is known that covers commits before `moment`."""
+    async def prepare(self, group: Group, moment: float) -> None:
+        """Learn what covers the commits before `moment`, if the primary is far."""
         ...
 
 
@@ -145,12 +141,9 @@
         If no database can serve it, and no known position covers the commits that it
         must see, the group is surveyed once and the placement tried again.
         """
-        placement = self._place_read(group, requirement, tried, organisation)
         if self._peer_covers is not None:
-            if placement is not None:
-                self._peer_covers.refresh(group)
-            elif await self._peer_covers.learn(group, requirement.acknowledged_before):
-                placement = self._place_read(group, requirement, tried, organisation)
+            await self._peer_covers.prepare(group, requirement.acknowledged_before)
+        placement = self._place_read(group, requirement, tried, organisation)
         if (
             placement is not None
             or group.covering_position(requirement.acknowledged_before) is not None
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import (
@@ -235,16 +235,17 @@
         self,
         kind: RouteKind = RouteKind.READ_YOUR_WRITES,
         read_log: ReadLog | None = None,
+        zone: str = "a",
     ) -> None:
         self.leader = FakeDatabase("leader", "a", is_primary=True)
         self.near = FakeDatabase("near", "a")
         self.far = FakeDatabase("far", "b")
         self.leader.followers = (self.near, self.far)
         self.databases = {each.identifier: each for each in self._all()}
-        self.fleet = Fleet(self._connect, "a", virtual_now)
+        self.fleet = Fleet(self._connect, zone, virtual_now)
         self.fleet.read_entries_with(read_same_entries)
         self.service = SessionService(
-            self.fleet, Placer("a"), IsolationMonitor(), virtual_now, read_log
+            self.fleet, Placer(zone), IsolationMonitor(), virtual_now, read_log
         )
         self._route = Route("db", "s", kind, 1.0, 0.4, 1, 1.5)
         self.configure(sync_replicas=1)
@@ -261,6 +262,20 @@
         services = {"s": Service("s", 20, sync_replicas)}
         self.fleet.adopt(Configuration(version, {"db": self._route}, services, 3.0))
 
+    def share_databases(self, other: "GroupFixture") -> None:
+        """Use the databases of another proxy's fixture."""
+        self.leader, self.near, self.far = other.leader, other.near, other.far
+        self.databases = other.databases
+        self.register()
+
+    def limit_connections(self, connections: int) -> None:
+        """Adopt a configuration that caps each database's connections."""
+        present = self.fleet.configuration
+        assert present is not None
+        services = {"s": Service("s", connections, 1)}
+        version = present.version + 1
+        self.fleet.adopt(replace(present, version=version, services=services))
+
     def register(self) -> None:
         """Pass the databases' current entries to the proxy."""
         entries = {each.identifier: each.entry() for each in self._all()}
