--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -39,7 +39,7 @@
 from beryltiller.sessions.serving.session_service import SessionService
 
 MEMBERSHIP = "membership"
-MEMBERSHIP_TICK_SECONDS = 0.1
+MEMBERSHIP_TICK_SECONDS = 0.2
 # Connections to peers; a proxy sends to all holders of all services, and gossips.
 MAX_OPEN_PEERS = 256
 MAX_UNANSWERED_REQUESTS = 2_048
