Admit statements by priority, organisation and time left

Cause: waiting statements were ordered by the route's priority and deadline only, so one caller could take all turns of its priority; statements that could not be served in time waited anyway; a disconnected caller's statement kept its turn; and transactions that never end held connections and places without end.

Change: AdmissionSemaphore takes the place of PrioritySemaphore. StatementQueue decides (pure), with the accounts of the HTTP side's fair queueing; ServiceOrder is taken out of AdmissionQueue for both. Transactions of 16 statements or more that have held a connection for 0.5 s are rolled back between two statements while others wait for one.

PrioritySemaphoreTest now acquires with tickets; it asserts the same order.

--- a/src/beryltiller/admission/accounts.py
+++ b/src/beryltiller/admission/accounts.py
@@ -1,13 +1,17 @@
 """Accounts of the service that callers received, with their waiting tickets."""
 
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, heapreplace
+from typing import Generic, TypeVar
 
-from beryltiller.admission.tickets import Lane, Ticket
+from beryltiller.admission.tickets import Lane
 
+# The kind of ticket that a queue holds.
+TicketT = TypeVar("TicketT")
 
-@dataclass(slots=True)
-class Entry:
+
+@dataclass(slots=True, eq=False)
+class Entry(Generic[TicketT]):
     """A ticket in an admission queue.
 
     `order` is the sort key within the caller and lane, and `cost` the estimated service
@@ -15,20 +19,17 @@
     arrived. `is_live` is False once the entry was removed.
     """
 
-    ticket: Ticket
+    ticket: TicketT
     arrived: float
     grants_at_arrival: int
     order: float
     cost: float
-    account: "Account"
+    account: "Account[TicketT]"
     is_live: bool = True
 
 
-_Heap = list[tuple[float, int, Entry]]
-
-
-@dataclass(slots=True)
-class Account:
+@dataclass(slots=True, eq=False)
+class Account(Generic[TicketT]):
     """A caller's account: the service it received, in seconds, and its waiting tickets.
 
     `number` breaks ties between accounts of equal service. `service` never falls. The
@@ -51,7 +52,10 @@
     executing: int = 0
     waiting: list[int] = field(default_factory=lambda: [0, 0])
     is_listed: list[bool] = field(default_factory=lambda: [False, False])
-    _heaps: tuple[_Heap, _Heap] = field(default_factory=lambda: ([], []))
+    _heaps: tuple[
+        list[tuple[float, int, Entry[TicketT]]],
+        list[tuple[float, int, Entry[TicketT]]],
+    ] = field(default_factory=lambda: ([], []))
 
     @property
     def total_waiting(self) -> int:
@@ -73,7 +77,7 @@
         self.correction = min(due, 0.0)
         self.reads_ahead += cost if lane is Lane.READS else -cost
 
-    def head(self, lane: Lane) -> Entry | None:
+    def head(self, lane: Lane) -> Entry[TicketT] | None:
         """Return the waiting entry of a lane that is first in order, or None."""
         if not self.waiting[lane]:
             return None
@@ -82,7 +86,12 @@
             heappop(heap)
         return heap[0][2]
 
-    def add(self, entry: Entry, lane: Lane, sequence: int) -> None:
+    def work_before(self, order: float, lane: Lane) -> float:
+        """Return the estimated service time of the entries with an earlier order."""
+        heap = self._heaps[lane]
+        return sum(e.cost for at, _, e in heap if at <= order and e.is_live)
+
+    def add(self, entry: Entry[TicketT], lane: Lane, sequence: int) -> None:
         """Add a waiting entry; `sequence` breaks ties between equal orders."""
         if not self.waiting[lane]:
             self.reads_ahead = 0.0
@@ -90,7 +99,7 @@
         self.backlog += entry.cost
         heappush(self._heaps[lane], (entry.order, sequence, entry))
 
-    def remove(self, entry: Entry, lane: Lane) -> None:
+    def remove(self, entry: Entry[TicketT], lane: Lane) -> None:
         """Remove a waiting entry.
 
         Unless it is first in the heap, it is only marked. Marked entries are removed
@@ -105,3 +114,36 @@
         elif len(heap) > 2 * self.waiting[lane] + 8:
             heap[:] = [item for item in heap if item[2].is_live]
             heapify(heap)
+
+
+class ServiceOrder(Generic[TicketT]):
+    """The accounts with tickets waiting in a lane, by the service that they received.
+
+    Accounts whose tickets are gone, or whose service has grown, are put right when they
+    come first.
+    """
+
+    def __init__(self, lane: Lane) -> None:
+        """List no account yet."""
+        self._lane = lane
+        self._listed: list[tuple[float, int, Account[TicketT]]] = []
+
+    def add(self, account: Account[TicketT]) -> None:
+        """List an account in which a ticket waits, unless it is listed already."""
+        if not account.is_listed[self._lane]:
+            account.is_listed[self._lane] = True
+            heappush(self._listed, (account.service, account.number, account))
+
+    def least_served(self) -> Account[TicketT] | None:
+        """Return the least served account with a ticket waiting, or None."""
+        listed, lane = self._listed, self._lane
+        while listed:
+            service, number, account = listed[0]
+            if not account.waiting[lane]:
+                heappop(listed)
+                account.is_listed[lane] = False
+            elif service < account.service:
+                heapreplace(listed, (account.service, number, account))
+            else:
+                return account
+        return None
--- a/src/beryltiller/admission/queues.py
+++ b/src/beryltiller/admission/queues.py
@@ -26,11 +26,10 @@
 """
 
 from dataclasses import dataclass
-from heapq import heappop, heappush, heapreplace
 from itertools import count
 from math import inf
 
-from beryltiller.admission.accounts import Account, Entry
+from beryltiller.admission.accounts import Account, Entry, ServiceOrder
 from beryltiller.admission.estimates import ServiceEstimates
 from beryltiller.admission.tickets import (
     LANES,
@@ -82,9 +81,9 @@
         self._estimates = ServiceEstimates(
             self._policy.initial_service_seconds, self._policy.smoothing
         )
-        self._accounts: dict[str, Account] = {}
-        self._entries: dict[str, Entry] = {}
-        self._listed: tuple[list[tuple[float, int, Account]], ...] = ([], [])
+        self._accounts: dict[str, Account[Ticket]] = {}
+        self._entries: dict[str, Entry[Ticket]] = {}
+        self._order = tuple(ServiceOrder[Ticket](lane) for lane in Lane)
         self._lane_waiting = [0, 0]
         self._executing = [0, 0]
         self._last_used = [-inf, -inf]
@@ -195,14 +194,14 @@
         rejection = Rejection(cause)
         return [Drop(entry.ticket, entry.arrived, rejection) for entry in entries]
 
-    def _account(self, caller: str) -> Account:
+    def _account(self, caller: str) -> Account[Ticket]:
         account = self._accounts.get(caller)
         if account is None:
             account = Account(caller, next(self._sequence), self._virtual_time)
             self._accounts[caller] = account
         return account
 
-    def _rejection(self, entry: Entry, limit: float) -> Rejection | None:
+    def _rejection(self, entry: Entry[Ticket], limit: float) -> Rejection | None:
         if entry.ticket.deadline <= entry.arrived:
             return Rejection(Cause.DEADLINE_PASSED)
         # A caller may have at most as many tickets as the queue has room for. If n
@@ -219,7 +218,7 @@
             return None
         return Rejection(Cause.DEADLINE_UNREACHABLE, wait)
 
-    def _estimated_service_before(self, entry: Entry) -> float:
+    def _estimated_service_before(self, entry: Entry[Ticket]) -> float:
         """Return the estimated service in seconds that is granted before an entry."""
         account = entry.account
         head = account.head(LANES[entry.ticket.kind])
@@ -228,7 +227,7 @@
         active = self._active_callers + (not account.total_waiting)
         return min(self._backlog, (own + entry.cost / 2) * active)
 
-    def _add(self, entry: Entry) -> None:
+    def _add(self, entry: Entry[Ticket]) -> None:
         account = entry.account
         lane = LANES[entry.ticket.kind]
         if not account.total_waiting:
@@ -239,11 +238,9 @@
         self._backlog += entry.cost
         self._lane_waiting[lane] += 1
         self._last_used[lane] = entry.arrived
-        if not account.is_listed[lane]:
-            account.is_listed[lane] = True
-            heappush(self._listed[lane], (account.service, account.number, account))
+        self._order[lane].add(account)
 
-    def _remove(self, entry: Entry) -> None:
+    def _remove(self, entry: Entry[Ticket]) -> None:
         lane = LANES[entry.ticket.kind]
         del self._entries[entry.ticket.request_id]
         entry.account.remove(entry, lane)
@@ -274,13 +271,19 @@
                 return lane
         return None
 
-    def _next_entry(self, held_back: Lane | None) -> Entry | None:
+    def _next_entry(self, held_back: Lane | None) -> Entry[Ticket] | None:
         """Return the first entry of the least served caller, or None.
 
         Entries of the lane that is held back are left out.
         """
-        reads = None if held_back is Lane.READS else self._least_served(Lane.READS)
-        writes = None if held_back is Lane.WRITES else self._least_served(Lane.WRITES)
+        reads = (
+            None if held_back is Lane.READS else self._order[Lane.READS].least_served()
+        )
+        writes = (
+            None
+            if held_back is Lane.WRITES
+            else self._order[Lane.WRITES].least_served()
+        )
         if reads is None:
             return writes.head(Lane.WRITES) if writes else None
         if writes is None:
@@ -291,20 +294,6 @@
             return reads.head(Lane.READS)
         return writes.head(Lane.WRITES)
 
-    def _least_served(self, lane: Lane) -> Account | None:
-        """Return the least served account with a ticket waiting in a lane, or None."""
-        listed = self._listed[lane]
-        while listed:
-            service, number, account = listed[0]
-            if not account.waiting[lane]:
-                heappop(listed)
-                account.is_listed[lane] = False
-            elif service < account.service:
-                heapreplace(listed, (account.service, number, account))
-            else:
-                return account
-        return None
-
     def _lacks_recent_estimates(self, now: float) -> bool:
         """Return True if the estimates are too old to justify a refusal.
 
@@ -313,7 +302,7 @@
         age_seconds = now - self._measured_at
         return not self.executing and age_seconds >= self._policy.measure_seconds
 
-    def _is_too_late(self, entry: Entry, now: float) -> bool:
+    def _is_too_late(self, entry: Entry[Ticket], now: float) -> bool:
         if self._lacks_recent_estimates(now):
             return entry.ticket.deadline <= now
         # In overload the earliest deadlines are those about to pass. If only the mean
@@ -324,7 +313,7 @@
 
     def _grant(
         self,
-        entry: Entry,
+        entry: Entry[Ticket],
         now: float,
         held_back: Lane | None,
         is_pinned: bool = False,
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -61,6 +61,9 @@
     | session_events.IsolationChanged
     | session_events.ReadRan
     | session_events.SetUpRefused
+    | session_events.OverloadBegan
+    | session_events.OverloadEnded
+    | session_events.LongTransactionEnded
     | session_events.MemoryRefused
     | events.WorkFailed
 )
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -322,3 +322,39 @@
     prepared: int
     # How many were refused since the last line, with this one.
     refusals: int
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadBegan:
+    """This proxy's queue for a database began to refuse statements."""
+
+    service: str
+    database: str
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadEnded:
+    """This proxy's queue for a database has refused no statement for 2 s."""
+
+    service: str
+    database: str
+    # From the first refusal to the last one.
+    seconds: float
+    # Refused on arrival, as the queue ahead was expected to take too long.
+    refused_at_once: int
+    # Refused after they had waited for as long as they could.
+    timed_out: int
+
+
+@dataclass(frozen=True, slots=True)
+class LongTransactionEnded:
+    """A long transaction was rolled back for others; logged once a second at most."""
+
+    service: str
+    database: str
+    organisation: str
+    # For how long it held its connection.
+    seconds: float
+    statements: int
+    # How many were ended since the last line, with this one.
+    ended: int
--- a/src/beryltiller/platform/ingress.py
+++ b/src/beryltiller/platform/ingress.py
@@ -109,15 +109,22 @@
         self._start_serving()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the session, after the statement in progress if there is one."""
+        """End the session, after the statement in progress if there is one.
+
+        A statement that was not sent to a database yet is not sent any more.
+        """
         self._transport = None
         self._messages.clear()
         self._received.clear()
         self._stop_timer()
         self._stop_message_timer()
         self._ingress.remove(self)
-        if self._work is None and self._session is not None:
+        if self._session is None:
+            return
+        if self._work is None:
             self._work = asyncio.create_task(self._service.end_session(self._session))
+        else:
+            self._service.abandon(self._session)
 
     def close(self) -> None:
         """Close the connection after the replies written so far are sent."""
--- a/src/beryltiller/sessions/clocks.py
+++ b/src/beryltiller/sessions/clocks.py
@@ -1,6 +1,9 @@
 """The clock that is used where no other one is given."""
 
 import asyncio
+from collections.abc import Callable
+
+Clock = Callable[[], float]
 
 
 def loop_time() -> float:
--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from beryltiller.admission.ledgers import ConnectionLedger, ConnectionLedgerPolicy
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionLimit,
     ConnectionPoolPolicy,
@@ -17,7 +18,6 @@
     DatabaseConnection,
     PooledConnection,
 )
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.errors import NoCapacityError, NotSentError
 from beryltiller.sessions.statements import Code
 
@@ -37,6 +37,11 @@
         """Return how many connections of all pools are acquired."""
         ...
 
+    @property
+    def waiting(self) -> int:
+        """Return how many statements wait for a connection of any pool."""
+        ...
+
     @property
     def size(self) -> int:
         """Return how many connections of all pools are open or being opened."""
@@ -74,7 +79,7 @@
     def __init__(
         self,
         connect: Connect,
-        semaphore: PrioritySemaphore,
+        semaphore: AdmissionSemaphore,
         policy: ConnectionPoolPolicy,
         clock: Callable[[], float],
         shared: SharedLimit,
@@ -116,6 +121,16 @@
         """Return since when the connection that is idle for longest is, or None."""
         return self._ledger.idle_since
 
+    @property
+    def waiting(self) -> int:
+        """Return how many statements wait for a connection of this pool."""
+        return sum(not each.done() for each in self._waiting)
+
+    @property
+    def all_waiting(self) -> int:
+        """Return how many statements wait, of all pools that share the limit."""
+        return self._shared.waiting
+
     @property
     def is_unused(self) -> bool:
         """Return True if there is no connection and nobody waits for one."""
@@ -131,6 +146,15 @@
             else ConnectionSupply.OPENING
         )
 
+    def acquire_idle(self, values: Mapping[str, str]) -> PooledConnection | None:
+        """Acquire an idle connection, preferring one that has `values`, or None."""
+        while (serial := self._ledger.acquire(self._preferred(values))) is not None:
+            pooled = self._connections[serial]
+            if pooled.is_open:
+                return pooled
+            self._remove(pooled)
+        return None
+
     async def acquire(
         self, values: Mapping[str, str], wait_seconds: float
     ) -> PooledConnection:
@@ -145,7 +169,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_seconds
         while True:
-            found = self._take_idle(values)
+            found = self.acquire_idle(values)
             if found is not None:
                 return found
             is_paused = self._limit.is_paused(loop.time()) and (
@@ -170,7 +194,7 @@
         beyond the limit is closed when it is released. Raise `NotSentError` if the
         database cannot be reached or refuses the connection.
         """
-        found = self._take_idle({})
+        found = self.acquire_idle({})
         if found is not None:
             return found
         serial = self._ledger.begin_opening_one()
@@ -229,14 +253,6 @@
         self._is_closed = True
         self._close_connections(self._ledger.resize(0))
 
-    def _take_idle(self, values: Mapping[str, str]) -> PooledConnection | None:
-        while (serial := self._ledger.acquire(self._preferred(values))) is not None:
-            pooled = self._connections[serial]
-            if pooled.is_open:
-                return pooled
-            self._remove(pooled)
-        return None
-
     def _preferred(self, values: Mapping[str, str]) -> tuple[int, ...]:
         """Return the idle connection with `values` that was opened first.
 
--- a/src/beryltiller/sessions/connections/database_pools.py
+++ b/src/beryltiller/sessions/connections/database_pools.py
@@ -9,13 +9,13 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.sessions.clocks import loop_time
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.connection_limits import (
     ConnectionLimit,
     ConnectionPoolPolicy,
 )
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.organisations import NO_ORGANISATION
 
 # A pool without connections is forgotten after this long. It is longer than a statement
@@ -34,7 +34,7 @@
     def __init__(
         self,
         connect: ConnectAs,
-        semaphore: PrioritySemaphore,
+        semaphore: AdmissionSemaphore,
         policy: ConnectionPoolPolicy,
         clock: Callable[[], float] = loop_time,
     ) -> None:
@@ -99,6 +99,11 @@
         """Return the limit that the pools share."""
         return self._limit
 
+    @property
+    def waiting(self) -> int:
+        """Return how many statements wait for a connection of any pool."""
+        return sum(pool.waiting for pool in self._pools.values())
+
     @property
     def in_use(self) -> int:
         """Return how many connections of all pools are acquired."""
--- a/src/beryltiller/sessions/databases/connection_pools.py
+++ b/src/beryltiller/sessions/databases/connection_pools.py
@@ -3,10 +3,10 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
 from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.catalog import Database, Directory, Service
 from beryltiller.sessions.organisations import NO_ORGANISATION
 
@@ -77,7 +77,7 @@
         share = max(MIN_CONNECTIONS, round(cap * CONNECTION_SHARE))
         return DatabasePools(
             lambda organisation: self._connect(database, organisation),
-            PrioritySemaphore(database.slots + EXTRA_STATEMENTS),
+            AdmissionSemaphore(database.slots + EXTRA_STATEMENTS),
             ConnectionPoolPolicy(share),
             self._clock,
         )
--- a/src/beryltiller/sessions/errors.py
+++ b/src/beryltiller/sessions/errors.py
@@ -24,6 +24,38 @@
     """
 
 
+class QueueTooLongError(NoCapacityError):
+    """A refusal on arrival, as the queue ahead takes longer than the time left."""
+
+    def __init__(self, wait_seconds: float, left_seconds: float) -> None:
+        """Create an error that states the expected wait, and the possible one."""
+        super().__init__(
+            Code.BUSY,
+            f"the statements ahead are expected to take {wait_seconds:.3f} s, "
+            f"and this one can wait for {left_seconds:.3f} s",
+        )
+
+
+class CallerGoneError(SessionError):
+    """A statement that was not sent, as its caller has disconnected."""
+
+    def __init__(self) -> None:
+        """Create an error that promises that the statement has not run."""
+        super().__init__(Code.ABORTED, "the caller has disconnected")
+
+
+class LongTransactionError(NotSentError):
+    """A transaction that was rolled back, as others waited for its connection."""
+
+    def __init__(self) -> None:
+        """Create an error that promises that the transaction has no effect."""
+        reason = (
+            "the transaction held a connection for long while others waited for one, "
+            "and was rolled back"
+        )
+        super().__init__(Code.ABORTED, reason)
+
+
 class NotRunningError(NotSentError):
     """A refusal by a database's host, as no process listens at the address."""
 
--- a/src/beryltiller/sessions/running/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.clocks import Clock
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.pooled_connection import PooledConnection
 from beryltiller.sessions.databases.catalog import Configuration, Route
@@ -16,7 +17,6 @@
 from beryltiller.sessions.databases.placement import Placement, Placer, ReadRequirement
 from beryltiller.sessions.errors import (
     BrokenError,
-    NoCapacityError,
     NotSentError,
     ReplyTooLargeError,
     SessionError,
@@ -24,6 +24,7 @@
     SetUpRefusedError,
     TransactionEndedError,
 )
+from beryltiller.sessions.running.admission import StatementAdmission
 from beryltiller.sessions.running.answer_records import (
     is_commit_of_write,
     record_lost_answer,
@@ -31,6 +32,7 @@
     record_silence,
 )
 from beryltiller.sessions.running.commits import CommitReports
+from beryltiller.sessions.running.long_transactions import LongTransactions
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.running.set_up_refusals import SetUpRefusalLog
 from beryltiller.sessions.session import AcquiredConnection, Session, Transaction
@@ -58,7 +60,6 @@
 # for a read that must see commits acknowledged less than this long ago.
 SURVEY_MIN_AGE_SECONDS = 0.1
 
-Clock = Callable[[], float]
 Attempt = Callable[[NotSentError], Awaitable[Reply | NotSentError]]
 
 
@@ -78,6 +79,8 @@
         self._read_log = read_log
         self._commits = CommitReports(fleet, clock)
         self._refusal_log = SetUpRefusalLog()
+        self.admission = StatementAdmission(fleet, clock)
+        self.long_transactions = LongTransactions(clock, self.roll_back)
 
     def now(self) -> float:
         """Return the present time in seconds on the session service's clock."""
@@ -176,42 +179,15 @@
                 raise reason
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
-    async def acquire_slot(
-        self, placement: Placement, pool: ConnectionPool, priority: int, wait: float
-    ) -> None:
-        """Wait for this proxy's turn to send a statement to the database.
-
-        Raise `NoCapacityError` after `wait` seconds. The database counts as overloaded
-        then: proxies that are few overload it without it ever refusing a statement. If
-        no time is left to wait, the statement has come late, and is refused at once.
-        """
-        if wait <= 0:
-            raise NoCapacityError(Code.BUSY, "the time of the statement is over")
-        try:
-            await pool.semaphore.acquire(priority, wait)
-        except NoCapacityError:
-            placement.member.record_load_refusal(self._clock())
-            raise
-
     async def acquire_connection(
-        self, member: Member, pool: ConnectionPool, session: Session, wait: float
+        self, session: Session, placement: Placement, pool: ConnectionPool, wait: float
     ) -> PooledConnection:
         """Acquire a connection for the session, waiting for at most `wait` seconds.
 
-        Failures other than full pools and caps count against the database. A database
-        that refuses for its cap is running.
+        If none is idle, a transaction that has held one for too long is rolled back.
         """
-        try:
-            return await pool.acquire(session.values, wait)
-        except NoCapacityError:
-            member.record_load_refusal(self._clock())
-            raise
-        except NotSentError as error:
-            if error.code not in (Code.CONNECTION_LIMIT, Code.BUSY):
-                member.record_failure(self._clock())
-            else:
-                member.record_answer(None)
-            raise
+        self.long_transactions.end_idle(placement.member.database.identifier, pool)
+        return await self.admission.acquire_connection(session, placement, pool, wait)
 
     async def run(
         self,
@@ -308,6 +284,7 @@
             reply = await self.run(session, group, acquired, request, deadline)
             _check_still_open(acquired, request, reply)
             can_retry = reply.code is Code.BUSY and reply.state is SessionState.OPEN
+            can_retry = can_retry and not session.is_abandoned
             retry_at = self._clock() + TRANSACTION_RETRY_PAUSE_SECONDS
             if not can_retry or retry_at >= retry_until:
                 return reply
@@ -356,6 +333,7 @@
 
     async def roll_back(self, transaction: Transaction) -> None:
         """Roll back at the database and release the transaction's connection."""
+        self.long_transactions.remove(transaction)
         acquired, transaction.acquired = transaction.acquired, None
         if acquired is None:
             return
--- a/src/beryltiller/sessions/running/single_statements.py
+++ b/src/beryltiller/sessions/running/single_statements.py
@@ -175,21 +175,24 @@
         """
         pool = self._executor.connection_pool(placement, session.organisation)
         wait = self._executor.queue_seconds(route, deadline)
-        await self._executor.acquire_slot(placement, pool, route.priority, wait)
+        is_write = session.is_write(request.statement)
+        admission = self._executor.admission
+        admitted = await admission.acquire_slot(
+            session, route, placement, pool, wait, is_write
+        )
         try:
             connection = await self._executor.acquire_connection(
-                placement.member, pool, session, wait
+                session, placement, pool, wait
             )
             acquired = AcquiredConnection(connection, pool, placement)
             reply = await self._executor.run(
                 session, group, acquired, request, deadline
             )
         finally:
-            pool.semaphore.release()
+            admission.release_slot(admitted)
         release_acquired(acquired, reply)
         if reply.state is not SessionState.IDLE:
             reply = replace(reply, state=SessionState.IDLE)
-        is_write = session.is_write(request.statement)
         if reply.is_success and is_write:
             await self._executor.confirm_commit(group, acquired, reply, deadline)
         if reply.is_success and placement.needs_proof and not is_write:
--- a/src/beryltiller/sessions/running/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -7,6 +7,9 @@
 from dataclasses import replace
 
 from beryltiller.core.position import Position
+from beryltiller.sessions.connections.statement_queue import (
+    OPEN_TRANSACTION_PRIORITY,
+)
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.placement import Placement
@@ -35,9 +38,6 @@
 # How many databases a transaction tries in one round; `StatementExecutor.retry` may
 # start further rounds.
 MAX_PLACEMENTS = 4
-# Statements of open transactions are sent before all others: the work that their
-# transactions have done so far is lost if they are not run in time.
-OPEN_TRANSACTION_PRIORITY = -1
 
 
 class SessionTransactionRunner:
@@ -58,7 +58,9 @@
         if route is None:
             return session.refuse(Code.NO_ROUTE, session.database_name)
         requirement = session.read_requirement(route, arrived)
-        session.transaction = Transaction(route, is_read_only, requirement)
+        session.transaction = Transaction(
+            route, is_read_only, requirement, session.organisation
+        )
         session.state = SessionState.OPEN
         return session.accept()
 
@@ -109,6 +111,8 @@
         deadline: float,
     ) -> Reply:
         """Run a statement where the transaction is open, or begin it somewhere."""
+        if transaction.was_too_long or not isinstance(request.statement, Commit):
+            self._executor.long_transactions.raise_if_too_long(transaction)
         run = self._run_next_statement
         if transaction.acquired is None:
             run = self._run_first_statement
@@ -125,15 +129,27 @@
         assert acquired is not None
         group = self._executor.group(transaction.route.service)
         wait = deadline - self._executor.now()
-        await self._executor.acquire_slot(
-            acquired.placement, acquired.pool, OPEN_TRANSACTION_PRIORITY, wait
-        )
+        admission = self._executor.admission
+        transaction.is_running = True
+        transaction.statements += 1
         try:
-            reply = await self._executor.run_in_transaction(
-                session, group, acquired, request, deadline, deadline
+            admitted = await admission.acquire_slot(
+                session,
+                transaction.route,
+                acquired.placement,
+                acquired.pool,
+                wait,
+                session.is_write(request.statement),
+                OPEN_TRANSACTION_PRIORITY,
             )
+            try:
+                reply = await self._executor.run_in_transaction(
+                    session, group, acquired, request, deadline, deadline
+                )
+            finally:
+                admission.release_slot(admitted)
         finally:
-            acquired.pool.semaphore.release()
+            transaction.is_running = False
         self._log_read(session, transaction, request, acquired.placement, reply)
         return reply
 
@@ -228,10 +244,14 @@
         pool = self._executor.connection_pool(placement, session.organisation)
         wait = self._executor.queue_seconds(route, deadline)
         retry_until = self._executor.now() + wait
-        await self._executor.acquire_slot(placement, pool, route.priority, wait)
+        is_write = session.is_write(request.statement)
+        admission = self._executor.admission
+        admitted = await admission.acquire_slot(
+            session, route, placement, pool, wait, is_write
+        )
         try:
             connection = await self._executor.acquire_connection(
-                placement.member, pool, session, wait
+                session, placement, pool, wait
             )
             acquired = AcquiredConnection(connection, pool, placement)
             begin = Request(Begin(transaction.is_read_only), "", placement.since)
@@ -251,7 +271,7 @@
                 session, group, acquired, request, deadline, retry_until
             )
         finally:
-            pool.semaphore.release()
+            admission.release_slot(admitted)
         transaction.acquired = acquired
         if reply.code is not None and may_run_elsewhere(reply.code):
             # The connection is kept: opening another one would take a slot from the
@@ -262,6 +282,7 @@
             await self._prove_term(
                 transaction, group, placement.member, reply.position, deadline
             )
+        self._executor.long_transactions.add(transaction)
         self._log_read(session, transaction, request, placement, reply)
         return reply
 
@@ -307,6 +328,7 @@
             return session.refuse(code, error.reason)
         session.transaction = None
         session.state = SessionState.IDLE
+        self._executor.long_transactions.remove(transaction)
         if transaction.acquired is not None:
             release_acquired(transaction.acquired, reply)
         # At a refused commit, the transaction ends with its connection.
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -1,9 +1,10 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from beryltiller.sessions.clocks import Clock
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.organisations import Credential
-from beryltiller.sessions.running.execution import Clock, StatementExecutor
+from beryltiller.sessions.running.execution import StatementExecutor
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
 from beryltiller.sessions.running.transactions import SessionTransactionRunner
@@ -124,12 +125,20 @@
             return await self._deny(session)
         reply = await self._answer(session, identifier, statement, arrived)
         session.state = reply.state
-        if not _is_caller_error(statement, reply):
+        # An abandoned statement says nothing of the databases.
+        if not session.is_abandoned and not _is_caller_error(statement, reply):
             self._monitor.record_outcome(reply.is_success, self._clock())
         if reply.position is not None:
             session.position = reply.position
         return reply
 
+    def abandon(self, session: Session) -> None:
+        """Take a statement of the session that was not sent yet out of the queues.
+
+        Call it if the caller disconnects while a statement is in progress.
+        """
+        session.abandon()
+
     async def end_session(self, session: Session) -> None:
         """Roll back an open transaction and forget the session's state.
 
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -1,5 +1,6 @@
 """The state of a caller's session: values, prepared statements, transaction."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from beryltiller.core.position import Position
@@ -63,14 +64,22 @@
 class Transaction:
     """An open transaction; it acquires a connection with its first statement.
 
-    `requirement` is what the route requires of the database's log.
+    `requirement` is what the route requires of the database's log. It has held the
+    connection, to the database `held_at`, since `held_since` and for that number of
+    statements. `was_too_long` is True once it was rolled back for that reason.
     """
 
     route: Route
     is_read_only: bool
     requirement: ReadRequirement
+    organisation: str = NO_ORGANISATION
     has_written: bool = False
     acquired: AcquiredConnection | None = None
+    held_since: float = NEVER
+    held_at: str = ""
+    statements: int = 0
+    is_running: bool = False
+    was_too_long: bool = False
 
 
 def _account_of_its_own() -> MemoryAccount:
@@ -86,7 +95,8 @@
     `account` counts the memory that its values and prepared statements take.
     `committed` maps a service to the log position of the session's last commit there,
     and `unplaced_commits` to when the last one without a position was acknowledged.
-    `position` is the log position of the last reply that had one.
+    `position` is the log position of the last reply that had one. `waiting` is the
+    scope of a wait for admission, which ends if the session `is_abandoned`.
     """
 
     database_name: str
@@ -101,6 +111,17 @@
     transaction: Transaction | None = None
     position: Position | None = None
     account: MemoryAccount = field(default_factory=_account_of_its_own)
+    is_abandoned: bool = False
+    waiting: asyncio.Timeout | None = None
+
+    def abandon(self) -> None:
+        """Take a statement that was not sent yet out of the queue it waits in.
+
+        Call it once the caller has disconnected; no further statement is sent.
+        """
+        if not self.is_abandoned and self.waiting is not None:
+            self.waiting.reschedule(asyncio.get_running_loop().time())
+        self.is_abandoned = True
 
     def refuse(self, code: Code, text: str) -> Reply:
         """Return a refusal that leaves the session's state as it is."""
--- a/tests/loaded_group.py
+++ b/tests/loaded_group.py
@@ -5,7 +5,9 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from beryltiller.core.ports import RefusedError
 from beryltiller.sessions.databases.catalog import (
@@ -19,7 +21,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import NotSentError
-from beryltiller.sessions.organisations import NO_ORGANISATION
+from beryltiller.sessions.organisations import NO_ORGANISATION, Organisations
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
@@ -60,6 +62,15 @@
     asked_at: float
     is_served: bool
     seconds: float
+    callers: "Callers"
+
+
+@dataclass(frozen=True)
+class Callers:
+    """Callers of one route, with the key of their organisation if they have one."""
+
+    route: str = ROUTE
+    key: str = ""
 
 
 class SharedDuty:
@@ -82,7 +93,14 @@
 class LoadedGroup:
     """Databases, proxies with their successions, and callers."""
 
-    def __init__(self, proxies: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        proxies: int,
+        seed: int = 1,
+        organisations: Organisations | None = None,
+        priorities: Mapping[str, int] = MappingProxyType({ROUTE: 1}),
+    ) -> None:
+        """Start proxies that serve routes with `priorities`, by name."""
         self.rng = random.Random(seed)
         self.databases = {name: LoadedDatabase(name, name == "a") for name in "abc"}
         self.operations: list[Operation] = []
@@ -99,18 +117,21 @@
             SessionService(fleet, Placer("zone"), IsolationMonitor(), virtual_now)
             for fleet in self.fleets
         ]
-        route = Route(
-            ROUTE,
-            SERVICE,
-            RouteKind.READ_YOUR_WRITES,
-            TIMEOUT_SECONDS,
-            OBJECTIVE_SECONDS,
-            1,
-            MAX_STALENESS_SECONDS,
-        )
+        routes = {
+            name: Route(
+                name,
+                SERVICE,
+                RouteKind.READ_YOUR_WRITES,
+                TIMEOUT_SECONDS,
+                OBJECTIVE_SECONDS,
+                priority,
+                MAX_STALENESS_SECONDS,
+            )
+            for name, priority in priorities.items()
+        }
         cap = self.primary.cap
         configuration = Configuration(
-            1, {ROUTE: route}, {SERVICE: Service(SERVICE, cap, 1)}, 3.0
+            1, routes, {SERVICE: Service(SERVICE, cap, 1)}, 3.0, organisations
         )
         for fleet in self.fleets:
             fleet.adopt(configuration)
@@ -125,9 +146,18 @@
     def replicas(self) -> list[LoadedDatabase]:
         return [each for each in self.databases.values() if not each.is_primary]
 
-    def served_share(self, since: float, until: float) -> float:
-        """Return the share of the operations asked in a time that were served."""
-        asked = [each for each in self.operations if since <= each.asked_at < until]
+    def served_share(
+        self, since: float, until: float, callers: Callers | None = None
+    ) -> float:
+        """Return the share of the operations asked in a time that were served.
+
+        Count those of some callers only, if they are given.
+        """
+        asked = [
+            each
+            for each in self.operations
+            if since <= each.asked_at < until and callers in (None, each.callers)
+        ]
         return sum(each.is_served for each in asked) / len(asked)
 
     async def append(self, database: LoadedDatabase) -> bool:
@@ -146,9 +176,17 @@
         for fleet in self.fleets:
             self._spawn(self._run_succession(fleet))
 
-    def load(self, rate: float, seconds: float, transactions: float = 0.2) -> None:
-        """Start callers at a rate a second, with a share of transactions."""
-        self._spawn(self._load(rate, virtual_now() + seconds, transactions))
+    def load(
+        self,
+        rate: float,
+        seconds: float,
+        transactions: float = 0.2,
+        reads: float = 0.85,
+        callers: Callers = Callers(),
+    ) -> None:
+        """Start callers at a rate a second, with shares of transactions and reads."""
+        until = virtual_now() + seconds
+        self._spawn(self._load(rate, until, transactions, reads, callers))
 
     async def close(self) -> None:
         for task in self._tasks:
@@ -232,39 +270,53 @@
             fleet.close_idle()
             await asyncio.sleep(0.1)
 
-    async def _load(self, rate: float, until: float, transactions: float) -> None:
+    async def _load(
+        self,
+        rate: float,
+        until: float,
+        transactions: float,
+        reads: float,
+        callers: Callers,
+    ) -> None:
         while virtual_now() < until:
             await asyncio.sleep(self.rng.expovariate(rate))
-            self._spawn(self._call(self._operation(transactions)))
+            self._spawn(self._call(self._operation(transactions, reads), callers))
 
-    def _operation(self, transactions: float) -> tuple[CallerStatement, ...]:
-        item = Read("i") if self.rng.random() < 0.85 else Write("i", "d")
+    def _operation(
+        self, transactions: float, reads: float
+    ) -> tuple[CallerStatement, ...]:
+        item = Read("i") if self.rng.random() < reads else Write("i", "d")
         if self.rng.random() < transactions:
             return (Begin(), Read("i"), item, Commit())
         return (item,)
 
-    async def _call(self, statements: tuple[CallerStatement, ...]) -> None:
+    async def _call(
+        self, statements: tuple[CallerStatement, ...], callers: Callers
+    ) -> None:
         asked_at = virtual_now()
         self.asked += 1
         services = self.rng.sample(
             self._services, min(CALLER_ATTEMPTS, len(self._services))
         )
         for service in services:
-            if await self._attempt(service, statements):
+            if await self._attempt(service, statements, callers):
                 break
         else:
-            self._record(asked_at, is_served=False)
+            self._record(asked_at, callers, is_served=False)
             return
-        self._record(asked_at, is_served=True)
+        self._record(asked_at, callers, is_served=True)
 
-    def _record(self, asked_at: float, is_served: bool) -> None:
+    def _record(self, asked_at: float, callers: Callers, is_served: bool) -> None:
         seconds = virtual_now() - asked_at
-        self.operations.append(Operation(asked_at, is_served, seconds))
+        self.operations.append(Operation(asked_at, is_served, seconds, callers))
 
     async def _attempt(
-        self, service: SessionService, statements: tuple[CallerStatement, ...]
+        self,
+        service: SessionService,
+        statements: tuple[CallerStatement, ...],
+        callers: Callers,
     ) -> bool:
-        session = service.open_session(ROUTE)
+        session = service.open_session(callers.route, callers.key)
         assert isinstance(session, Session)
         for statement in statements:
             reply = await service.answer(session, "q", statement, virtual_now())
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -27,6 +27,7 @@
     "databases.leadership",
     "serving.shutdown",
     "connections.connection_limits",
+    "connections.statement_queue",
     "databases.member",
     "databases.placement",
     "databases.registry",
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -10,10 +10,10 @@
 from beryltiller.core.ports import Row
 from beryltiller.platform import wire
 from beryltiller.platform.records import RecordError, decode_configuration
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
 from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.catalog import Configuration
 from beryltiller.sessions.errors import NoCapacityError, NotSentError
 from beryltiller.sessions.organisations import (
@@ -244,7 +244,7 @@
         self.opened: list[str] = []
         self.refuses = False
         self.pools = DatabasePools(
-            self._connect, PrioritySemaphore(9), ConnectionPoolPolicy(share)
+            self._connect, AdmissionSemaphore(9), ConnectionPoolPolicy(share)
         )
 
     async def _connect(self, organisation: str) -> DatabaseConnection:
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -636,3 +636,57 @@
 
         run_with_caller(work)
         return answers
+
+
+class DisconnectedCallerTest(unittest.TestCase):
+    """A statement that waits is not sent once its caller has disconnected."""
+
+    def test_waiting_statement_is_not_sent(self) -> None:
+        """Guards against work that nobody waits for and places that stay taken."""
+        for is_in_transaction in (False, True):
+            for waits_for in ("place", "connection"):
+                with self.subTest(waits_for, is_in_transaction=is_in_transaction):
+                    self._leave(waits_for, is_in_transaction)
+
+    def _leave(self, waits_for: str, is_in_transaction: bool) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            await caller.send_line("STARTUP db u1")
+            if is_in_transaction:
+                await caller.send_line("QUERY 1 BEGIN")
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            slots, connections = [], []
+            if waits_for == "place":
+                while (slot := pool.semaphore.try_acquire()) is not None:
+                    slots.append(slot)
+            else:
+                connections = [await pool.acquire({}, 1.0) for _ in range(6)]
+            await caller.send_line("QUERY 2 WRITE i d", seconds=0.05)
+            self.assertEqual(pool.semaphore.waiting + pool.waiting, 1)
+            caller.connection.connection_lost(None)
+            await asyncio.sleep(0.001)
+            self.assertEqual(pool.semaphore.waiting + pool.waiting, 0)
+            for slot in slots:
+                pool.semaphore.release(slot)
+            for connection in connections:
+                pool.release(connection)
+            await asyncio.sleep(0.5)
+            self.assertEqual(fixture.leader.statement_names(), [])
+            self.assertEqual((pool.semaphore.in_use, pool.in_use), (0, 0))
+            self.assertEqual(len(asyncio.all_tasks()), 1)
+
+        run_with_caller(work)
+
+    def test_sent_statement_runs_and_a_transaction_is_rolled_back(self) -> None:
+        async def work(fixture: GroupFixture, ingress: Ingress, caller: Caller) -> None:
+            await caller.send_line("STARTUP db u1")
+            await caller.send_line("QUERY 1 BEGIN")
+            await caller.send_line("QUERY 2 WRITE i d")
+            await caller.send_line("QUERY 3 WRITE i e", seconds=0.001)
+            caller.connection.connection_lost(None)
+            await asyncio.sleep(0.5)
+            pool = fixture.fleet.connection_pool(fixture.leader.entry())
+            self.assertEqual((pool.semaphore.in_use, pool.in_use), (0, 0))
+            self.assertEqual(len(asyncio.all_tasks()), 1)
+
+        names = run_with_caller(work).leader.statement_names()
+        self.assertEqual(names, ["Begin", "Write", "Write", "Rollback"])
--- a/tests/test_session_connections.py
+++ b/tests/test_session_connections.py
@@ -1,4 +1,4 @@
-"""Tests of the connection pool, the priority semaphore and the table follower."""
+"""Tests of the connection pool, the admission semaphore and the table follower."""
 
 import asyncio
 import random
@@ -13,10 +13,11 @@
     TableRows,
     ignore_large,
 )
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
 from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
-from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
+from beryltiller.sessions.connections.statement_queue import StatementTicket
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import Code
 from beryltiller.sessions.tables.table_follower import (
@@ -36,7 +37,7 @@
         self.cap = cap
         self.attempts = 0
         self.pools = DatabasePools(
-            self.connect, PrioritySemaphore(3), ConnectionPoolPolicy(share)
+            self.connect, AdmissionSemaphore(3), ConnectionPoolPolicy(share)
         )
         self.pool = self.pools.pool()
 
@@ -158,31 +159,33 @@
         run_virtual(work())
 
 
-class PrioritySemaphoreTest(unittest.TestCase):
+class AdmissionSemaphoreTest(unittest.TestCase):
     """Waiters are admitted by priority; late ones are refused."""
 
     def test_waiters_are_admitted_by_priority_or_time_out(self) -> None:
         async def work() -> None:
-            semaphore = PrioritySemaphore(1)
+            semaphore = AdmissionSemaphore(1)
             order: list[str] = []
 
             async def acquire(name: str, priority: int, wait: float) -> None:
                 try:
-                    await semaphore.acquire(priority, wait)
+                    slot = await semaphore.acquire(
+                        StatementTicket(priority, virtual_now() + wait)
+                    )
                 except NotSentError:
                     order.append(f"{name} refused")
                     return
                 order.append(name)
-                semaphore.release()
+                semaphore.release(slot)
 
-            await semaphore.acquire(1, 1.0)
+            held = await semaphore.acquire(StatementTicket(1, 1.0))
             tasks = [
                 asyncio.create_task(acquire("low", 2, 1.0)),
                 asyncio.create_task(acquire("high", 1, 1.0)),
                 asyncio.create_task(acquire("hasty", 0, 0.1)),
             ]
             await asyncio.sleep(0.2)
-            semaphore.release()
+            semaphore.release(held)
             await asyncio.gather(*tasks)
             self.assertEqual(order, ["hasty refused", "high", "low"])
             self.assertEqual(semaphore.in_use, 0)
