--- a/tests/test_loaded_group.py
+++ b/tests/test_loaded_group.py
@@ -6,16 +6,20 @@
 import asyncio
 import unittest
 
+from beryltiller.sessions.organisations import Organisation, Organisations
 from tests.loaded_group import (
     CALLER_ATTEMPTS,
     MAX_STALENESS_SECONDS,
     TIMEOUT_SECONDS,
+    Callers,
     LoadedGroup,
 )
 from tests.virtual_loop import run_virtual
 
 # Operations a second, of which a group without faults serves all.
 RATE = 180.0
+# Reads of low priority a second; with the others they take half of the capacity.
+LOW_RATE = 280.0
 # A change of primary is decided and done within this time.
 CHANGE_SECONDS = 2.0
 # Within this time after the cause of an overload has ended, callers get what they got
@@ -110,3 +114,72 @@
                 self.assertEqual(in_progress, 0)
                 self.assertEqual(served > 0, is_served)
                 self.assertLess(slowest, CALLER_ATTEMPTS * 4 * TIMEOUT_SECONDS)
+
+
+class PriorityBurstTest(unittest.TestCase):
+    """A burst of one type of low-priority reads ends with its cause."""
+
+    def test_high_priority_is_served_in_a_burst_of_low_priority(self) -> None:
+        """Guards against important operations that wait behind unimportant ones."""
+        self.burst(proxies=5)
+
+    def test_high_priority_is_served_in_a_burst_at_many_proxies(self) -> None:
+        """Guards against a queue of the database that fills with unimportant ones."""
+        self.burst(proxies=27)
+
+    def burst(self, proxies: int) -> None:
+        """Let the reads of low priority rise to 2.6 times their rate for 7 s."""
+
+        async def work() -> tuple[float, float, float]:
+            group = LoadedGroup(proxies, priorities={"high": 0, "low": 2})
+            high, low = Callers("high"), Callers("low")
+            group.start()
+            group.load(60.0, 14.0, callers=high)
+            group.load(LOW_RATE, 14.0, 0.0, 1.0, low)
+            await asyncio.sleep(2.0)
+            group.load(1.6 * LOW_RATE, 7.0, 0.0, 1.0, low)
+            await asyncio.sleep(11.0)
+            shares = (
+                group.served_share(2.0, 9.0, high),
+                group.served_share(2.0, 9.0, low),
+                group.served_share(9.0 + RECOVERY_SECONDS, 12.0),
+            )
+            await group.close()
+            return shares
+
+        high, low, after = run_virtual(work())
+        self.assertLess(low, 0.99, "the burst did not overload the group")
+        self.assertEqual(after, 1.0)
+        self.assertGreaterEqual(high, 0.98)
+
+
+class OrganisationShareTest(unittest.TestCase):
+    """Organisations have their turn beside one that sends far more than usual."""
+
+    def test_others_are_served_beside_seven_times_the_usual(self) -> None:
+        """Guards against an organisation that takes the turns of the others."""
+
+        async def work() -> tuple[float, float, float]:
+            organisations = Organisations.of(
+                (Organisation(f"o{n}"), (f"k{n}",)) for n in range(4)
+            )
+            group = LoadedGroup(5, organisations=organisations)
+            loud, *others = [Callers(key=f"k{n}") for n in range(4)]
+            group.start()
+            for callers in (loud, *others):
+                group.load(RATE / 4, 13.0, callers=callers)
+            await asyncio.sleep(2.0)
+            group.load(6 * RATE / 4, 7.0, callers=loud)
+            await asyncio.sleep(10.0)
+            shares = (
+                group.served_share(2.0, 9.0, loud),
+                min(group.served_share(2.0, 9.0, each) for each in others),
+                group.served_share(9.0 + RECOVERY_SECONDS, 11.7),
+            )
+            await group.close()
+            return shares
+
+        loud_share, least, after = run_virtual(work())
+        self.assertLess(loud_share, 0.9, "the organisation did not overload the group")
+        self.assertGreaterEqual(least, 0.92)
+        self.assertEqual(after, 1.0)
--- a/tests/test_session_admission.py
+++ b/tests/test_session_admission.py
@@ -4,7 +4,9 @@
 import functools
 import random
 import unittest
+from unittest import mock
 
+from beryltiller.observability.session_events import OverloadBegan, OverloadEnded
 from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.statement_queue import (
     OPEN_TRANSACTION_PRIORITY,
@@ -15,6 +17,7 @@
     Unreachable,
 )
 from beryltiller.sessions.errors import NoCapacityError, QueueTooLongError
+from beryltiller.sessions.running.overload_log import QUIET_SECONDS, OverloadLog
 from beryltiller.sessions.running.transaction_holds import (
     MIN_HELD_SECONDS,
     MIN_STATEMENTS,
@@ -31,7 +34,7 @@
     SessionState,
     Write,
 )
-from tests.fake_group import GroupFixture
+from tests.fake_group import FakeDatabase, GroupFixture
 from tests.test_session_serving import run_with_fixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -280,3 +283,22 @@
             self.assertTrue(is_too_long(transaction, held_since + MIN_HELD_SECONDS))
 
         run_with_fixture(work)
+
+
+class OverloadLogTest(unittest.TestCase):
+    """An overload is logged when it begins and when it has ended."""
+
+    def test_one_line_per_change(self) -> None:
+        """Guards against a line for each of thousands of refusals."""
+        database = FakeDatabase("d").entry()
+        log = OverloadLog()
+        with mock.patch("beryltiller.observability.logs.log") as lines:
+            for n in range(100):
+                log.record_refusal(database, n % 2 == 0, n / 100)
+                log.record_admission(database, n / 100)
+            log.record_admission(database, 0.99 + QUIET_SECONDS)
+            log.record_admission(database, 9.0)
+        self.assertEqual(
+            [call.args[0] for call in lines.call_args_list],
+            [OverloadBegan("s", "d"), OverloadEnded("s", "d", 0.99, 50, 50)],
+        )
