--- a/src/beryltiller/sessions/forwarding/forwarded_sessions.py
+++ b/src/beryltiller/sessions/forwarding/forwarded_sessions.py
@@ -208,7 +208,11 @@
             begun_at = now - message.begun_ms / 1000
             requirement = session.read_requirement(route, begun_at)
             session.transaction = Transaction(
-                route, message.is_read_only, requirement, begun_at
+                route,
+                message.is_read_only,
+                requirement,
+                begun_at,
+                message.organisation,
             )
             session.state = SessionState.OPEN
         return session
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -1,5 +1,6 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from beryltiller.sessions.clocks import Clock
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.forwarding.forwarded_sessions import (
@@ -9,7 +10,6 @@
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.organisations import Credential
 from beryltiller.sessions.running.execution import (
-    Clock,
     PeerCoverSource,
     StatementExecutor,
 )
@@ -154,12 +154,20 @@
             return await self._deny(session)
         reply = await self._answer(session, identifier, statement, arrived)
         session.state = reply.state
-        if not _is_caller_error(statement, reply):
+        # An abandoned statement says nothing of the databases.
+        if not session.is_abandoned and not _is_caller_error(statement, reply):
             self._monitor.record_outcome(reply.is_success, self._clock())
         if reply.position is not None:
             session.position = reply.position
         return reply
 
+    def abandon(self, session: Session) -> None:
+        """Take a statement of the session that was not sent yet out of the queues.
+
+        Call it if the caller disconnects while a statement is in progress.
+        """
+        session.abandon()
+
     async def end_session(self, session: Session) -> None:
         """Roll back an open transaction and forget the session's state.
 
