--- a/tests/soak_proxies.py
+++ b/tests/soak_proxies.py
@@ -68,10 +68,10 @@
         """Return True if its process has not ended."""
         return self._process is not None and self._process.poll() is None
 
-    def write_settings(self, store_address: str) -> None:
-        """Write the settings file."""
+    def settings(self, store_address: str) -> dict[str, object]:
+        """Return the content of the settings file."""
         internal = self._internal_port
-        settings = {
+        return {
             "node_name": self.name,
             "ip_address": self.ip,
             "zone": self._zone,
@@ -84,13 +84,21 @@
                 "drain_timeout_ms": DRAIN_SECONDS * 1000,
             },
         }
-        self._settings.write_text(json.dumps(settings), encoding="utf-8")
 
-    def start(self) -> None:
-        """Start the process with the command of the deploy file."""
-        self.is_wanted = True
+    def write_settings(self, store_address: str) -> None:
+        """Write the settings file."""
+        settings = json.dumps(self.settings(store_address))
+        self._settings.write_text(settings, encoding="utf-8")
+
+    def command(self) -> list[str]:
+        """Return the command of the deploy file."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))
         _, *arguments = shlex.split(deploy["roles"]["proxy"]["run"])
+        return [sys.executable, *arguments]
+
+    def start(self) -> None:
+        """Start the process."""
+        self.is_wanted = True
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "PYTHONPATH": str(SOURCE),
@@ -98,7 +106,7 @@
         }
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, *arguments],
+                self.command(),
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
