Limit connections, received messages and unread answers of misbehaving callers

Cause: a crowd that only connected, or stopped within its first message, took all places for callers, and 24 of 192 descriptors did not suffice for the proxy's own connections. A message at work was no longer counted once a further byte arrived, and counted with its size on the wire, not as text of up to four bytes a character. Unread answers had no total. The HTTP proxy had no limit on connections.

Change: at the limit, the oldest connection without a session (HTTP: without a whole request) is closed in favour of a new one; a session must begin within 10 s; 96 descriptors are kept for the proxy. Messages count until they are answered, those without a session in a budget of their own. Unread answers have a total; the connection that fell behind first is closed.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -62,6 +62,7 @@
     | session_events.ReadRan
     | session_events.SetUpRefused
     | session_events.MemoryRefused
+    | session_events.CallersLimited
     | events.WorkFailed
 )
 
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -308,6 +308,15 @@
     refusals: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallersLimited:
+    """Callers have as many connections as they may; logged at most once a minute."""
+
+    limit: int
+    # How many connections were closed or refused since the last line, with this one.
+    closed: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetUpRefused:
     """A database refused to set up a session's state; logged once a second at most."""
--- a/src/beryltiller/platform/message_queue.py
+++ b/src/beryltiller/platform/message_queue.py
@@ -8,6 +8,20 @@
 # A caller with more unanswered messages, or with more bytes in them, must wait.
 MAX_PIPELINED_MESSAGES = 64
 MAX_PIPELINED_BYTES = 64 * 1024
+# The memory of a decoded message, in multiples of its line: the text, and the line that
+# is sent to the database. One character beyond the Basic Multilingual Plane makes each
+# character of a text take four bytes.
+ASCII_FACTOR = 2
+WIDE_FACTOR = 5
+
+
+def message_bytes(line: bytes) -> int:
+    """Return the memory that a message takes until it is answered.
+
+    >>> message_bytes(b"QUERY"), message_bytes("\u00e9".encode())
+    (10, 10)
+    """
+    return len(line) * (ASCII_FACTOR if line.isascii() else WIDE_FACTOR)
 
 
 class MessageQueue:
@@ -41,7 +55,7 @@
     def is_full(self) -> bool:
         """Return True if no more should be read from the caller."""
         has_many = len(self._messages) > MAX_PIPELINED_MESSAGES
-        return has_many or self._size > MAX_PIPELINED_BYTES
+        return has_many or self._size > ASCII_FACTOR * MAX_PIPELINED_BYTES
 
     def add(self, message: wire.Message, arrived: float, size: int) -> None:
         """Add a message of `size` bytes that arrived at a time."""
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -48,6 +48,9 @@
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 
 READINESS_PATH = "/beryltiller/readiness"
+# One message of the maximum size takes up to 5 MiB, and is served also where memory is
+# small.
+MIN_MESSAGES_BYTES = 6 * 1024 * 1024
 MAINTENANCE_INTERVAL_SECONDS = 0.3
 # Interval of the checks of the leaders, and of this proxy's own isolation.
 CHECK_INTERVAL_SECONDS = 0.1
@@ -91,7 +94,8 @@
             ReadLog(settings.logs_reads),
             max_caller_bytes,
         )
-        self._ingress = Ingress(self._service, boot_clock, max_caller_bytes)
+        max_message_bytes = max(max_caller_bytes, MIN_MESSAGES_BYTES)
+        self._ingress = Ingress(self._service, boot_clock, max_message_bytes)
 
     @property
     def is_ready(self) -> bool:
--- a/src/beryltiller/process/body_budget.py
+++ b/src/beryltiller/process/body_budget.py
@@ -4,12 +4,15 @@
 amount. The bodies of requests in flight count, also those that are still arriving.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from beryltiller.consistency.statement import MAX_BODY_BYTES
 
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 
 @dataclass(frozen=True, slots=True)
 class BodyPolicy:
@@ -50,14 +53,19 @@
         return self._taken_bytes
 
     @contextmanager
-    def reserved(self, size_bytes: int | None) -> Iterator[None]:
+    def reserved(
+        self, size_bytes: int | None, headers: Mapping[str, str] = NO_HEADERS
+    ) -> Iterator[None]:
         """Reserve the bytes of a body, whose size is None if it is not known yet.
 
+        A compressed body counts as one of unknown size, as it is longer once received.
         Raise `BodyBudgetError` if there is no room.
         """
-        size = MAX_BODY_BYTES if size_bytes is None else size_bytes
+        if size_bytes is None or "Content-Encoding" in headers:
+            size_bytes = MAX_BODY_BYTES
         # A longer body is refused once this much of it has arrived.
-        counted = min(size, MAX_BODY_BYTES) if size > self._policy.small_bytes else 0
+        is_counted = size_bytes > self._policy.small_bytes
+        counted = min(size_bytes, MAX_BODY_BYTES) if is_counted else 0
         if counted and self._taken_bytes + counted > self._policy.max_bytes:
             raise BodyBudgetError(
                 f"requests in flight take {self._taken_bytes} of"
--- a/src/beryltiller/process/node.py
+++ b/src/beryltiller/process/node.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -13,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from beryltiller.adapters.descriptors import ACCEPTS_AT_ONCE, set_backlog
 from beryltiller.adapters.endpoints import HttpEndpoint
 from beryltiller.adapters.monitored_platform import MonitoredPlatform
 from beryltiller.adapters.peers import PeerKeys, PeerSettings, open_peers
@@ -52,6 +54,7 @@
 from beryltiller.observability.metrics_reporter import MetricsReporter
 from beryltiller.observability.traces import Tracer
 from beryltiller.process.actors import Part
+from beryltiller.process.caller_server import CallerServer
 from beryltiller.process.control import Control, StatementPath
 from beryltiller.process.operators import (
     DrainRunner,
@@ -266,12 +269,15 @@
         stack.push_async_callback(app.cleanup)
         operator = settings.operator_address
         await web.TCPSite(app, operator.ip, operator.port).start()
-        server = web.Server(self._proxy.handle, access_log=None)
+        server = CallerServer(self._proxy.handle)
         runner = web.ServerRunner(server, shutdown_timeout=1.0)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         caller = settings.caller_address
-        await web.TCPSite(runner, caller.ip, caller.port).start()
+        family = socket.AF_INET6 if ":" in caller.ip else socket.AF_INET
+        listener = socket.create_server((caller.ip, caller.port), family=family)
+        await web.SockSite(runner, listener, backlog=ACCEPTS_AT_ONCE).start()
+        set_backlog(listener.fileno())
 
     async def _open_http_client(self, stack: AsyncExitStack) -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(
--- a/src/beryltiller/process/proxy.py
+++ b/src/beryltiller/process/proxy.py
@@ -228,7 +228,7 @@
             refusal = Refusal(f"POST {STATEMENTS_PATH} is served here", "path")
             return error_answer(404, Outcome.NOT_RUN, refusal, request_id)
         try:
-            with self._bodies.reserved(request.content_length):
+            with self._bodies.reserved(request.content_length, request.headers):
                 return await self._serve_body(request, request_id, started, step)
         except BodyBudgetError as error:
             refusal = Refusal(str(error), "body")
--- a/src/beryltiller/sessions/serving/memory_budget.py
+++ b/src/beryltiller/sessions/serving/memory_budget.py
@@ -108,9 +108,13 @@
     """The memory that one caller takes, as part of a budget."""
 
     def __init__(
-        self, budget: MemoryBudget, max_bytes: int = MAX_SESSION_BYTES
+        self,
+        budget: MemoryBudget,
+        max_bytes: int = MAX_SESSION_BYTES,
+        uncounted_bytes: int = UNCOUNTED_BYTES,
     ) -> None:
         """Create the account of a caller that takes nothing yet."""
+        self._uncounted_bytes = uncounted_bytes
         self._budget = budget
         self._max_bytes = max_bytes
         self._used_bytes = 0
@@ -128,7 +132,7 @@
         used = self._used_bytes + size
         if size > 0 and used > self._max_bytes:
             return Excess.ACCOUNT
-        counted = _counted(used) - _counted(self._used_bytes)
+        counted = self._counted(used) - self._counted(self._used_bytes)
         if not self._budget.try_change(counted):
             return Excess.PROXY
         self._used_bytes = used
@@ -138,6 +142,5 @@
         """Give everything back, as the caller has left."""
         self.change(-self._used_bytes)
 
-
-def _counted(used_bytes: int) -> int:
-    return max(0, used_bytes - UNCOUNTED_BYTES)
+    def _counted(self, used_bytes: int) -> int:
+        return max(0, used_bytes - self._uncounted_bytes)
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -42,6 +42,12 @@
                 self.assertLessEqual(budget.taken_bytes, policy.max_bytes)
         self.assertEqual(budget.taken_bytes, 0)
 
+    def test_compressed_body_counts_as_the_longest(self) -> None:
+        """Guards against short bodies that take much memory once received."""
+        budget = BodyBudget(BodyPolicy())
+        with budget.reserved(100, {"Content-Encoding": "gzip"}):
+            self.assertEqual(budget.taken_bytes, MAX_BODY_BYTES)
+
     def test_examples(self) -> None:
         self.assertEqual(doctest.testmod(body_budget).failed, 0)
 
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -9,7 +9,8 @@
 
 from beryltiller.observability import logs, session_events
 from beryltiller.observability.session_events import SetUpRefused
-from beryltiller.platform.ingress import CallerConnection, Ingress
+from beryltiller.platform.caller_connection import CallerConnection
+from beryltiller.platform.ingress import Ingress
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.memory_budget import (
