--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -66,6 +66,7 @@
     | session_events.OverloadEnded
     | session_events.LongTransactionEnded
     | session_events.MemoryRefused
+    | session_events.CallersLimited
     | events.WorkFailed
 )
 
