Decide and enforce quotas over all proxies

Adds the decisions (quotas/), the messages, the service on the event loop (quota_service/), the settings of the rule, and the admission of each operation in the session service. Nothing is wired into a proxy yet.

--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -22,6 +22,7 @@
 MAX_MESSAGE_BYTES = 2_097_152
 MAX_MEMBERS_IN_MESSAGE = 4_096
 UNKNOWN_AGE_MS = -1
+MAX_QUOTA_ENTRIES = 4_096
 # The least version of a configuration, which stands for none.
 MIN_VERSION = -1
 
@@ -29,6 +30,8 @@
 _Age = Annotated[int, msgspec.Meta(ge=UNKNOWN_AGE_MS, le=MAX_NUMBER)]
 _Version = Annotated[int, msgspec.Meta(ge=MIN_VERSION, le=MAX_NUMBER)]
 _State = Annotated[int, msgspec.Meta(ge=0, le=3)]
+_MaxQuotaEntries = msgspec.Meta(max_length=MAX_QUOTA_ENTRIES)
+_Millionths = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 _MaxMembers = msgspec.Meta(max_length=MAX_MEMBERS_IN_MESSAGE)
 
 
@@ -228,6 +231,74 @@
     age_ms: _Age
 
 
+class QuotaNeed(_Part, frozen=True, array_like=True):
+    """The tokens an organisation needs at a proxy, and its demand there.
+
+    Demand is in operations in 1,000 seconds.
+    """
+
+    organisation: _Text
+    count: Count
+    demand: Count = 0
+
+
+class QuotaShare(_Part, frozen=True, array_like=True):
+    """The part of an organisation's rate that a proxy may use on its own."""
+
+    organisation: _Text
+    millionths: _Millionths
+
+
+class QuotaGrant(_Part, frozen=True, array_like=True):
+    """Tokens for an organisation; below the need, when to ask for more."""
+
+    organisation: _Text
+    count: Count
+    retry_ms: Count = 0
+
+
+class QuotaRequest(_Message, frozen=True, array_like=True):
+    """A request for tokens of one shard's organisations, in one message.
+
+    `name` and `start` identify the process; `sequence` rises with each request of it.
+    `acknowledged` is the number of the last reply of `term` that it applied. With
+    `is_report`, `shares` has all its shares of the shard.
+    """
+
+    shard: Count
+    name: _Text
+    start: Count
+    sequence: Count
+    term: Count = 0
+    acknowledged: Count = 0
+    is_report: bool = False
+    needs: Annotated[tuple[QuotaNeed, ...], _MaxQuotaEntries] = ()
+    shares: Annotated[tuple[QuotaShare, ...], _MaxQuotaEntries] = ()
+
+
+class QuotaReply(_Message, frozen=True, array_like=True):
+    """The allocator's reply, with tokens and changed shares.
+
+    The receiver does not use its shares for `suspension_ms` after the receipt, and
+    sends its next request within `interval_ms`. With `is_report_wanted` it must first
+    report all its shares.
+    """
+
+    term: Count
+    number: Count
+    is_report_wanted: bool = False
+    interval_ms: Count = 0
+    suspension_ms: Count = 0
+    grants: Annotated[tuple[QuotaGrant, ...], _MaxQuotaEntries] = ()
+    shares: Annotated[tuple[QuotaShare, ...], _MaxQuotaEntries] = ()
+
+
+class QuotaRedirect(_Message, frozen=True, array_like=True):
+    """The answer of a proxy that is not the allocator: its address, if known."""
+
+    address: _Text = ""
+
+
 class Refused(_Message, frozen=True, array_like=True):
     """The refusal of a request; it proves that nothing was done for the request."""
 
@@ -253,6 +324,9 @@
     | ForwardReply
     | PositionRequest
     | PositionReply
+    | QuotaRequest
+    | QuotaReply
+    | QuotaRedirect
     | Refused
 )
 
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -62,6 +62,10 @@
     | session_events.ReadRan
     | session_events.SetUpRefused
     | session_events.MemoryRefused
+    | session_events.QuotaLeaseTaken
+    | session_events.QuotaLeaseLost
+    | session_events.QuotaExceeded
+    | session_events.QuotaKept
     | events.WorkFailed
 )
 
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -322,3 +322,36 @@
     prepared: int
     # How many were refused since the last line, with this one.
     refusals: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeaseTaken:
+    """This proxy took a shard's lease and now allocates its organisations' quotas."""
+
+    shard: int
+    # How many processes may hold standing shares of a former allocator.
+    unheard: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeaseLost:
+    """This proxy no longer allocates a shard's quotas."""
+
+    shard: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaExceeded:
+    """This proxy began to reject operations of an organisation over its limit."""
+
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaKept:
+    """This proxy has rejected no operation of the organisation for a while."""
+
+    organisation: str
+    # How many operations it rejected since it began.
+    rejected: int
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -15,6 +15,7 @@
     decode_json,
     shorten,
 )
+from beryltiller.quotas.rules import QuotaRules
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 MAX_DURATION_SECONDS = 86_400
@@ -49,10 +50,17 @@
 
 
 class BoundsModel(msgspec.Struct, frozen=True):
-    """A stopping proxy's grace period, and a draining database's drain period."""
+    """A stopping proxy's grace period, a draining database's drain period, quotas.
+
+    In any `quota_window_s` an organisation's operations may exceed its limit by
+    `quota_overage` of it and by `quota_slack` operations.
+    """
 
     grace_period_s: _Seconds = 6.0
     drain_timeout_ms: _Milliseconds = 7000.0
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0, le=3_600)] = 5.0
+    quota_overage: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    quota_slack: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 20.0
 
 
 class LimitsModel(msgspec.Struct, frozen=True):
@@ -89,6 +97,7 @@
     its entry every `heartbeat_seconds`. Other
     proxies receive its relayed changes from `relay_address`, if it has one. With
     `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
+    `quota_rules` say by how much an organisation may exceed its limit.
     """
 
     host_name: str
@@ -104,6 +113,7 @@
     logs_reads: bool = False
     heartbeat_seconds: float = 1.2
     memory_bytes: int | None = None
+    quota_rules: QuotaRules = field(default_factory=QuotaRules)
 
 
 def read_settings_file(path: str) -> PlatformSettings:
@@ -135,6 +145,11 @@
         heartbeat_seconds=model.heartbeat_interval_ms / 1000,
         relay_address=_relay_address(model),
         memory_bytes=_memory_bytes(model.limits),
+        quota_rules=QuotaRules(
+            model.bounds.quota_window_s,
+            model.bounds.quota_overage,
+            model.bounds.quota_slack,
+        ),
     )
 
 
--- /dev/null
+++ b/src/beryltiller/quota_service/__init__.py
@@ -0,0 +1,1 @@
+"""The service that enforces quotas, on the event loop of a proxy."""
--- /dev/null
+++ b/src/beryltiller/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas: limits on the operations of an organisation, over all proxies."""
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -1,8 +1,11 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from typing import Protocol
+
+from beryltiller.quotas.rules import RetryAfter
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
-from beryltiller.sessions.organisations import Credential
+from beryltiller.sessions.organisations import Credential, Organisation
 from beryltiller.sessions.running.execution import Clock, StatementExecutor
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
@@ -36,6 +39,19 @@
 )
 
 
+class QuotaGate(Protocol):
+    """The admission of operations by the quota of their organisation."""
+
+    async def admit(
+        self, organisation: Organisation, deadline_seconds: float
+    ) -> RetryAfter | None:
+        """Return None to admit an operation, or when to come back.
+
+        The answer comes within `deadline_seconds`.
+        """
+        ...
+
+
 class SessionService:
     """The service that runs the statements of callers' sessions.
 
@@ -50,11 +66,13 @@
         clock: Clock,
         read_log: ReadLog | None = None,
         max_state_bytes: int = DEFAULT_TOTAL_BYTES,
+        quotas: QuotaGate | None = None,
     ) -> None:
         """Use the fleet's databases and report each outcome to `monitor`.
 
         Without `read_log`, reads are not logged. The values and prepared statements of
-        all sessions take at most `max_state_bytes`.
+        all sessions take at most `max_state_bytes`. Each operation of an organisation
+        with a quota is admitted by `quotas`, if given.
         """
         self._monitor = monitor
         self._fleet = fleet
@@ -64,6 +82,7 @@
         self._single_statements = SingleStatementRunner(self._executor)
         self._budget = MemoryBudget(STATE_PURPOSE, max_state_bytes, clock)
         self._refuses_transactions = False
+        self._quotas = quotas
 
     @property
     def state_bytes(self) -> int:
@@ -173,10 +192,8 @@
         if session.state is SessionState.FAILED:
             return await self._answer_failed(session, statement)
         match statement:
-            case Begin() if self._refuses_transactions:
-                return session.refuse(Code.BUSY, "the proxy is stopping")
-            case Begin(is_read_only):
-                return self._transactions.begin(session, is_read_only, arrived)
+            case Begin():
+                return await self._begin(session, statement, arrived)
             case Commit():
                 return await self._transactions.commit(session, identifier, arrived)
             case Rollback():
@@ -186,18 +203,63 @@
             case Execute(name) if name not in session.prepared:
                 return session.refuse(Code.NO_SUCH_STATEMENT, name)
             case Read() | Write() | Execute():
-                if session.transaction is not None:
-                    return await self._transactions.run(
-                        session, identifier, statement, arrived
-                    )
-                return await self._single_statements.run(
-                    session, identifier, statement, arrived
-                )
+                return await self._run(session, identifier, statement, arrived)
             case _:
                 return session.refuse(
                     Code.MALFORMED, "callers may not send this statement"
                 )
 
+    async def _begin(self, session: Session, begin: Begin, arrived: float) -> Reply:
+        if self._refuses_transactions:
+            return session.refuse(Code.BUSY, "the proxy is stopping")
+        rejection = await self._reject_over_quota(session, arrived)
+        if rejection is not None:
+            return rejection
+        return self._transactions.begin(session, begin.is_read_only, arrived)
+
+    async def _run(
+        self,
+        session: Session,
+        identifier: str,
+        statement: Read | Write | Execute,
+        arrived: float,
+    ) -> Reply:
+        """Run a statement in the session's transaction, or as a single statement."""
+        if session.transaction is not None:
+            return await self._transactions.run(session, identifier, statement, arrived)
+        rejection = await self._reject_over_quota(session, arrived)
+        if rejection is not None:
+            return rejection
+        return await self._single_statements.run(
+            session, identifier, statement, arrived
+        )
+
+    async def _reject_over_quota(
+        self, session: Session, arrived: float
+    ) -> Reply | None:
+        """Return the rejection of an operation, unless its organisation may run it.
+
+        A BEGIN within a transaction, and a statement without a route, are refused for
+        that reason and take nothing of the quota.
+        """
+        configuration = self._fleet.configuration
+        if (
+            self._quotas is None
+            or session.transaction is not None
+            or configuration is None
+            or configuration.organisations is None
+        ):
+            return None
+        organisation = configuration.organisations.by_name.get(session.organisation)
+        route = configuration.routes.get(session.database_name)
+        if organisation is None or organisation.quota is None or route is None:
+            return None
+        remaining = arrived + route.timeout_seconds - self._clock()
+        retry = await self._quotas.admit(organisation, max(0.0, remaining))
+        if retry is None:
+            return None
+        return session.refuse(Code.BUSY, retry.text)
+
     async def _deny(self, session: Session) -> Reply:
         """End an open transaction, and return the reply to a caller without access."""
         await self._transactions.roll_back_open(session)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -18,6 +18,7 @@
     "configuration",
     "membership",
     "primaries",
+    "quotas",
 )
 # Modules of `sessions` that decide; the others run on the event loop.
 _SESSION_DECISIONS = (
