--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -82,7 +82,8 @@
         self._counters = counters
         self._quotas: Mapping[str, Quota] = {}
         self._shards: tuple[_Shard, ...] = ()
-        self._read_at = float("inf")
+        self._slot_at = 0.0
+        self._jitter = 1.0
         self._ranked: Members | None = None
         self._candidacies: tuple[bool, ...] = ()
 
@@ -113,8 +114,8 @@
             _Shard(Lease(number, process_of(me), me.address))
             for number in range(SHARDS)
         )
-        delay = FIRST_POLL_SECONDS + self._rng.uniform(0.0, RENEWAL_SECONDS)
-        self._read_at = self._clock() + delay
+        await asyncio.sleep(FIRST_POLL_SECONDS)
+        self._slot_at = self._clock() - self._rng.uniform(0.0, RENEWAL_SECONDS)
         while True:
             await self._maintain()
             await asyncio.sleep(CHECK_SECONDS)
@@ -123,7 +124,7 @@
         members = self._members()
         for shard in self._shards:
             self._update(shard, members)
-        if self._quotas and self._clock() >= self._read_at:
+        if self._quotas and self._is_read_due(members):
             await self._read(members)
         for shard in self._shards:
             now = self._clock()
@@ -154,14 +155,21 @@
             )
         return self._candidacies[shard.lease.shard]
 
-    async def _read(self, members: Members) -> None:
-        """Read the rows, if this proxy may take a lease."""
-        # Where members cannot reach each other, each group has its own candidates. They
-        # read more rarely, so that the calls of all groups do not add up.
+    def _is_read_due(self, members: Members) -> bool:
+        """Return True if a candidate may read the rows now.
+
+        Where members cannot reach each other, each group has its own candidates. They
+        read more rarely, so that the calls of all groups do not add up.
+        """
         known = sum(member.state is not MemberState.LEFT for member in members)
         spread = max(1.0, known / max(1, len(members.live)))
-        wait = RENEWAL_SECONDS * spread * self._rng.uniform(1.0, 1.3)
-        self._read_at = self._clock() + wait
+        wait = RENEWAL_SECONDS * spread * self._jitter
+        return self._clock() - self._slot_at >= wait
+
+    async def _read(self, members: Members) -> None:
+        """Read the rows, if this proxy may take a lease."""
+        self._slot_at = self._clock()
+        self._jitter = self._rng.uniform(1.0, 1.3)
         if not any(
             shard.allocator is None and self._is_candidate(shard, members)
             for shard in self._shards
--- a/src/beryltiller/quotas/allocator.py
+++ b/src/beryltiller/quotas/allocator.py
@@ -132,6 +132,8 @@
             former = self._accounts.get(name)
             if former is not None:
                 former.quota = quota
+                # A lower burst applies to what the bucket has already.
+                former.bucket.advance(now, 0.0, self._rules.depth(quota.burst))
                 accounts[name] = former
                 continue
             accounts[name] = account = _Account(quota, TokenBucket(now))
--- a/src/beryltiller/quotas/client.py
+++ b/src/beryltiller/quotas/client.py
@@ -31,6 +31,9 @@
 PREFETCH_SECONDS = 0.05
 # An organisation that the allocator does not know is asked for again after this time.
 UNKNOWN_RETRY_SECONDS = 0.25
+# A changed share is acknowledged after this time: until then the allocator withholds
+# what a lowered one has set free.
+ACKNOWLEDGEMENT_SECONDS = 0.1
 # A proxy without shares and demand sends a request this often, so that a new allocator
 # learns that it has no shares.
 IDLE_REQUEST_SECONDS = 10.0
@@ -81,6 +84,7 @@
         self._interval = 0.0
         self._demand_due_at = 0.0
         self._asked: frozenset[str] = frozenset()
+        self._has_unacknowledged_shares = False
 
     @property
     def has_waiting(self) -> bool:
@@ -99,6 +103,8 @@
 
     def request_interval(self, now: float) -> float:
         """Return after how long the next request is due though no operation waits."""
+        if self._has_unacknowledged_shares:
+            return ACKNOWLEDGEMENT_SECONDS
         if self.shares and now < self._shares_until:
             return self._interval
         has_demand = any(each.demand_at(now) > 0 for each in self._accounts.values())
@@ -194,6 +200,7 @@
         self._interval = reply.interval_ms / 1000
         self._suspended_until = now + reply.suspension_ms / 1000
         self._shares_until = sent_at + SHARE_SECONDS
+        self._has_unacknowledged_shares = bool(reply.shares)
         for share in reply.shares:
             self._account(share.organisation, now).share = share.millionths
         for account in self._accounts.values():
@@ -216,7 +223,7 @@
         if not account.share or not self._suspended_until <= now < self._shares_until:
             return False
         rate = quota.rate_per_second * account.share / WHOLE
-        account.share_bucket.advance(now, rate, depth=1.0)
+        account.share_bucket.advance(now, rate, self._rules.share_depth(rate))
         return account.share_bucket.take(1) == 1
 
     def _drop_expired_shares(self, now: float) -> None:
--- a/src/beryltiller/quotas/rules.py
+++ b/src/beryltiller/quotas/rules.py
@@ -44,6 +44,14 @@
         """Return the depth of the allocator's bucket for a burst; at least 1."""
         return max(1.0, burst + DEPTH_PART_OF_SLACK * self.slack)
 
+    def share_depth(self, rate: float) -> float:
+        """Return the depth of a share's bucket, for its `rate` a second.
+
+        It is paid for by what the tokens' validity leaves of the overage.
+        """
+        spare = self.overage * self.window_seconds - self.token_seconds
+        return 1.0 + max(0.0, spare) * rate
+
     @property
     def token_seconds(self) -> float:
         """Return how long tokens are valid, which the overage must cover."""
--- a/tests/simulated_quotas.py
+++ b/tests/simulated_quotas.py
@@ -9,10 +9,12 @@
 
 from beryltiller.adapters.channels import PeerLostError, PeerRefusedError
 from beryltiller.core import revisions
+from beryltiller.core.decoding import decode_json
 from beryltiller.core.ports import LostAnswerError, RefusedError, Row, TableRows, Write
 from beryltiller.membership.members import Member, Members, MemberState
 from beryltiller.membership.messages import Message, Refused, decode, encode
 from beryltiller.quota_service.service import Quotas
+from beryltiller.quotas.leases import LeaseModel
 from beryltiller.quotas.rules import QuotaRules
 from beryltiller.sessions.organisations import Organisation, Organisations, Quota
 from tests.virtual_loop import pass_time, virtual_now
@@ -268,6 +270,14 @@
         await pass_time(self.rng.uniform(0.0005, 0.002) + is_late * self.rng.random())
         await target.thawed.wait()
 
+    def allocators(self) -> list[SimulatedProxy]:
+        """Return the proxies that the rows of the store name."""
+        addresses = {
+            decode_json(row.value, LeaseModel).address
+            for row in self.store.rows.values()
+        }
+        return [each for each in self.proxies if each.address in addresses]
+
     async def operate(self, organisation: str, proxy: SimulatedProxy) -> bool:
         """Run one operation, and return True if it was admitted."""
         if proxy.quotas is None or not proxy.thawed.is_set():
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -10,11 +10,13 @@
 from beryltiller.core.ports import Row
 from beryltiller.platform import wire
 from beryltiller.platform.records import RecordError, decode_configuration
+from beryltiller.quotas.rules import RetryAfter
 from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
 from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.connections.priority_semaphore import PrioritySemaphore
 from beryltiller.sessions.databases.catalog import Configuration
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.errors import NoCapacityError, NotSentError
 from beryltiller.sessions.organisations import (
     NO_ORGANISATION,
@@ -23,10 +25,12 @@
     Organisations,
     Quota,
 )
+from beryltiller.sessions.serving.isolation import IsolationMonitor
+from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.statements import Begin, Code, Commit, Read, Write
 from tests.fake_group import FakeConnection, FakeDatabase, GroupFixture
-from tests.virtual_loop import run_virtual
+from tests.virtual_loop import run_virtual, virtual_now
 
 ACME = Organisation("acme", quota=Quota(5.0, 10.0))
 BOLT = Organisation("bolt")
@@ -100,6 +104,21 @@
                 self.assertNotIn("secret-key", repr(each))
 
 
+class FakeQuotas:
+    """Quotas that admit an operation or reject it, and count the operations."""
+
+    def __init__(self) -> None:
+        self.retry: RetryAfter | None = None
+        self.asked: list[str] = []
+
+    async def admit(
+        self, organisation: Organisation, deadline_seconds: float
+    ) -> RetryAfter | None:
+        assert 0 < deadline_seconds <= 1.0
+        self.asked.append(organisation.name)
+        return self.retry
+
+
 class OrganisationFixture(GroupFixture):
     """A proxy before a group of databases, with two organisations."""
 
@@ -128,6 +147,14 @@
         )
         self.fleet.adopt(configuration)
 
+    def use_quotas(self) -> FakeQuotas:
+        """Let the proxy admit operations by quotas from now on."""
+        quotas = FakeQuotas()
+        self.service = SessionService(
+            self.fleet, Placer("a"), IsolationMonitor(), virtual_now, quotas=quotas
+        )
+        return quotas
+
     def session_of(self, key: str) -> Session:
         session = self.service.open_session("db", key)
         assert isinstance(session, Session)
@@ -215,6 +242,36 @@
         run(work)
 
 
+class QuotaTest(unittest.TestCase):
+    """Each operation with a quota is admitted once, before it takes anything."""
+
+    def test_each_operation_is_admitted_once(self) -> None:
+        async def work(fixture: OrganisationFixture) -> None:
+            quotas = fixture.use_quotas()
+            session = fixture.session_of("a1")
+            await fixture.run(session, Read("i"))
+            for statement in (Begin(), Read("i"), Begin(), Write("i", "d"), Commit()):
+                await fixture.run(session, statement)
+            await fixture.run(fixture.session_of("b1"), Read("i"))
+            self.assertEqual(quotas.asked, ["acme", "acme"])
+
+        run(work)
+
+    def test_rejection_names_the_time_and_sends_nothing(self) -> None:
+        async def work(fixture: OrganisationFixture) -> None:
+            fixture.use_quotas().retry = RetryAfter(0.25)
+            session = fixture.session_of("a1")
+            for statement in (Read("i"), Write("i", "d"), Begin()):
+                reply = await fixture.run(session, statement)
+                self.assertIs(reply.code, Code.BUSY)
+                self.assertIn("retry after 250 ms", reply.text)
+            self.assertEqual(fixture.leader.ran, [])
+            self.assertEqual(fixture.opened_for, [])
+            self.assertIsNone(session.transaction)
+
+        run(work)
+
+
 class ConnectionsTest(unittest.TestCase):
     """No organisation uses a connection that was opened for another one."""
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -14,6 +14,7 @@
     SettingsWatch,
     read_settings_file,
 )
+from beryltiller.quotas.rules import QuotaRules
 
 SETTINGS: dict[str, Any] = {
     "node_name": "front-a-1",
@@ -47,6 +48,13 @@
         self.assertEqual(found.memory_bytes, 300_000_000)
         self.assertIsNone(read_settings_file(self.write(SETTINGS)).memory_bytes)
 
+    def test_rule_of_quotas_has_defaults(self) -> None:
+        found = read_settings_file(self.write(SETTINGS))
+        self.assertEqual(found.quota_rules, QuotaRules(5.0, 0.1, 20.0))
+        bounds = {"quota_window_s": 4, "quota_overage": 0.2, "quota_slack": 10}
+        found = read_settings_file(self.write({**SETTINGS, "bounds": bounds}))
+        self.assertEqual(found.quota_rules, QuotaRules(4.0, 0.2, 10.0))
+
     def test_refusal_names_the_invalid_field(self) -> None:
         cases: tuple[tuple[str, object], ...] = (
             ("zone", {**SETTINGS, "zone": 3}),
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -51,5 +51,11 @@
     """Return once the virtual clock has advanced by `seconds`."""
     loop = asyncio.get_running_loop()
     passed: asyncio.Future[None] = loop.create_future()
-    loop.call_later(seconds, passed.set_result, None)
+    loop.call_later(seconds, _end_wait, passed)
     await passed
+
+
+def _end_wait(passed: "asyncio.Future[None]") -> None:
+    # A wait that was cancelled at this very time has its result already.
+    if not passed.done():
+        passed.set_result(None)
