--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -212,9 +212,11 @@
     async def _begin(self, session: Session, begin: Begin, arrived: float) -> Reply:
         if self._refuses_transactions:
             return session.refuse(Code.BUSY, "the proxy is stopping")
-        rejection = await self._reject_over_quota(session, arrived)
-        if rejection is not None:
-            return rejection
+        organisation = self._limited_organisation(session)
+        if organisation is not None:
+            rejection = await self._reject_over_quota(session, organisation, arrived)
+            if rejection is not None:
+                return rejection
         return self._transactions.begin(session, begin.is_read_only, arrived)
 
     async def _run(
@@ -227,20 +229,19 @@
         """Run a statement in the session's transaction, or as a single statement."""
         if session.transaction is not None:
             return await self._transactions.run(session, identifier, statement, arrived)
-        rejection = await self._reject_over_quota(session, arrived)
-        if rejection is not None:
-            return rejection
+        organisation = self._limited_organisation(session)
+        if organisation is not None:
+            rejection = await self._reject_over_quota(session, organisation, arrived)
+            if rejection is not None:
+                return rejection
         return await self._single_statements.run(
             session, identifier, statement, arrived
         )
 
-    async def _reject_over_quota(
-        self, session: Session, arrived: float
-    ) -> Reply | None:
-        """Return the rejection of an operation, unless its organisation may run it.
+    def _limited_organisation(self, session: Session) -> Organisation | None:
+        """Return the organisation whose quota the session's next operation takes.
 
-        A BEGIN within a transaction, and a statement without a route, are refused for
-        that reason and take nothing of the quota.
+        A BEGIN within a transaction is refused for that reason, and takes nothing.
         """
         configuration = self._fleet.configuration
         if (
@@ -251,8 +252,17 @@
         ):
             return None
         organisation = configuration.organisations.by_name.get(session.organisation)
-        route = configuration.routes.get(session.database_name)
-        if organisation is None or organisation.quota is None or route is None:
+        if organisation is None or organisation.quota is None:
+            return None
+        return organisation
+
+    async def _reject_over_quota(
+        self, session: Session, organisation: Organisation, arrived: float
+    ) -> Reply | None:
+        """Return the rejection of an operation, or None if its quota admits it."""
+        route = self._executor.route(session.database_name)
+        if self._quotas is None or route is None:
+            # A statement without a route is refused for that reason.
             return None
         remaining = arrived + route.timeout_seconds - self._clock()
         retry = await self._quotas.admit(organisation, max(0.0, remaining))
