--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -67,6 +67,10 @@
     | session_events.LongTransactionEnded
     | session_events.MemoryRefused
     | session_events.CallersLimited
+    | session_events.QuotaLeaseTaken
+    | session_events.QuotaLeaseLost
+    | session_events.QuotaExceeded
+    | session_events.QuotaKept
     | events.WorkFailed
 )
 
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -278,6 +278,8 @@
             logs.log(events.WorkFailed("peer channel", str(error)))
             return None
         self._spawn(periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, peering.maintain))
+        quotas = peering.open_quotas(self._store, settings.quota_rules)
+        self._spawn(periodic.run_forever(quotas.run))
         return peering
 
     def _list_seeds(self, feeders: Sequence[Feeder]) -> None:
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -23,7 +23,7 @@
     Received,
     Tick,
 )
-from beryltiller.membership.messages import Message, Refused, ReplyTo
+from beryltiller.membership.messages import Message, QuotaRequest, Refused, ReplyTo
 from beryltiller.observability import logs, session_events
 from beryltiller.process.actors import Part
 from beryltiller.process.gossip import (
@@ -31,11 +31,15 @@
     MembershipIO,
     is_for_membership,
 )
+from beryltiller.quota_service.ports import QuotaStore
+from beryltiller.quota_service.service import Quotas
+from beryltiller.quotas.rules import QuotaRules
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
 from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.forwarding.peer_covers import PeerCovers
+from beryltiller.sessions.organisations import Organisations
 from beryltiller.sessions.serving.session_service import SessionService
 
 MEMBERSHIP = "membership"
@@ -82,13 +86,21 @@
         self._rng = rng
         self._clock = clock
         self._incarnation = time.time_ns()
-        self._members: Members | None = None
+        self._me = Member(
+            settings.address,
+            settings.host_name,
+            settings.availability_zone,
+            self._incarnation,
+            weight=settings.weight,
+        )
+        self._members = Members(self._me)
+        self._quotas: Quotas | None = None
         self._forwarded_services: frozenset[str] = frozenset()
         self.plan = ForwardingPlan(settings.regions)
 
     @property
-    def members(self) -> Members | None:
-        """Return the newest view of the members, or None before the first."""
+    def members(self) -> Members:
+        """Return the newest view of the members, at first with this proxy alone."""
         return self._members
 
     async def open(self, stack: AsyncExitStack) -> None:
@@ -126,6 +138,27 @@
         self._service.forward_to(self._client, covers)
         self._fleet.watch_only(self.plan.is_connected)
 
+    def open_quotas(self, store: QuotaStore, rules: QuotaRules) -> Quotas:
+        """Return the quota service, whose `run` is to be a task; call `open` first.
+
+        It admits the operations of organisations with a quota from now on.
+        """
+        self._quotas = Quotas(
+            self._peers,
+            lambda: self._members,
+            store,
+            self._organisations,
+            self._clock,
+            self._rng,
+            rules,
+        )
+        self._service.enforce_quotas(self._quotas)
+        return self._quotas
+
+    def _organisations(self) -> Organisations | None:
+        configuration = self._fleet.configuration
+        return configuration.organisations if configuration else None
+
     def part(self) -> Part[Any, Any, Any]:
         """Return the part that decides membership; call `open` first."""
         return Part(
@@ -179,15 +212,7 @@
         self.sessions.expire(self._members)
 
     def _initial_membership(self, now: float) -> membership_state.State:
-        settings = self._settings
-        me = Member(
-            settings.address,
-            settings.host_name,
-            settings.availability_zone,
-            self._incarnation,
-            weight=settings.weight,
-        )
-        return membership_state.State(me, self._rng.getrandbits(32))
+        return membership_state.State(self._me, self._rng.getrandbits(32))
 
     def _handle_members(self, members: Members) -> None:
         self._members = members
@@ -196,5 +221,9 @@
     def _handle_request(self, message: Message, reply_to: ReplyTo) -> None:
         if is_for_membership(message):
             self._send_event(MEMBERSHIP, Received(message, reply_to))
+        elif isinstance(message, QuotaRequest) and self._quotas is not None:
+            self._quotas.receive(
+                message, lambda reply: self._peers.reply(reply_to, reply)
+            )
         elif not self.sessions.receive(message, reply_to):
             self._peers.reply(reply_to, Refused("unsupported"))
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -1,5 +1,8 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from typing import Protocol
+
+from beryltiller.quotas.rules import RetryAfter
 from beryltiller.sessions.clocks import Clock
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
@@ -8,7 +11,7 @@
     SendReply,
 )
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
-from beryltiller.sessions.organisations import Credential
+from beryltiller.sessions.organisations import Credential, Organisation
 from beryltiller.sessions.running.execution import (
     PeerCoverSource,
     StatementExecutor,
@@ -45,6 +48,19 @@
 )
 
 
+class QuotaGate(Protocol):
+    """The admission of operations by the quota of their organisation."""
+
+    async def admit(
+        self, organisation: Organisation, deadline_seconds: float
+    ) -> RetryAfter | None:
+        """Return None to admit an operation, or when to come back.
+
+        The answer comes within `deadline_seconds`.
+        """
+        ...
+
+
 class SessionService:
     """The service that runs the statements of callers' sessions.
 
@@ -59,11 +75,13 @@
         clock: Clock,
         read_log: ReadLog | None = None,
         max_state_bytes: int = DEFAULT_TOTAL_BYTES,
+        quotas: QuotaGate | None = None,
     ) -> None:
         """Use the fleet's databases and report each outcome to `monitor`.
 
         Without `read_log`, reads are not logged. The values and prepared statements of
-        all sessions take at most `max_state_bytes`.
+        all sessions take at most `max_state_bytes`. Each operation of an organisation
+        with a quota is admitted by `quotas`, if given.
         """
         self._monitor = monitor
         self._fleet = fleet
@@ -73,6 +91,7 @@
         self._single_statements = SingleStatementRunner(self._executor)
         self._budget = MemoryBudget(STATE_PURPOSE, max_state_bytes, clock)
         self._refuses_transactions = False
+        self._quotas = quotas
 
     @property
     def state_bytes(self) -> int:
@@ -90,6 +109,10 @@
         self._transactions.forward_to(client)
         self._executor.learn_from(peer_covers)
 
+    def enforce_quotas(self, quotas: QuotaGate) -> None:
+        """Let `quotas` admit each operation of an organisation with a quota."""
+        self._quotas = quotas
+
     def forwarded_sessions(self, send_reply: SendReply) -> ForwardedSessions:
         """Return a server for what peers forward, which forwards nothing itself."""
         return ForwardedSessions(
@@ -211,10 +234,8 @@
         if session.state is SessionState.FAILED:
             return await self._answer_failed(session, statement)
         match statement:
-            case Begin() if self._refuses_transactions:
-                return session.refuse(Code.BUSY, "the proxy is stopping")
-            case Begin(is_read_only):
-                return self._transactions.begin(session, is_read_only, arrived)
+            case Begin():
+                return await self._begin(session, statement, arrived)
             case Commit():
                 return await self._transactions.commit(session, identifier, arrived)
             case Rollback():
@@ -224,18 +245,73 @@
             case Execute(name) if name not in session.prepared:
                 return session.refuse(Code.NO_SUCH_STATEMENT, name)
             case Read() | Write() | Execute():
-                if session.transaction is not None:
-                    return await self._transactions.run(
-                        session, identifier, statement, arrived
-                    )
-                return await self._single_statements.run(
-                    session, identifier, statement, arrived
-                )
+                return await self._run(session, identifier, statement, arrived)
             case _:
                 return session.refuse(
                     Code.MALFORMED, "callers may not send this statement"
                 )
 
+    async def _begin(self, session: Session, begin: Begin, arrived: float) -> Reply:
+        if self._refuses_transactions:
+            return session.refuse(Code.BUSY, "the proxy is stopping")
+        organisation = self._limited_organisation(session)
+        if organisation is not None:
+            rejection = await self._reject_over_quota(session, organisation, arrived)
+            if rejection is not None:
+                return rejection
+        return self._transactions.begin(session, begin.is_read_only, arrived)
+
+    async def _run(
+        self,
+        session: Session,
+        identifier: str,
+        statement: Read | Write | Execute,
+        arrived: float,
+    ) -> Reply:
+        """Run a statement in the session's transaction, or as a single statement."""
+        if session.transaction is not None:
+            return await self._transactions.run(session, identifier, statement, arrived)
+        organisation = self._limited_organisation(session)
+        if organisation is not None:
+            rejection = await self._reject_over_quota(session, organisation, arrived)
+            if rejection is not None:
+                return rejection
+        return await self._single_statements.run(
+            session, identifier, statement, arrived
+        )
+
+    def _limited_organisation(self, session: Session) -> Organisation | None:
+        """Return the organisation whose quota the session's next operation takes.
+
+        A BEGIN within a transaction is refused for that reason, and takes nothing.
+        """
+        configuration = self._fleet.configuration
+        if (
+            self._quotas is None
+            or session.transaction is not None
+            or configuration is None
+            or configuration.organisations is None
+        ):
+            return None
+        organisation = configuration.organisations.by_name.get(session.organisation)
+        if organisation is None or organisation.quota is None:
+            return None
+        return organisation
+
+    async def _reject_over_quota(
+        self, session: Session, organisation: Organisation, arrived: float
+    ) -> Reply | None:
+        """Return the rejection of an operation, or None if its quota admits it."""
+        route = self._executor.route(session.database_name)
+        if self._quotas is None or route is None:
+            # A statement without a route is refused for that reason.
+            return None
+        remaining = arrived + route.timeout_seconds - self._clock()
+        retry = await self._quotas.admit(organisation, max(0.0, remaining))
+        if retry is None:
+            return None
+        return session.refuse(Code.BUSY, retry.text)
+
     async def _deny(self, session: Session) -> Reply:
         """End an open transaction, and return the reply to a caller without access."""
         await self._transactions.roll_back_open(session)
