Split a group's queries from the recording of evidence

GroupKnowledge, in group_knowledge, holds the state of a group and answers questions on it; Group extends it by what records observations. No logic changed, and all users import Group as before.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -19,124 +19,28 @@
 from collections.abc import Sequence
 
 from beryltiller.core.position import Position
-from beryltiller.sessions.databases.announced import KnownAnnouncements
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.evidence import (
     NO_PROOF_SECONDS,
-    SAMPLE_RETENTION_SECONDS,
     TERM_PROOF_SECONDS,
-    CommitCovers,
-    Cover,
     Evidence,
     EvidenceKind,
     Sample,
-    TermProofs,
 )
+from beryltiller.sessions.databases.group_knowledge import GroupKnowledge
 from beryltiller.sessions.databases.in_sync_set import InSyncSet
-from beryltiller.sessions.databases.leadership import (
-    UNCONFIRMED_SERIAL,
-    Leadership,
-)
+from beryltiller.sessions.databases.leadership import UNCONFIRMED_SERIAL
 from beryltiller.sessions.databases.member import NEVER, Lead, Member
-from beryltiller.sessions.databases.primary_change import (
-    ChangeTracker,
-    PrimaryChange,
-)
-from beryltiller.sessions.statements import NO_POSITION, DatabaseStatus
-
+from beryltiller.sessions.statements import DatabaseStatus
 
-class Group:
-    """One service's databases, their leader, and the evidence that they have given."""
-
-    def __init__(
-        self, service: str, announced: KnownAnnouncements | None = None
-    ) -> None:
-        """Create a group without databases.
 
-        Answers of its replicas prove terms by what is `announced`.
-        """
-        self.service = service
-        self._announced = announced or KnownAnnouncements()
-        self.members: dict[str, Member] = {}
-        self._leadership = Leadership()
-        self._proofs = TermProofs()
-        self._covers = CommitCovers(self._proofs)
-        self._changes = ChangeTracker()
-        self._in_sync: InSyncSet | None = None
-
-    @property
-    def in_sync(self) -> InSyncSet | None:
-        """Return the processes that are in sync, or None if no set is kept."""
-        return self._in_sync
-
-    def is_in_sync(self, member: Member | None) -> bool:
-        """Return True if a database's process is in sync, or no set is kept.
-
-        What it has received counts for reported commits, and every promoter has to
-        account for it.
-        """
-        if self._in_sync is None:
-            return True
-        return member is not None and self._in_sync.counts(member.database)
+class Group(GroupKnowledge):
+    """One service's databases, whose observations are recorded as evidence."""
 
     def record_in_sync(self, in_sync: InSyncSet) -> None:
         """Record which processes are in sync; receipts of others do not count."""
         self._in_sync = in_sync
 
-    @property
-    def announced(self) -> KnownAnnouncements:
-        """Return what is known of the announcements that were made."""
-        return self._announced
-
-    @property
-    def changes(self) -> ChangeTracker:
-        """Return the tracker of announced changes of the primary."""
-        return self._changes
-
-    def change_under_way(self, now: float) -> PrimaryChange | None:
-        """Return the announced change of the primary in force, or None."""
-        return self._changes.under_way(
-            self._leadership.term, now, self._leadership.identifier or ""
-        )
-
-    @property
-    def leader(self) -> Member | None:
-        """Return the database that is believed to be the primary, or None."""
-        return self._leadership.leader_in(self.members)
-
-    @property
-    def term(self) -> int:
-        """Return the newest term known, or 0."""
-        return self._leadership.term
-
-    @property
-    def newest_proof(self) -> Evidence | None:
-        """Return the newest proof of the leader's term, or None without any."""
-        leader = self.leader
-        return self._proofs.newest(leader.reported_primary_term) if leader else None
-
-    @property
-    def lost_log_covered_by(self) -> Position | None:
-        """Return a position that covers what was acknowledged before a log was lost.
-
-        This is the last loss of a log in the group. Return None while none is known.
-        """
-        return self._covers.lost_log_covered_by
-
-    @property
-    def replicas(self) -> tuple[Member, ...]:
-        """Return all members except the leader."""
-        return tuple(
-            member
-            for identifier, member in self.members.items()
-            if identifier != self._leadership.identifier
-        )
-
-    @property
-    def fenced_replicas(self) -> tuple[Member, ...]:
-        """Return the replicas whose last status showed a fence."""
-        return tuple(each for each in self.replicas if each.fenced_since is not None)
-
     def update(self, databases: tuple[Database, ...], now: float) -> None:
         """Replace the group's databases by those that are registered now.
 
@@ -301,17 +205,6 @@
         if member is self.leader and member.lead is not None:
             self._extend_lead(member.lead.term, asked_at)
 
-    def leaders_to_confirm(self) -> tuple[Member, ...]:
-        """Return the databases to be asked whether they are primary.
-
-        This is the leader until it has reported its term, or, without a credible
-        leader, every database that claims to be primary.
-        """
-        leader = self.leader
-        if leader is not None:
-            return () if leader.reported_primary_term else (leader,)
-        return tuple(each for each in self.members.values() if each.claims_lead)
-
     def record_survey(self, positions: tuple[Position, ...], asked_at: float) -> None:
         """Record the received positions of all databases except one.
 
@@ -321,65 +214,6 @@
         """
         self._covers.add_survey(max(positions), asked_at)
 
-    def is_term_proved(self, moment: float) -> bool:
-        """Return True if no term later than the leader's can have begun by `moment`.
-
-        The leader's log then holds every commit acknowledged before `moment`.
-        """
-        leader = self.leader
-        if leader is None or leader.lead is None:
-            return False
-        return self._proofs.is_proved(leader.lead.term, moment)
-
-    def is_lead_shown(self, moment: float) -> bool:
-        """Return True if the leader has shown recently that it is still primary."""
-        term = self.leader.reported_primary_term if self.leader else 0
-        return self._proofs.is_led(term, moment)
-
-    def is_answer_proved(
-        self, member: Member, position: Position | None, moment: float
-    ) -> bool:
-        """Return True if the log that a database answered from is complete.
-
-        It holds every commit acknowledged before `moment` if the database leads in a
-        term proved until then, and answered with a position of that term's primary.
-        """
-        if member is not self.leader or not self.is_term_proved(moment):
-            return False
-        lead = member.lead
-        return lead is not None and lead.includes(position or NO_POSITION)
-
-    def covering_position(self, moment: float) -> Position | None:
-        """Return a position that covers all commits acknowledged before `moment`.
-
-        Return None if no proved position is new enough.
-        """
-        cover = self.cover(moment)
-        return cover.position if cover else None
-
-    def cover(self, moment: float) -> Cover | None:
-        """Return what covers all commits acknowledged before `moment`, or None.
-
-        A survey that does not reach a commit which some proxy has reported has missed a
-        log that is not known here.
-        """
-        return self._covers.cover(moment, self._changes.reported_anywhere)
-
-    def lag_seconds(self, replica: Member, now: float) -> float:
-        """Return by how much a replica lagged at least when last asked.
-
-        Return 0 if that is not known, or longer ago than samples are kept.
-        """
-        asked_at = replica.position_asked_at
-        if replica.applied is None or asked_at < now - SAMPLE_RETENTION_SECONDS:
-            return 0.0
-        missing = (
-            sample.asked_at
-            for sample in self._covers.samples()
-            if sample.position > replica.applied
-        )
-        return max(0.0, asked_at - next(missing, asked_at))
-
     def _record_leader_position(
         self, member: Member, lead: Lead, position: Position, asked_at: float
     ) -> None:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -23,6 +23,7 @@
 _SESSION_DECISIONS = (
     "databases.catalog",
     "databases.evidence",
+    "databases.group_knowledge",
     "databases.groups",
     "databases.leadership",
     "serving.shutdown",
