Split the decoding of the store's answers from its client

The models of answers, and the decoding of rows and versions in them, are in store_rows now. No logic changed; StoreClient, DatedRow, raise_for_status and the time limits stay in platform.store.

--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -24,13 +24,7 @@
 
 from beryltiller.adapters import transport
 from beryltiller.core import revisions
-from beryltiller.core.decoding import (
-    Count,
-    DecodingError,
-    decode_items,
-    decode_json,
-    shorten,
-)
+from beryltiller.core.decoding import shorten
 from beryltiller.core.ports import (
     Changes,
     HistoryLostError,
@@ -44,6 +38,15 @@
 from beryltiller.core.revisions import RevisionError
 from beryltiller.observability import logs, session_events
 from beryltiller.platform import eras
+from beryltiller.platform.store_rows import (
+    CommitModel,
+    RowModel,
+    RowsModel,
+    decode_answer,
+    decode_row,
+    join_revision,
+    own_rows,
+)
 
 # A call is given up if nothing of its answer arrives for this long. There is no limit
 # on its duration: a large answer takes long on a slow link, and would begin anew.
@@ -65,47 +68,6 @@
 _T = TypeVar("_T")
 
 
-class RowModel(msgspec.Struct, frozen=True):
-    """A row in an answer; `value` is base64, and `deleted` marks a deleted row."""
-
-    key: str
-    row_version: Count = 0
-    value: str = ""
-    part: str = ""
-    deleted: bool = False
-
-
-class KeyModel(msgspec.Struct, frozen=True):
-    """The key and part of a row whose other fields cannot be read."""
-
-    key: str
-    part: str = ""
-
-
-class RowsModel(msgspec.Struct, frozen=True):
-    """An answer with rows of a table; `row_version` is the store's newest version.
-
-    `current_time_ms` is by the store's monotonic clock. With `has_more` the answer is
-    one page, and further rows follow it. Rows are decoded one by one.
-    """
-
-    rows: tuple[msgspec.Raw, ...]
-    row_version: Count
-    current_time_ms: Count | None = None
-    has_more: bool = False
-
-
-class CommitModel(msgspec.Struct, frozen=True):
-    """The answer to a transaction.
-
-    `row_version` is the version of all rows that the transaction wrote, and
-    `current_time_ms` is by the store's monotonic clock.
-    """
-
-    row_version: Count
-    current_time_ms: Count = 0
-
-
 @dataclass(frozen=True, slots=True)
 class DatedRow:
     """A row, or None, and the time of the read by the store's monotonic clock.
@@ -158,10 +120,10 @@
             if start:
                 query["start_key"] = start
             model, era = await self._get("rows-get", query, RowsModel)
-            page = tuple(_decode_row(row, era) for row in _own_rows(model))
+            page = tuple(decode_row(row, era) for row in own_rows(model))
             rows.extend(page)
             if revision is None:
-                revision = _join(era, model.row_version)
+                revision = join_revision(era, model.row_version)
             if revisions.era_of(revision) != era:
                 raise LostAnswerError("the store was restored between two pages")
             if not model.has_more or not model.rows:
@@ -188,7 +150,7 @@
         model, era = await self._get("rows-get", query, RowsModel)
         if model.current_time_ms is None:
             raise LostAnswerError("the answer lacks the store's time")
-        rows = [_decode_row(row, era) for row in _own_rows(model) if row.key == key]
+        rows = [decode_row(row, era) for row in own_rows(model) if row.key == key]
         known_seconds = self._clock() - self._era.known_since
         return DatedRow(
             rows[0] if rows else None, model.current_time_ms, era, known_seconds
@@ -224,12 +186,12 @@
         )
         if answered_in != era:
             raise HistoryLostError("the store was restored")
-        newest: dict[str, RowModel] = {row.key: row for row in _own_rows(model)}
+        newest: dict[str, RowModel] = {row.key: row for row in own_rows(model)}
         kept = (row for row in newest.values() if not row.deleted)
         removed = (row.key for row in newest.values() if row.deleted)
         return Changes(
-            _join(era, model.row_version),
-            tuple(_decode_row(row, era) for row in kept),
+            join_revision(era, model.row_version),
+            tuple(decode_row(row, era) for row in kept),
             tuple(removed),
         )
 
@@ -278,7 +240,9 @@
         raise_for_status(reply)
         if any(era != answered_in for era in eras):
             raise LostAnswerError("the store was restored meanwhile")
-        return _join(answered_in, _decode(reply.body, CommitModel).row_version)
+        return join_revision(
+            answered_in, decode_answer(reply.body, CommitModel).row_version
+        )
 
     async def _get(
         self,
@@ -305,7 +269,7 @@
             logs.log(
                 session_events.SlowRead(table, len(reply.body), reply.body_seconds)
             )
-        return _decode(reply.body, model), era
+        return decode_answer(reply.body, model), era
 
     def _record_era(self, reply: transport.Reply) -> int:
         """Return the era of an answer; one without the header is of the newest known.
@@ -347,54 +311,3 @@
     if reply.status in (429, 503, 403, 409, 404, 400):
         raise RefusedError(f"status {reply.status}")
     raise LostAnswerError(f"status {reply.status}")
-
-
-def _decode(body: bytes, model: type[_T]) -> _T:
-    try:
-        return decode_json(body, model)
-    except DecodingError as error:
-        raise LostAnswerError(f"the answer cannot be decoded: {error}") from error
-
-
-def _own_rows(model: RowsModel) -> list[RowModel]:
-    """Return the rows of the part without a name; other parts may have the same keys.
-
-    A row without a readable key is left out.
-    """
-    rows = filter(None, map(_decode_row_model, model.rows))
-    return [row for row in rows if not row.part]
-
-
-def _decode_row_model(raw: msgspec.Raw) -> RowModel | None:
-    """Return a row of an answer, without its value if some field cannot be read."""
-    try:
-        return decode_json(bytes(raw), RowModel)
-    except DecodingError:
-        # The row's decoder refuses an empty value, and other rows are not affected.
-        models, _ = decode_items((raw,), KeyModel)
-    return RowModel(models[0].key, part=models[0].part) if models else None
-
-
-def _join(era: int, version: int) -> int:
-    try:
-        return revisions.join(era, version)
-    except RevisionError as error:
-        raise LostAnswerError(str(error)) from error
-
-
-def _decode_row(model: RowModel, era: int) -> Row:
-    """Return a row with its revision, which is 0 if its version is too large.
-
-    An odd value is left empty: the row's decoder refuses it, and other rows are not
-    affected.
-    """
-    try:
-        value = base64.b64decode(model.value, validate=True)
-    except ValueError:
-        value = b""
-    try:
-        # The version 0 stands for a row that does not exist, in any era.
-        version = revisions.join(era, model.row_version) if model.row_version else 0
-    except RevisionError:
-        return Row(model.key, 0, b"")
-    return Row(model.key, version, value)
