Split the traffic and the processor cost from the admission benchmark

The simulated callers are in admission_traffic and the measurement of processor time in admission_cost; the tables stay.

--- a/src/beryltiller/benchmarks/bench_admission.py
+++ b/src/beryltiller/benchmarks/bench_admission.py
@@ -11,14 +11,9 @@
 import argparse
 import math
 import sys
-import time
-from collections import Counter, deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
-from itertools import count
 
 from beryltiller.admission.queues import AdmissionQueue, QueuePolicy
-from beryltiller.admission.tickets import Grant, Ticket
 from beryltiller.admission.windows import (
     AdaptiveLimit,
     LimitPolicy,
@@ -26,22 +21,19 @@
     LimitsPolicy,
     StaticLimit,
 )
+from beryltiller.benchmarks.admission_cost import processor_cost
 from beryltiller.benchmarks.admission_model import (
     AdmissionModel,
     FirstComeQueue,
-    OfferedStatement,
     PolicySetup,
-    ProxyModel,
 )
-from beryltiller.core.outcome import Kind
-
-_SLOTS = 3
-_PROXIES = 5
-_SERVICE_SECONDS = 0.005
-_CAPACITY_PER_SECOND = _SLOTS / _SERVICE_SECONDS
-_DEADLINE_SECONDS = 0.5
-_WARM_UP_SECONDS = 2.0
-_RUN_SECONDS = 10.0
+from beryltiller.benchmarks.admission_traffic import (
+    CAPACITY_PER_SECOND,
+    PROXIES,
+    RUN_SECONDS,
+    SLOTS,
+    Traffic,
+)
 
 
 def _limits_factory(policy: LimitPolicy) -> Callable[[], Limits]:
@@ -58,143 +50,6 @@
 )
 
 
-@dataclass(slots=True)
-class CallerResults:
-    """The results of one caller's statements that were offered after the warm-up.
-
-    `good` counts those answered within their deadline, whose latencies, in seconds,
-    are in `latencies`.
-    """
-
-    offered: int = 0
-    good: int = 0
-    latencies: list[float] = field(default_factory=list)
-
-    def percentile(self, fraction: float) -> float:
-        """Return the latency at a fraction of the sorted latencies, in milliseconds."""
-        if not self.latencies:
-            return math.nan
-        ordered = sorted(self.latencies)
-        return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] * 1000
-
-
-class Traffic:
-    """The callers of a simulation, which offer statements and count the results."""
-
-    def __init__(self, model: AdmissionModel) -> None:
-        """Create traffic without callers."""
-        self.model = model
-        self.results_by_caller: dict[str, CallerResults] = {}
-        self.good_by_second: Counter[int] = Counter()
-        self.loss_noticed_at = 0.0
-        self._sequence = count()
-
-    def start_open_loop(
-        self,
-        caller: str,
-        rate: float,
-        kind: Kind = Kind.READ,
-        mean_service_seconds: float = 0.0,
-    ) -> None:
-        """Start a caller that offers `rate` statements a second at random times.
-
-        If `mean_service_seconds` is 0, it is `_SERVICE_SECONDS`.
-        """
-        mean_service_seconds = mean_service_seconds or _SERVICE_SECONDS
-        self.results_by_caller.setdefault(caller, CallerResults())
-
-        def arrive() -> None:
-            self.offer(caller, kind, mean_service_seconds, _DEADLINE_SECONDS)
-            self.model.clock.after(self.model.rng.expovariate(rate), arrive)
-
-        self.model.clock.after(self.model.rng.expovariate(rate), arrive)
-
-    def start_write_batch(
-        self, caller: str, outstanding: int, mean_service_seconds: float
-    ) -> None:
-        """Start a caller that keeps a number of unsafe writes outstanding."""
-        self.results_by_caller.setdefault(caller, CallerResults())
-
-        def offer_next(
-            _: OfferedStatement | None = None, is_good: bool = False
-        ) -> None:
-            # After a refused write, the next one is offered only after a pause.
-            pause = 0.0 if is_good else 0.05
-            self.model.clock.after(
-                pause,
-                lambda: self.offer(
-                    caller, Kind.UNSAFE_WRITE, mean_service_seconds, 30.0, offer_next
-                ),
-            )
-
-        for _ in range(outstanding):
-            offer_next(None, True)
-
-    def offer(
-        self,
-        caller: str,
-        kind: Kind,
-        mean_service_seconds: float,
-        seconds: float,
-        on_end: Callable[[OfferedStatement, bool], None] | None = None,
-    ) -> None:
-        """Offer one statement to a proxy chosen at random.
-
-        Its deadline is `seconds` after the offer.
-        """
-        model = self.model
-        began = model.clock.now
-        results = self.results_by_caller[caller]
-        is_counted = began >= _WARM_UP_SECONDS
-        results.offered += is_counted
-
-        def end(statement: OfferedStatement, is_good: bool) -> None:
-            if is_good:
-                self.good_by_second[int(model.clock.now)] += 1
-            if is_good and is_counted:
-                results.good += 1
-                results.latencies.append(model.clock.now - began)
-            if on_end is not None:
-                on_end(statement, is_good)
-
-        proxy = self._choose_proxy()
-        if proxy is None:
-            return
-        name = f"r{next(self._sequence)}"
-        ticket = Ticket(name, caller, kind, began + seconds)
-        proxy.offer(
-            OfferedStatement(
-                ticket, model.rng.expovariate(1.0 / mean_service_seconds), end
-            )
-        )
-
-    def _choose_proxy(self) -> ProxyModel | None:
-        """Return the proxy that the load balancer chooses.
-
-        None if it chooses a stopped proxy because it has not noticed the loss yet; the
-        statement is then lost.
-        """
-        model = self.model
-        proxy = model.rng.choice(model.proxies)
-        if proxy.is_alive:
-            return proxy
-        if model.clock.now < self.loss_noticed_at:
-            return None
-        return model.rng.choice([one for one in model.proxies if one.is_alive])
-
-    def run(self, seconds: float = _RUN_SECONDS) -> None:
-        """Run the simulation for the warm-up and another `seconds`."""
-        self.model.clock.run(_WARM_UP_SECONDS + seconds)
-
-    @property
-    def goodput(self) -> float:
-        """The statements per second that were answered within their deadline."""
-        return (
-            sum(results.good for results in self.results_by_caller.values())
-            / _RUN_SECONDS
-        )
-
-
 def overload(seed: int) -> list[str]:
     """Return the table of goodput at twice the capacity against the peak goodput."""
     lines = [
@@ -205,7 +60,7 @@
         by_load = {load: _run_overload(setup, load, seed) for load in (0.9, 1.1, 2.0)}
         peak = max(traffic.goodput for traffic in by_load.values())
         at_twice = by_load[2.0]
-        worst = min(t.good for t in at_twice.results_by_caller.values()) / _RUN_SECONDS
+        worst = min(t.good for t in at_twice.results_by_caller.values()) / RUN_SECONDS
         fair_share = at_twice.goodput / len(at_twice.results_by_caller)
         lines.append(
             f"  {setup.name:24}{peak:8.0f}{at_twice.goodput:8.0f}"
@@ -215,9 +70,9 @@
 
 
 def _run_overload(setup: PolicySetup, load: float, seed: int) -> Traffic:
-    traffic = Traffic(AdmissionModel(setup, _SLOTS, _PROXIES, seed))
+    traffic = Traffic(AdmissionModel(setup, SLOTS, PROXIES, seed))
     for number in range(10):
-        traffic.start_open_loop(f"c{number}", load * _CAPACITY_PER_SECOND / 10)
+        traffic.start_open_loop(f"c{number}", load * CAPACITY_PER_SECOND / 10)
     traffic.run()
     return traffic
 
@@ -232,16 +87,16 @@
         f"  {'':24}{'good/s':>8}{'worst small':>13}{'small p99 ms':>14}{'hog':>7}",
     ]
     for setup in SETUPS:
-        traffic = Traffic(AdmissionModel(setup, _SLOTS, _PROXIES, seed))
-        traffic.start_open_loop("hog", 1.5 * _CAPACITY_PER_SECOND)
+        traffic = Traffic(AdmissionModel(setup, SLOTS, PROXIES, seed))
+        traffic.start_open_loop("hog", 1.5 * CAPACITY_PER_SECOND)
         for number in range(9):
-            traffic.start_open_loop(f"small{number}", 0.04 * _CAPACITY_PER_SECOND)
+            traffic.start_open_loop(f"small{number}", 0.04 * CAPACITY_PER_SECOND)
         traffic.run()
         small = [t for name, t in traffic.results_by_caller.items() if name != "hog"]
         worst = min(results.good / results.offered for results in small)
         slowest = max(results.percentile(0.99) for results in small)
         share = (
-            traffic.results_by_caller["hog"].good / _RUN_SECONDS / _CAPACITY_PER_SECOND
+            traffic.results_by_caller["hog"].good / RUN_SECONDS / CAPACITY_PER_SECOND
         )
         lines.append(
             f"  {setup.name:24}{traffic.goodput:8.0f}{worst:13.2f}"
@@ -265,9 +120,9 @@
         f"  {'':24}{'proxies':>8}{'reads good':>12}{'p50 ms':>8}{'p99 ms':>8}"
         f"{'writes/s':>10}",
     ]
-    for proxies in (1, _PROXIES):
+    for proxies in (1, PROXIES):
         for setup in setups:
-            traffic = Traffic(AdmissionModel(setup, _SLOTS, proxies, seed))
+            traffic = Traffic(AdmissionModel(setup, SLOTS, proxies, seed))
             traffic.start_open_loop("counter", 60.0)
             for number in range(3):
                 traffic.start_write_batch(f"batch{number}", 8, 0.2)
@@ -279,7 +134,7 @@
             lines.append(
                 f"  {setup.name:24}{proxies:8}{reads.good / reads.offered:12.2f}"
                 f"{reads.percentile(0.5):8.1f}{reads.percentile(0.99):8.1f}"
-                f"{writes / _RUN_SECONDS:10.1f}"
+                f"{writes / RUN_SECONDS:10.1f}"
             )
     return lines
 
@@ -295,9 +150,9 @@
         f"{'s to 90 %':>11}",
     ]
     for setup in SETUPS:
-        traffic = Traffic(AdmissionModel(setup, _SLOTS, _PROXIES, seed))
+        traffic = Traffic(AdmissionModel(setup, SLOTS, PROXIES, seed))
         for number in range(10):
-            traffic.start_open_loop(f"c{number}", 0.09 * _CAPACITY_PER_SECOND)
+            traffic.start_open_loop(f"c{number}", 0.09 * CAPACITY_PER_SECOND)
         traffic.model.clock.run(10.0)
         traffic.model.proxies[0].is_alive = False
         traffic.loss_noticed_at = 11.0
@@ -319,7 +174,7 @@
     setups = (
         PolicySetup("slots / proxies", AdmissionQueue, _limits_factory(StaticLimit(1))),
         PolicySetup(
-            "all slots each", AdmissionQueue, _limits_factory(StaticLimit(_SLOTS))
+            "all slots each", AdmissionQueue, _limits_factory(StaticLimit(SLOTS))
         ),
         PolicySetup(
             "adaptive, at least 0.5",
@@ -334,65 +189,18 @@
     ]
     for setup in setups:
         cells = ""
-        for proxies, widths in ((1, (9, 9)), (_PROXIES, (11, 9))):
-            traffic = Traffic(AdmissionModel(setup, _SLOTS, proxies, seed))
+        for proxies, widths in ((1, (9, 9)), (PROXIES, (11, 9))):
+            traffic = Traffic(AdmissionModel(setup, SLOTS, proxies, seed))
             for number in range(10):
-                traffic.start_open_loop(f"c{number}", 0.2 * _CAPACITY_PER_SECOND)
+                traffic.start_open_loop(f"c{number}", 0.2 * CAPACITY_PER_SECOND)
             traffic.run()
-            fraction = traffic.goodput / _CAPACITY_PER_SECOND
+            fraction = traffic.goodput / CAPACITY_PER_SECOND
             waiting = traffic.model.database.mean_waiting
             cells += f"{fraction:{widths[0]}.2f}{waiting:{widths[1]}.2f}"
         lines.append(f"  {setup.name:24}{cells}")
     return lines
 
 
-def processor_cost(_: int) -> list[str]:
-    """Return the table of the processor time of one offer, take and finish.
-
-    The baseline is one append to a deque and one pop from it.
-    """
-    baseline = _deque_seconds()
-    lines = [
-        "Processor time of one admission (offer, take, finish), best of 5",
-        f"  {'callers':>9}{'waiting':>9}{'us':>8}{'x deque':>9}",
-    ]
-    for callers, depth in ((1, 0), (10, 100), (100, 1000), (1000, 1000)):
-        seconds = min(_admission_seconds(callers, depth) for _ in range(5))
-        ratio = seconds / baseline
-        lines.append(f"  {callers:9}{depth:9}{seconds * 1e6:8.1f}{ratio:9.1f}")
-    return lines
-
-
-_COST_ROUNDS = 5000
-
-
-def _deque_seconds() -> float:
-    best = math.inf
-    for _ in range(5):
-        waiting: deque[Ticket] = deque()
-        started = time.process_time()
-        for number in range(_COST_ROUNDS):
-            waiting.append(Ticket(f"r{number}", "c", Kind.READ, 60.0))
-            waiting.popleft()
-        best = min(best, time.process_time() - started)
-    return best / _COST_ROUNDS
-
-
-def _admission_seconds(callers: int, depth: int) -> float:
-    queue = AdmissionQueue(QueuePolicy(max_waiting=1_000_000))
-    for number in range(depth):
-        ticket = Ticket(f"w{number}", f"c{number % callers}", Kind.READ, 60.0)
-        queue.offer(ticket, 0.0, 3)
-    started = time.process_time()
-    for number in range(_COST_ROUNDS):
-        caller = f"c{number % callers}"
-        queue.offer(Ticket(f"r{number}", caller, Kind.READ, 60.0), 0.0, 3)
-        grant = queue.take(0.0, 3)
-        assert isinstance(grant, Grant)
-        queue.finish(grant, 0.0, 0.005)
-    return (time.process_time() - started) / _COST_ROUNDS
-
-
 _SECTIONS = (
     overload,
     caller_over_share,
