Split connections and replication from the database stand-in

The connections with their limits are in database_connections and both ends of a log's replication in log_replication; the HTTP interface stays. DatabaseCapacity is imported from database_connections now. No logic changed.

--- a/src/beryltiller/benchmarks/bench_memory.py
+++ b/src/beryltiller/benchmarks/bench_memory.py
@@ -27,7 +27,8 @@
 from beryltiller.membership.shares import SharePolicy
 from beryltiller.primaries.evidence import Evidence
 from beryltiller.primaries.term_rows import TermRow, TermState
-from beryltiller.standins.database_standin import DatabaseCapacity, DatabaseStandin
+from beryltiller.standins.database_connections import DatabaseCapacity
+from beryltiller.standins.database_standin import DatabaseStandin
 
 MEMBERS = 5_000
 GROUPS = 1_000
--- a/tests/proxy_fixture.py
+++ b/tests/proxy_fixture.py
@@ -40,7 +40,8 @@
 from beryltiller.primaries.term_rows import TermRow, TermState
 from beryltiller.process.body_budget import BodyPolicy
 from beryltiller.process.proxy import Proxy
-from beryltiller.standins.database_standin import DatabaseCapacity, DatabaseStandin
+from beryltiller.standins.database_connections import DatabaseCapacity
+from beryltiller.standins.database_standin import DatabaseStandin
 from tests import servers
 
 NAMES = ("d1", "d2", "d3")
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -9,7 +9,8 @@
 
 from beryltiller.adapters.endpoints import HttpEndpoint
 from beryltiller.adapters.platform_client import PlatformClient
-from beryltiller.standins.database_standin import DatabaseCapacity, DatabaseStandin
+from beryltiller.standins.database_connections import DatabaseCapacity
+from beryltiller.standins.database_standin import DatabaseStandin
 from beryltiller.standins.platform_standin import PlatformStandin
 
 LOOPBACK = "127.0.0.1"
