Split the acceptance of requests and the routing table from the proxy

Proxy reads bodies, serves and answers. No logic changed: a request is still refused while there is no configuration or the proxy drains before it is parsed.

--- a/src/beryltiller/process/proxy.py
+++ b/src/beryltiller/process/proxy.py
@@ -6,23 +6,17 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from aiohttp import web
-from returns.result import Failure
-from xxhash import xxh64_intdigest
 
 from beryltiller.admission.tickets import Ticket
-from beryltiller.configuration.tables import Configuration, Route
-from beryltiller.consistency.attempts import Work
+from beryltiller.configuration.tables import Configuration
 from beryltiller.consistency.plans import SessionLost
-from beryltiller.consistency.serving import Done, Job
-from beryltiller.consistency.session import SessionClaim, parse_session_header
-from beryltiller.consistency.statement import Request, check_request, parse_request
+from beryltiller.consistency.serving import Done
 from beryltiller.consistency.tokens import Session, TokenKeys, encode_token
 from beryltiller.core.budgets import RetryBudget
-from beryltiller.core.outcome import Kind, Outcome, Refusal
+from beryltiller.core.outcome import Outcome, Refusal
 from beryltiller.dispatching.statement_runner import StatementRunner
 from beryltiller.dispatching.transaction_service import (
     Step,
@@ -34,6 +28,12 @@
 )
 from beryltiller.observability.metrics import Counter, Metrics, Timer
 from beryltiller.observability.traces import Hop, Tracer
+from beryltiller.process.accepted_requests import (
+    AcceptedRequest,
+    RequestAcceptor,
+    RequestRefusedError,
+    build_job,
+)
 from beryltiller.process.body_budget import BodyBudget, BodyBudgetError, BodyPolicy
 from beryltiller.process.caller_answers import (
     CallerAnswer,
@@ -42,6 +42,7 @@
     error_answer,
     unfinished_answer,
 )
+from beryltiller.process.routing_table import RoutingTable
 
 _logger = logging.getLogger(__name__)
 
@@ -54,70 +55,6 @@
 _REFUSAL_COUNTERS = {429: Counter.OVER_LIMIT, 503: Counter.UNAVAILABLE}
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingTable:
-    """The configuration in force, with its routes and pools by name."""
-
-    configuration: Configuration
-    routes: dict[str, Route]
-    pools: dict[str, tuple[str, ...]]
-
-    @classmethod
-    def from_configuration(cls, configuration: Configuration) -> "RoutingTable":
-        """Index a configuration by the names of its routes and pools."""
-        routes = {route.name: route for route in configuration.routes}
-        pools = {pool.name: pool.groups for pool in configuration.pools}
-        return cls(configuration, routes, pools)
-
-    def group(self, route: Route, shard_key: str) -> str:
-        """Return the group of the route's pool that serves a shard key.
-
-        The group is chosen by rendezvous hashing, which reassigns few keys when a
-        group joins or leaves the pool.
-        """
-        groups = self.pools[route.pool]
-        if len(groups) == 1:
-            return groups[0]
-        return max(groups, key=lambda name: _rendezvous_weight(shard_key, name))
-
-
-def _rendezvous_weight(shard_key: str, group: str) -> int:
-    return xxh64_intdigest(f"{shard_key}\0{group}".encode())
-
-
-@dataclass(frozen=True, slots=True)
-class AcceptedRequest:
-    """A valid request with its route, group, session and deadline."""
-
-    request: Request
-    request_id: str
-    route: Route
-    group: str
-    claim: SessionClaim
-    deadline: float
-
-
-def _max_age_seconds(request: Request, route: Route) -> float | None:
-    """Return the maximum age of a read's data: the caller's, else the route's.
-
-    Return None for other kinds of statement, and if neither sets a maximum.
-    """
-    if route.kind is not Kind.AGED_READ:
-        return None
-    if request.max_age_seconds is not None or route.max_age_ms is None:
-        return request.max_age_seconds
-    return route.max_age_ms / 1000
-
-
-class RequestRefusedError(Exception):
-    """Raised for a request that is answered without being served."""
-
-    def __init__(self, answer: CallerAnswer) -> None:
-        """Store the answer to send to the caller."""
-        super().__init__(answer.status)
-        self.answer = answer
-
-
 class Proxy:
     """The HTTP handler that serves callers by the configuration in force."""
 
@@ -145,7 +82,7 @@
         self._keys = keys
         self._metrics = metrics
         self._tracer = tracer
-        self._rng = rng
+        self._acceptor = RequestAcceptor(keys, metrics, rng)
         self._clock = clock
         self._routing_table: RoutingTable | None = None
         self._budgets: dict[str, RetryBudget] = {}
@@ -243,15 +180,19 @@
     ) -> CallerAnswer:
         body = await self._read_body(request, request_id)
         headers = request.headers.items()
-        accepted = self._accept_request(headers, body, request_id, started, step)
+        routing_table = self._serving_table(request_id)
+        accepted = self._acceptor.accept(
+            routing_table, headers, body, request_id, started, step
+        )
         if step is not None or accepted.request.transaction:
             return await self._serve_transaction_step(accepted, step or Step(Verb.RUN))
+        budget = self._budgets[accepted.route.pool]
         context = self._tracer.context_from_header(accepted.request.trace_parent)
         with self._tracer.new_span(context, Hop.REQUEST, request=request_id) as span:
             verdict = await self._statement_runner.serve(
                 request_id,
                 accepted.request.caller,
-                self._build_job(accepted, str(span.context)),
+                build_job(accepted, budget, str(span.context)),
             )
             span.add_attributes(
                 route=accepted.request.route, verdict=type(verdict).__name__
@@ -313,68 +254,17 @@
             answer = error_answer(503, Outcome.NOT_RUN, refusal, request_id)
             raise RequestRefusedError(answer) from error
 
-    def _accept_request(
-        self,
-        headers: Iterable[tuple[str, str]],
-        body: bytes,
-        request_id: str,
-        started: float,
-        step: Step | None,
-    ) -> AcceptedRequest:
-        """Return the request with its route and session.
+    def _serving_table(self, request_id: str) -> RoutingTable:
+        """Return the routes in force.
 
-        Raise RequestRefusedError if the request is not valid or cannot be served now.
+        Raise RequestRefusedError if there are none, or the proxy is draining.
         """
         routing_table = self._routing_table
         if routing_table is None or self._is_draining:
             reason = "draining" if self._is_draining else "no configuration in force"
             refused = error_answer(503, Outcome.NOT_RUN, Refusal(reason), request_id)
             raise RequestRefusedError(refused)
-        parsed = parse_request(headers, body, needs_body=step is None)
-        if isinstance(parsed, Failure):
-            self._metrics.count(Counter.BAD_INPUT)
-            raise RequestRefusedError(bad_input_answer(parsed.failure(), request_id))
-        request = parsed.unwrap()
-        route = routing_table.routes.get(request.route)
-        if route is None:
-            refusal = Refusal(f"no route named {request.route!r}", "Beryl-Route")
-            raise RequestRefusedError(bad_input_answer(refusal, request_id))
-        violation = check_request(request, route.kind, claims_keys=True)
-        # On routes that are unsafe to repeat, only statements and commits need a key.
-        is_checked = step is None or step.verb is Verb.COMMIT
-        if violation is not None and is_checked:
-            raise RequestRefusedError(bad_input_answer(violation, request_id))
-        claim = self._read_session_claim(request, request_id)
-        group = routing_table.group(route, request.shard_key)
-        deadline = started + request.timeout_seconds
-        return AcceptedRequest(request, request_id, route, group, claim, deadline)
-
-    def _read_session_claim(self, request: Request, request_id: str) -> SessionClaim:
-        identifier = f"{self._rng.getrandbits(64):016x}"
-        result = parse_session_header(request.session, self._keys, identifier)
-        if isinstance(result, Failure):
-            self._metrics.count(Counter.INVALID_TOKENS)
-            refusal = result.failure().as_refusal()
-            raise RequestRefusedError(bad_input_answer(refusal, request_id))
-        return result.unwrap()
-
-    def _build_job(self, accepted: AcceptedRequest, trace_parent: str) -> Job:
-        request = accepted.request
-        kind = accepted.route.kind
-        is_idempotent = request.idempotent
-        if is_idempotent is None:
-            is_idempotent = not kind.is_write
-        work = Work(kind, accepted.deadline, request.scoped_key, is_idempotent)
-        age = _max_age_seconds(request, accepted.route)
-        return Job(
-            accepted.group,
-            work,
-            accepted.claim,
-            request.body,
-            self._budgets[accepted.route.pool].take,
-            age,
-            trace_parent,
-        )
+        return routing_table
 
     def _done_answer(self, accepted: AcceptedRequest, done: Done) -> CallerAnswer:
         budget = self._budgets.get(accepted.route.pool)
