Split the parts and the statement path from Control

Control passes results between them as before, no logic changed.

test_launcher, test_membership, test_terms_machine, test_distribution, test_slow_links, test_shares, test_imports, test_documents: 50 passed; the demonstration with two proxies and the stand-ins wrote and read its order; mypy passed.

--- a/src/beryltiller/process/control.py
+++ b/src/beryltiller/process/control.py
@@ -9,13 +9,12 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from beryltiller.adapters.monitored_platform import MonitoredPlatform
 from beryltiller.adapters.network import Network
 from beryltiller.adapters.peers import Peers
-from beryltiller.configuration import adoption, adoption_state
 from beryltiller.configuration.adoption_events import (
     AnnounceVersion,
     PeersChanged,
@@ -23,18 +22,10 @@
 )
 from beryltiller.configuration.tables import Configuration
 from beryltiller.consistency.plans import DatabaseView
-from beryltiller.consistency.session import Planner
 from beryltiller.core.ports import Host, HostKind, PortError
-from beryltiller.dispatching.database_observer import (
-    DRAINING_PART,
-    TERMS_PART,
-    DatabaseObserver,
-)
-from beryltiller.dispatching.databases import Databases
-from beryltiller.dispatching.statement_runner import StatementRunner
-from beryltiller.dispatching.term_board import TermBoard
-from beryltiller.membership import draining, membership, membership_state
-from beryltiller.membership.members import Member, Members
+from beryltiller.dispatching.database_observer import DRAINING_PART, TERMS_PART
+from beryltiller.membership import draining
+from beryltiller.membership.members import Members
 from beryltiller.membership.membership_events import (
     Drain,
     EndpointNote,
@@ -43,24 +34,11 @@
     LocalVersions,
     Received,
     ReportDigest,
-    Tick,
-)
-from beryltiller.membership.messages import (
-    ConfigurationRequest,
-    Message,
-    ReplyTo,
 )
+from beryltiller.membership.messages import ConfigurationRequest, Message, ReplyTo
 from beryltiller.observability import events, logs
-from beryltiller.observability.metrics import (
-    Gauge,
-    Metrics,
-)
+from beryltiller.observability.metrics import Gauge, Metrics
 from beryltiller.observability.state_change_logger import StateChangeLogger
-from beryltiller.primaries import terms
-from beryltiller.primaries.detection import DetectionSettings
-from beryltiller.primaries.evidence import Evidence, LeaseSettings
-from beryltiller.primaries.evidence_refresh import RefreshSettings, RefreshState
-from beryltiller.primaries.promotion_state import PromotionSettings
 from beryltiller.primaries.term_actions import PublishTerms, ReportPromotion
 from beryltiller.primaries.term_events import (
     Database,
@@ -69,10 +47,15 @@
     MembersChanged,
 )
 from beryltiller.primaries.term_events import Member as TermMember
-from beryltiller.primaries.term_events import Tick as TermsTick
-from beryltiller.primaries.terms_state import TermsSettings, TermsState
 from beryltiller.process.actors import Part
 from beryltiller.process.adopter import Adopter
+from beryltiller.process.control_parts import (
+    ADOPTION,
+    MEMBERSHIP,
+    InitialStates,
+    Performers,
+    control_parts,
+)
 from beryltiller.process.distribution import (
     AdoptionCallbacks,
     AdoptionIO,
@@ -83,35 +66,16 @@
     MembershipIO,
     is_for_membership,
 )
-from beryltiller.process.proxy import Proxy
 from beryltiller.process.settings import Settings
+from beryltiller.process.statement_path import StatementPath
 from beryltiller.process.terms_io import TermsIO
 
-MEMBERSHIP = "membership"
-ADOPTION = "adoption"
-
-MEMBERSHIP_TICK_SECONDS = 0.1
-ADOPTION_TICK_SECONDS = 0.25
-DRAINING_TICK_SECONDS = 1.0
-TERMS_TICK_SECONDS = 0.05
 POLLERS_PER_ZONE = 2
 RARE_HOST_LIST_POLL_SECONDS = 10.0
 
 SendEvent = Callable[[str, object], None]
 
 
-@dataclass(frozen=True, slots=True)
-class StatementPath:
-    """The objects that serve statements, which `Control` reconfigures."""
-
-    planner: Planner
-    board: TermBoard
-    databases: Databases
-    database_observer: DatabaseObserver
-    statement_runner: StatementRunner
-    proxy: Proxy
-
-
 class Control:
     """The control parts of a proxy, and the handlers of the results they publish.
 
@@ -140,14 +104,12 @@
         self._platform = platform
         self._send_event = send_event
         self._metrics = metrics
-        self._rng = rng
         self._on_leaving = on_leaving
         self._state_change_logger = StateChangeLogger(metrics)
         self._listed_members: tuple[TermMember, ...] = ()
         self._local_versions = LocalVersions()
         self._adopter = Adopter(self._apply_configuration)
-        self._incarnation = time.time_ns()
-        self._promoter_count = 0
+        self._initial_states = InitialStates(settings, rng)
         self._tasks: set[asyncio.Task[None]] = set()
         self.members: Members | None = None
         self.leaving_databases: frozenset[str] = frozenset()
@@ -179,40 +141,13 @@
 
     def parts(self) -> tuple[Part[Any, Any, Any], ...]:
         """Return the four parts whose actors a supervisor runs."""
-        return (
-            Part(
-                MEMBERSHIP,
-                MEMBERSHIP_TICK_SECONDS,
-                Tick(),
-                self._initial_membership,
-                membership.decide,
-                self._membership_io.perform,
-            ),
-            Part(
-                ADOPTION,
-                ADOPTION_TICK_SECONDS,
-                Tick(),
-                self._initial_adoption,
-                adoption.decide,
-                self._adoption_io.perform,
-            ),
-            Part(
-                DRAINING_PART,
-                DRAINING_TICK_SECONDS,
-                Tick(),
-                lambda now: draining.State(),
-                draining.decide,
-                self._perform_draining,
-            ),
-            Part(
-                TERMS_PART,
-                TERMS_TICK_SECONDS,
-                TermsTick(),
-                self._initial_terms,
-                terms.decide,
-                self._terms_io.perform,
-            ),
+        performers = Performers(
+            self._membership_io.perform,
+            self._adoption_io.perform,
+            self._perform_draining,
+            self._terms_io.perform,
         )
+        return control_parts(self._initial_states, performers)
 
     def route_request(self, message: Message, reply_to: ReplyTo) -> bool:
         """Send a peer's request to the part that answers it, or return False."""
@@ -254,37 +189,6 @@
                 seconds = max(seconds, RARE_HOST_LIST_POLL_SECONDS)
             await asyncio.sleep(seconds)
 
-    def _initial_membership(self, now: float) -> membership_state.State:
-        settings = self._settings
-        me = Member(
-            str(settings.peer_address),
-            settings.host_name,
-            settings.availability_zone,
-            self._incarnation,
-        )
-        return membership_state.State(me, self._rng.getrandbits(32))
-
-    def _initial_adoption(self, now: float) -> adoption_state.State:
-        address = str(self._settings.peer_address)
-        return adoption_state.State(address, self._rng.getrandbits(32), now)
-
-    def _initial_terms(self, now: float) -> TermsState:
-        settings = self._settings
-        lease = LeaseSettings(settings.lease_seconds)
-        refresh = RefreshSettings(poll_seconds=settings.evidence_interval_seconds)
-        detection = DetectionSettings(
-            silence_seconds=settings.detection_timeout_seconds
-        )
-        # A restarted part must not mistake the claims of its earlier run for its own.
-        self._promoter_count += 1
-        return TermsState(
-            str(settings.peer_address),
-            f"{settings.host_name}/{self._incarnation}/{self._promoter_count}",
-            TermsSettings(PromotionSettings(lease=lease), detection),
-            Evidence(lease=lease),
-            RefreshState(refresh),
-        )
-
     def _handle_members(self, members: Members) -> None:
         self.members = members
         self._state_change_logger.log_members(members)
--- a/src/beryltiller/process/node.py
+++ b/src/beryltiller/process/node.py
@@ -45,14 +45,11 @@
 from beryltiller.membership.shares import SharePolicy
 from beryltiller.observability import events, logs
 from beryltiller.observability.hop_recorder import HopRecorder
-from beryltiller.observability.metrics import (
-    Metrics,
-    statsd_client,
-)
+from beryltiller.observability.metrics import Metrics, statsd_client
 from beryltiller.observability.metrics_reporter import MetricsReporter
 from beryltiller.observability.traces import Tracer
 from beryltiller.process.actors import Part
-from beryltiller.process.control import Control, StatementPath
+from beryltiller.process.control import Control
 from beryltiller.process.operators import (
     DrainRunner,
     OperatorInterface,
@@ -60,6 +57,7 @@
 )
 from beryltiller.process.proxy import Proxy
 from beryltiller.process.settings import Settings
+from beryltiller.process.statement_path import StatementPath
 from beryltiller.process.switchovers import SwitchoverRequester
 
 # A request to the platform is given up if nothing of its answer arrives for this long.
