Use the names of the control parts in their benchmark

benchmarks/control_sockets.py repeated the names of two parts and the adoption period of process.control. It imports them from control_parts now; the values are the same.

test_distribution, test_imports, test_documents: 9 passed; mypy passed.

--- a/src/beryltiller/benchmarks/control_sockets.py
+++ b/src/beryltiller/benchmarks/control_sockets.py
@@ -29,6 +29,11 @@
 )
 from beryltiller.membership.messages import Message, ReplyTo
 from beryltiller.process.actors import EventLoop, Mailboxes, Part, Supervisor
+from beryltiller.process.control_parts import (
+    ADOPTION,
+    ADOPTION_TICK_SECONDS,
+    MEMBERSHIP,
+)
 from beryltiller.process.distribution import (
     AdoptionCallbacks,
     AdoptionIO,
@@ -40,9 +45,6 @@
     is_for_membership,
 )
 
-MEMBERSHIP = "membership"
-ADOPTION = "adoption"
-ADOPTION_TICK_SECONDS = 0.25
 WAIT_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.02
 
