Split the tests of callers' connections by subject

The caller with its fake transport is in ingress_caller; the tests of memory are in test_ingress_memory, those of the end of sessions and of the process in test_ingress_end. Tests are moved word for word, under the same class and method names; imports elsewhere follow.

--- a/tests/test_ingress_sequences.py
+++ b/tests/test_ingress_sequences.py
@@ -6,7 +6,7 @@
 from beryltiller.platform.ingress import Ingress
 from beryltiller.sessions.statements import Write
 from tests.fake_group import FakeDatabase, GroupFixture
-from tests.test_platform_ingress import Caller, run_with_caller
+from tests.ingress_caller import Caller, run_with_caller
 
 
 class SequenceTest(unittest.TestCase):
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -32,8 +32,8 @@
     Write,
 )
 from tests.fake_group import GroupFixture
+from tests.ingress_caller import FakeTransport
 from tests.page_group import PageGroup
-from tests.test_platform_ingress import FakeTransport
 from tests.virtual_loop import run_virtual, virtual_now
 
 MESSAGE = "x" * (1 << 20)
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -16,7 +16,7 @@
 from beryltiller.sessions.serving.shutdown import shutdown_step
 from beryltiller.sessions.statements import Commit, Read, Write
 from tests.fake_group import FakeDatabase, GroupFixture
-from tests.test_platform_ingress import Caller
+from tests.ingress_caller import Caller
 from tests.virtual_loop import run_virtual, virtual_now
 
 SEEDS = int(os.environ.get("STOP_SOAK_SEEDS", "25"))
--- a/tests/test_wire_replies.py
+++ b/tests/test_wire_replies.py
@@ -15,7 +15,7 @@
     SessionState,
     Write,
 )
-from tests.test_platform_ingress import FakeTransport
+from tests.ingress_caller import FakeTransport
 
 READY = b"READY I 1.5"
 ODD_BYTES = (b"\xff\xfe", b"a\xc3", b"\0\t \xa0", b"a\r", b"\n", b" ", b"\xed\xb3\xbf")
--- a/tests/test_wire_requests.py
+++ b/tests/test_wire_requests.py
@@ -20,8 +20,8 @@
     SetValue,
     Write,
 )
+from tests.ingress_caller import FakeTransport
 from tests.page_reader import read_query
-from tests.test_platform_ingress import FakeTransport
 
 UNWRITABLE = (
     Request(Read("")),
--- a/tests/test_wire_statements.py
+++ b/tests/test_wire_statements.py
@@ -16,8 +16,8 @@
     Write,
 )
 from tests.fake_group import GroupFixture
+from tests.ingress_caller import Caller, run_with_caller
 from tests.page_reader import UnreadableError, read_statement
-from tests.test_platform_ingress import Caller, run_with_caller
 
 # Statements that no database can run.
 INCOMPLETE = (
