--- a/tests/test_session_capacity.py
+++ b/tests/test_session_capacity.py
@@ -15,7 +15,7 @@
     Write,
 )
 from tests.fake_group import GroupFixture, call_after
-from tests.test_session_serving import run_with_fixture
+from tests.session_runs import run_with_fixture
 from tests.virtual_loop import virtual_now
 
 
--- a/tests/test_session_evidence.py
+++ b/tests/test_session_evidence.py
@@ -9,8 +9,8 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.statements import Begin, DatabaseStatus, Read, Write
 from tests.fake_group import GroupFixture
+from tests.session_runs import run_with_fixture
 from tests.test_session_groups import FAR, LEADER, NEAR, make_group, status
-from tests.test_session_serving import run_with_fixture
 from tests.virtual_loop import pass_time, virtual_now
 
 
--- a/tests/test_surveys.py
+++ b/tests/test_surveys.py
@@ -14,10 +14,10 @@
 from beryltiller.sessions.databases.surveys import SURVEY_WAIT_SECONDS
 from beryltiller.sessions.statements import Read, Reply, Write
 from tests.fake_group import ROUND_TRIP_SECONDS, GroupFixture, read_same_entries
+from tests.session_runs import run_with_fixture
 from tests.simulated_checker import Findings
 from tests.simulated_lifecycle import Lifecycle
 from tests.simulated_sessions import Simulation
-from tests.test_session_serving import run_with_fixture
 from tests.virtual_loop import run_virtual, virtual_now
 
 
