Split the states of the in-sync specification from its steps

Its rules, bounds and states, with the functions that change a state, are in spec_in_sync_world. The model is the same.

--- a/tests/spec_in_sync.py
+++ b/tests/spec_in_sync.py
@@ -17,170 +17,33 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
-from enum import IntEnum, auto
-from typing import Any, NamedTuple
+from typing import Any
 
 from minicheck import Protocol, check_safety
 
+from tests.spec_in_sync_world import (
+    DATABASES,
+    NONE,
+    PRIMARY,
+    REPLICAS,
+    End,
+    Evidence,
+    InSyncBounds,
+    InSyncWorld,
+    Known,
+    Membership,
+    Phase,
+    Row,
+    Rule,
+    idle,
+    replaced,
+    with_log,
+    without_reporter,
+)
 from tests.spec_parts import LOST, safety_protocol
 
-NONE = -1
-PRIMARY, REPLICA, OTHER_REPLICA = DATABASES = range(3)
-REPLICAS = (REPLICA, OTHER_REPLICA)
 MAX_STATES = 1_000_000
 
-
-class Rule(IntEnum):
-    """The rules of the in-sync set, each of which a check can leave out.
-
-    The set is KEPT_IN_STORE: a promoter that started after entries had lapsed knows it.
-    It is in the SAME_ROW as the announcement: who knows that a process has joined knows
-    the changes that were announced before.
-
-    A receipt is a RECEIPT_OF_MEMBER, and what acknowledges is a member too: the
-    SOURCE_IS_MEMBER. A LEAVING_MEMBER_SHOWS_NOTHING. A process shows something only on
-    a CONNECTION_BEFORE_ROW, opened before the row was last known.
-
-    A promoter accounts for ALL_BUT_ONE of the set; a leaving process is STILL_REQUIRED.
-    What answers is of the SAME_INCARNATION as the member that it stands for. If the
-    former primary has stepped down, the FORMER_LOG_IS_REACHED. A promotion is confirmed
-    UNDER_ROW_VERSION, the one that the promoter announced.
-
-    A process is MARKED_BEFORE_REMOVED. After that its END_SHOWN is known, and then the
-    primary's log end is asked: ASKED_AFTER_END. That much is in the logs of two others:
-    TWO_COPIES_LEFT. A process that another one succeeds is REPLACED_BY_MEMBER.
-
-    A promoter need not hear of a process if its end was shown, and the longest log
-    reaches what the primary told after that. If nothing listened any more, this counts
-    for what was COVERED_ONCE_MARKED. If another process had started under its
-    identifier, it is COVERED_BESIDE_SUCCESSOR only, that is if that one answers.
-    """
-
-    KEPT_IN_STORE = auto()
-    SAME_ROW = auto()
-    RECEIPT_OF_MEMBER = auto()
-    SOURCE_IS_MEMBER = auto()
-    LEAVING_MEMBER_SHOWS_NOTHING = auto()
-    CONNECTION_BEFORE_ROW = auto()
-    ALL_BUT_ONE = auto()
-    STILL_REQUIRED = auto()
-    SAME_INCARNATION = auto()
-    FORMER_LOG_IS_REACHED = auto()
-    UNDER_ROW_VERSION = auto()
-    MARKED_BEFORE_REMOVED = auto()
-    END_SHOWN = auto()
-    ASKED_AFTER_END = auto()
-    TWO_COPIES_LEFT = auto()
-    REPLACED_BY_MEMBER = auto()
-    COVERED_ONCE_MARKED = auto()
-    COVERED_BESIDE_SUCCESSOR = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class InSyncBounds:
-    """The limits of the model.
-
-    `mobile` is the database whose process may end, leave and start again. With
-    `is_joining` its first process is not in the set at first.
-    """
-
-    mobile: int = OTHER_REPLICA
-    writes: int = 1
-    is_joining: bool = False
-
-
-class Membership(IntEnum):
-    """Whether a process is in the set."""
-
-    ABSENT = auto()
-    MEMBER = auto()
-    LEAVING = auto()
-
-
-class End(IntEnum):
-    """What has shown the keeper that the mobile database's first process is over."""
-
-    UNKNOWN = auto()
-    NOTHING_LISTENS = auto()
-    REGISTERED_ANEW = auto()
-
-
-class Phase(IntEnum):
-    """How far the promoter has come."""
-
-    IDLE = auto()
-    ANNOUNCED = auto()
-    PROMOTED = auto()
-
-
-class Row(NamedTuple):
-    """The row in the store.
-
-    `former` and `successor` are the two processes of the mobile database; those of the
-    others are always in the set. `end` is where the log ends that an announced change
-    promotes, or -1.
-    """
-
-    former: Membership = Membership.MEMBER
-    successor: Membership = Membership.ABSENT
-    end: int = NONE
-
-
-class Known(NamedTuple):
-    """What the reporter knows of the row.
-
-    With `is_member` a process of the mobile database counts. No commit beyond `end` is
-    reported, unless that is -1.
-    """
-
-    is_member: bool = False
-    end: int = NONE
-
-
-class Evidence(NamedTuple):
-    """What the keeper knows of the end of the mobile database's first process.
-
-    `was_marked` tells that it was leaving before. `log_end` is the primary's log end,
-    asked after that, or -1.
-    """
-
-    end: End = End.UNKNOWN
-    was_marked: bool = False
-    log_end: int = NONE
-
-
-class InSyncWorld(NamedTuple):
-    """A state of the model.
-
-    Logs are represented by their lengths, as all are copies of the primary's. `is_up`
-    and `is_restarted` are of the mobile database, `fenced` is of the replicas. With
-    `leads` the primary, if it is up, acknowledges commits. `known`, `is_connected` and
-    `acknowledged` are of the reporter, of no interest once all writes are reported; its
-    connection leads to the mobile database. `required` is the row as the promoter
-    announced its change, and `log_end` the end of the log that it promotes.
-    `stepped_down` is where the primary's log ended when it stepped down for this
-    promoter, or -1.
-    """
-
-    logs: tuple[int, ...] = (0, 0, 0)
-    fenced: tuple[bool, ...] = (False, False, False)
-    leads: bool = True
-    is_up: bool = True
-    is_restarted: bool = False
-    row: Row = Row()
-    known: Known = Known()
-    is_connected: bool = False
-    acknowledged: int = 0
-    reported: int = 0
-    evidence: Evidence = Evidence()
-    phase: Phase = Phase.IDLE
-    required: Row = Row()
-    log_end: int = NONE
-    stepped_down: int = NONE
-    is_lost: bool = False
-
-
 Steps = Iterator[tuple[str, InSyncWorld]]
 
 
@@ -230,26 +93,26 @@
             return
         end = world.logs[PRIMARY]
         if end < self._bounds.writes:
-            yield "append", _with_log(world, PRIMARY, end + 1)
+            yield "append", with_log(world, PRIMARY, end + 1)
         for each in REPLICAS:
             is_following = self._is_up(world, each) and not world.fenced[each]
             if is_following and world.logs[each] < end:
                 length = world.logs[each] + 1
-                yield f"database {each} receives", _with_log(world, each, length)
+                yield f"database {each} receives", with_log(world, each, length)
 
     def _processes(self, world: InSyncWorld) -> Steps:
         """End the mobile database's process, and start another one."""
         if world.is_up and not world.is_restarted:
             yield "process ends", world._replace(
                 is_up=False,
-                fenced=_replaced(world.fenced, self._mobile, False),
+                fenced=replaced(world.fenced, self._mobile, False),
                 is_connected=False,
             )
         if not world.is_up:
             started = world._replace(is_up=True, is_restarted=True)
             yield "another process starts with its log", started
             leads = world.leads and self._mobile != PRIMARY
-            empty = _with_log(started, self._mobile, 0)
+            empty = with_log(started, self._mobile, 0)
             yield "another process starts empty", empty._replace(leads=leads)
 
     def _reporter(self, world: InSyncWorld) -> Steps:
@@ -266,7 +129,7 @@
             )
             if not self._has(Rule.CONNECTION_BEFORE_ROW):
                 yield "reporter connects", world._replace(is_connected=True)
-        yield "reporter restarts and reads the row", _without_reporter(world)._replace(
+        yield "reporter restarts and reads the row", without_reporter(world)._replace(
             known=known
         )
         yield from self._reports(world)
@@ -287,7 +150,7 @@
             reported=reported, is_lost=is_promoted and reported > world.log_end
         )
         is_last = reported == self._bounds.writes
-        return _without_reporter(world) if is_last else world
+        return without_reporter(world) if is_last else world
 
     def _reports(self, world: InSyncWorld) -> Steps:
         """Let the reporter hear of an acknowledgement, and report on a receipt.
@@ -339,7 +202,7 @@
         """Return the world after a write of the row by another than the promoter."""
         is_refused = self._has(Rule.UNDER_ROW_VERSION)
         if world.phase is Phase.ANNOUNCED and is_refused:
-            world = _idle(world)
+            world = idle(world)
         return world._replace(row=row)
 
     def _removal(self, world: InSyncWorld) -> Steps:
@@ -386,7 +249,7 @@
 
     def _promoter(self, world: InSyncWorld) -> Steps:
         if world.evidence != Evidence() or world.phase is Phase.ANNOUNCED:
-            yield "keeper restarts", _idle(world)._replace(
+            yield "keeper restarts", idle(world)._replace(
                 evidence=Evidence(), stepped_down=NONE
             )
         yield from self._fences(world)
@@ -407,7 +270,7 @@
             )
         withdrawn = world.row._replace(end=NONE)
         yield "another proxy withdraws the change", self._written(world, withdrawn)
-        yield "give up", _idle(world)._replace(row=withdrawn, fenced=(False,) * 3)
+        yield "give up", idle(world)._replace(row=withdrawn, fenced=(False,) * 3)
 
     def _fences(self, world: InSyncWorld) -> Steps:
         """Fence a replica, or have the primary step down."""
@@ -417,7 +280,7 @@
             )
         for each in REPLICAS:
             if self._is_up(world, each) and not world.fenced[each]:
-                fenced = _replaced(world.fenced, each, True)
+                fenced = replaced(world.fenced, each, True)
                 yield f"fence database {each}", world._replace(fenced=fenced)
 
     def _ends_of_logs(self, world: InSyncWorld, required: Row) -> set[int]:
@@ -489,24 +352,6 @@
                 return is_successor_there or not is_needed
 
 
-def _replaced(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
-    return (*values[:index], value, *values[index + 1 :])
-
-
-def _with_log(world: InSyncWorld, database: int, length: int) -> InSyncWorld:
-    return world._replace(logs=_replaced(world.logs, database, length))
-
-
-def _without_reporter(world: InSyncWorld) -> InSyncWorld:
-    """Return the world with a reporter that knows nothing."""
-    return world._replace(known=Known(), is_connected=False, acknowledged=0)
-
-
-def _idle(world: InSyncWorld) -> InSyncWorld:
-    """Return the world after the promoter stopped; its announcement stays."""
-    return world._replace(phase=Phase.IDLE, required=Row(), log_end=NONE)
-
-
 def check(bounds: InSyncBounds, *without: Rule) -> Any:
     """Return the result of an exhaustive check, leaving out the given rules."""
     model = InSync(bounds, frozenset(without)).protocol()
--- a/tests/test_spec_in_sync.py
+++ b/tests/test_spec_in_sync.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.spec_in_sync import PRIMARY, InSyncBounds, Rule, is_kept
+from tests.spec_in_sync import is_kept
+from tests.spec_in_sync_world import PRIMARY, InSyncBounds, Rule
 
 REPLICA_RESTARTS = InSyncBounds()
 PRIMARY_RESTARTS = InSyncBounds(mobile=PRIMARY)
