--- a/tests/test_session_admission.py
+++ b/tests/test_session_admission.py
@@ -35,7 +35,7 @@
     Write,
 )
 from tests.fake_group import FakeDatabase, GroupFixture
-from tests.test_session_serving import run_with_fixture
+from tests.session_runs import run_with_fixture
 from tests.virtual_loop import run_virtual, virtual_now
 
 WORK_SECONDS = 0.01
