Place reads by the load of all proxies, the age of observations and regions

Each proxy chose the least cost by its own statements in flight and an average that never aged, so that many proxies with the same view overran one database while others idled, and a database that answered quickly with errors looked idle.

The settings file maps zones to regions. With several, placement costs differ for another zone of the region and for another region, and receipt queries ask the nearest replica first; without, costs of zones are as before. PlatformSettings.capacity gives the capacity of the host. The feeders of each zone still read the store across regions.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -81,11 +81,15 @@
         self._is_draining = False
         self._monitor = IsolationMonitor()
         zone = settings.availability_zone
-        self._fleet = Fleet(self._connect, zone, boot_clock)
+        self._fleet = Fleet(self._connect, zone, boot_clock, settings.regions)
         max_caller_bytes = total_bytes(settings.memory_bytes)
         self._service = SessionService(
             self._fleet,
-            Placer(zone, settings.drain_seconds - DRAIN_MARGIN_SECONDS),
+            Placer(
+                zone,
+                settings.drain_seconds - DRAIN_MARGIN_SECONDS,
+                settings.regions,
+            ),
             self._monitor,
             boot_clock,
             ReadLog(settings.logs_reads),
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -15,15 +15,22 @@
     decode_json,
     shorten,
 )
+from beryltiller.sessions.databases.regions import NO_REGIONS, Regions
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 MAX_DURATION_SECONDS = 86_400
 MAX_MEMORY_MB = 1 << 30
+# The link that a host of capacity 1 needs beside its one core: 600 statements a second
+# of 4 KB each with their replies take about 20 Mbit/s.
+STANDARD_LINK_MBPS = 20.0
+MAX_AMOUNT = 1_000_000
 MEGABYTE = 1_000_000
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
 
+_Amount = Annotated[float, msgspec.Meta(gt=0, le=MAX_AMOUNT)]
+
 
 class SettingsFileError(Exception):
     """A settings file that cannot be used; its message names the field and reason."""
@@ -56,16 +63,23 @@
 
 
 class LimitsModel(msgspec.Struct, frozen=True):
-    """Limits of the process; one that uses more than `memory_mb` is killed."""
+    """Limits of the process; one that uses more than `memory_mb` is killed.
+
+    It may use `cpu_share` of each of `cpu_cores`, and its host's link has `link_mbps`.
+    """
 
     memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEMORY_MB)] | None = None
+    cpu_share: _Amount | None = None
+    cpu_cores: _Amount | None = None
+    link_mbps: _Amount | None = None
 
 
 class FileModel(msgspec.Struct, frozen=True):
     """The settings file; fields that the proxy does not use are ignored.
 
     `internal_port_range` begins with the port at which this proxy relays changes of the
-    store to other proxies; without a range it does not.
+    store to other proxies; without a range it does not. `zones` maps availability zones
+    to their regions, and `region` is that of this proxy's zone.
     """
 
     node_name: str
@@ -78,6 +92,8 @@
     limits: LimitsModel = LimitsModel()
     heartbeat_interval_ms: _Milliseconds = 1200.0
     internal_port_range: tuple[int, int] | None = None
+    region: str | None = None
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +105,8 @@
     its entry every `heartbeat_seconds`. Other
     proxies receive its relayed changes from `relay_address`, if it has one. With
     `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
+    `regions` are those of all availability zones that the settings name, and `capacity`
+    is that of the host, compared to one with a core.
     """
 
     host_name: str
@@ -104,6 +122,8 @@
     logs_reads: bool = False
     heartbeat_seconds: float = 1.2
     memory_bytes: int | None = None
+    regions: Regions = NO_REGIONS
+    capacity: float = 1.0
 
 
 def read_settings_file(path: str) -> PlatformSettings:
@@ -135,6 +155,8 @@
         heartbeat_seconds=model.heartbeat_interval_ms / 1000,
         relay_address=_relay_address(model),
         memory_bytes=_memory_bytes(model.limits),
+        regions=_regions(model),
+        capacity=_capacity(model.limits),
     )
 
 
@@ -164,6 +186,32 @@
     return None if limits.memory_mb is None else int(limits.memory_mb * MEGABYTE)
 
 
+def _regions(model: FileModel) -> Regions:
+    """Return the regions of the zones; that of the own zone may be named on its own.
+
+    Raise `SettingsFileError` if the two name different regions of it.
+    """
+    if model.region is None:
+        return Regions(model.zones)
+    if model.zones.get(model.zone, model.region) != model.region:
+        raise SettingsFileError(
+            f"region: {shorten(model.region)!r} is not that of the zone in zones"
+        )
+    return Regions({**model.zones, model.zone: model.region})
+
+
+def _capacity(limits: LimitsModel) -> float:
+    """Return the capacity of the host: its cores, or its link if that allows less.
+
+    It is 1.0 if the limits name neither.
+    """
+    share = 1.0 if limits.cpu_share is None else limits.cpu_share
+    cores = 1.0 if limits.cpu_cores is None else limits.cpu_cores
+    if limits.link_mbps is None:
+        return share * cores
+    return min(share * cores, limits.link_mbps / STANDARD_LINK_MBPS)
+
+
 def _relay_address(model: FileModel) -> Address | None:
     """Return the address of the relay, or None if the file names no internal ports."""
     if model.internal_port_range is None:
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -29,6 +29,7 @@
     never,
 )
 from beryltiller.sessions.databases.receipt_queries import ReceiptQueries
+from beryltiller.sessions.databases.regions import NO_REGIONS, Distance, Regions
 from beryltiller.sessions.databases.status_queries import (
     STATUS_TIMEOUT_SECONDS,
     StatusQueries,
@@ -65,11 +66,16 @@
     """
 
     def __init__(
-        self, connect: Connect, availability_zone: str, clock: Callable[[], float]
+        self,
+        connect: Connect,
+        availability_zone: str,
+        clock: Callable[[], float],
+        regions: Regions = NO_REGIONS,
     ) -> None:
         """Create a fleet; `adopt` and `register` supply services and databases."""
         self._connect = connect
         self._availability_zone = availability_zone
+        self._regions = regions
         self._clock = clock
         self._configuration: Configuration | None = None
         self._directory = Directory()
@@ -86,7 +92,7 @@
         self._entry_seconds = float("inf")
         self._followed_since: float | None = None
         self._receipts = ReceiptQueries(
-            self._status_queries.ask_status, self.is_local, self._announced, clock
+            self._status_queries.ask_status, self._distance, self._announced, clock
         )
 
     @property
@@ -363,6 +369,10 @@
         """Return True if a database is in this proxy's availability zone."""
         return member.database.availability_zone == self._availability_zone
 
+    def _distance(self, member: Member) -> Distance:
+        zone = member.database.availability_zone
+        return self._regions.distance(self._availability_zone, zone)
+
     def is_in_zone(self, availability_zone: str) -> bool:
         """Return True if this proxy is in the availability zone."""
         return availability_zone == self._availability_zone
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -8,6 +8,10 @@
 
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.observed_load import (
+    FIRST_LATENCY_SECONDS,
+    ObservedLoad,
+)
 from beryltiller.sessions.databases.shown_log import Shown, ShownLog
 
 NEVER = float("-inf")
@@ -30,10 +34,6 @@
 # A database counts as overloaded for this long after it refused a statement for lack of
 # capacity. A proxy that sends it few statements hears of an overload only now and then.
 OVERLOAD_MEMORY_SECONDS = 1.0
-# The weight of the newest statement in the moving average of the latency.
-LATENCY_WEIGHT = 0.2
-# The latency assumed before the first statement.
-FIRST_LATENCY_SECONDS = 0.03
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +80,7 @@
         self.database = database
         self._in_flight = 0
         self._unanswered_since: float | None = None
-        self.latency_seconds = FIRST_LATENCY_SECONDS
+        self.observed = ObservedLoad()
         self.applied: Position | None = None
         self.has_denied_lead = False
         self.has_reported_lead = False
@@ -346,16 +346,21 @@
         if self._in_flight:
             self._unanswered_since = now
 
-    def record_latency(self, duration_seconds: float) -> None:
-        """Add a statement's duration to the moving average of the latency."""
-        change = duration_seconds - self.latency_seconds
-        self.latency_seconds += LATENCY_WEIGHT * change
-
     def record_lag_refusal(self, now: float) -> None:
         """Record that a read was refused as the log is too far behind."""
         self._lagging_until = now + LAG_REFUSAL_VALIDITY_SECONDS
 
-    def expected_latency_seconds(self) -> float:
-        """Return the expected duration of one more statement under the current load."""
+    def expected_latency_seconds(
+        self,
+        now: float,
+        proxies: float = 1.0,
+        neutral_seconds: float = FIRST_LATENCY_SECONDS,
+    ) -> float:
+        """Return the expected duration of one more statement under the current load.
+
+        As many `proxies` are taken to have as many statements here as this one.
+        Without recent observations, the latency is taken to be `neutral_seconds`.
+        """
         slots = max(1, self.database.slots)
-        return self.latency_seconds * (1 + self.in_flight / slots)
+        latency = self.observed.expected_seconds(now, neutral_seconds)
+        return latency * (1 + self.in_flight * proxies / slots)
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Set
 from dataclasses import dataclass
+from statistics import median_low
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
@@ -13,16 +14,27 @@
 from beryltiller.sessions.databases.evidence import Cover
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import NEVER, Member
+from beryltiller.sessions.databases.regions import NO_REGIONS, Distance, Regions
 
 # Cost of a statement to another availability zone, expressed as time: a database in the
 # proxy's zone is preferred until it is this much slower.
 REMOTE_ZONE_COST_SECONDS = 0.04
+# The same for another zone of the region, if the settings give several: four round
+# trips of 1 ms. A zone has no database of most services then, so that a higher cost
+# would overload the databases of zones that have many proxies.
+SAME_REGION_COST_SECONDS = 0.004
+# The same for another region: four round trips of 60 ms. The link between regions has
+# little bandwidth, so reads leave the region only if its databases are overloaded.
+REMOTE_REGION_COST_SECONDS = 0.24
 # Cost of a replica that recently refused a read because it was too far behind.
 LAGGING_COST_SECONDS = 0.5
 # Opening a connection takes a slot of the database. A refused connection costs a round
 # trip, and takes a slot from statements that only this database can serve.
 OPENING_COST_SECONDS = 0.015
 SCARCE_COST_SECONDS = 0.1
+# The other proxies whose statements are estimated from this proxy's own, at most. With
+# more of them a single own statement says nothing of the others'.
+MAX_COUNTED_PROXIES = 16
 # A draining primary that has no successor after this time gets no new statements.
 DRAIN_SECONDS = 6.0
 
@@ -47,6 +59,11 @@
     return ConnectionSupply.IDLE
 
 
+def one_proxy() -> int:
+    """Return 1, for callers that do not know the number of proxies."""
+    return 1
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """The database chosen for a statement, whose log must reach `since`.
@@ -89,10 +106,14 @@
     """The placement rules for statements from one availability zone.
 
     A draining primary without a successor gets no new work after `drain_seconds`.
+    `count_proxies` returns how many proxies send statements to the same databases: a
+    proxy takes each of the others to have as many statements there as it has itself.
     """
 
     availability_zone: str
     drain_seconds: float = DRAIN_SECONDS
+    regions: Regions = NO_REGIONS
+    count_proxies: Callable[[], int] = one_proxy
 
     def place_read(
         self,
@@ -110,20 +131,29 @@
         cover = group.cover(requirement.acknowledged_before)
         since = _later(cover.position if cover else None, requirement.own_position)
         leader = group.leader
-        best: Placement | None = None
-        best_cost = float("inf")
-        for identifier, member in group.members.items():
-            is_leader = member is leader
-            if identifier in tried or not member.is_available(now):
-                continue
-            if member.database.is_draining or (cover is None and not is_leader):
-                continue
-            cost = self._cost(member, is_leader, since, now)
-            cost += _supply_cost_seconds(supply_of(member))
-            if cost < best_cost:
-                best_cost = cost
-                best = _placement(member, is_leader, since, cover)
-        return best
+        candidates = [
+            member
+            for identifier, member in group.members.items()
+            if identifier not in tried
+            and member.is_available(now)
+            and not member.database.is_draining
+            and (cover is not None or member is leader)
+        ]
+        if not candidates:
+            return None
+        proxies = min(max(1, self.count_proxies()), MAX_COUNTED_PROXIES)
+        neutral = median_low(each.observed.latency_seconds for each in candidates)
+
+        def cost(member: Member) -> float:
+            seconds = member.expected_latency_seconds(now, proxies, neutral)
+            seconds += _distance_cost_seconds(self._distance(member))
+            seconds += _supply_cost_seconds(supply_of(member))
+            if member is not leader and _is_behind(member, since):
+                seconds += LAGGING_COST_SECONDS if member.is_lagging(now) else 0.0
+            return seconds
+
+        chosen = min(candidates, key=cost)
+        return _placement(chosen, chosen is leader, since, cover)
 
     def place_leader(
         self, group: Group, now: float, tried: Set[str]
@@ -139,15 +169,21 @@
             return None
         return _leader_placement(leader)
 
-    def _cost(
-        self, member: Member, is_leader: bool, since: Position | None, now: float
-    ) -> float:
-        cost = member.expected_latency_seconds()
-        if member.database.availability_zone != self.availability_zone:
-            cost += REMOTE_ZONE_COST_SECONDS
-        if not is_leader and _is_behind(member, since) and member.is_lagging(now):
-            cost += LAGGING_COST_SECONDS
-        return cost
+    def _distance(self, member: Member) -> Distance:
+        zone = member.database.availability_zone
+        return self.regions.distance(self.availability_zone, zone)
+
+
+def _distance_cost_seconds(distance: Distance) -> float:
+    match distance:
+        case Distance.SAME_ZONE:
+            return 0.0
+        case Distance.SAME_REGION:
+            return SAME_REGION_COST_SECONDS
+        case Distance.OTHER_ZONE:
+            return REMOTE_ZONE_COST_SECONDS
+        case Distance.OTHER_REGION:
+            return REMOTE_REGION_COST_SECONDS
 
 
 def _supply_cost_seconds(supply: ConnectionSupply) -> float:
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -15,6 +15,7 @@
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.regions import Distance
 from beryltiller.sessions.databases.report_history import ReportHistories
 from beryltiller.sessions.errors import SessionError
 from beryltiller.sessions.statements import DatabaseStatus
@@ -47,16 +48,16 @@
     def __init__(
         self,
         ask_status: AskStatus,
-        is_local: Callable[[Member], bool],
+        distance: Callable[[Member], Distance],
         announced: KnownAnnouncements,
         clock: Callable[[], float],
     ) -> None:
-        """Query replicas by `ask_status`, those for which `is_local` holds first.
+        """Query replicas by `ask_status`, the nearest by `distance` first.
 
         Their answers count by what is `announced`.
         """
         self._ask_status = ask_status
-        self._is_local = is_local
+        self._distance = distance
         self._announced = announced
         self._clock = clock
         self._waiting: dict[str, list[_WaitingCommit]] = {}
@@ -170,8 +171,8 @@
             key=lambda each: (
                 each.database.is_draining,
                 each in self._behind,
-                not self._is_local(each),
-                each.expected_latency_seconds(),
+                self._distance(each),
+                each.expected_latency_seconds(now),
             ),
         )
 
--- a/src/beryltiller/sessions/running/answer_records.py
+++ b/src/beryltiller/sessions/running/answer_records.py
@@ -49,7 +49,7 @@
     member = placement.member
     match reply.code:
         case None:
-            member.record_latency(now - asked_at)
+            member.observed.record_answer(now - asked_at, now)
             if is_commit_of_write(session, request):
                 member.record_acknowledged_write(asked_at)
             elif placement.needs_proof and request.statement == Begin():
@@ -62,6 +62,10 @@
             member.record_lag_refusal(now)
         case Code.BUSY:
             member.record_load_refusal(now)
+            member.observed.record_error(now)
+        case Code.FAILED | Code.TIMEOUT:
+            # Errors of a statement itself occur at all databases alike.
+            member.observed.record_error(now)
         case Code.READ_ONLY if member is group.leader:
             group.record_lead_denied(member)
     # Recorded last, as the reply decides whose position it is.
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -47,12 +47,43 @@
         self.assertEqual(found.memory_bytes, 300_000_000)
         self.assertIsNone(read_settings_file(self.write(SETTINGS)).memory_bytes)
 
+    def test_regions_of_the_zones_are_read_if_there_are_any(self) -> None:
+        zones = {"a": "north", "b": "north", "c": "south"}
+        cases: tuple[tuple[dict[str, Any], dict[str, str]], ...] = (
+            ({}, {}),
+            ({"zones": zones, "region": "north"}, zones),
+            (
+                {"zones": {"c": "south"}, "region": "north"},
+                {"a": "north", "c": "south"},
+            ),
+        )
+        for fields, expected in cases:
+            with self.subTest(fields):
+                found = read_settings_file(self.write({**SETTINGS, **fields}))
+                self.assertEqual(found.regions.by_zone, expected)
+
+    def test_capacity_follows_from_the_scarcest_limit(self) -> None:
+        cases: tuple[tuple[dict[str, float], float], ...] = (
+            ({}, 1.0),
+            ({"cpu_share": 0.5}, 0.5),
+            ({"cpu_share": 0.5, "cpu_cores": 4}, 2.0),
+            ({"cpu_cores": 2, "link_mbps": 100}, 2.0),
+            ({"cpu_cores": 2, "link_mbps": 5}, 0.25),
+        )
+        for limits, expected in cases:
+            with self.subTest(limits):
+                path = self.write({**SETTINGS, "limits": limits})
+                self.assertEqual(read_settings_file(path).capacity, expected)
+
     def test_refusal_names_the_invalid_field(self) -> None:
         cases: tuple[tuple[str, object], ...] = (
             ("zone", {**SETTINGS, "zone": 3}),
             ("node_name", {k: v for k, v in SETTINGS.items() if k != "node_name"}),
             ("platform.address", {**SETTINGS, "platform": {"address": "nowhere"}}),
             ("limits.memory_mb", {**SETTINGS, "limits": {"memory_mb": 0}}),
+            ("limits.cpu_cores", {**SETTINGS, "limits": {"cpu_cores": -1}}),
+            ("zones", {**SETTINGS, "zones": {"a": 3}}),
+            ("region", {**SETTINGS, "zones": {"a": "north"}, "region": "south"}),
             ("object", []),
         )
         for field, settings in cases:
