--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -37,7 +37,6 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.forwarding.peering import (
     Peering,
     PeeringSettings,
@@ -100,13 +99,19 @@
         self._configuration_refused: Row | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_draining = False
+        self._peering: Peering | None = None
         self._monitor = IsolationMonitor()
         zone = settings.availability_zone
-        self._fleet = Fleet(self._connect, zone, boot_clock)
+        self._fleet = Fleet(self._connect, zone, boot_clock, settings.regions)
         max_caller_bytes = total_bytes(settings.memory_bytes)
         self._service = SessionService(
             self._fleet,
-            Placer(zone, settings.drain_seconds - DRAIN_MARGIN_SECONDS),
+            Placer(
+                zone,
+                settings.drain_seconds - DRAIN_MARGIN_SECONDS,
+                settings.regions,
+                self._count_proxies,
+            ),
             self._monitor,
             boot_clock,
             ReadLog(settings.logs_reads),
@@ -231,6 +236,10 @@
         self._store.address = str(settings.store_address)
         self._duty.address = str(settings.duty_address)
 
+    def _count_proxies(self) -> int:
+        """Return how many proxies send statements to a database, at least one."""
+        return 1 if self._peering is None else self._peering.plan.senders
+
     async def _connect(
         self, database: Database, organisation: str = NO_ORGANISATION
     ) -> DatabaseConnection:
@@ -260,8 +269,8 @@
             settings.host_name,
             str(settings.peer_address),
             settings.availability_zone,
-            Regions(settings.regions),
-            max(1, round(settings.cores * DEFAULT_WEIGHT)),
+            settings.regions,
+            max(1, round(settings.capacity * DEFAULT_WEIGHT)),
         )
         peering = Peering(
             peering_settings,
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -1,7 +1,7 @@
 """The part of the platform's settings file that the proxy uses."""
 
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -16,12 +16,16 @@
     shorten,
 )
 from beryltiller.quotas.rules import QuotaRules
+from beryltiller.sessions.databases.regions import NO_REGIONS, Regions
 
 SETTINGS_VARIABLE = "BERYLTILLER_SETTINGS"
 MAX_DURATION_SECONDS = 86_400
 MAX_MEMORY_MB = 1 << 30
+# The link that a host of capacity 1 needs beside its one core: 600 statements a second
+# of 4 KB each with their replies take about 20 Mbit/s.
+STANDARD_LINK_MBPS = 20.0
+MAX_AMOUNT = 1_000_000
 MEGABYTE = 1_000_000
-MAX_CORES = 1_000
 
 # The port of the peer channel comes behind that of the relay, on all hosts.
 PEER_PORT_OFFSET = 1
@@ -29,6 +33,8 @@
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS * 1000)]
 
+_Amount = Annotated[float, msgspec.Meta(gt=0, le=MAX_AMOUNT)]
+
 
 class SettingsFileError(Exception):
     """A settings file that cannot be used; its message names the field and reason."""
@@ -70,13 +76,13 @@
 class LimitsModel(msgspec.Struct, frozen=True):
     """Limits of the process; one that uses more than `memory_mb` is killed.
 
-    It gets `cpu_share` of a core that is `cpu_cores` times as fast as an ordinary one.
+    It may use `cpu_share` of each of `cpu_cores`, and its host's link has `link_mbps`.
     """
 
-    cpu_share: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
-    cpu_cores: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
-
     memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_MEMORY_MB)] | None = None
+    cpu_share: _Amount | None = None
+    cpu_cores: _Amount | None = None
+    link_mbps: _Amount | None = None
 
 
 class FileModel(msgspec.Struct, frozen=True):
@@ -84,7 +90,8 @@
 
     `internal_port_range` begins with the port at which this proxy relays changes of the
     store to other proxies; the next one is that of its peer channel. Without a range it
-    has neither. `zones` maps the names of availability zones to those of their regions.
+    has neither. `zones` maps availability zones to their regions, and `region` is that
+    of this proxy's zone.
     """
 
     node_name: str
@@ -97,7 +104,8 @@
     limits: LimitsModel = LimitsModel()
     heartbeat_interval_ms: _Milliseconds = 1200.0
     internal_port_range: tuple[int, int] | None = None
-    zones: dict[str, str] = {}
+    region: str | None = None
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,9 +116,10 @@
     within `grace_seconds`; a draining database stops after `drain_seconds`, and writes
     its entry every `heartbeat_seconds`. Other proxies receive its relayed changes from
     `relay_address`, and send it requests at `peer_address`, if it has them. `regions`
-    maps availability zones to their regions. The host has `cores` ordinary cores. With
+    are those of all availability zones that the settings name. With
     `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
     `quota_rules` say by how much an organisation may exceed its limit.
+    `capacity` is that of the host, compared to one with a core.
     """
 
     host_name: str
@@ -124,12 +133,12 @@
     drain_seconds: float
     relay_address: Address | None = None
     peer_address: Address | None = None
-    regions: Mapping[str, str] = field(default_factory=dict)
-    cores: float = 1.0
     logs_reads: bool = False
     heartbeat_seconds: float = 1.2
     memory_bytes: int | None = None
     quota_rules: QuotaRules = field(default_factory=QuotaRules)
+    regions: Regions = NO_REGIONS
+    capacity: float = 1.0
 
 
 def read_settings_file(path: str) -> PlatformSettings:
@@ -161,14 +170,14 @@
         heartbeat_seconds=model.heartbeat_interval_ms / 1000,
         relay_address=_internal_address(model, 0),
         peer_address=_internal_address(model, PEER_PORT_OFFSET),
-        regions=model.zones,
-        cores=model.limits.cpu_share * model.limits.cpu_cores,
         memory_bytes=_memory_bytes(model.limits),
         quota_rules=QuotaRules(
             model.bounds.quota_window_s,
             model.bounds.quota_overage,
             model.bounds.quota_slack,
         ),
+        regions=_regions(model),
+        capacity=_capacity(model.limits),
     )
 
 
@@ -198,6 +207,32 @@
     return None if limits.memory_mb is None else int(limits.memory_mb * MEGABYTE)
 
 
+def _regions(model: FileModel) -> Regions:
+    """Return the regions of the zones; that of the own zone may be named on its own.
+
+    Raise `SettingsFileError` if the two name different regions of it.
+    """
+    if model.region is None:
+        return Regions(model.zones)
+    if model.zones.get(model.zone, model.region) != model.region:
+        raise SettingsFileError(
+            f"region: {shorten(model.region)!r} is not that of the zone in zones"
+        )
+    return Regions({**model.zones, model.zone: model.region})
+
+
+def _capacity(limits: LimitsModel) -> float:
+    """Return the capacity of the host: its cores, or its link if that allows less.
+
+    It is 1.0 if the limits name neither.
+    """
+    share = 1.0 if limits.cpu_share is None else limits.cpu_share
+    cores = 1.0 if limits.cpu_cores is None else limits.cpu_cores
+    if limits.link_mbps is None:
+        return share * cores
+    return min(share * cores, limits.link_mbps / STANDARD_LINK_MBPS)
+
+
 def _internal_address(model: FileModel, offset: int) -> Address | None:
     """Return the address at an internal port, or None if the file has too few."""
     if model.internal_port_range is None:
--- a/src/beryltiller/sessions/forwarding/forwarding_client.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_client.py
@@ -25,9 +25,9 @@
 from beryltiller.sessions.databases.catalog import Route, RouteKind
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import forwarding_codec as codec
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.session import RemoteTransaction, Session, Transaction
 from beryltiller.sessions.statements import (
     Code,
--- a/src/beryltiller/sessions/forwarding/forwarding_plan.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_plan.py
@@ -10,8 +10,8 @@
 
 from beryltiller.membership.members import Member, Members
 from beryltiller.sessions.databases.catalog import Configuration, Service
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import holders
-from beryltiller.sessions.forwarding.holders import Regions
 
 # A part of the proxies may be out of sight in a partition, which must not make the
 # others connect to databases all at once.
@@ -87,6 +87,23 @@
         """Return how many proxies serve in the newest view, at least one."""
         return max(1, len(self._members.serving)) if self._members else 1
 
+    @property
+    def senders(self) -> int:
+        """Return how many proxies send statements to the same databases as this one.
+
+        Where statements are forwarded, they are the holders of a service in this
+        proxy's region, of the service with the most.
+        """
+        region = ""
+        if self._members is not None:
+            region = self._regions.of(self._members.me.availability_zone)
+        held = [
+            len(plan.by_region.get(region, ()))
+            for plan in self._services.values()
+            if plan.is_forwarded
+        ]
+        return max(1, max(held)) if held else self.proxies
+
     def service(self, name: str) -> ServicePlan:
         """Return the plan for a service."""
         return self._services.get(name, NOT_FORWARDED)
@@ -127,7 +144,7 @@
                 service.name,
                 cap,
                 found,
-                self._regions.zones_beside(found[0].availability_zone),
+                self._regions.count_zones(found[0].availability_zone),
             )
             for region, found in by_region.items()
         }
--- a/src/beryltiller/sessions/forwarding/holders.py
+++ b/src/beryltiller/sessions/forwarding/holders.py
@@ -11,8 +11,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable
 
 from xxhash import xxh3_64_intdigest
 
@@ -27,27 +26,6 @@
 _HASH_RANGE = 1 << 64
 
 
-@dataclass(frozen=True, slots=True)
-class Regions:
-    """The region of each availability zone; zones that are not listed form one region.
-
-    >>> regions = Regions({"a": "north", "b": "north", "c": "south"})
-    >>> regions.of("b"), regions.of("x")
-    ('north', '')
-    """
-
-    by_zone: Mapping[str, str]
-
-    def of(self, availability_zone: str) -> str:
-        """Return the region of an availability zone."""
-        return self.by_zone.get(availability_zone, "")
-
-    def zones_beside(self, availability_zone: str) -> int:
-        """Return how many zones the region of a zone has, at least one."""
-        region = self.of(availability_zone)
-        return max(1, sum(each == region for each in self.by_zone.values()))
-
-
 def is_forwarded(max_connections: int, proxies: int, organisations: int) -> bool:
     """Return True if a database accepts too few connections for all proxies.
 
--- a/src/beryltiller/sessions/forwarding/peer_covers.py
+++ b/src/beryltiller/sessions/forwarding/peer_covers.py
@@ -14,8 +14,8 @@
 from beryltiller.membership.messages import PositionReply, PositionRequest
 from beryltiller.sessions.databases.evidence import PeerCover
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
-from beryltiller.sessions.forwarding.holders import Regions
 
 # How long a read waits for an answer, beyond a round trip between regions.
 WAIT_SECONDS = 0.25
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -35,9 +35,9 @@
 from beryltiller.quota_service.service import Quotas
 from beryltiller.quotas.rules import QuotaRules
 from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.forwarding.peer_covers import PeerCovers
 from beryltiller.sessions.organisations import Organisations
 from beryltiller.sessions.serving.session_service import SessionService
--- a/tests/forwarding_fixture.py
+++ b/tests/forwarding_fixture.py
@@ -10,10 +10,10 @@
 from beryltiller.membership.members import Member, Members
 from beryltiller.membership.messages import Message, Refused, ReplyTo
 from beryltiller.sessions.databases.catalog import RouteKind
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding.forwarded_sessions import ForwardedSessions
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.forwarding.peer_covers import PeerCovers
 from tests.fake_group import GroupFixture
 from tests.virtual_loop import virtual_now
--- a/tests/test_forwarding_plan.py
+++ b/tests/test_forwarding_plan.py
@@ -5,9 +5,9 @@
 
 from beryltiller.membership.members import Member, Members, MemberState
 from beryltiller.sessions.databases.catalog import Configuration, Service
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import holders
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan, ProxyCount
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.organisations import Organisation, Organisations
 
 
--- a/tests/test_session_forwarding.py
+++ b/tests/test_session_forwarding.py
@@ -15,8 +15,8 @@
 )
 from beryltiller.sessions.databases.catalog import RouteKind
 from beryltiller.sessions.databases.evidence import EvidenceKind
+from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import forwarding_codec
-from beryltiller.sessions.forwarding.holders import Regions
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.statements import (
     Begin,
