Explain where a statement would go, without sending it

An operator could not see why a statement went to one proxy and database rather than to another. `beryltiller where` asks a proxy over its peer channel, and the proxy to which that one would forward. Placement and explanation use the same costs and the same choice of holders, so that what is explained is what is done. Three tests compare the two; they send nothing and run nothing at a database.

--- a/src/beryltiller/commands/cli_parser.py
+++ b/src/beryltiller/commands/cli_parser.py
@@ -36,6 +36,7 @@
     "config status": "beryltiller config status --wait-seconds 5",
     "status": "beryltiller status --operator-address 10.0.0.7:7001,10.0.1.7:7001",
     "explain": "beryltiller explain entry-1-42 --operator-address 10.0.0.7:7001",
+    "where": "beryltiller where orders-db --peer-address 10.0.0.7:7201 --write",
     "trace": "beryltiller trace 4bf92f3577b34da6a3ce929d0e0e4736",
     "failover": "beryltiller failover g1 --to g1-d2",
     "settings check": "beryltiller settings check --lease-seconds 2",
@@ -233,6 +234,30 @@
         "request", metavar="REQUEST", help="the request's Beryl-Request-Id"
     )
     add_operator_flags(parser)
+    parser = _add_command(
+        commands,
+        "where",
+        "where_command:where",
+        "explain where a statement would run now, without sending it",
+        _EXAMPLES["where"],
+    )
+    parser.add_argument("database_name", metavar="NAME", help="a route's database name")
+    parser.add_argument(
+        "--peer-address",
+        metavar="IP:PORT",
+        required=True,
+        help="peer channel of the proxy to ask: the second of its internal ports",
+    )
+    parser.add_argument("--organisation", metavar="NAME", default="")
+    parser.add_argument(
+        "--write", action="store_true", help="a write or a transaction that may write"
+    )
+    parser.add_argument(
+        "--source-ip",
+        metavar="IP",
+        default="127.0.0.1",
+        help="address of this host to ask from (default: %(default)s)",
+    )
     parser = _add_command(
         commands,
         "trace",
--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -300,6 +300,30 @@
     is_open: bool = False
 
 
+class PlacementQuestion(_Message, frozen=True, array_like=True):
+    """A question where a statement would run now, which is not sent.
+
+    With `is_local` it is asked as if it had been forwarded to the receiver.
+    """
+
+    database_name: str
+    organisation: str = ""
+    is_write: bool = False
+    is_local: bool = False
+
+
+class PlacementAnswer(_Message, frozen=True, array_like=True):
+    """The answer to a `PlacementQuestion`, with its reasons as lines of text.
+
+    `forwards_to` is the peer address of the proxy that would run the statement, or
+    empty if the answering one, `host`, would.
+    """
+
+    host: _Text
+    forwards_to: _Text = ""
+    reasons: tuple[str, ...] = ()
+
+
 class PositionRequest(_Message, frozen=True, array_like=True):
     """A request for the newest known log position of a group's primary."""
 
@@ -407,6 +431,8 @@
     | SessionStatement
     | SessionEnd
     | SessionReply
+    | PlacementQuestion
+    | PlacementAnswer
     | PositionRequest
     | PositionReply
     | QuotaRequest
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -104,14 +104,15 @@
         zone = settings.availability_zone
         self._fleet = Fleet(self._connect, zone, boot_clock, settings.regions)
         max_caller_bytes = total_bytes(settings.memory_bytes)
+        self._placer = Placer(
+            zone,
+            settings.drain_seconds - DRAIN_MARGIN_SECONDS,
+            settings.regions,
+            self._count_proxies,
+        )
         self._service = SessionService(
             self._fleet,
-            Placer(
-                zone,
-                settings.drain_seconds - DRAIN_MARGIN_SECONDS,
-                settings.regions,
-                self._count_proxies,
-            ),
+            self._placer,
             self._monitor,
             boot_clock,
             ReadLog(settings.logs_reads),
@@ -276,6 +277,7 @@
             peering_settings,
             self._fleet,
             self._service,
+            self._placer,
             self._send_event,
             self._rng,
             boot_clock,
--- a/src/beryltiller/sessions/databases/placement.py
+++ b/src/beryltiller/sessions/databases/placement.py
@@ -4,7 +4,7 @@
 nearest and least loaded one is chosen. All other statements run on the leader.
 """
 
-from collections.abc import Callable, Set
+from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
 from statistics import median_low
 
@@ -80,6 +80,34 @@
     cover: Cover | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReadCost:
+    """The parts of a read's cost at one database, in seconds.
+
+    `latency` is the time until the answer under the load there. The others are
+    penalties for its distance, for opening a connection, and for a log that is behind.
+    """
+
+    member: Member
+    latency: float
+    distance: float
+    connection: float
+    lag: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the sum of the parts."""
+        return self.latency + self.distance + self.connection + self.lag
+
+
+@dataclass(frozen=True, slots=True)
+class ReadExclusion:
+    """A database that cannot serve a read, and why."""
+
+    member: Member
+    reason: str
+
+
 def read_requirement(
     route: Route,
     arrived_at: float,
@@ -135,25 +163,65 @@
             member
             for identifier, member in group.members.items()
             if identifier not in tried
-            and member.is_available(now)
-            and not member.database.is_draining
-            and (cover is not None or member is leader)
+            and not _exclusion(member, member is leader, cover, now)
         ]
         if not candidates:
             return None
+        costs = self._costs(group, candidates, since, now, supply_of)
+        chosen = min(costs, key=lambda each: each.seconds).member
+        return _placement(chosen, chosen is leader, since, cover)
+
+    def explain_read(
+        self,
+        group: Group,
+        requirement: ReadRequirement,
+        now: float,
+        supply_of: SupplyOf = always_idle,
+    ) -> tuple[ReadCost | ReadExclusion, ...]:
+        """Return what `place_read` weighs for each database, without placing a read."""
+        cover = group.cover(requirement.acknowledged_before)
+        since = _later(cover.position if cover else None, requirement.own_position)
+        reasons = {
+            member: _exclusion(member, member is group.leader, cover, now)
+            for member in group.members.values()
+        }
+        usable = [member for member, reason in reasons.items() if not reason]
+        excluded = (
+            ReadExclusion(member, reason)
+            for member, reason in reasons.items()
+            if reason
+        )
+        if not usable:
+            return tuple(excluded)
+        return (*self._costs(group, usable, since, now, supply_of), *excluded)
+
+    def _costs(
+        self,
+        group: Group,
+        candidates: Sequence[Member],
+        since: Position | None,
+        now: float,
+        supply_of: SupplyOf,
+    ) -> list[ReadCost]:
         proxies = min(max(1, self.count_proxies()), MAX_COUNTED_PROXIES)
         neutral = median_low(each.observed.latency_seconds for each in candidates)
-
-        def cost(member: Member) -> float:
-            seconds = member.expected_latency_seconds(now, proxies, neutral)
-            seconds += _distance_cost_seconds(self._distance(member))
-            seconds += _supply_cost_seconds(supply_of(member))
-            if member is not leader and _is_behind(member, since):
-                seconds += LAGGING_COST_SECONDS if member.is_lagging(now) else 0.0
-            return seconds
-
-        chosen = min(candidates, key=cost)
-        return _placement(chosen, chosen is leader, since, cover)
+        leader = group.leader
+        return [
+            ReadCost(
+                member,
+                member.expected_latency_seconds(now, proxies, neutral),
+                _distance_cost_seconds(self._distance(member)),
+                _supply_cost_seconds(supply_of(member)),
+                (
+                    LAGGING_COST_SECONDS
+                    if member is not leader
+                    and _is_behind(member, since)
+                    and member.is_lagging(now)
+                    else 0.0
+                ),
+            )
+            for member in candidates
+        ]
 
     def place_leader(
         self, group: Group, now: float, tried: Set[str]
@@ -174,6 +242,17 @@
         return self.regions.distance(self.availability_zone, zone)
 
 
+def _exclusion(member: Member, is_leader: bool, cover: Cover | None, now: float) -> str:
+    """Return why a database cannot serve a read, or empty text if it can."""
+    if not member.is_available(now):
+        return "it fails, and is tried again later"
+    if member.database.is_draining:
+        return "it is draining"
+    if cover is None and not is_leader:
+        return "no position is proved that the read must see"
+    return ""
+
+
 def _distance_cost_seconds(distance: Distance) -> float:
     match distance:
         case Distance.SAME_ZONE:
--- a/src/beryltiller/sessions/forwarding/forwarding_client.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_client.py
@@ -62,6 +62,18 @@
         return self.arrived + self.route.timeout_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class HolderChoice:
+    """The holders of a region, and those to which a statement is sent in turn.
+
+    Without `holders` this proxy runs it itself.
+    """
+
+    region: str
+    candidates: tuple[Member, ...]
+    holders: tuple[Member, ...]
+
+
 class ForwardingClient:
     """Sends statements to holders; use it on a single event loop."""
 
@@ -268,22 +280,32 @@
 
     def _holders(self, session: Session, asked: _Forwarded) -> Iterator[Member]:
         """Yield the holders to try; end where this proxy is to run the statement."""
-        service = asked.route.service
+        choice = self.choose(
+            asked.route.service, session.organisation, asked.needs_primary
+        )
+        for holder in choice.holders:
+            if self._clock() >= asked.deadline:
+                return
+            yield holder
+
+    def choose(
+        self, service: str, organisation: str, needs_primary: bool
+    ) -> HolderChoice:
+        """Choose the holders to send a statement to; it sends nothing."""
         members = self._plan.members
         if members is None or not self._plan.service(service).is_forwarded:
-            return
-        region = self._region(self._fleet.group(service), asked.needs_primary)
+            return HolderChoice("", (), ())
+        region = self._region(self._fleet.group(service), needs_primary)
         candidates = self._plan.candidates(
-            service, region, session.organisation, self._requests.in_flight
+            service, region, organisation, self._requests.in_flight
         )
         own = members.me.address
-        if not session.organisation and any(each.address == own for each in candidates):
-            return
+        is_own = [each.address == own for each in candidates]
+        if not organisation and any(is_own):
+            return HolderChoice(region, candidates, ())
         usable = [each for each in candidates if not self._is_avoided(each, own)]
-        for holder in usable[:MAX_HOLDERS]:
-            if holder.address == own or self._clock() >= asked.deadline:
-                return
-            yield holder
+        chosen = itertools.takewhile(lambda each: each.address != own, usable)
+        return HolderChoice(region, candidates, tuple(chosen)[:MAX_HOLDERS])
 
     def _is_avoided(self, holder: Member, own: str) -> bool:
         return holder.address != own and self._requests.is_avoided(holder.address)
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -23,7 +23,13 @@
     Received,
     Tick,
 )
-from beryltiller.membership.messages import Message, QuotaRequest, Refused, ReplyTo
+from beryltiller.membership.messages import (
+    Message,
+    PlacementQuestion,
+    QuotaRequest,
+    Refused,
+    ReplyTo,
+)
 from beryltiller.observability import logs, session_events
 from beryltiller.process.actors import Part
 from beryltiller.process.gossip import (
@@ -35,10 +41,12 @@
 from beryltiller.quota_service.service import Quotas
 from beryltiller.quotas.rules import QuotaRules
 from beryltiller.sessions.databases.fleet import Fleet
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding.forwarding_client import ForwardingClient
 from beryltiller.sessions.forwarding.forwarding_plan import ForwardingPlan
 from beryltiller.sessions.forwarding.peer_covers import PeerCovers
+from beryltiller.sessions.forwarding.placement_explainer import PlacementExplainer
 from beryltiller.sessions.organisations import Organisations
 from beryltiller.sessions.serving.session_service import SessionService
 
@@ -74,6 +82,7 @@
         settings: PeeringSettings,
         fleet: Fleet,
         service: SessionService,
+        placer: Placer,
         send_event: SendEvent,
         rng: random.Random,
         clock: Callable[[], float],
@@ -82,6 +91,7 @@
         self._settings = settings
         self._fleet = fleet
         self._service = service
+        self._placer = placer
         self._send_event = send_event
         self._rng = rng
         self._clock = clock
@@ -137,6 +147,14 @@
         self.sessions = self._service.forwarded_sessions(self._peers.reply)
         self._service.forward_to(self._client, covers)
         self._fleet.watch_only(self.plan.is_connected)
+        self._explainer = PlacementExplainer(
+            settings.host_name,
+            self._fleet,
+            self._placer,
+            self.plan,
+            self._client,
+            self._clock,
+        )
 
     def open_quotas(self, store: QuotaStore, rules: QuotaRules) -> Quotas:
         """Return the quota service, whose `run` is to be a task; call `open` first.
@@ -225,5 +243,7 @@
             self._quotas.receive(
                 message, lambda reply: self._peers.reply(reply_to, reply)
             )
+        elif isinstance(message, PlacementQuestion):
+            self._peers.reply(reply_to, self._explainer.answer(message))
         elif not self.sessions.receive(message, reply_to):
             self._peers.reply(reply_to, Refused("unsupported"))
--- a/tests/forwarding_fixture.py
+++ b/tests/forwarding_fixture.py
@@ -80,6 +80,7 @@
     group: GroupFixture
     plan: ForwardingPlan
     me: Member
+    client: ForwardingClient
     covers: PeerCovers
     sessions: ForwardedSessions
 
@@ -156,4 +157,4 @@
         sessions = group.service.forwarded_sessions(self.network.reply)
         self.network.faults[address] = Faults()
         self.network.handlers[address] = sessions.receive
-        self.proxies.append(ForwardingProxy(group, plan, me, covers, sessions))
+        self.proxies.append(ForwardingProxy(group, plan, me, client, covers, sessions))
--- a/tests/test_session_forwarding.py
+++ b/tests/test_session_forwarding.py
@@ -9,14 +9,17 @@
 from beryltiller.core.position import Position
 from beryltiller.membership.messages import (
     ForwardedStatement,
+    PlacementQuestion,
     Refused,
     ReplyTo,
     SessionStatement,
 )
 from beryltiller.sessions.databases.catalog import RouteKind
 from beryltiller.sessions.databases.evidence import EvidenceKind
+from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import forwarding_codec
+from beryltiller.sessions.forwarding.placement_explainer import PlacementExplainer
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.statements import (
     Begin,
@@ -33,7 +36,7 @@
     Write,
 )
 from tests.forwarding_fixture import ForwardingFixture, ForwardingProxy
-from tests.virtual_loop import run_virtual
+from tests.virtual_loop import run_virtual, virtual_now
 
 Work = Callable[[ForwardingFixture], Awaitable[None]]
 
@@ -328,6 +331,63 @@
         run(work)
 
 
+class ExplanationTest(unittest.TestCase):
+    """What is explained is what is done, and nothing is sent for it."""
+
+    def explain(
+        self, fixture: ForwardingFixture, proxy: ForwardingProxy
+    ) -> PlacementExplainer:
+        group = proxy.group
+        return PlacementExplainer(
+            proxy.me.name,
+            group.fleet,
+            Placer("a"),
+            proxy.plan,
+            proxy.client,
+            virtual_now,
+        )
+
+    def test_explanation_names_the_holder_and_the_database_that_then_run_it(
+        self,
+    ) -> None:
+        async def work(fixture: ForwardingFixture) -> None:
+            proxy, holder = fixture.others[0], fixture.holder
+            question = PlacementQuestion("db", is_write=True)
+            answer = self.explain(fixture, proxy).answer(question)
+            self.assertEqual(answer.forwards_to, holder.me.address)
+            local = replace(question, is_local=True)
+            answer = self.explain(fixture, holder).answer(local)
+            self.assertEqual(answer.forwards_to, "")
+            self.assertIn("database leader in a is the primary", answer.reasons)
+            self.assertEqual(fixture.network.sent, [])
+            self.assertEqual(holder.group.leader.ran, [])
+            await proxy.group.run(proxy.group.session(), Write("i", "d"))
+            self.assertEqual(holder.group.leader.statement_names(), ["Write"])
+
+        run(work)
+
+    def test_cheapest_database_is_named_first_and_why_others_are_left_out(
+        self,
+    ) -> None:
+        async def work(fixture: ForwardingFixture) -> None:
+            holder = fixture.holder
+            explainer = self.explain(fixture, holder)
+            reasons = explainer.answer(PlacementQuestion("db", is_local=True)).reasons
+            self.assertTrue(reasons[1].startswith("database leader in a, primary:"))
+            left_out = [each for each in reasons if "cannot serve it" in each]
+            self.assertEqual(len(left_out), 2)
+
+        run(work)
+
+    def test_unknown_route_is_explained(self) -> None:
+        async def work(fixture: ForwardingFixture) -> None:
+            explainer = self.explain(fixture, fixture.holder)
+            (reason,) = explainer.answer(PlacementQuestion("nothing")).reasons
+            self.assertIn("no route", reason)
+
+        run(work)
+
+
 class RegionTest(unittest.TestCase):
     """Reads stay in their region, and learn from peers what they must see."""
 
