Allocate quotas again within seconds after a start, a stop or an outage of the store

Now a system that starts for the first time takes the lease at once, a proxy retakes the one that the former process of its own host held, one that drains releases it, and an allocator whose lease lapsed goes on once the store confirms that nobody wrote the row. Half of an organisation's burst pays for more holders of shares, so that more proxies can go on without an allocator.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -289,7 +289,9 @@
             logs.log(events.WorkFailed("peer channel", str(error)))
             return None
         self._spawn(periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, peering.maintain))
-        quotas = peering.open_quotas(self._store, settings.quota_rules)
+        quotas = peering.open_quotas(
+            self._store, settings.quota_rules, settings.is_bootstrap
+        )
         self._spawn(periodic.run_forever(quotas.run))
         return peering
 
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -90,7 +90,8 @@
 
     `internal_port_range` begins with the port at which this proxy relays changes of the
     store to other proxies; the next one is that of its peer channel. Without a range it
-    has neither. `zones` maps availability zones to their regions, and `region` is that
+    has neither. `bootstrap` is True only when the whole system starts for the first
+    time. `zones` maps availability zones to their regions, and `region` is that
     of this proxy's zone.
     """
 
@@ -104,6 +105,7 @@
     limits: LimitsModel = LimitsModel()
     heartbeat_interval_ms: _Milliseconds = 1200.0
     internal_port_range: tuple[int, int] | None = None
+    bootstrap: bool = False
     region: str | None = None
     zones: dict[str, str] = msgspec.field(default_factory=dict)
 
@@ -118,7 +120,8 @@
     `relay_address`, and send it requests at `peer_address`, if it has them. `regions`
     are those of all availability zones that the settings name. With
     `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
-    `quota_rules` say by how much an organisation may exceed its limit.
+    `quota_rules` say by how much an organisation may exceed its limit. With
+    `is_bootstrap` the whole system starts for the first time.
     `capacity` is that of the host, compared to one with a core.
     """
 
@@ -137,6 +140,7 @@
     heartbeat_seconds: float = 1.2
     memory_bytes: int | None = None
     quota_rules: QuotaRules = field(default_factory=QuotaRules)
+    is_bootstrap: bool = False
     regions: Regions = NO_REGIONS
     capacity: float = 1.0
 
@@ -171,6 +175,7 @@
         relay_address=_internal_address(model, 0),
         peer_address=_internal_address(model, PEER_PORT_OFFSET),
         memory_bytes=_memory_bytes(model.limits),
+        is_bootstrap=model.bootstrap,
         quota_rules=QuotaRules(
             model.bounds.quota_window_s,
             model.bounds.quota_overage,
--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -33,7 +33,7 @@
 # So many members, ranked by rendezvous hashing, may take a shard's lease.
 CANDIDATES = 2
 # Proxies that start together first find each other: before, each knows only itself.
-FIRST_POLL_SECONDS = 5.0
+FIRST_POLL_SECONDS = 3.0
 # How often leases are checked without a call to the store.
 CHECK_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 2.0
@@ -72,8 +72,13 @@
         rng: random.Random,
         rules: QuotaRules,
         counters: Counter[str],
+        is_bootstrap: bool = False,
     ) -> None:
-        """Create the part of the process that `members` names."""
+        """Create the part of the process that `members` names.
+
+        With `is_bootstrap` the whole system starts for the first time.
+        """
+        self._is_bootstrap = is_bootstrap
         self._members = members
         self._store = store
         self._clock = clock
@@ -123,6 +128,8 @@
     async def _maintain(self) -> None:
         members = self._members()
         for shard in self._shards:
+            if members.me.is_draining:
+                await self._release(shard)
             self._update(shard, members)
         if self._quotas and self._is_read_due(members):
             await self._read(members)
@@ -133,7 +140,7 @@
             elif (
                 self._quotas
                 and self._is_candidate(shard, members)
-                and shard.lease.may_take(now)
+                and shard.lease.may_take(now, self._is_bootstrap)
             ):
                 await self._take(shard, members)
 
@@ -141,8 +148,8 @@
         now = self._clock()
         if shard.allocator is None:
             return
-        if not shard.lease.is_held(now):
-            self._lose(shard, "the lease was not renewed in time")
+        if not shard.lease.is_own:
+            self._lose(shard, "another row is in the store")
             return
         shard.allocator.update_proxies(len(members.live), map(process_of, members), now)
 
@@ -185,7 +192,7 @@
         rows = {row.key: row for row in table.rows}
         for shard in self._shards:
             shard.lease.observe(rows.get(lease_key(shard.lease.shard)), self._clock())
-            if shard.allocator is not None and not shard.lease.is_held(self._clock()):
+            if shard.allocator is not None and not shard.lease.is_own:
                 self._lose(shard, "another row is in the store")
 
     async def _renew(self, shard: _Shard) -> None:
@@ -212,6 +219,27 @@
         elif shard.allocator is allocator:
             allocator.set_listed(listed, share)
 
+    async def _release(self, shard: _Shard) -> None:
+        """Let another proxy take the lease at once, as this one stops."""
+        allocator, shard.allocator = shard.allocator, None
+        if allocator is None or not shard.lease.is_own:
+            return
+        share = allocator.granted_share_limit
+        try:
+            claim = shard.lease.release(allocator.processes_to_list(), share)
+        except LeaseError:
+            self._counters["leases.too-large"] += 1
+            return
+        write = Write(
+            LEASES_TABLE, lease_key(shard.lease.shard), claim.expected, claim.value
+        )
+        self._lose(shard, "the proxy stops")
+        try:
+            await self._call(self._store.commit((write,)))
+        except PortError:
+            # Another proxy takes the lease once it has lapsed.
+            self._counters["leases.not-released"] += 1
+
     async def _take(self, shard: _Shard, members: Members) -> None:
         row = shard.lease.listed
         unheard = set(row.holders) if row is not None else set()
--- a/src/beryltiller/quota_service/service.py
+++ b/src/beryltiller/quota_service/service.py
@@ -45,9 +45,12 @@
         clock: Callable[[], float],
         rng: random.Random,
         rules: QuotaRules,
+        is_bootstrap: bool = False,
     ) -> None:
         """Enforce the quotas of what `organisations` returns, once `run` is called.
 
+        With `is_bootstrap` the whole system starts for the first time.
+
         `members` returns the present view of the proxies, whose own member names this
         process by its name and incarnation.
         """
@@ -57,7 +60,9 @@
         self._organisations = organisations
         self._in_use: Organisations | None = None
         self._excesses: dict[str, _Excess] = {}
-        self._allocation = Allocation(members, store, clock, rng, rules, self.counters)
+        self._allocation = Allocation(
+            members, store, clock, rng, rules, self.counters, is_bootstrap
+        )
         self._links = tuple(
             Link(
                 shard,
--- a/src/beryltiller/quotas/allocator.py
+++ b/src/beryltiller/quotas/allocator.py
@@ -296,7 +296,7 @@
             return 0
         is_new = process not in account.holders
         holders = len(account.holders) + len(self._unheard)
-        if is_new and holders >= self._rules.max_holders:
+        if is_new and holders >= self._rules.max_holders(account.quota.burst):
             return 0
         lent = sum(self._holdings[each].bound(name) for each in account.holders)
         reserve = len(self._unheard) * self._unheard_share
@@ -307,7 +307,9 @@
         if now - account.targets_at >= TARGETS_SECONDS:
             account.targets_at = now
             account.targets = account.demands.targets(
-                max_share(self._proxies), self._rules.max_holders, now
+                max_share(self._proxies),
+                self._rules.max_holders(account.quota.burst),
+                now,
             )
         return account.targets.get(process, 0)
 
--- a/src/beryltiller/quotas/leases.py
+++ b/src/beryltiller/quotas/leases.py
@@ -36,7 +36,8 @@
     """The value of a lease's row.
 
     `expected` is the version that the write replaced, and `renewal` counts the writes
-    of the term. `processes` may hold shares, of at most `max_share` millionths each.
+    of the term. `processes` may hold shares, of at most `max_share` millionths each. An
+    allocator that stops leaves the row with `is_released`.
     """
 
     name: _Text
@@ -47,6 +48,7 @@
     expected: Count
     max_share: Annotated[int, msgspec.Meta(ge=0, le=WHOLE)]
     processes: tuple[_ProcessModel, ...] = ()
+    is_released: bool = False
 
     @property
     def holders(self) -> frozenset[Process]:
@@ -144,10 +146,45 @@
         self.stop()
         self._version = None
 
-    def may_take(self, now: float) -> bool:
-        """Return True if nobody has the lease and this proxy may take it."""
-        is_known = self._version is not None and not self.is_held(now)
-        return is_known and now - self._seen_at >= TAKEOVER_SECONDS
+    @property
+    def is_own(self) -> bool:
+        """Return True if this process wrote the row, as far as it knows.
+
+        It may have lapsed since. As long as nobody else has written the row, the
+        process may renew it, and nobody else has allocated.
+        """
+        return self._term != 0
+
+    def may_take(self, now: float, is_bootstrap: bool = False) -> bool:
+        """Return True if nobody has the lease and this proxy may take it.
+
+        With `is_bootstrap` the whole system starts for the first time.
+        """
+        if self._version is None or self.is_held(now):
+            return False
+        if self._is_free(is_bootstrap):
+            return True
+        return now - self._seen_at >= TAKEOVER_SECONDS
+
+    def _is_free(self, is_bootstrap: bool) -> bool:
+        """Return True if it is shown that no allocator of the row runs any more."""
+        row = self._row
+        if row is None:
+            return is_bootstrap and self._version == 0
+        if not self.is_trusted:
+            return False
+        is_same_host = (row.name, row.address) == (self._process.name, self._address)
+        return row.is_released or (is_same_host and row.start < self._process.start)
+
+    def release(self, processes: Iterable[Process], share: int) -> Claim:
+        """Return the write that releases the lease; this process has it no longer.
+
+        Raise `LeaseError` if the row is too large.
+        """
+        claim = self.claim(self._term, processes, share)
+        self.stop()
+        lease = msgspec.structs.replace(claim.lease, is_released=True)
+        return Claim(claim.expected, lease, msgspec.json.encode(lease))
 
     def claim(self, term: int, processes: Iterable[Process], share: int) -> Claim:
         """Return the write that renews the lease, or takes it with the new `term`.
--- a/src/beryltiller/quotas/rules.py
+++ b/src/beryltiller/quotas/rules.py
@@ -35,14 +35,17 @@
     overage: float = 0.1
     slack: float = 20.0
 
-    @property
-    def max_holders(self) -> int:
-        """Return how many proxies may hold shares of one organisation."""
-        return int(self.slack * HOLDERS_PART_OF_SLACK)
+    def max_holders(self, burst: float) -> int:
+        """Return how many proxies may hold shares of an organisation with a burst.
+
+        Half of the burst pays for the one operation that each may use at once.
+        """
+        return int(self.slack * HOLDERS_PART_OF_SLACK) + int(burst / 2)
 
     def depth(self, burst: float) -> float:
         """Return the depth of the allocator's bucket for a burst; at least 1."""
-        return max(1.0, burst + DEPTH_PART_OF_SLACK * self.slack)
+        left = burst - int(burst / 2)
+        return max(1.0, left + DEPTH_PART_OF_SLACK * self.slack)
 
     def share_depth(self, rate: float) -> float:
         """Return the depth of a share's bucket, for its `rate` a second.
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -156,10 +156,13 @@
             self._clock,
         )
 
-    def open_quotas(self, store: QuotaStore, rules: QuotaRules) -> Quotas:
+    def open_quotas(
+        self, store: QuotaStore, rules: QuotaRules, is_bootstrap: bool
+    ) -> Quotas:
         """Return the quota service, whose `run` is to be a task; call `open` first.
 
-        It admits the operations of organisations with a quota from now on.
+        It admits the operations of organisations with a quota from now on. With
+        `is_bootstrap` the whole system starts for the first time.
         """
         self._quotas = Quotas(
             self._peers,
@@ -169,6 +172,7 @@
             self._clock,
             self._rng,
             rules,
+            is_bootstrap,
         )
         self._service.enforce_quotas(self._quotas)
         return self._quotas
