Check the key of a transaction whose route was removed

A configuration that removed a route and a key together left an open transaction of that key running to its commit: without the route, the key was not looked up. The route of the transaction is used now.

--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -152,6 +152,9 @@
         if configuration is None or session.checked_version == configuration.version:
             return False
         route = configuration.routes.get(session.database_name)
+        if route is None and session.transaction is not None:
+            # The transaction goes on without its route, but not without its key.
+            route = session.transaction.route
         if route is None:
             # Each statement is refused for that reason.
             return False
--- /dev/null
+++ b/tests/test_database_pools.py
@@ -0,0 +1,104 @@
+"""Tests of the limit that the pools of all organisations share at a database."""
+
+import asyncio
+import unittest
+
+from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
+from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
+from beryltiller.sessions.connections.database_pools import DatabasePools
+from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
+from beryltiller.sessions.errors import NoCapacityError, NotSentError
+from beryltiller.sessions.statements import Code
+from tests.fake_group import FakeConnection, FakeDatabase
+from tests.virtual_loop import run_virtual
+
+
+class PoolsFixture:
+    """The pools of one database, whose openings are counted by organisation."""
+
+    def __init__(self, share: int) -> None:
+        self.database = FakeDatabase("d")
+        self.opened: list[str] = []
+        self.refuses = False
+        self.pools = DatabasePools(
+            self._connect, AdmissionSemaphore(9), ConnectionPoolPolicy(share)
+        )
+
+    async def _connect(self, organisation: str) -> DatabaseConnection:
+        await asyncio.sleep(0.01)
+        if self.refuses:
+            raise NotSentError(Code.CONNECTION_LIMIT, "full")
+        self.opened.append(organisation)
+        return FakeConnection(self.database)
+
+
+class SharedLimitTest(unittest.TestCase):
+    """All organisations together keep to the limit on connections to a database."""
+
+    def test_idle_connection_of_another_organisation_gives_way(self) -> None:
+        async def work() -> None:
+            fixture = PoolsFixture(share=2)
+            first, second, third = map(fixture.pools.pool, ("a", "b", "c"))
+            connection = await first.acquire({}, 1.0)
+            first.release(connection)
+            await second.acquire({}, 1.0)
+            await third.acquire({}, 1.0)
+            self.assertFalse(connection.is_open)
+            self.assertEqual(fixture.pools.size, 2)
+
+        run_virtual(work())
+
+    def test_waiting_organisation_takes_the_place_of_a_released_connection(
+        self,
+    ) -> None:
+        async def work() -> None:
+            fixture = PoolsFixture(share=1)
+            first, second = map(fixture.pools.pool, ("a", "b"))
+            held = await first.acquire({}, 1.0)
+            waiting = asyncio.create_task(second.acquire({}, 1.0))
+            await asyncio.sleep(0.1)
+            first.release(held)
+            self.assertTrue((await waiting).is_open)
+            self.assertFalse(held.is_open)
+            self.assertEqual(fixture.pools.size, 1)
+
+        run_virtual(work())
+
+    def test_organisation_waits_in_vain_while_all_connections_are_in_use(
+        self,
+    ) -> None:
+        async def work() -> None:
+            fixture = PoolsFixture(share=1)
+            await fixture.pools.pool("a").acquire({}, 1.0)
+            with self.assertRaises(NoCapacityError):
+                await fixture.pools.pool("b").acquire({}, 0.2)
+            self.assertEqual(fixture.opened, ["a"])
+
+        run_virtual(work())
+
+    def test_refused_organisation_replaces_an_idle_connection_of_another(
+        self,
+    ) -> None:
+        async def work() -> None:
+            fixture = PoolsFixture(share=4)
+            idle = await fixture.pools.pool("a").acquire({}, 1.0)
+            fixture.pools.pool("a").release(idle)
+            fixture.refuses = True
+            with self.assertRaises(NotSentError):
+                await fixture.pools.pool("b").acquire({}, 0.1)
+            fixture.refuses = False
+            await fixture.pools.pool("b").acquire({}, 0.1)
+            self.assertEqual(fixture.opened, ["a", "b"])
+
+        run_virtual(work())
+
+    def test_query_of_the_proxy_uses_any_idle_connection(self) -> None:
+        async def work() -> None:
+            fixture = PoolsFixture(share=2)
+            pool = fixture.pools.pool("a")
+            pool.release(await pool.acquire({}, 1.0))
+            self.assertIs(fixture.pools.for_queries(), pool)
+            await pool.acquire({}, 1.0)
+            self.assertIs(fixture.pools.for_queries(), fixture.pools.pool())
+
+        run_virtual(work())
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -1,6 +1,5 @@
 """Tests of organisations: who is served, and on whose connections."""
 
-import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -11,13 +10,8 @@
 from beryltiller.platform import wire
 from beryltiller.platform.records import RecordError, decode_configuration
 from beryltiller.quotas.rules import RetryAfter
-from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
-from beryltiller.sessions.connections.connection_limits import ConnectionPoolPolicy
-from beryltiller.sessions.connections.database_pools import DatabasePools
-from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
 from beryltiller.sessions.databases.catalog import Configuration
 from beryltiller.sessions.databases.placement import Placer
-from beryltiller.sessions.errors import NoCapacityError, NotSentError
 from beryltiller.sessions.organisations import (
     NO_ORGANISATION,
     Credential,
@@ -29,7 +23,7 @@
 from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
 from beryltiller.sessions.statements import Begin, Code, Commit, Read, Write
-from tests.fake_group import FakeConnection, FakeDatabase, GroupFixture
+from tests.fake_group import FakeConnection, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
 ACME = Organisation("acme", quota=Quota(5.0, 10.0))
@@ -219,6 +213,22 @@
 
         run(work)
 
+    def test_removed_key_commits_nothing_on_a_removed_route(self) -> None:
+        async def work(fixture: OrganisationFixture) -> None:
+            session = fixture.session_of("a1")
+            await fixture.run(session, Begin())
+            self.assertTrue((await fixture.run(session, Write("i", "d"))).is_success)
+            fixture.adopt(((BOLT, ("b1",)),))
+            present = fixture.fleet.configuration
+            assert present is not None
+            version = present.version + 1
+            fixture.fleet.adopt(replace(present, version=version, routes={}))
+            reply = await fixture.run(session, Commit())
+            self.assertIs(reply.code, Code.DENIED)
+            self.assertNotIn("Commit", fixture.leader.statement_names())
+
+        run(work)
+
     def test_added_key_serves_at_once(self) -> None:
         async def work(fixture: OrganisationFixture) -> None:
             self.assertIs(fixture.service.open_session("db", "a3"), Code.DENIED)
@@ -291,94 +301,3 @@
             self.assertLessEqual({"acme", "bolt"}, set(fixture.opened_for))
 
         run(work)
-
-
-class PoolsFixture:
-    """The pools of one database, whose openings are counted by organisation."""
-
-    def __init__(self, share: int) -> None:
-        self.database = FakeDatabase("d")
-        self.opened: list[str] = []
-        self.refuses = False
-        self.pools = DatabasePools(
-            self._connect, AdmissionSemaphore(9), ConnectionPoolPolicy(share)
-        )
-
-    async def _connect(self, organisation: str) -> DatabaseConnection:
-        await asyncio.sleep(0.01)
-        if self.refuses:
-            raise NotSentError(Code.CONNECTION_LIMIT, "full")
-        self.opened.append(organisation)
-        return FakeConnection(self.database)
-
-
-class SharedLimitTest(unittest.TestCase):
-    """All organisations together keep to the limit on connections to a database."""
-
-    def test_idle_connection_of_another_organisation_gives_way(self) -> None:
-        async def work() -> None:
-            fixture = PoolsFixture(share=2)
-            first, second, third = map(fixture.pools.pool, ("a", "b", "c"))
-            connection = await first.acquire({}, 1.0)
-            first.release(connection)
-            await second.acquire({}, 1.0)
-            await third.acquire({}, 1.0)
-            self.assertFalse(connection.is_open)
-            self.assertEqual(fixture.pools.size, 2)
-
-        run_virtual(work())
-
-    def test_waiting_organisation_takes_the_place_of_a_released_connection(
-        self,
-    ) -> None:
-        async def work() -> None:
-            fixture = PoolsFixture(share=1)
-            first, second = map(fixture.pools.pool, ("a", "b"))
-            held = await first.acquire({}, 1.0)
-            waiting = asyncio.create_task(second.acquire({}, 1.0))
-            await asyncio.sleep(0.1)
-            first.release(held)
-            self.assertTrue((await waiting).is_open)
-            self.assertFalse(held.is_open)
-            self.assertEqual(fixture.pools.size, 1)
-
-        run_virtual(work())
-
-    def test_organisation_waits_in_vain_while_all_connections_are_in_use(
-        self,
-    ) -> None:
-        async def work() -> None:
-            fixture = PoolsFixture(share=1)
-            await fixture.pools.pool("a").acquire({}, 1.0)
-            with self.assertRaises(NoCapacityError):
-                await fixture.pools.pool("b").acquire({}, 0.2)
-            self.assertEqual(fixture.opened, ["a"])
-
-        run_virtual(work())
-
-    def test_refused_organisation_replaces_an_idle_connection_of_another(
-        self,
-    ) -> None:
-        async def work() -> None:
-            fixture = PoolsFixture(share=4)
-            idle = await fixture.pools.pool("a").acquire({}, 1.0)
-            fixture.pools.pool("a").release(idle)
-            fixture.refuses = True
-            with self.assertRaises(NotSentError):
-                await fixture.pools.pool("b").acquire({}, 0.1)
-            fixture.refuses = False
-            await fixture.pools.pool("b").acquire({}, 0.1)
-            self.assertEqual(fixture.opened, ["a", "b"])
-
-        run_virtual(work())
-
-    def test_query_of_the_proxy_uses_any_idle_connection(self) -> None:
-        async def work() -> None:
-            fixture = PoolsFixture(share=2)
-            pool = fixture.pools.pool("a")
-            pool.release(await pool.acquire({}, 1.0))
-            self.assertIs(fixture.pools.for_queries(), pool)
-            await pool.acquire({}, 1.0)
-            self.assertIs(fixture.pools.for_queries(), fixture.pools.pool())
-
-        run_virtual(work())
