Pass on room for a connection that is not used

When a connection broke, an opening failed or a notified waiter was cancelled, only waiters of the same organisation's pool were told that a connection may be opened, or none at all. Statements of other organisations waited until their deadline and were refused though the database had no connection open. The room now goes to the next waiter of any pool. The new test's three cases failed before and pass now (test_database_pools 6 of 6, test_session_[a-f]* 79 of 79, test_session_[p-t]* 67 of 67).

--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -215,7 +215,7 @@
             pooled.close()
         if not pooled.is_open:
             self._remove(pooled)
-            self._notify_waiter(None)
+            self._pass_on_room()
             return
         pooled.forget_large_state()
         if self._notify_waiter(pooled):
@@ -301,20 +301,23 @@
             async with asyncio.timeout(wait_seconds):
                 connection = await self._connect()
         except TimeoutError as error:
-            self._ledger.cancel_opening(serial)
+            self._cancel_opening(serial)
             raise NoCapacityError(
                 Code.BUSY, "no connection became available in time"
             ) from error
         except BaseException:
-            self._ledger.cancel_opening(serial)
+            self._cancel_opening(serial)
             raise
-        finally:
-            self._notify_waiter(None)
+        self._notify_waiter(None)
         pooled = PooledConnection(connection, self._clock(), serial)
         self._connections[serial] = pooled
         self._ledger.acquire_opened(serial)
         return pooled
 
+    def _cancel_opening(self, serial: int) -> None:
+        self._ledger.cancel_opening(serial)
+        self._pass_on_room()
+
     async def _wait(self, wait_seconds: float) -> PooledConnection | None:
         loop = asyncio.get_running_loop()
         handed_over: asyncio.Future[PooledConnection | None] = loop.create_future()
@@ -332,12 +335,15 @@
     def _stop_waiting(
         self, handed_over: asyncio.Future[PooledConnection | None]
     ) -> None:
-        """Stop waiting, and release a connection that was handed over meanwhile."""
-        pooled = handed_over.result() if handed_over.done() else None
+        """Stop waiting, and pass on a connection or room that was given meanwhile."""
         if not handed_over.done():
             handed_over.cancel()
+            return
+        pooled = handed_over.result()
         if pooled is not None:
             self.release(pooled)
+        else:
+            self._pass_on_room()
 
     def _notify_waiter(self, pooled: PooledConnection | None) -> bool:
         """Hand a connection to the first waiter; with None, make it try again.
@@ -351,6 +357,11 @@
                 return True
         return False
 
+    def _pass_on_room(self) -> None:
+        """Let a waiter of this pool, or else of another one, open a connection."""
+        if not self._notify_waiter(None):
+            self._shared.pass_on_room(self)
+
     def _remove(self, pooled: PooledConnection) -> None:
         """Remove a closed connection from the ledger and the pool."""
         now = asyncio.get_running_loop().time()
--- a/tests/test_database_pools.py
+++ b/tests/test_database_pools.py
@@ -64,6 +64,33 @@
 
         run_virtual(work())
 
+    def test_room_is_passed_on_if_it_was_not_used(self) -> None:
+        """Guards against statements that wait in vain though there is room."""
+
+        async def work(name: str) -> None:
+            fixture = PoolsFixture(share=1)
+            first, second = map(fixture.pools.pool, ("a", "b"))
+            opening = asyncio.create_task(first.acquire({}, 1.0))
+            await asyncio.sleep(0.005 if name == "opening ended" else 0.1)
+            own = asyncio.create_task(first.acquire({}, 1.0))
+            other = asyncio.create_task(second.acquire({}, 1.0))
+            await asyncio.sleep(0.001)
+            if name == "opening ended":
+                own.cancel()
+                opening.cancel()
+            elif name == "waiter ended":
+                first.discard(opening.result())
+                own.cancel()
+            else:
+                own.cancel()
+                await asyncio.sleep(0.001)
+                first.discard(opening.result())
+            self.assertTrue((await other).is_open)
+
+        for name in ("opening ended", "waiter ended", "connection broke"):
+            with self.subTest(name):
+                run_virtual(work(name))
+
     def test_organisation_waits_in_vain_while_all_connections_are_in_use(
         self,
     ) -> None:
