Keep nothing of refused forwarded statements, and count whole replies

A malformed begin left a transaction that was open until it expired, messages with unknown services left a group each for ever, and a commit outside of a transaction was sent to a database. All are refused now, before any state is kept.

The check of a reply's size left out the signature and counted characters for bytes. A larger reply reached the sender as a refusal, which ran the write again elsewhere. A write whose reply is too large has an unknown outcome now instead of FAILED.

--- a/src/beryltiller/sessions/forwarding/forwarded_sessions.py
+++ b/src/beryltiller/sessions/forwarding/forwarded_sessions.py
@@ -151,8 +151,11 @@
 
     def _receive_statement(self, message: SessionStatement, reply_to: ReplyTo) -> None:
         try:
-            held = self._session_of(message)
+            # Decoded first, as a malformed statement must not open a transaction.
             statement = codec.decode_statement(message.statement)
+            if isinstance(statement.statement, Commit) and not message.transaction:
+                raise codec.ForwardingError("a commit without a transaction")
+            held = self._session_of(message)
         except codec.ForwardingError as error:
             self.counts.refused += 1
             self._send_reply(reply_to, Refused("malformed", str(error)))
@@ -184,6 +187,8 @@
             return Refused("busy") if held.is_busy else held
         if self._is_draining:
             return Refused("draining")
+        if not self._is_known(message.route.service):
+            return Refused("unknown", "the service is not in the configuration")
         held = _HeldTransaction(self._new_session(message), self._clock())
         if message.transaction:
             if len(self._open) >= MAX_TRANSACTIONS:
@@ -194,6 +199,11 @@
             self._open[key] = held
         return held
 
+    def _is_known(self, service: str) -> bool:
+        """Return True if a service is configured; no state is kept of any other."""
+        configuration = self._fleet.configuration
+        return configuration is not None and service in configuration.services
+
     def _new_session(self, message: SessionStatement) -> Session:
         now = self._clock()
         route = codec.decode_route(message.route)
@@ -239,7 +249,10 @@
         if message.transaction:
             await self._after_step((message.sender, message.transaction), held)
         is_open = session.transaction is not None
-        self._send_reply(running.reply_to, _encoded(reply, is_open))
+        is_commit = isinstance(statement.statement, Commit)
+        is_write = not message.transaction and session.is_write(statement.statement)
+        may_be_kept = reply.is_success and (is_commit or is_write)
+        self._send_reply(running.reply_to, _encoded(reply, is_open, may_be_kept))
 
     async def _after_step(self, key: tuple[str, int], held: _HeldTransaction) -> None:
         """Forget a transaction that has ended, and end one that has to."""
@@ -289,6 +302,8 @@
 
     def _position_reply(self, service: str) -> Message:
         """Return the newest position that covers all commits before its age."""
+        if not self._is_known(service):
+            return Refused("unknown")
         sample = self._fleet.group(service).newest_proved_sample()
         if sample is None:
             return Refused("unknown")
@@ -297,18 +312,20 @@
         return PositionReply(str(sample.position), int(age * 1000) + 1)
 
 
-def _encoded(reply: Reply, is_open: bool) -> SessionReply:
-    """Return the message with a reply, or with a failure if it is too large."""
-    size = sum(len(row) + 8 for row in reply.rows) + len(reply.text)
-    if 4 * size + REPLY_OVERHEAD_BYTES > MAX_MESSAGE_BYTES:
-        encoded = codec.encode_reply(reply, is_open)
-        exact = sum(len(row) + 8 for row in encoded.rows) + len(encoded.text)
-        if exact + REPLY_OVERHEAD_BYTES > MAX_MESSAGE_BYTES:
-            text = "the reply is too large to be passed on"
-            failed = Reply(reply.state, code=Code.FAILED, text=text)
-            return codec.encode_reply(failed, is_open)
+def _encoded(reply: Reply, is_open: bool, may_be_kept: bool) -> SessionReply:
+    """Return the message with a reply, or with a failure if it is too large.
+
+    A message over the limit would reach the sender as a refusal, and it would run the
+    statement again. `may_be_kept` is True for a success with an effect that stays.
+    """
+    encoded = codec.encode_reply(reply, is_open)
+    size = sum(len(row) + 8 for row in encoded.rows) + len(encoded.signature)
+    size += len(encoded.text.encode())
+    if size + REPLY_OVERHEAD_BYTES <= MAX_MESSAGE_BYTES:
         return encoded
-    return codec.encode_reply(reply, is_open)
+    code = reply.code or (Code.UNKNOWN_OUTCOME if may_be_kept else Code.FAILED)
+    text = "the reply is too large to be passed on"
+    return codec.encode_reply(Reply(reply.state, code=code, text=text), is_open)
 
 
 def _final_reply(running: _Running) -> SessionReply:
