Follow a later start of the own process in quota requests

If the clock was set back before a restart, membership raises the incarnation of the process. Allocators took that for a restart and forgot its shares, which it went on using, while its requests with the former start were refused for ever. A link now starts again without shares under the later start.

--- a/src/beryltiller/quota_service/link.py
+++ b/src/beryltiller/quota_service/link.py
@@ -68,8 +68,9 @@
         self._answer_locally = answer_locally
         self._clock = clock
         self._counters = counters
-        process = process_of(members().me)
-        self._client = QuotaClient(shard, process.name, process.start, rules)
+        self._rules = rules
+        self._process = process_of(members().me)
+        self._client = self._new_client()
         self._waiting: list[_Waiting] = []
         self._wake = asyncio.Event()
         self._allocator = ""
@@ -90,6 +91,7 @@
         """Return None to admit an operation, or when to come back."""
         now = self._clock()
         name = organisation.name
+        self._follow_process()
         self._client.arrive(name, now)
         decision = self._client.admit(name, quota, now)
         if decision is not None:
@@ -160,7 +162,27 @@
         self._failures += 1
         self._counters["requests.failed"] += 1
 
+    def _new_client(self) -> QuotaClient:
+        process = self._process
+        return QuotaClient(self._shard, process.name, process.start, self._rules)
+
+    def _follow_process(self) -> None:
+        """Start again without shares if this process is known by a later start.
+
+        Membership raises the start if the clock was set back before a restart. Peers
+        take that for a proof that the shares of the earlier start have ended, and
+        refuse its requests.
+        """
+        process = process_of(self._members().me)
+        if process == self._process:
+            return
+        self._process = process
+        self._client = self._new_client()
+        for waiting in self._waiting:
+            self._client.wait(waiting.organisation, self._clock(), 1)
+
     async def _request(self, address: str) -> Message | None:
+        self._follow_process()
         self._sent_at = self._clock()
         request = self._client.request(self._sent_at)
         if address == self._members().me.address:
