Drop quota shares that a report has no place for

A process with more than 4,096 shares of a shard reported only these to a new allocator and went on using the others, which the allocator lent again.

--- a/src/beryltiller/quotas/client.py
+++ b/src/beryltiller/quotas/client.py
@@ -167,6 +167,7 @@
         shares: tuple[QuotaShare, ...] = ()
         is_report = self.is_report_due
         if is_report and now < self._shares_until:
+            self._drop_shares_beyond(MAX_QUOTA_ENTRIES)
             shares = tuple(QuotaShare(*item) for item in self.shares.items())
         return QuotaRequest(
             self._shard,
@@ -177,7 +178,7 @@
             self._acknowledged,
             is_report,
             tuple(needs),
-            shares[:MAX_QUOTA_ENTRIES],
+            shares,
         )
 
     def apply(self, reply: QuotaReply, sent_at: float, now: float) -> bool:
@@ -231,6 +232,11 @@
             for account in self._accounts.values():
                 account.share = 0
 
+    def _drop_shares_beyond(self, count: int) -> None:
+        """Drop the shares that a report has no place for: they would be lent again."""
+        for name in tuple(self.shares)[count:]:
+            self._accounts[name].share = 0
+
     def _account(self, organisation: str, now: float) -> _Account:
         account = self._accounts.get(organisation)
         if account is None:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,6 +6,7 @@
 from beryltiller.core import revisions
 from beryltiller.core.ports import Row
 from beryltiller.membership.messages import (
+    MAX_QUOTA_ENTRIES,
     QuotaGrant,
     QuotaNeed,
     QuotaRedirect,
@@ -192,6 +193,19 @@
         self.assertEqual(holder.shares, {})
         self.assertLess(holder.request_interval(30.1), 0.5)
 
+    def test_share_that_a_report_leaves_out_is_not_used(self) -> None:
+        """Guards against a share that the next allocator lends to another proxy."""
+        client = QuotaClient(SHARD, "one", 1, QuotaRules())
+        client.apply(QuotaReply(7, 0, is_report_wanted=True), 0.0, 0.0)
+        for number in (1, 2):
+            names = (f"{number} {each}" for each in range(MAX_QUOTA_ENTRIES // 2 + 1))
+            shares = tuple(QuotaShare(name, 1000) for name in names)
+            client.apply(QuotaReply(7, number, shares=shares), 0.0, 0.0)
+        client.apply(QuotaReply(8, 0, is_report_wanted=True), 1.0, 1.0)
+        reported = {each.organisation for each in client.request(1.0).shares}
+        self.assertEqual(len(reported), MAX_QUOTA_ENTRIES)
+        self.assertEqual(client.shares.keys(), reported)
+
     def test_rejects_locally_until_the_time_that_the_allocator_named(self) -> None:
         exchange = Exchange()
         client = exchange.client(ONE)
