Admit a transaction again whose first statement comes late

The quota of a transaction was taken at its BEGIN, but databases see it only with the first statement. A caller could begin transactions for as long as it liked, keep them open, and start all of them within one window of 5 s. One that starts more than 0.1 s after its BEGIN is admitted again now; if that is rejected, nothing was sent and it is over with BUSY. The new test failed before and passes now (test_organisations 14 of 14, test_session_[a-f]* 79 of 79, test_session_[p-t]* 67 of 67).

--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -1,5 +1,6 @@
 """The session service: dispatches each statement of a session by its kind."""
 
+from dataclasses import replace
 from typing import Protocol
 
 from beryltiller.quotas.rules import RetryAfter
@@ -46,6 +47,10 @@
 _CALLER_ERRORS = frozenset(
     {Code.MALFORMED, Code.NO_SUCH_STATEMENT, Code.NO_ROUTE, Code.DENIED}
 )
+# A transaction whose first statement comes later than this after its BEGIN is admitted
+# again. Otherwise transactions that were begun over a long time could all be sent to
+# databases within one window of the quota.
+MAX_START_SECONDS = 0.1
 
 
 class QuotaGate(Protocol):
@@ -240,6 +245,9 @@
             case Begin():
                 return await self._begin(session, statement, arrived)
             case Commit():
+                rejection = await self._reject_late_start(session, statement, arrived)
+                if rejection is not None:
+                    return rejection
                 return await self._transactions.commit(session, identifier, arrived)
             case Rollback():
                 return await self._transactions.rollback(session)
@@ -257,12 +265,16 @@
     async def _begin(self, session: Session, begin: Begin, arrived: float) -> Reply:
         if self._refuses_transactions:
             return session.refuse(Code.BUSY, "the proxy is stopping")
+        # A BEGIN within a transaction is refused for that reason, and takes nothing.
         organisation = self._limited_organisation(session)
-        if organisation is not None:
+        if organisation is not None and session.transaction is None:
             rejection = await self._reject_over_quota(session, organisation, arrived)
             if rejection is not None:
                 return rejection
-        return self._transactions.begin(session, begin.is_read_only, arrived)
+        reply = self._transactions.begin(session, begin.is_read_only, arrived)
+        if session.transaction is not None and reply.is_success:
+            session.transaction.admitted_at = self._clock()
+        return reply
 
     async def _run(
         self,
@@ -273,6 +285,9 @@
     ) -> Reply:
         """Run a statement in the session's transaction, or as a single statement."""
         if session.transaction is not None:
+            rejection = await self._reject_late_start(session, statement, arrived)
+            if rejection is not None:
+                return rejection
             return await self._transactions.run(session, identifier, statement, arrived)
         organisation = self._limited_organisation(session)
         if organisation is not None:
@@ -284,14 +299,10 @@
         )
 
     def _limited_organisation(self, session: Session) -> Organisation | None:
-        """Return the organisation whose quota the session's next operation takes.
-
-        A BEGIN within a transaction is refused for that reason, and takes nothing.
-        """
+        """Return the organisation whose quota the session's operations take."""
         configuration = self._fleet.configuration
         if (
             self._quotas is None
-            or session.transaction is not None
             or configuration is None
             or configuration.organisations is None
         ):
@@ -301,6 +312,29 @@
             return None
         return organisation
 
+    async def _reject_late_start(
+        self, session: Session, statement: Statement, arrived: float
+    ) -> Reply | None:
+        """Return the rejection of a late first statement, or None to run a statement.
+
+        Nothing of the transaction was sent yet, and it is over.
+        """
+        transaction = session.transaction
+        if transaction is None or transaction.has_started:
+            return None
+        if self._clock() - transaction.admitted_at <= MAX_START_SECONDS:
+            return None
+        organisation = self._limited_organisation(session)
+        if organisation is None:
+            return None
+        rejection = await self._reject_over_quota(session, organisation, arrived)
+        if rejection is None:
+            return None
+        session.transaction = None
+        is_commit = isinstance(statement, Commit)
+        state = SessionState.IDLE if is_commit else SessionState.FAILED
+        return replace(rejection, state=state)
+
     async def _reject_over_quota(
         self, session: Session, organisation: Organisation, arrived: float
     ) -> Reply | None:
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -75,7 +75,8 @@
     `requirement` is what the route requires of the database's log. One that is
     `remote` has no connection here. It has held the connection, to the database
     `held_at`, since `held_since` and for that number of statements. `was_too_long` is
-    True once it was rolled back for that reason.
+    True once it was rolled back for that reason. `admitted_at` is when the quota of its
+    organisation admitted it.
     """
 
     route: Route
@@ -91,6 +92,12 @@
     statements: int = 0
     is_running: bool = False
     was_too_long: bool = False
+    admitted_at: float = NEVER
+
+    @property
+    def has_started(self) -> bool:
+        """Return True if a statement of it was sent to a database or a peer."""
+        return self.acquired is not None or self.remote is not None
 
 
 def _account_of_its_own() -> MemoryAccount:
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -1,5 +1,6 @@
 """Tests of organisations: who is served, and on whose connections."""
 
+import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -22,7 +23,15 @@
 from beryltiller.sessions.serving.isolation import IsolationMonitor
 from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.session import Session
-from beryltiller.sessions.statements import Begin, Code, Commit, Read, Write
+from beryltiller.sessions.statements import (
+    Begin,
+    Code,
+    Commit,
+    Read,
+    Rollback,
+    SessionState,
+    Write,
+)
 from tests.fake_group import FakeConnection, GroupFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -267,6 +276,32 @@
 
         run(work)
 
+    def test_transaction_that_starts_late_is_admitted_again(self) -> None:
+        """Guards against transactions that are begun slowly and all sent at once."""
+
+        async def work(fixture: OrganisationFixture) -> None:
+            quotas = fixture.use_quotas()
+            for first in (Read("i"), Write("i", "d"), Commit()):
+                session = fixture.session_of("a1")
+                quotas.retry = None
+                await fixture.run(session, Begin())
+                await asyncio.sleep(1.0)
+                quotas.retry = RetryAfter(0.25)
+                reply = await fixture.run(session, first)
+                self.assertIs(reply.code, Code.BUSY)
+                self.assertIsNone(session.transaction)
+                ended = await fixture.run(session, Rollback())
+                self.assertIs(ended.state, SessionState.IDLE)
+            self.assertEqual(fixture.leader.ran, [])
+            quotas.retry = None
+            for statement in (Begin(), Read("i")):
+                self.assertTrue((await fixture.run(session, statement)).is_success)
+            await asyncio.sleep(1.0)
+            quotas.retry = RetryAfter(0.25)
+            self.assertTrue((await fixture.run(session, Commit())).is_success)
+
+        run(work)
+
     def test_rejection_names_the_time_and_sends_nothing(self) -> None:
         async def work(fixture: OrganisationFixture) -> None:
             fixture.use_quotas().retry = RetryAfter(0.25)
