Limit the memory of statements that peers forward

A holder accepted up to 1,024 forwarded statements of up to 2 MiB each, so callers of many proxies could exceed its memory, though each proxy limits what its own callers send. What would exceed the session state's limit is refused as busy now, with proof that it did not run; a single statement is always served. An open transaction keeps no values between statements.

--- a/src/beryltiller/sessions/forwarding/forwarded_sessions.py
+++ b/src/beryltiller/sessions/forwarding/forwarded_sessions.py
@@ -26,6 +26,7 @@
 from beryltiller.sessions.forwarding import forwarding_codec as codec
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
 from beryltiller.sessions.running.transactions import SessionTransactionRunner
+from beryltiller.sessions.serving.memory_budget import DEFAULT_TOTAL_BYTES, text_bytes
 from beryltiller.sessions.session import Session, Transaction
 from beryltiller.sessions.statements import Code, Commit, Reply, SessionState
 
@@ -59,6 +60,7 @@
     message: SessionStatement
     session: Session
     reply_to: ReplyTo
+    size: int
 
 
 @dataclass(slots=True)
@@ -81,13 +83,20 @@
         fleet: Fleet,
         send_reply: SendReply,
         clock: Callable[[], float],
+        max_bytes: int = DEFAULT_TOTAL_BYTES,
     ) -> None:
-        """Run with runners that forward nothing themselves."""
+        """Run with runners that forward nothing themselves.
+
+        Statements in execution take at most `max_bytes` of memory; a single one is
+        always served. Callers of many proxies could otherwise fill this one's memory.
+        """
         self._single_statements = single_statements
         self._transactions = transactions
         self._fleet = fleet
         self._send_reply = send_reply
         self._clock = clock
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
         self._open: dict[tuple[str, int], _HeldTransaction] = {}
         self._running: dict[asyncio.Task[None], _Running] = {}
         self._ending: set[asyncio.Task[None]] = set()
@@ -168,16 +177,22 @@
         held.session.values = dict(message.values)
         held.session.prepared = dict(statement.prepared)
         self.counts.statements += 1
-        running = _Running(message, held.session, reply_to)
+        running = _Running(message, held.session, reply_to, _size(message))
+        self._used_bytes += running.size
         task = asyncio.get_running_loop().create_task(
             self._serve(running, held, statement)
         )
         self._running[task] = running
-        task.add_done_callback(self._running.pop)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        """Forget a statement that has ended."""
+        self._used_bytes -= self._running.pop(task).size
 
     def _session_of(self, message: SessionStatement) -> _HeldTransaction | Refused:
         """Return the session for a statement, or why it is refused unrun."""
-        if len(self._running) >= MAX_RUNNING:
+        is_full = self._used_bytes + _size(message) > self._max_bytes
+        if len(self._running) >= MAX_RUNNING or (self._running and is_full):
             return Refused("busy")
         key = (message.sender, message.transaction)
         if message.transaction and not message.begins:
@@ -234,6 +249,9 @@
         statement: codec.DecodedStatement,
     ) -> None:
         message, session = running.message, running.session
+        has_effect = isinstance(statement.statement, Commit) or (
+            not message.transaction and session.is_write(statement.statement)
+        )
         try:
             reply = await self._run(session, message, statement)
         except Exception as error:
@@ -245,13 +263,13 @@
         finally:
             held.is_busy = False
             held.used_at = self._clock()
+            # The next statement brings its own.
+            session.values, session.prepared = {}, {}
         session.state = reply.state
         if message.transaction:
             await self._after_step((message.sender, message.transaction), held)
         is_open = session.transaction is not None
-        is_commit = isinstance(statement.statement, Commit)
-        is_write = not message.transaction and session.is_write(statement.statement)
-        may_be_kept = reply.is_success and (is_commit or is_write)
+        may_be_kept = reply.is_success and has_effect
         self._send_reply(running.reply_to, _encoded(reply, is_open, may_be_kept))
 
     async def _after_step(self, key: tuple[str, int], held: _HeldTransaction) -> None:
@@ -312,6 +330,14 @@
         return PositionReply(str(sample.position), int(age * 1000) + 1)
 
 
+def _size(message: SessionStatement) -> int:
+    """Return the memory that the texts of a statement take."""
+    statement, values = message.statement, message.values
+    return text_bytes(
+        *statement.texts, statement.prepared_shape, *values, *values.values()
+    )
+
+
 def _encoded(reply: Reply, is_open: bool, may_be_kept: bool) -> SessionReply:
     """Return the message with a reply, or with a failure if it is too large.
 
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -85,8 +85,9 @@
         """Use the fleet's databases and report each outcome to `monitor`.
 
         Without `read_log`, reads are not logged. The values and prepared statements of
-        all sessions take at most `max_state_bytes`. Each operation of an organisation
-        with a quota is admitted by `quotas`, if given.
+        all sessions take at most `max_state_bytes`, and so do statements that peers
+        forward. Each operation of an organisation with a quota is admitted by
+        `quotas`, if given.
         """
         self._monitor = monitor
         self._fleet = fleet
@@ -95,6 +96,7 @@
         self._transactions = SessionTransactionRunner(self._executor)
         self._single_statements = SingleStatementRunner(self._executor)
         self._budget = MemoryBudget(STATE_PURPOSE, max_state_bytes, clock)
+        self._max_bytes = max_state_bytes
         self._refuses_transactions = False
         self._quotas = quotas
 
@@ -126,6 +128,7 @@
             self._fleet,
             send_reply,
             self._clock,
+            self._max_bytes,
         )
 
     def refuse_transactions(self) -> None:
--- a/tests/test_forwarded_limits.py
+++ b/tests/test_forwarded_limits.py
@@ -1,5 +1,6 @@
 """Tests of forwarded statements that are malformed, unknown or too large to answer."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -11,12 +12,16 @@
     PositionRequest,
     Refused,
     ReplyTo,
+    SessionReply,
     SessionStatement,
 )
 from beryltiller.sessions.forwarding import forwarded_sessions, forwarding_codec
-from beryltiller.sessions.statements import Code, Write
+from beryltiller.sessions.forwarding.forwarded_sessions import ForwardedSessions
+from beryltiller.sessions.statements import Code, Reply, SessionState, Write
 from tests.forwarding_fixture import ForwardingFixture
-from tests.virtual_loop import run_virtual
+from tests.virtual_loop import run_virtual, virtual_now
+
+REPLY = Reply(SessionState.IDLE, signature="signed")
 
 
 class ForwardedLimitsTest(unittest.TestCase):
@@ -54,6 +59,37 @@
 
         run_virtual(work())
 
+    def test_statements_beyond_the_memory_limit_are_refused(self) -> None:
+        """Guards against a holder that is killed for its memory."""
+
+        async def work() -> None:
+            fixture = ForwardingFixture()
+            group = fixture.holder.group
+            answers: list[Message] = []
+            sessions = ForwardedSessions(
+                mock.Mock(run_on_route=mock.AsyncMock(return_value=REPLY)),
+                mock.Mock(),
+                group.fleet,
+                lambda reply_to, message: answers.append(message),
+                virtual_now,
+                max_bytes=5000,
+            )
+            assert group.fleet.configuration is not None
+            part = forwarding_codec.encode_route(group.fleet.configuration.routes["db"])
+            write = ForwardedStatement("write", ("i", "d" * 9000))
+            message = SessionStatement("p/1", part, "", "q", write, {})
+            for _ in range(2):
+                answers.clear()
+                sessions.receive(message, ReplyTo(b"", b"1"))
+                sessions.receive(message, ReplyTo(b"", b"2"))
+                await asyncio.sleep(0.1)
+                self.assertEqual(answers[0], Refused("busy"))
+                self.assertIsInstance(answers[1], SessionReply)
+            self.assertEqual(sessions.open_count, 0)
+            fixture.close()
+
+        run_virtual(work())
+
     def test_write_whose_reply_is_too_large_runs_once(self) -> None:
         """Guards against a refusal, after which the write is sent elsewhere."""
 
