Keep a transaction that was ended for its length from going on at a holder

A proxy that reached no holder ran a transaction itself and rolled it back for its length between two statements. If a holder was reached by then, the next statement began a new transaction there, and the commit succeeded with only the last part of the writes. It is answered with ABORTED now.

--- a/src/beryltiller/sessions/running/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -136,9 +136,15 @@
     async def _forward(
         self, session: Session, identifier: str, statement: Statement, arrived: float
     ) -> Reply | None:
-        """Run a statement of the open transaction at a peer, or return None."""
+        """Run a statement of the open transaction at a peer, or return None.
+
+        One that was ended here for its length has no connection either, but a peer
+        would begin it again without what it has done before.
+        """
         transaction = session.transaction
-        if self._peers is None or transaction is None or transaction.acquired:
+        if self._peers is None or transaction is None:
+            return None
+        if transaction.acquired is not None or transaction.was_too_long:
             return None
         return await self._peers.run_in_transaction(
             session, identifier, statement, arrived
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -97,7 +97,8 @@
     @property
     def has_started(self) -> bool:
         """Return True if a statement of it was sent to a database or a peer."""
-        return self.acquired is not None or self.remote is not None
+        is_open = self.acquired is not None or self.remote is not None
+        return is_open or self.was_too_long
 
 
 def _account_of_its_own() -> MemoryAccount:
