--- a/src/beryltiller/sessions/forwarding/forwarded_sessions.py
+++ b/src/beryltiller/sessions/forwarding/forwarded_sessions.py
@@ -26,6 +26,7 @@
 from beryltiller.sessions.forwarding import forwarding_codec as codec
 from beryltiller.sessions.running.single_statements import SingleStatementRunner
 from beryltiller.sessions.running.transactions import SessionTransactionRunner
+from beryltiller.sessions.serving.memory_budget import DEFAULT_TOTAL_BYTES, text_bytes
 from beryltiller.sessions.session import Session, Transaction
 from beryltiller.sessions.statements import Code, Commit, Reply, SessionState
 
@@ -59,6 +60,7 @@
     message: SessionStatement
     session: Session
     reply_to: ReplyTo
+    size: int
 
 
 @dataclass(slots=True)
@@ -81,13 +83,20 @@
         fleet: Fleet,
         send_reply: SendReply,
         clock: Callable[[], float],
+        max_bytes: int = DEFAULT_TOTAL_BYTES,
     ) -> None:
-        """Run with runners that forward nothing themselves."""
+        """Run with runners that forward nothing themselves.
+
+        Statements in execution take at most `max_bytes` of memory; a single one is
+        always served. Callers of many proxies could otherwise fill this one's memory.
+        """
         self._single_statements = single_statements
         self._transactions = transactions
         self._fleet = fleet
         self._send_reply = send_reply
         self._clock = clock
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
         self._open: dict[tuple[str, int], _HeldTransaction] = {}
         self._running: dict[asyncio.Task[None], _Running] = {}
         self._ending: set[asyncio.Task[None]] = set()
@@ -151,8 +160,11 @@
 
     def _receive_statement(self, message: SessionStatement, reply_to: ReplyTo) -> None:
         try:
-            held = self._session_of(message)
+            # Decoded first, as a malformed statement must not open a transaction.
             statement = codec.decode_statement(message.statement)
+            if isinstance(statement.statement, Commit) and not message.transaction:
+                raise codec.ForwardingError("a commit without a transaction")
+            held = self._session_of(message)
         except codec.ForwardingError as error:
             self.counts.refused += 1
             self._send_reply(reply_to, Refused("malformed", str(error)))
@@ -165,16 +177,22 @@
         held.session.values = dict(message.values)
         held.session.prepared = dict(statement.prepared)
         self.counts.statements += 1
-        running = _Running(message, held.session, reply_to)
+        running = _Running(message, held.session, reply_to, _size(message))
+        self._used_bytes += running.size
         task = asyncio.get_running_loop().create_task(
             self._serve(running, held, statement)
         )
         self._running[task] = running
-        task.add_done_callback(self._running.pop)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        """Forget a statement that has ended."""
+        self._used_bytes -= self._running.pop(task).size
 
     def _session_of(self, message: SessionStatement) -> _HeldTransaction | Refused:
         """Return the session for a statement, or why it is refused unrun."""
-        if len(self._running) >= MAX_RUNNING:
+        is_full = self._used_bytes + _size(message) > self._max_bytes
+        if len(self._running) >= MAX_RUNNING or (self._running and is_full):
             return Refused("busy")
         key = (message.sender, message.transaction)
         if message.transaction and not message.begins:
@@ -184,6 +202,8 @@
             return Refused("busy") if held.is_busy else held
         if self._is_draining:
             return Refused("draining")
+        if not self._is_known(message.route.service):
+            return Refused("unknown", "the service is not in the configuration")
         held = _HeldTransaction(self._new_session(message), self._clock())
         if message.transaction:
             if len(self._open) >= MAX_TRANSACTIONS:
@@ -194,6 +214,11 @@
             self._open[key] = held
         return held
 
+    def _is_known(self, service: str) -> bool:
+        """Return True if a service is configured; no state is kept of any other."""
+        configuration = self._fleet.configuration
+        return configuration is not None and service in configuration.services
+
     def _new_session(self, message: SessionStatement) -> Session:
         now = self._clock()
         route = codec.decode_route(message.route)
@@ -224,6 +249,9 @@
         statement: codec.DecodedStatement,
     ) -> None:
         message, session = running.message, running.session
+        has_effect = isinstance(statement.statement, Commit) or (
+            not message.transaction and session.is_write(statement.statement)
+        )
         try:
             reply = await self._run(session, message, statement)
         except Exception as error:
@@ -235,11 +263,14 @@
         finally:
             held.is_busy = False
             held.used_at = self._clock()
+            # The next statement brings its own.
+            session.values, session.prepared = {}, {}
         session.state = reply.state
         if message.transaction:
             await self._after_step((message.sender, message.transaction), held)
         is_open = session.transaction is not None
-        self._send_reply(running.reply_to, _encoded(reply, is_open))
+        may_be_kept = reply.is_success and has_effect
+        self._send_reply(running.reply_to, _encoded(reply, is_open, may_be_kept))
 
     async def _after_step(self, key: tuple[str, int], held: _HeldTransaction) -> None:
         """Forget a transaction that has ended, and end one that has to."""
@@ -289,6 +320,8 @@
 
     def _position_reply(self, service: str) -> Message:
         """Return the newest position that covers all commits before its age."""
+        if not self._is_known(service):
+            return Refused("unknown")
         sample = self._fleet.group(service).newest_proved_sample()
         if sample is None:
             return Refused("unknown")
@@ -297,18 +330,28 @@
         return PositionReply(str(sample.position), int(age * 1000) + 1)
 
 
-def _encoded(reply: Reply, is_open: bool) -> SessionReply:
-    """Return the message with a reply, or with a failure if it is too large."""
-    size = sum(len(row) + 8 for row in reply.rows) + len(reply.text)
-    if 4 * size + REPLY_OVERHEAD_BYTES > MAX_MESSAGE_BYTES:
-        encoded = codec.encode_reply(reply, is_open)
-        exact = sum(len(row) + 8 for row in encoded.rows) + len(encoded.text)
-        if exact + REPLY_OVERHEAD_BYTES > MAX_MESSAGE_BYTES:
-            text = "the reply is too large to be passed on"
-            failed = Reply(reply.state, code=Code.FAILED, text=text)
-            return codec.encode_reply(failed, is_open)
+def _size(message: SessionStatement) -> int:
+    """Return the memory that the texts of a statement take."""
+    statement, values = message.statement, message.values
+    return text_bytes(
+        *statement.texts, statement.prepared_shape, *values, *values.values()
+    )
+
+
+def _encoded(reply: Reply, is_open: bool, may_be_kept: bool) -> SessionReply:
+    """Return the message with a reply, or with a failure if it is too large.
+
+    A message over the limit would reach the sender as a refusal, and it would run the
+    statement again. `may_be_kept` is True for a success with an effect that stays.
+    """
+    encoded = codec.encode_reply(reply, is_open)
+    size = sum(len(row) + 8 for row in encoded.rows) + len(encoded.signature)
+    size += len(encoded.text.encode())
+    if size + REPLY_OVERHEAD_BYTES <= MAX_MESSAGE_BYTES:
         return encoded
-    return codec.encode_reply(reply, is_open)
+    code = reply.code or (Code.UNKNOWN_OUTCOME if may_be_kept else Code.FAILED)
+    text = "the reply is too large to be passed on"
+    return codec.encode_reply(Reply(reply.state, code=code, text=text), is_open)
 
 
 def _final_reply(running: _Running) -> SessionReply:
