List the modules of nested packages in docs/MODULES.md

The generator looked for packages one level below beryltiller only, so that the modules of sessions/connections and of the six packages beside it were missing. The new test compares the page with the files, and failed with the former pattern.

--- a/src/beryltiller/commands/documents.py
+++ b/src/beryltiller/commands/documents.py
@@ -67,7 +67,7 @@
     """Yield the lines of docs/MODULES.md."""
     yield from ("# Modules", "", _GENERATED_NOTE)
     root = Path(__file__).parent.parent
-    for package in (root, *sorted(path.parent for path in root.glob("*/__init__.py"))):
+    for package in sorted(path.parent for path in root.rglob("__init__.py")):
         name = "/".join(package.relative_to(root.parent).parts)
         yield from ("", f"`src/{name}/`", "")
         paths = sorted(package.glob("*.py"))
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -3,9 +3,10 @@
 import unittest
 from pathlib import Path
 
-from beryltiller.commands.documents import PAGES, render_page
+from beryltiller.commands.documents import PAGES, modules_page, render_page
 
-_DOCS = Path(__file__).resolve().parent.parent / "docs"
+_ROOT = Path(__file__).resolve().parent.parent
+_DOCS = _ROOT / "docs"
 
 
 class PagesTest(unittest.TestCase):
@@ -20,3 +21,18 @@
             with self.subTest(page=name):
                 found = (_DOCS / name).read_text(encoding="utf-8")
                 self.assertEqual(found, render_page(name), "run `make documents`")
+
+
+class ModulesTest(unittest.TestCase):
+    """The page of modules omits none, such as those of a package within a package."""
+
+    def test_each_module_is_listed_under_its_package(self) -> None:
+        listed = set()
+        package = ""
+        for line in modules_page():
+            if line.startswith("`src/"):
+                package = line.strip("`")
+            elif line.startswith("| `"):
+                listed.add(f"{package}{line.split('`')[1]}.py")
+        modules = (_ROOT / "src" / "beryltiller").rglob("*.py")
+        self.assertEqual(listed, {str(each.relative_to(_ROOT)) for each in modules})
