Split readiness and the opening of peers from the platform's node

The peer channel with its seeds and the announcement of leaving are in peer_channel.py, the readiness endpoint is in readiness.py, and the HTTP session is created beside the store's client.

--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -10,14 +10,8 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-import aiohttp
-import zmq
-from aiohttp import web
-
 from beryltiller.adapters.broadcast import Broadcast, BroadcastError
-from beryltiller.core.addresses import Address
 from beryltiller.core.ports import Row
-from beryltiller.membership.members import DEFAULT_WEIGHT
 from beryltiller.observability import events, logs
 from beryltiller.platform import databases, records
 from beryltiller.platform.announcements import (
@@ -28,8 +22,14 @@
 from beryltiller.platform.drain import drain_ingress
 from beryltiller.platform.duty import Duty
 from beryltiller.platform.ingress import Ingress
-from beryltiller.platform.settings import PEER_PORT_OFFSET, PlatformSettings
-from beryltiller.platform.store import IDLE_CONNECTION_SECONDS, StoreClient
+from beryltiller.platform.peer_channel import (
+    leave_peers,
+    open_peering,
+    peer_addresses,
+)
+from beryltiller.platform.readiness import serve_readiness
+from beryltiller.platform.settings import PlatformSettings
+from beryltiller.platform.store import StoreClient, create_http_session
 from beryltiller.process import periodic
 from beryltiller.process.actors import Part
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
@@ -37,11 +37,7 @@
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
-from beryltiller.sessions.forwarding.peering import (
-    Peering,
-    PeeringSettings,
-    SendEvent,
-)
+from beryltiller.sessions.forwarding.peering import Peering, SendEvent
 from beryltiller.sessions.organisations import NO_ORGANISATION
 from beryltiller.sessions.running.read_log import ReadLog
 from beryltiller.sessions.serving.isolation import IsolationMonitor, IsolationWatch
@@ -55,13 +51,10 @@
 from beryltiller.sessions.tables.relay_runner import ANNOUNCE_SECONDS, RelayRunner
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 
-READINESS_PATH = "/beryltiller/readiness"
 # One message of the maximum size takes up to 5 MiB, and is served also where memory is
 # small.
 MIN_MESSAGES_BYTES = 6 * 1024 * 1024
 MAINTENANCE_INTERVAL_SECONDS = 0.3
-# A proxy that ends has this long to tell its peers.
-LEAVE_SECONDS = 0.05
 # Interval of the checks of the leaders, and of this proxy's own isolation.
 CHECK_INTERVAL_SECONDS = 0.1
 # The store removes an entry after this many heartbeats of silence, and a little later.
@@ -138,17 +131,8 @@
     async def open(self, stack: AsyncExitStack) -> None:
         """Open the sockets and servers and start the tasks; `stack` ends them."""
         settings = self._settings
-        connector = aiohttp.TCPConnector(
-            local_addr=(settings.source_ip, 0),
-            limit=0,
-            keepalive_timeout=IDLE_CONNECTION_SECONDS,
-            use_dns_cache=False,
-            socket_factory=databases.create_peer_timeout_socket,
-        )
         session = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-            )
+            create_http_session(settings.source_ip)
         )
         self._store = StoreClient(session, str(settings.store_address), boot_clock)
         self._duty = Duty(
@@ -196,20 +180,8 @@
             self._read_entries, lambda: self._databases_follower.known_at
         )
         self._fleet.follow_announcements(self._announcements)
-        self._spawn(
-            periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
-        )
-        self._spawn(periodic.run_every(CHECK_INTERVAL_SECONDS, self._check_leaders))
-        self._spawn(periodic.run_every(CHECK_INTERVAL_SECONDS, self._isolation.check))
-        self._spawn(
-            periodic.run_every(
-                CHECK_INTERVAL_SECONDS, self._succession_runner.check_fences
-            )
-        )
-        self._spawn(
-            periodic.run_every(CHECK_INTERVAL_SECONDS, self._in_sync_keeper.check)
-        )
-        await self._serve_readiness(stack)
+        self._start_checks()
+        await serve_readiness(stack, settings.readiness_address, lambda: self.is_ready)
         caller = settings.caller_address
         await self._ingress.listen(caller.ip, caller.port)
         stack.callback(self._ingress.close)
@@ -237,6 +209,19 @@
         self._store.address = str(settings.store_address)
         self._duty.address = str(settings.duty_address)
 
+    def _start_checks(self) -> None:
+        """Start the periodic maintenance, and the checks of leaders and isolation."""
+        self._spawn(
+            periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
+        )
+        for check in (
+            self._check_leaders,
+            self._isolation.check,
+            self._succession_runner.check_fences,
+            self._in_sync_keeper.check,
+        ):
+            self._spawn(periodic.run_every(CHECK_INTERVAL_SECONDS, check))
+
     def _count_proxies(self) -> int:
         """Return how many proxies send statements to a database, at least one."""
         return 1 if self._peering is None else self._peering.plan.senders
@@ -259,22 +244,13 @@
         return follower
 
     async def _open_peering(self, stack: AsyncExitStack) -> Peering | None:
-        """Open the channel to other proxies.
+        """Open the channel to other proxies, and start its tasks and the quotas.
 
         Return None if no address is set for it or its port cannot be opened.
         """
-        settings = self._settings
-        if settings.peer_address is None:
-            return None
-        peering_settings = PeeringSettings(
-            settings.host_name,
-            str(settings.peer_address),
-            settings.availability_zone,
-            settings.regions,
-            max(1, round(settings.capacity * DEFAULT_WEIGHT)),
-        )
-        peering = Peering(
-            peering_settings,
+        peering = await open_peering(
+            stack,
+            self._settings,
             self._fleet,
             self._service,
             self._placer,
@@ -282,27 +258,17 @@
             self._rng,
             boot_clock,
         )
-        try:
-            await peering.open(stack)
-        except zmq.ZMQError as error:
-            # The proxy then runs all statements itself.
-            logs.log(events.WorkFailed("peer channel", str(error)))
+        if peering is None:
             return None
         self._spawn(periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, peering.maintain))
-        quotas = peering.open_quotas(self._store, settings.quota_rules)
+        quotas = peering.open_quotas(self._store, self._settings.quota_rules)
         self._spawn(periodic.run_forever(quotas.run))
         return peering
 
     def _list_seeds(self, feeders: Sequence[Feeder]) -> None:
         """Take the feeders of all zones as seeds of the membership."""
-        if self._peering is None:
-            return
-        addresses = []
-        for feeder in feeders:
-            relay = Address.parse_remote(feeder.address)
-            peer = Address(relay.ip, relay.port + PEER_PORT_OFFSET)
-            addresses.append(str(peer))
-        self._peering.list_seeds(addresses)
+        if self._peering is not None:
+            self._peering.list_seeds(peer_addresses(feeders))
 
     def _open_relay(self, stack: AsyncExitStack) -> RelayRunner | None:
         """Start to exchange table changes with other proxies of the availability zone.
@@ -401,26 +367,13 @@
         await self._succession_runner.probe_unresponsive_leaders()
         await self._fleet.confirm_leaders()
 
-    async def _serve_readiness(self, stack: AsyncExitStack) -> None:
-        app = web.Application()
-        app.router.add_get(READINESS_PATH, self._handle_readiness)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        address = self._settings.readiness_address
-        await web.TCPSite(runner, address.ip, address.port).start()
-
-    async def _handle_readiness(self, request: web.Request) -> web.Response:
-        return web.Response(status=200 if self.is_ready else 503)
-
     async def _drain(self) -> None:
         forwarded = None if self._peering is None else self._peering.sessions
         await drain_ingress(
             self._ingress, self._settings.grace_seconds, boot_clock, forwarded
         )
         if self._peering is not None:
-            self._peering.leave()
-            await asyncio.sleep(LEAVE_SECONDS)
+            await leave_peers(self._peering)
         self._on_drained()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -38,6 +38,7 @@
 from beryltiller.core.revisions import RevisionError
 from beryltiller.observability import logs, session_events
 from beryltiller.platform import eras
+from beryltiller.platform.databases import create_peer_timeout_socket
 from beryltiller.platform.store_rows import (
     CommitModel,
     RowModel,
@@ -90,6 +91,20 @@
     known_since: float
 
 
+def create_http_session(source_ip: str) -> aiohttp.ClientSession:
+    """Return a session for calls to the platform, from `source_ip`."""
+    connector = aiohttp.TCPConnector(
+        local_addr=(source_ip, 0),
+        limit=0,
+        keepalive_timeout=IDLE_CONNECTION_SECONDS,
+        use_dns_cache=False,
+        socket_factory=create_peer_timeout_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
+
+
 class StoreClient:
     """A client of the store at `address`, for the rows of the part without a name."""
 
