Write the meaning of each log message on one line in docs/LOGS.md

A doc comment of several lines ended its table row in the generated page: those of forwarding_changed, in_sync_changed and read_ran. The field unheard of quota_lease_taken is named unreported: the processes have not reported their shares.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -103,7 +103,10 @@
 
 
 def message_rows() -> Iterator[tuple[str, str, str]]:
-    """Yield the message type, fields and meaning of each event, for docs/LOGS.md."""
+    """Yield the message type, fields and meaning of each event, for docs/LOGS.md.
+
+    The meaning is one line, so that it fits into the row of a table.
+    """
     for kind in get_args(Event):
         names = ", ".join(item.name for item in fields(kind))
-        yield message_type(kind), names, kind.__doc__ or ""
+        yield message_type(kind), names, " ".join((kind.__doc__ or "").split())
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -388,7 +388,7 @@
 
     shard: int
     # How many processes may hold standing shares of a former allocator.
-    unheard: int
+    unreported: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -408,7 +408,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaKept:
-    """This proxy has rejected no operation of the organisation for a while."""
+    """This proxy rejected no operation of the organisation for 5 s."""
 
     organisation: str
     # How many operations it rejected since it began.
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from beryltiller.commands.documents import PAGES, modules_page, render_page
+from beryltiller.observability.logs import message_rows
 
 _ROOT = Path(__file__).resolve().parent.parent
 _DOCS = _ROOT / "docs"
@@ -23,6 +24,15 @@
                 self.assertEqual(found, render_page(name), "run `make documents`")
 
 
+class LogsTest(unittest.TestCase):
+    """The meaning of a log message is one line, as more would end the table's row."""
+
+    def test_each_meaning_is_one_line(self) -> None:
+        for message_type, _, meaning in message_rows():
+            with self.subTest(message_type):
+                self.assertEqual(meaning.splitlines(), [meaning])
+
+
 class ModulesTest(unittest.TestCase):
     """The page of modules omits none, such as those of a package within a package."""
 
