Name the quota and admission code by its job

quota_service/link.py is allocator_client.py with AllocatorClient, unheard processes are unreported ones, StatementQueue refuses with DeadlineUnreachable, and StatementExecutor.set_peer_covers replaces learn_from. QuotaClient.admit states that it never returns False, so that its two callers share one conversion. Units and doc comments are added where they were missing.

--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -30,13 +30,15 @@
 from beryltiller.sessions.organisations import Quota
 
 LEASES_TABLE = "quotas"
-# So many members, ranked by rendezvous hashing, may take a shard's lease.
+# How many members, in the order of rendezvous hashing, may take a shard's lease.
 CANDIDATES = 2
-# Proxies that start together first find each other: before, each knows only itself.
+# The delay before the first read of the leases. Proxies that start together know only
+# themselves until membership has spread.
 FIRST_POLL_SECONDS = 5.0
 # How often leases are checked without a call to the store.
 CHECK_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 2.0
+# Terms are random numbers; those of 53 bits are exact in every JSON reader.
 TERM_BITS = 53
 
 _T = TypeVar("_T")
@@ -73,7 +75,7 @@
         rules: QuotaRules,
         counters: Counter[str],
     ) -> None:
-        """Create the part of the process that `members` names."""
+        """Allocate for the process of `me` in what `members` returns."""
         self._members = members
         self._store = store
         self._clock = clock
@@ -214,14 +216,14 @@
 
     async def _take(self, shard: _Shard, members: Members) -> None:
         row = shard.lease.listed
-        unheard = set(row.holders) if row is not None else set()
+        unreported = set(row.holders) if row is not None else set()
         share = max_share(len(members.live))
         if row is not None:
             share = max(share, row.max_share)
         if not shard.lease.is_trusted:
-            unheard.update(map(process_of, members))
+            unreported.update(map(process_of, members))
         term = self._rng.getrandbits(TERM_BITS) | 1
-        claim = self._claim(shard, term, unheard, share)
+        claim = self._claim(shard, term, unreported, share)
         if claim is None:
             return
         try:
@@ -233,13 +235,13 @@
             return
         now = self._clock()
         number = shard.lease.shard
-        allocator = Allocator(number, term, self._rules, unheard, share, now)
+        allocator = Allocator(number, term, self._rules, unreported, share, now)
         allocator.update_limits(self._quotas, now)
         allocator.update_proxies(len(members.live), map(process_of, members), now)
         shard.allocator = allocator
         shard.renew_at = now + RENEWAL_SECONDS
         self._counters["leases.taken"] += 1
-        logs.log(session_events.QuotaLeaseTaken(number, len(allocator.unheard)))
+        logs.log(session_events.QuotaLeaseTaken(number, len(allocator.unreported)))
 
     def _claim(
         self,
--- a/src/beryltiller/quota_service/link.py
+++ b/src/beryltiller/quota_service/allocator_client.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Literal
 
 from beryltiller.adapters.channels import PeerError
 from beryltiller.membership.members import Members
@@ -45,7 +46,7 @@
     answer: asyncio.Future[RetryAfter | None]
 
 
-class Link:
+class AllocatorClient:
     """The connection of one proxy to the allocator of one shard.
 
     One request is under way at a time, for all organisations of the shard.
@@ -61,7 +62,7 @@
         rules: QuotaRules,
         counters: Counter[str],
     ) -> None:
-        """Create a link; `answer_locally` answers if this proxy is the allocator."""
+        """Create a client; `answer_locally` answers if this proxy is the allocator."""
         self._shard = shard
         self._peers = peers
         self._members = members
@@ -87,13 +88,16 @@
     async def admit(
         self, organisation: Organisation, quota: Quota, deadline_seconds: float
     ) -> RetryAfter | None:
-        """Return None to admit an operation, or when to come back."""
+        """Return None to admit an operation, or its rejection.
+
+        The answer comes within `deadline_seconds`, and at most `MAX_WAIT_SECONDS`.
+        """
         now = self._clock()
         name = organisation.name
         self._client.arrive(name, now)
         decision = self._client.admit(name, quota, now)
         if decision is not None:
-            return None if decision is True else _rejection(decision)
+            return _rejection(decision)
         is_down = self._failures >= FAILURES_UNTIL_DOWN and now < self._earliest
         if is_down or len(self._waiting) >= MAX_WAITING:
             self._wake.set()
@@ -188,9 +192,7 @@
                 continue
             decision = self._client.admit(waiting.organisation, waiting.quota, now)
             if decision is not None:
-                waiting.answer.set_result(
-                    None if decision is True else _rejection(decision)
-                )
+                waiting.answer.set_result(_rejection(decision))
             elif self._failures >= FAILURES_UNTIL_DOWN:
                 waiting.answer.set_result(
                     self._unreachable(waiting.organisation, waiting.quota)
@@ -203,5 +205,6 @@
         return RetryAfter(min(wait, MAX_FAILURE_GAP_SECONDS), is_over_limit=False)
 
 
-def _rejection(decision: bool | RetryAfter) -> RetryAfter:
-    return decision if isinstance(decision, RetryAfter) else RetryAfter(0.0)
+def _rejection(decision: Literal[True] | RetryAfter) -> RetryAfter | None:
+    """Return the rejection in a decision, or None if it admits the operation."""
+    return None if decision is True else decision
--- a/src/beryltiller/quota_service/service.py
+++ b/src/beryltiller/quota_service/service.py
@@ -10,7 +10,7 @@
 from beryltiller.membership.messages import Message, QuotaRequest, Refused
 from beryltiller.observability import logs, session_events
 from beryltiller.quota_service.allocation import Allocation
-from beryltiller.quota_service.link import Link
+from beryltiller.quota_service.allocator_client import AllocatorClient
 from beryltiller.quota_service.ports import PeerRequests, QuotaStore
 from beryltiller.quotas.rules import SHARDS, QuotaRules, RetryAfter, shard_of
 from beryltiller.sessions.organisations import Organisation, Organisations, Quota
@@ -46,7 +46,7 @@
         rng: random.Random,
         rules: QuotaRules,
     ) -> None:
-        """Enforce the quotas of what `organisations` returns, once `run` is called.
+        """Enforce the quotas of `organisations()`, once `run` is called.
 
         `members` returns the present view of the proxies, whose own member names this
         process by its name and incarnation.
@@ -58,8 +58,8 @@
         self._in_use: Organisations | None = None
         self._excesses: dict[str, _Excess] = {}
         self._allocation = Allocation(members, store, clock, rng, rules, self.counters)
-        self._links = tuple(
-            Link(
+        self._clients = tuple(
+            AllocatorClient(
                 shard,
                 peers,
                 members,
@@ -74,15 +74,15 @@
     async def admit(
         self, organisation: Organisation, deadline_seconds: float
     ) -> RetryAfter | None:
-        """Return None to admit an operation, or when to come back.
+        """Return None to admit an operation, or its rejection.
 
         The answer comes within `deadline_seconds`. Without a quota it comes at once.
         """
         quota = organisation.quota
         if quota is None:
             return None
-        link = self._links[shard_of(organisation.name)]
-        retry = await link.admit(organisation, quota, deadline_seconds)
+        client = self._clients[shard_of(organisation.name)]
+        retry = await client.admit(organisation, quota, deadline_seconds)
         if retry is None:
             self.counters["admitted"] += 1
         elif retry.is_over_limit:
@@ -104,8 +104,8 @@
             tasks.create_task(self._follow_configuration())
             await self._wait_for_quotas()
             tasks.create_task(self._allocation.run())
-            for link in self._links:
-                tasks.create_task(link.run())
+            for client in self._clients:
+                tasks.create_task(client.run())
 
     async def _wait_for_quotas(self) -> None:
         """Wait until a configuration has quotas; until then no message is sent."""
--- a/src/beryltiller/quotas/allocator.py
+++ b/src/beryltiller/quotas/allocator.py
@@ -31,7 +31,7 @@
 # A holder of shares sends a request this often, and more rarely if there are many.
 INTERVAL_SECONDS = 0.5
 MAX_REQUESTS_PER_SECOND = 250.0
-# Shares are suspended for this many intervals after a reply.
+# A reply suspends the shares for this many intervals between requests.
 SUSPENSION_INTERVALS = 3
 # How often the shares that the demand calls for are computed anew.
 TARGETS_SECONDS = 1.0
@@ -53,10 +53,10 @@
 
 
 class Allocator:
-    """Hands out the rate of a shard's organisations, for as long as it has the lease.
+    """Grants the rate of a shard's organisations while its proxy has the lease.
 
-    At any time it hands out an organisation's rate less the shares that may be in use:
-    those that are not suspended, and the reserve for processes not heard of.
+    At any time it grants an organisation's rate less the shares that may be in use:
+    those that are not suspended, and the reserve for processes that have not reported.
     """
 
     def __init__(
@@ -64,21 +64,21 @@
         shard: int,
         term: int,
         rules: QuotaRules,
-        unheard: Iterable[Process],
-        unheard_share: int,
+        unreported: Iterable[Process],
+        unreported_share: int,
         now: float,
     ) -> None:
         """Start with empty buckets.
 
-        Each process of `unheard` may have up to `unheard_share` millionths of each
-        organisation's rate, until it is heard of or its shares have expired.
+        Each process of `unreported` may have up to `unreported_share` millionths of
+        each organisation's rate, until it reports or its shares have expired.
         """
         self.term = term
         self._shard = shard
         self._rules = rules
-        self._unheard = set(unheard)
-        self._unheard_share = unheard_share
-        self._unheard_until = now + SHARE_SECONDS + EXPIRY_MARGIN_SECONDS
+        self._unreported = set(unreported)
+        self._unreported_share = unreported_share
+        self._unreported_until = now + SHARE_SECONDS + EXPIRY_MARGIN_SECONDS
         self._accounts: dict[str, _Account] = {}
         self._holdings: dict[Process, Holdings] = {}
         self._starts: dict[str, int] = {}
@@ -87,9 +87,9 @@
         self._proxies = 1
 
     @property
-    def unheard(self) -> frozenset[Process]:
+    def unreported(self) -> frozenset[Process]:
         """Return the processes that may hold shares and have not reported them."""
-        return frozenset(self._unheard)
+        return frozenset(self._unreported)
 
     @property
     def listed(self) -> tuple[frozenset[Process], int]:
@@ -104,14 +104,14 @@
             for holdings in self._holdings.values()
             for each in holdings.lent.values()
         )
-        unheard = self._unheard_share if self._unheard else 0
-        return max(max_share(self._proxies), unheard, *held, 0)
+        unreported = self._unreported_share if self._unreported else 0
+        return max(max_share(self._proxies), unreported, *held, 0)
 
     def processes_to_list(self) -> frozenset[Process]:
         """Return the processes that may hold shares, or are to be lent some."""
         holders = {each for each, held in self._holdings.items() if held.lent}
         wanted = {each for item in self._accounts.values() for each in item.targets}
-        return frozenset(holders | wanted | self._unheard)
+        return frozenset(holders | wanted | self._unreported)
 
     def set_listed(self, processes: frozenset[Process], share: int) -> None:
         """Set which processes may be lent shares, each at most `share` millionths.
@@ -152,9 +152,9 @@
         for process, holdings in tuple(self._holdings.items()):
             if holdings.expires_at <= now:
                 self._forget(process, now)
-        if self._unheard and now >= self._unheard_until:
+        if self._unreported and now >= self._unreported_until:
             self._advance_all(now)
-            self._unheard.clear()
+            self._unreported.clear()
 
     def receive(self, request: QuotaRequest, now: float) -> QuotaReply | None:
         """Return the reply to a request, or None to one that is out of date."""
@@ -185,7 +185,7 @@
         now: float,
     ) -> None:
         self._advance_all(now)
-        self._unheard.discard(process)
+        self._unreported.discard(process)
         holdings.report((each.organisation, each.millionths) for each in shares)
         for name, account in self._accounts.items():
             account.holders.discard(process)
@@ -295,11 +295,11 @@
         if process not in self._listed:
             return 0
         is_new = process not in account.holders
-        holders = len(account.holders) + len(self._unheard)
+        holders = len(account.holders) + len(self._unreported)
         if is_new and holders >= self._rules.max_holders:
             return 0
         lent = sum(self._holdings[each].bound(name) for each in account.holders)
-        reserve = len(self._unheard) * self._unheard_share
+        reserve = len(self._unreported) * self._unreported_share
         limit = min(target, self._max_share) - holdings.latest(name)
         return max(0, min(limit, MAX_LENT - lent - reserve))
 
@@ -313,8 +313,8 @@
 
     def _reserve(self, account: _Account, name: str) -> int:
         lent = sum(self._holdings[each].bound(name) for each in account.holders)
-        unheard = len(self._unheard) * self._unheard_share
-        return max(0, min(MAX_LENT - lent, unheard))
+        unreported = len(self._unreported) * self._unreported_share
+        return max(0, min(MAX_LENT - lent, unreported))
 
     def _used_share(self, name: str, account: _Account, now: float) -> int:
         """Return which part of the rate proxies may use by themselves at present."""
@@ -349,13 +349,13 @@
         if process.start <= self._starts.get(process.name, -1):
             return
         self._starts[process.name] = process.start
-        for former in (*self._holdings, *self._unheard):
+        for former in (*self._holdings, *self._unreported):
             if former.name == process.name and former.start < process.start:
                 self._forget(former, now)
 
     def _forget(self, process: Process, now: float) -> None:
         self._advance_all(now)
-        self._unheard.discard(process)
+        self._unreported.discard(process)
         self._holdings.pop(process, None)
         for account in self._accounts.values():
             account.holders.discard(process)
--- a/src/beryltiller/quotas/client.py
+++ b/src/beryltiller/quotas/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Literal
 
 from beryltiller.core.decoding import MAX_NUMBER
 from beryltiller.membership.messages import (
@@ -41,7 +42,10 @@
 
 @dataclass(slots=True)
 class _Account:
-    """What one proxy has of one organisation's quota."""
+    """One organisation's tokens, share and demand at one proxy.
+
+    `share` is in millionths of the rate, and `demand` in operations a second.
+    """
 
     used_at: float
     tokens: int = 0
@@ -63,9 +67,9 @@
 class QuotaClient:
     """The tokens and shares of a shard's organisations at one proxy.
 
-    While it hears from the allocator it uses tokens only, and the allocator hands out
-    the rate of its shares to any proxy. A share is used once the suspension ends that
-    the last reply asked for.
+    While the allocator replies, the client uses tokens only, and the allocator grants
+    the rate of the suspended shares to any proxy. The shares are used again once the
+    suspension in the last reply has ended.
     """
 
     def __init__(self, shard: int, name: str, start: int, rules: QuotaRules) -> None:
@@ -102,7 +106,7 @@
         return {name: each.share for name, each in self._accounts.items() if each.share}
 
     def request_interval(self, now: float) -> float:
-        """Return after how long the next request is due though no operation waits."""
+        """Return the seconds until the next request if no operation waits."""
         if self._has_unacknowledged_shares:
             return ACKNOWLEDGEMENT_SECONDS
         if self.shares and now < self._shares_until:
@@ -116,7 +120,7 @@
 
     def admit(
         self, organisation: str, quota: Quota, now: float
-    ) -> bool | RetryAfter | None:
+    ) -> Literal[True] | RetryAfter | None:
         """Return True to admit an operation, its rejection, or None if it must wait.
 
         An operation waits for the reply to a request for tokens.
@@ -138,7 +142,7 @@
     def seconds_until_share(
         self, organisation: str, quota: Quota, now: float
     ) -> float | None:
-        """Return when the share admits an operation, or None if there is no share."""
+        """Return the seconds until the share admits an operation; None without one."""
         account = self._accounts.get(organisation)
         if account is None or not account.share or now >= self._shares_until:
             return None
--- a/src/beryltiller/quotas/demands.py
+++ b/src/beryltiller/quotas/demands.py
@@ -1,4 +1,4 @@
-"""The recent demand for an organisation's quota by proxy, and the shares due."""
+"""The recent demand for an organisation's quota by proxy, and the shares for it."""
 
 from dataclasses import dataclass
 
@@ -7,12 +7,15 @@
 
 # A proxy's demand is forgotten after this time without a report of it.
 DEMAND_EXPIRY_SECONDS = 8.0
-# A share is changed when it differs by this part from the one called for.
+# A share is changed when it differs by more than this part of the larger of the two
+# from the share that the demand calls for.
 CHANGE_PART = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class _Report:
+    """A proxy's demand in operations in 1,000 seconds, and when it was reported."""
+
     demand: int
     at: float
 
--- a/src/beryltiller/quotas/rules.py
+++ b/src/beryltiller/quotas/rules.py
@@ -10,6 +10,7 @@
 MAX_LENT = 750_000
 # A proxy is lent at most this many times its equal part of the rate.
 MAX_EQUAL_PARTS = 4
+# The whole rate of an organisation, in millionths.
 WHOLE = 1_000_000
 # A reply's tokens are valid for this long after its request was sent. With an overage
 # of 0.1 in windows of 5 s, the overage covers a validity of 0.5 s.
--- a/src/beryltiller/sessions/connections/admission_semaphore.py
+++ b/src/beryltiller/sessions/connections/admission_semaphore.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 
 from beryltiller.sessions.connections.statement_queue import (
+    DeadlineUnreachable,
     QueueEntry,
     StatementQueue,
     StatementTicket,
-    Unreachable,
 )
 from beryltiller.sessions.errors import NoCapacityError, QueueTooLongError
 from beryltiller.sessions.statements import Code
@@ -71,7 +71,7 @@
             return slot
         loop = asyncio.get_running_loop()
         entry = self._queue.offer(ticket, loop.time())
-        if isinstance(entry, Unreachable):
+        if isinstance(entry, DeadlineUnreachable):
             raise QueueTooLongError(entry.wait_seconds, entry.left_seconds)
         admitted: asyncio.Future[Slot] = loop.create_future()
         self._admitted[entry] = admitted
--- a/src/beryltiller/sessions/connections/statement_queue.py
+++ b/src/beryltiller/sessions/connections/statement_queue.py
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unreachable:
+class DeadlineUnreachable:
     """The refusal of a ticket whose deadline passes before its turn.
 
     `wait_seconds` is the expected wait, and `left_seconds` the one that it allows.
@@ -169,7 +169,9 @@
         level = self._level(ticket)
         return self._admit(level, self._entry(level, ticket, 0.0))
 
-    def offer(self, ticket: StatementTicket, now: float) -> QueueEntry | Unreachable:
+    def offer(
+        self, ticket: StatementTicket, now: float
+    ) -> QueueEntry | DeadlineUnreachable:
         """Queue a ticket, unless it is not expected to be admitted in time.
 
         Nothing is refused while no statement is in execution, as only the end of one
@@ -181,7 +183,7 @@
         if self._in_use and ticket.priority > OPEN_TRANSACTION_PRIORITY:
             wait, left = self._expected_wait(entry), ticket.deadline - now
             if wait > left:
-                return Unreachable(wait, left)
+                return DeadlineUnreachable(wait, left)
         level.add(entry, next(self._numbers))
         self._waiting += 1
         return entry
--- a/src/beryltiller/sessions/forwarding/placement_explainer.py
+++ b/src/beryltiller/sessions/forwarding/placement_explainer.py
@@ -84,7 +84,7 @@
             f" {choice.region or '(unnamed)'} have {share} connections each"
         )
         if question.organisation:
-            yield "the holders are in the order of the organisation's homes"
+            yield "the holders are ranked for the organisation"
         chosen = {each.address for each in choice.holders}
         for holder in choice.candidates:
             note = "" if holder.address in chosen else "not used: avoided or this proxy"
--- a/src/beryltiller/sessions/running/execution.py
+++ b/src/beryltiller/sessions/running/execution.py
@@ -92,8 +92,8 @@
         self.admission = StatementAdmission(fleet, clock)
         self.long_transactions = LongTransactions(clock, self.roll_back)
 
-    def learn_from(self, peer_covers: "PeerCoverSource") -> None:
-        """Ask peers for what covers a read, before the databases are queried."""
+    def set_peer_covers(self, peer_covers: "PeerCoverSource") -> None:
+        """Ask peers for the position that a read must see before asking databases."""
         self._peer_covers = peer_covers
 
     def now(self) -> float:
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -54,7 +54,7 @@
     async def admit(
         self, organisation: Organisation, deadline_seconds: float
     ) -> RetryAfter | None:
-        """Return None to admit an operation, or when to come back.
+        """Return None to admit an operation, or its rejection.
 
         The answer comes within `deadline_seconds`.
         """
@@ -103,18 +103,18 @@
     ) -> None:
         """Let peers run statements from now on, where they are to.
 
-        Reads that run here learn from `peer_covers` what they must see.
+        Reads that run here ask `peer_covers` for the log position that they must see.
         """
         self._single_statements.forward_to(client)
         self._transactions.forward_to(client)
-        self._executor.learn_from(peer_covers)
+        self._executor.set_peer_covers(peer_covers)
 
     def enforce_quotas(self, quotas: QuotaGate) -> None:
         """Let `quotas` admit each operation of an organisation with a quota."""
         self._quotas = quotas
 
     def forwarded_sessions(self, send_reply: SendReply) -> ForwardedSessions:
-        """Return a server for what peers forward, which forwards nothing itself."""
+        """Return what runs the statements of peers, and forwards none of them."""
         return ForwardedSessions(
             SingleStatementRunner(self._executor),
             SessionTransactionRunner(self._executor),
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -39,9 +39,9 @@
 class Exchange:
     """An allocator and clients that exchange messages without delay."""
 
-    def __init__(self, unheard: frozenset[Process] = frozenset()) -> None:
+    def __init__(self, unreported: frozenset[Process] = frozenset()) -> None:
         share = rules.max_share(5)
-        self.allocator = Allocator(SHARD, 7, QuotaRules(), unheard, share, 0.0)
+        self.allocator = Allocator(SHARD, 7, QuotaRules(), unreported, share, 0.0)
         self.allocator.update_limits({"acme": QUOTA}, 0.0)
         self.allocator.update_proxies(5, (), 0.0)
         self.allocator.set_listed(frozenset((ONE, TWO)), share)
@@ -115,7 +115,7 @@
         self.assertEqual(holder.shares, {})
         self.assertEqual(other.shares, {"acme": MAX_LENT})
 
-    def test_unheard_process_keeps_its_reserve_until_it_reports_or_restarts(
+    def test_unreported_process_keeps_its_reserve_until_it_reports_or_restarts(
         self,
     ) -> None:
         for heard in (TWO, Process("two", 2)):
@@ -134,9 +134,9 @@
     def test_reserve_expires_with_the_shares(self) -> None:
         exchange = Exchange(frozenset((TWO,)))
         exchange.allocator.update_proxies(5, (), rules.SHARE_SECONDS)
-        self.assertEqual(exchange.allocator.unheard, {TWO})
+        self.assertEqual(exchange.allocator.unreported, {TWO})
         exchange.allocator.update_proxies(5, (), rules.SHARE_SECONDS + 60)
-        self.assertEqual(exchange.allocator.unheard, frozenset())
+        self.assertEqual(exchange.allocator.unreported, frozenset())
 
     def test_unlisted_process_is_lent_nothing(self) -> None:
         exchange = Exchange()
--- a/tests/test_session_admission.py
+++ b/tests/test_session_admission.py
@@ -11,10 +11,10 @@
 from beryltiller.sessions.connections.statement_queue import (
     OPEN_TRANSACTION_PRIORITY,
     TURN_INTERVAL,
+    DeadlineUnreachable,
     QueueEntry,
     StatementQueue,
     StatementTicket,
-    Unreachable,
 )
 from beryltiller.sessions.errors import NoCapacityError, QueueTooLongError
 from beryltiller.sessions.running.overload_log import QUIET_SECONDS, OverloadLog
@@ -59,7 +59,7 @@
             priority, deadline, WORK_SECONDS, organisation, organisation_priority
         )
         entry = self.queue.offer(ticket, 0.0)
-        assert not isinstance(entry, Unreachable)
+        assert not isinstance(entry, DeadlineUnreachable)
         return entry
 
     def take(self) -> QueueEntry:
@@ -113,7 +113,7 @@
                     if found is not None:
                         running.append(found)
                     elif not isinstance(
-                        entry := queue.offer(ticket, step), Unreachable
+                        entry := queue.offer(ticket, step), DeadlineUnreachable
                     ):
                         waiting.add(entry)
                 case 1 if waiting:
@@ -139,15 +139,15 @@
             queue.admit_at_once(StatementTicket(1, 1.0, 0.1))
         for _ in range(4):
             entry = queue.offer(StatementTicket(1, 0.5, 0.1), 0.0)
-            self.assertNotIsInstance(entry, Unreachable)
+            self.assertNotIsInstance(entry, DeadlineUnreachable)
         refused = queue.offer(StatementTicket(1, 0.5, 0.1), 0.4)
-        assert isinstance(refused, Unreachable)
+        assert isinstance(refused, DeadlineUnreachable)
         self.assertAlmostEqual(refused.wait_seconds, 0.2)
         self.assertAlmostEqual(refused.left_seconds, 0.1)
         # Statements that go first, and those of open transactions, are not refused.
         for priority in (0, OPEN_TRANSACTION_PRIORITY):
             ticket = StatementTicket(priority, 0.5, 0.1)
-            self.assertNotIsInstance(queue.offer(ticket, 0.4), Unreachable)
+            self.assertNotIsInstance(queue.offer(ticket, 0.4), DeadlineUnreachable)
 
     def test_nothing_is_refused_while_nothing_is_in_execution(self) -> None:
         queue = StatementQueue(1)
