--- a/src/beryltiller/quotas/client.py
+++ b/src/beryltiller/quotas/client.py
@@ -57,10 +57,12 @@
     demand: float = 0.0
 
     def record_operation(self, now: float) -> None:
+        """Count an operation in the demand."""
         self.demand = self.demand_at(now) + 1 / DEMAND_SECONDS
         self.used_at = now
 
     def demand_at(self, now: float) -> float:
+        """Return the demand, which falls to 0 without operations."""
         return self.demand * max(0.0, 1 - (now - self.used_at) / DEMAND_SECONDS)
 
 
--- a/src/beryltiller/sessions/forwarding/forwarded_sessions.py
+++ b/src/beryltiller/sessions/forwarding/forwarded_sessions.py
@@ -29,12 +29,14 @@
 from beryltiller.sessions.session import Session, Transaction
 from beryltiller.sessions.statements import Code, Commit, Reply, SessionState
 
-# Statements of others in execution, and transactions that they have open. Further ones
-# are refused, and their senders try another holder.
+# The most statements of other proxies in execution, and transactions that they have
+# open. Further ones are refused, and their senders try another holder.
 MAX_RUNNING = 1_024
 MAX_TRANSACTIONS = 1_024
-# A sender ends an idle transaction itself; this is for one that has gone.
+# A sender ends an idle transaction at the idle limit. This much later the holder rolls
+# it back, in case the sender has failed.
 IDLE_MARGIN_SECONDS = 1.0
+# The idle limit of transactions before a configuration is in force.
 DEFAULT_IDLE_SECONDS = 3.0
 # What a reply takes beside its rows.
 REPLY_OVERHEAD_BYTES = 4_096
@@ -124,7 +126,7 @@
             self._end(key, held)
 
     def expire(self, members: Members | None) -> None:
-        """Roll back the transactions of proxies that have gone or are silent.
+        """Roll back transactions that are idle for too long or whose sender is dead.
 
         Call it at short intervals, with the newest view of the members.
         """
--- a/src/beryltiller/sessions/forwarding/forwarding_client.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_client.py
@@ -1,9 +1,9 @@
-"""Forward the statements of this proxy's sessions to holders of connections.
+"""Forward the statements of this proxy's sessions to the holders of a service.
 
 A statement that certainly did not run at a holder is tried at the next one, and then
-here. Without a reply, a read outside of a transaction is tried elsewhere too; a write
-or a commit that may have run is not. Any other statement of a transaction then fails
-it: without its commit, the holder rolls it back.
+by this proxy. Without a reply, a read outside a transaction is retried too; a write or
+a commit that may have run is not. Without a reply to another statement of a
+transaction, the transaction fails: the holder rolls back what is not committed.
 """
 
 import asyncio
@@ -42,8 +42,8 @@
 # A read is tried elsewhere if a holder has not replied within the route's objective,
 # or within this time if that is longer.
 MIN_READ_WAIT_SECONDS = 0.3
-# How long the end of a transaction is waited for. A holder that does not hear of it
-# rolls the transaction back once it has been idle for long.
+# How long a reply to the end of a transaction is waited for. A holder that does not
+# receive it rolls the transaction back at the idle limit.
 END_SECONDS = 0.5
 
 
@@ -59,6 +59,7 @@
 
     @property
     def deadline(self) -> float:
+        """Return the time at which the route's timeout ends."""
         return self.arrived + self.route.timeout_seconds
 
 
@@ -66,12 +67,13 @@
 class HolderChoice:
     """The holders of a region, and those to which a statement is sent in turn.
 
-    Without `holders` this proxy runs it itself.
+    `candidates` are all holders, in order of preference. Without `recipients`, which
+    are the first of them that can be used, this proxy runs the statement itself.
     """
 
     region: str
     candidates: tuple[Member, ...]
-    holders: tuple[Member, ...]
+    recipients: tuple[Member, ...]
 
 
 class ForwardingClient:
@@ -184,7 +186,7 @@
     def _lose(
         self, session: Session, transaction: Transaction, asked: _Forwarded
     ) -> Reply:
-        """Return the reply to a statement of a transaction without an answer."""
+        """Fail a transaction whose holder did not reply; return the caller's reply."""
         is_commit = isinstance(asked.statement, Commit)
         may_be_kept = is_commit and transaction.has_written
         code = Code.UNKNOWN_OUTCOME if may_be_kept else Code.ABORTED
@@ -283,7 +285,7 @@
         choice = self.choose(
             asked.route.service, session.organisation, asked.needs_primary
         )
-        for holder in choice.holders:
+        for holder in choice.recipients:
             if self._clock() >= asked.deadline:
                 return
             yield holder
@@ -340,7 +342,7 @@
         try:
             await self._requests.send(remote.address, message, END_SECONDS)
         except PeerError:
-            # The holder rolls the transaction back once it has been idle for long.
+            # The holder rolls the transaction back at the idle limit.
             return
 
 
--- a/src/beryltiller/sessions/forwarding/forwarding_plan.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_plan.py
@@ -13,13 +13,13 @@
 from beryltiller.sessions.databases.regions import Regions
 from beryltiller.sessions.forwarding import holders
 
-# A part of the proxies may be out of sight in a partition, which must not make the
-# others connect to databases all at once.
+# For how long the highest number of proxies counts. Without it, the proxies on one side
+# of a partition would see few others and all connect to the databases at once.
 COUNT_MEMORY_SECONDS = 600.0
 
 
 class ProxyCount:
-    """The largest number of proxies that were seen in the last ten minutes."""
+    """The largest number of proxies seen within `COUNT_MEMORY_SECONDS`."""
 
     def __init__(self) -> None:
         """Start before any proxy was seen."""
@@ -46,7 +46,8 @@
 class ServicePlan:
     """The holders of a service by region, and how many connections each may have.
 
-    With `is_forwarded` False, each proxy runs its statements itself.
+    `share` is the number of connections to a database that each holder may have. With
+    `is_forwarded` False, each proxy runs its statements itself.
     """
 
     is_forwarded: bool
@@ -116,7 +117,7 @@
     def update(
         self, members: Members | None, configuration: Configuration | None, now: float
     ) -> None:
-        """Plan anew for a view of the members and a configuration."""
+        """Compute the plan for a view of the members and a configuration."""
         self._members = members
         if members is None or configuration is None:
             self._services = {}
@@ -160,11 +161,11 @@
     ) -> tuple[Member, ...]:
         """Return the holders in a region to which to send a statement, best first.
 
-        An organisation has one home, so that its connections are opened at one proxy;
-        the next in rank stands in for it. Without an organisation, holders in this
-        proxy's zone come first, the less loaded of the first two before the other;
-        `in_flight` returns how many statements this proxy has sent to an address and
-        has no reply to.
+        An organisation's statements go to one holder, so that its connections are
+        opened at one proxy; the next in rank replaces it. Without an organisation,
+        holders in this proxy's zone come first, the less loaded of the first two before
+        the other; `in_flight` returns how many statements this proxy has sent to an
+        address and has no reply to.
         """
         members = self._members
         found = self.service(service).by_region.get(region, ())
--- a/src/beryltiller/sessions/forwarding/holders.py
+++ b/src/beryltiller/sessions/forwarding/holders.py
@@ -20,8 +20,8 @@
 # Each holder may have at least this many connections to a database, so that it can
 # run several statements at once and keep connections of several organisations.
 MIN_CONNECTIONS = 6
-# The part of a database's cap that its holders use. The rest is for status queries and
-# commands, and for proxies with another view of the members.
+# The fraction of a database's connection limit that its holders use. The rest is for
+# status queries and commands, and for proxies with another view of the members.
 HELD_SHARE = 0.8
 _HASH_RANGE = 1 << 64
 
@@ -45,7 +45,8 @@
     """Return the members of one region that hold connections, in order of rank.
 
     `members` are those of the region that serve, and `zones` is the number of its
-    availability zones. Each zone has holders of its own, to go on when it is cut off.
+    availability zones. Each zone has holders of its own, so that it is still served
+    when it is cut off from the others.
     """
     per_zone = max(1, max_connections // MIN_CONNECTIONS // zones)
     by_zone: dict[str, list[Member]] = {}
@@ -67,7 +68,7 @@
 
 
 def rank(key: str, members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return the members by weighted rendezvous hashing for a key, the first first."""
+    """Return the members ranked for a key by weighted rendezvous hashing."""
     return tuple(sorted(members, key=lambda member: _cost(key, member)))
 
 
--- a/src/beryltiller/sessions/forwarding/peer_covers.py
+++ b/src/beryltiller/sessions/forwarding/peer_covers.py
@@ -1,8 +1,8 @@
 """Log positions that peers near the primary have proved, for reads far from it.
 
-A proxy whose writes are forwarded to another region hears nothing from the primary
+A proxy whose writes are forwarded to another region receives no replies of the primary
 itself. Before a read it asks a holder of the primary's region for the newest position
-that covers all acknowledged commits, once for all reads that wait.
+that covers all acknowledged commits, with one request for all reads that wait.
 """
 
 import asyncio
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -75,7 +75,11 @@
 
 
 class Peering:
-    """The members that this proxy knows, and the statements that pass between them."""
+    """The members that this proxy knows, and the statements that pass between them.
+
+    `plan` tells which services are forwarded to whom. After `open`, `requests` sends
+    requests to peers, and `sessions` runs what they forward.
+    """
 
     def __init__(
         self,
@@ -199,12 +203,12 @@
         self.sessions.drain()
 
     def leave(self) -> None:
-        """Announce that this process is about to end, and reply what is unanswered."""
+        """Announce that this process is about to end, and answer what is unanswered."""
         self._send_event(MEMBERSHIP, Leave())
         self.sessions.give_up()
 
     def update_plan(self) -> None:
-        """Plan anew after a change of the members or of the configuration."""
+        """Update the plan after a change of the members or of the configuration."""
         self.plan.update(self._members, self._fleet.configuration, self._clock())
         configuration = self._fleet.configuration
         names = configuration.services if configuration else {}
@@ -226,7 +230,7 @@
             )
 
     async def maintain(self) -> None:
-        """End transactions of proxies that have gone; call it at short intervals."""
+        """End the transactions of dead or silent peers; call it at short intervals."""
         self.sessions.expire(self._members)
 
     def _initial_membership(self, now: float) -> membership_state.State:
--- a/src/beryltiller/sessions/forwarding/placement_explainer.py
+++ b/src/beryltiller/sessions/forwarding/placement_explainer.py
@@ -63,8 +63,8 @@
                 route.service, question.organisation, needs_primary
             )
             reasons += self._forwarding_reasons(route.service, choice, question)
-            if choice.holders:
-                address = choice.holders[0].address
+            if choice.recipients:
+                address = choice.recipients[0].address
                 return PlacementAnswer(self._host_name, address, tuple(reasons))
         reasons += self._placement_reasons(route, question)
         return PlacementAnswer(self._host_name, "", tuple(reasons))
@@ -85,7 +85,7 @@
         )
         if question.organisation:
             yield "the holders are ranked for the organisation"
-        chosen = {each.address for each in choice.holders}
+        chosen = {each.address for each in choice.recipients}
         for holder in choice.candidates:
             note = "" if holder.address in chosen else "not used: avoided or this proxy"
             yield f"holder {holder.name} at {holder.address} {note}".rstrip()
