--- a/src/beryltiller/observability/caller_limit_log.py
+++ b/src/beryltiller/observability/caller_limit_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 
 LOG_INTERVAL_SECONDS = 60.0
 
@@ -22,6 +22,6 @@
         now = self._clock()
         if now < self._logged_at + LOG_INTERVAL_SECONDS:
             return
-        logs.log(session_events.CallersLimited(limit, self._closed))
+        logs.log(limit_events.CallersLimited(limit, self._closed))
         self._logged_at = now
         self._closed = 0
--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -15,7 +15,7 @@
 import eliot
 
 from beryltiller.core.decoding import shorten
-from beryltiller.observability import events, session_events
+from beryltiller.observability import events, limit_events, session_events
 
 MAX_FIELD_CHARACTERS = 4_000
 
@@ -62,15 +62,15 @@
     | session_events.IsolationChanged
     | session_events.ReadRan
     | session_events.SetUpRefused
-    | session_events.OverloadBegan
-    | session_events.OverloadEnded
-    | session_events.LongTransactionEnded
-    | session_events.MemoryRefused
-    | session_events.CallersLimited
-    | session_events.QuotaLeaseTaken
-    | session_events.QuotaLeaseLost
-    | session_events.QuotaExceeded
-    | session_events.QuotaKept
+    | limit_events.OverloadBegan
+    | limit_events.OverloadEnded
+    | limit_events.LongTransactionEnded
+    | limit_events.MemoryRefused
+    | limit_events.CallersLimited
+    | limit_events.QuotaLeaseTaken
+    | limit_events.QuotaLeaseLost
+    | limit_events.QuotaExceeded
+    | limit_events.QuotaKept
     | events.WorkFailed
 )
 
--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -15,7 +15,7 @@
     QuotaRequest,
     Refused,
 )
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.ports import QuotaStore
 from beryltiller.quotas.allocator import Allocator
 from beryltiller.quotas.holdings import Process
@@ -205,7 +205,7 @@
         try:
             is_confirmed = await self._commit(shard, claim)
         except LostAnswerError:
-            # The write may take effect later; the row tells.
+            # The write may have taken effect or do so later, so the row is read.
             await self._observe()
             shard.renew_at = self._clock() + CHECK_SECONDS
             return
@@ -241,7 +241,7 @@
         shard.allocator = allocator
         shard.renew_at = now + RENEWAL_SECONDS
         self._counters["leases.taken"] += 1
-        logs.log(session_events.QuotaLeaseTaken(number, len(allocator.unreported)))
+        logs.log(limit_events.QuotaLeaseTaken(number, len(allocator.unreported)))
 
     def _claim(
         self,
@@ -283,4 +283,4 @@
         shard.allocator = None
         shard.lease.stop()
         self._counters["leases.lost"] += 1
-        logs.log(session_events.QuotaLeaseLost(shard.lease.shard, reason))
+        logs.log(limit_events.QuotaLeaseLost(shard.lease.shard, reason))
--- a/src/beryltiller/quota_service/service.py
+++ b/src/beryltiller/quota_service/service.py
@@ -8,7 +8,7 @@
 
 from beryltiller.membership.members import Members
 from beryltiller.membership.messages import Message, QuotaRequest, Refused
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.allocation import Allocation
 from beryltiller.quota_service.allocator_client import AllocatorClient
 from beryltiller.quota_service.ports import PeerRequests, QuotaStore
@@ -127,7 +127,7 @@
         excess = self._excesses.get(organisation)
         if excess is None:
             excess = self._excesses[organisation] = _Excess()
-            logs.log(session_events.QuotaExceeded(organisation))
+            logs.log(limit_events.QuotaExceeded(organisation))
         excess.rejected += 1
         excess.last_at = self._clock()
 
@@ -136,7 +136,7 @@
         for name, excess in tuple(self._excesses.items()):
             if now - excess.last_at >= KEPT_SECONDS:
                 del self._excesses[name]
-                logs.log(session_events.QuotaKept(name, excess.rejected))
+                logs.log(limit_events.QuotaKept(name, excess.rejected))
 
 
 def _quotas(organisations: Organisations | None) -> Mapping[str, Quota]:
--- a/src/beryltiller/sessions/running/long_transactions.py
+++ b/src/beryltiller/sessions/running/long_transactions.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.sessions.clocks import Clock
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.databases.member import NEVER
@@ -85,7 +85,7 @@
             return
         database = transaction.acquired.placement.member.database
         logs.log(
-            session_events.LongTransactionEnded(
+            limit_events.LongTransactionEnded(
                 database.service,
                 database.identifier,
                 transaction.organisation,
--- a/src/beryltiller/sessions/running/overload_log.py
+++ b/src/beryltiller/sessions/running/overload_log.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.sessions.databases.catalog import Database
 
 # An overload has ended once no statement was refused for this long.
@@ -30,9 +30,7 @@
         if overload is None:
             overload = _Overload(now, now)
             self._overloads[database.identifier] = overload
-            logs.log(
-                session_events.OverloadBegan(database.service, database.identifier)
-            )
+            logs.log(limit_events.OverloadBegan(database.service, database.identifier))
         overload.refused_at = now
         overload.refused_at_once += is_at_once
         overload.timed_out += not is_at_once
@@ -46,7 +44,7 @@
             return
         del self._overloads[database.identifier]
         logs.log(
-            session_events.OverloadEnded(
+            limit_events.OverloadEnded(
                 database.service,
                 database.identifier,
                 overload.refused_at - overload.began_at,
--- a/src/beryltiller/sessions/serving/memory_budget.py
+++ b/src/beryltiller/sessions/serving/memory_budget.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from enum import Enum, unique
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.sessions.clocks import loop_time
 
 # Any single message fits: one of 1 MiB takes up to 4 MiB of memory as text.
@@ -97,7 +97,7 @@
             return
         self._logged_at = now
         logs.log(
-            session_events.MemoryRefused(
+            limit_events.MemoryRefused(
                 self._purpose, self._used_bytes, self._max_bytes, self._refusals
             )
         )
--- a/tests/test_session_admission.py
+++ b/tests/test_session_admission.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from beryltiller.observability.session_events import OverloadBegan, OverloadEnded
+from beryltiller.observability.limit_events import OverloadBegan, OverloadEnded
 from beryltiller.sessions.connections.admission_semaphore import AdmissionSemaphore
 from beryltiller.sessions.connections.statement_queue import (
     OPEN_TRANSACTION_PRIORITY,
--- a/tests/test_session_state_limits.py
+++ b/tests/test_session_state_limits.py
@@ -7,7 +7,7 @@
 from typing import cast
 from unittest import mock
 
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.observability.session_events import SetUpRefused
 from beryltiller.platform.caller_connection import CallerConnection
 from beryltiller.platform.ingress import Ingress
@@ -205,7 +205,7 @@
                 budget.try_change(11)
             times[0] = LOG_INTERVAL_SECONDS
             budget.try_change(11)
-        found = [cast(session_events.MemoryRefused, each) for each in events]
+        found = [cast(limit_events.MemoryRefused, each) for each in events]
         self.assertEqual([each.refusals for each in found], [1, 5])
 
 
