State units and reasons in comments on limits, and drop figurative ones

Transaction.held_database replaces held_at, which read like a time. The doc comment of PlatformSettings had a broken sentence. No behaviour changes.

--- a/src/beryltiller/platform/caller_connection.py
+++ b/src/beryltiller/platform/caller_connection.py
@@ -22,7 +22,7 @@
 MAX_RECEIVED_BYTES = 16 * wire.MAX_LINE_BYTES
 # A caller that takes longer for one message holds memory that others need.
 MAX_MESSAGE_SECONDS = 10.0
-# A caller begins its session at once; until then it holds a descriptor for nothing.
+# A caller that begins no session for this long occupies a descriptor without use.
 MAX_STARTUP_SECONDS = 10.0
 
 
--- a/src/beryltiller/platform/peer_channel.py
+++ b/src/beryltiller/platform/peer_channel.py
@@ -21,7 +21,7 @@
 from beryltiller.sessions.serving.session_service import SessionService
 from beryltiller.sessions.tables.relay import Feeder
 
-# A proxy that ends has this long to tell its peers.
+# A proxy that ends has this long to send the announcement to its peers.
 LEAVE_SECONDS = 0.05
 
 
@@ -65,6 +65,6 @@
 
 
 async def leave_peers(peering: Peering) -> None:
-    """Announce that this process is about to end, and wait until peers are told."""
+    """Announce that this process is about to end, and wait for `LEAVE_SECONDS`."""
     peering.leave()
     await asyncio.sleep(LEAVE_SECONDS)
--- a/src/beryltiller/platform/settings.py
+++ b/src/beryltiller/platform/settings.py
@@ -24,10 +24,11 @@
 # The link that a host of capacity 1 needs beside its one core: 600 statements a second
 # of 4 KB each with their replies take about 20 Mbit/s.
 STANDARD_LINK_MBPS = 20.0
+# The most cores, share of a core, or Mbit/s that the settings may name.
 MAX_AMOUNT = 1_000_000
 MEGABYTE = 1_000_000
 
-# The port of the peer channel comes behind that of the relay, on all hosts.
+# The port of the peer channel is this much above that of the relay, on all hosts.
 PEER_PORT_OFFSET = 1
 
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
@@ -116,10 +117,10 @@
     within `grace_seconds`; a draining database stops after `drain_seconds`, and writes
     its entry every `heartbeat_seconds`. Other proxies receive its relayed changes from
     `relay_address`, and send it requests at `peer_address`, if it has them. `regions`
-    are those of all availability zones that the settings name. With
-    `logs_reads` each read is logged. Its memory is limited to `memory_bytes`, if known.
-    `quota_rules` say by how much an organisation may exceed its limit.
-    `capacity` is that of the host, compared to one with a core.
+    are those of all availability zones that the settings name. With `logs_reads` each
+    read is logged. Its memory is limited to `memory_bytes`, if known. `quota_rules` say
+    by how much an organisation may exceed its limit. `capacity` is that of the host,
+    compared to one with a single core.
     """
 
     host_name: str
--- a/src/beryltiller/quotas/allocator.py
+++ b/src/beryltiller/quotas/allocator.py
@@ -35,7 +35,7 @@
 SUSPENSION_INTERVALS = 3
 # How often the shares that the demand calls for are computed anew.
 TARGETS_SECONDS = 1.0
-# The longest time until which a proxy is told to reject operations.
+# The longest time for which a reply makes a proxy reject operations.
 MAX_RETRY_SECONDS = 2.0
 
 
@@ -116,7 +116,7 @@
     def set_listed(self, processes: frozenset[Process], share: int) -> None:
         """Set which processes may be lent shares, each at most `share` millionths.
 
-        They must be in the lease's row, so that the next allocator knows of them.
+        They must be in the lease's row, by which the next allocator reserves shares.
         """
         self._listed = processes
         self._max_share = share
@@ -250,12 +250,12 @@
         rate = account.quota.rate_per_second * (
             1 - self._used_share(need.organisation, account, now) / WHOLE
         )
-        # Proxies are told different times, so that each finds tokens when it asks.
+        # Each reply names a later time, so that proxies do not compete for one token.
         wait = account.bucket.seconds_until(1.0, rate)
         latest = now + MAX_RETRY_SECONDS
         retry_at = min(latest, max(account.retry_at, now + wait))
         account.retry_at = min(latest, retry_at + (1 / rate if rate > 0 else 0.0))
-        # A later answer than the time told is true, an earlier one is not.
+        # Rounded up: before that time there may be no token.
         return QuotaGrant(need.organisation, count, int((retry_at - now) * 1000) + 1)
 
     def _share_to_send(
@@ -325,7 +325,7 @@
         )
 
     def _advance(self, name: str, account: _Account, now: float) -> None:
-        """Fill a bucket with what nobody else may have used since the last call."""
+        """Fill a bucket with the rate that no share may have used in the meantime."""
         since = account.bucket.at
         if now <= since:
             return
--- a/src/beryltiller/quotas/leases.py
+++ b/src/beryltiller/quotas/leases.py
@@ -145,7 +145,7 @@
         self._version = None
 
     def may_take(self, now: float) -> bool:
-        """Return True if nobody has the lease and this proxy may take it."""
+        """Return True if the lease has expired, as far as known, and may be taken."""
         is_known = self._version is not None and not self.is_held(now)
         return is_known and now - self._seen_at >= TAKEOVER_SECONDS
 
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -360,8 +360,8 @@
 
         As many `proxies` are taken to have as many statements here as this one.
         Without recent observations, the latency is taken to be `neutral_seconds`. A
-        proxy that knows of no other one makes all the load itself, so that what it has
-        observed stays true until it sends more.
+        proxy without known peers makes all the load itself, so that its observations
+        are valid until it sends more.
         """
         slots = max(1, self.database.slots)
         latency = self.observed.latency_seconds
--- a/src/beryltiller/sessions/running/single_statements.py
+++ b/src/beryltiller/sessions/running/single_statements.py
@@ -62,7 +62,7 @@
         self._peers: PeerStatements | None = None
 
     def forward_to(self, peers: PeerStatements) -> None:
-        """Let peers run statements from now on, where they are to."""
+        """Use `peers` from now on for statements of services that are forwarded."""
         self._peers = peers
 
     async def run(
--- a/src/beryltiller/sessions/running/transaction_holds.py
+++ b/src/beryltiller/sessions/running/transaction_holds.py
@@ -10,7 +10,7 @@
 
 # Ordinary transactions have up to 12 statements.
 MIN_STATEMENTS = 16
-# A transaction that has held its connection for less is nobody's obstacle yet.
+# A transaction that has held its connection for less time is not ended.
 MIN_HELD_SECONDS = 0.5
 
 
@@ -31,16 +31,16 @@
         transaction.held_since = now
         transaction.statements = 1
         database = transaction.acquired.placement.member.database.identifier
-        transaction.held_at = database
+        transaction.held_database = database
         self._held.setdefault(database, {})[id(transaction)] = transaction
 
     def remove(self, transaction: Transaction) -> None:
         """Forget a transaction that releases its connection; others are ignored."""
-        held = self._held.get(transaction.held_at)
+        held = self._held.get(transaction.held_database)
         if held is None or held.pop(id(transaction), None) is None:
             return
         if not held:
-            del self._held[transaction.held_at]
+            del self._held[transaction.held_database]
 
     def longest_idle(self, database: str, now: float) -> Transaction | None:
         """Return the longest one that is too long and between two statements."""
--- a/src/beryltiller/sessions/running/transactions.py
+++ b/src/beryltiller/sessions/running/transactions.py
@@ -71,7 +71,7 @@
         self._peers: PeerTransactions | None = None
 
     def forward_to(self, peers: PeerTransactions) -> None:
-        """Let peers run transactions from now on, where they are to."""
+        """Use `peers` from now on for transactions of services that are forwarded."""
         self._peers = peers
 
     def begin(self, session: Session, is_read_only: bool, arrived: float) -> Reply:
--- a/src/beryltiller/sessions/serving/session_service.py
+++ b/src/beryltiller/sessions/serving/session_service.py
@@ -101,7 +101,7 @@
     def forward_to(
         self, client: ForwardingClient, peer_covers: PeerCoverSource
     ) -> None:
-        """Let peers run statements from now on, where they are to.
+        """Use `client` from now on for statements of services that are forwarded.
 
         Reads that run here ask `peer_covers` for the log position that they must see.
         """
--- a/src/beryltiller/sessions/session.py
+++ b/src/beryltiller/sessions/session.py
@@ -73,9 +73,9 @@
     """An open transaction; it acquires a connection with its first statement.
 
     `requirement` is what the route requires of the database's log. One that is
-    `remote` has no connection here. It has held the connection, to the database
-    `held_at`, since `held_since` and for that number of statements. `was_too_long` is
-    True once it was rolled back for that reason.
+    `remote` has no connection here. It has held a connection to the database
+    `held_database` since `held_since`, and has sent `statements` on it. `was_too_long`
+    is True once it was rolled back for having held the connection for too long.
     """
 
     route: Route
@@ -87,7 +87,7 @@
     acquired: AcquiredConnection | None = None
     remote: RemoteTransaction | None = None
     held_since: float = NEVER
-    held_at: str = ""
+    held_database: str = ""
     statements: int = 0
     is_running: bool = False
     was_too_long: bool = False
