--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -15,7 +15,7 @@
     QuotaRequest,
     Refused,
 )
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.ports import QuotaStore
 from beryltiller.quotas.allocator import Allocator
 from beryltiller.quotas.holdings import Process
@@ -30,13 +30,15 @@
 from beryltiller.sessions.organisations import Quota
 
 LEASES_TABLE = "quotas"
-# So many members, ranked by rendezvous hashing, may take a shard's lease.
+# How many members, in the order of rendezvous hashing, may take a shard's lease.
 CANDIDATES = 2
-# Proxies that start together first find each other: before, each knows only itself.
+# The delay before the first read of the leases. Proxies that start together know only
+# themselves until membership has spread.
 FIRST_POLL_SECONDS = 3.0
 # How often leases are checked without a call to the store.
 CHECK_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 2.0
+# Terms are random numbers; those of 53 bits are exact in every JSON reader.
 TERM_BITS = 53
 
 _T = TypeVar("_T")
@@ -74,7 +76,7 @@
         counters: Counter[str],
         is_bootstrap: bool = False,
     ) -> None:
-        """Create the part of the process that `members` names.
+        """Allocate for the process of `me` in what `members` returns.
 
         With `is_bootstrap` the whole system starts for the first time.
         """
@@ -210,7 +212,7 @@
         try:
             is_confirmed = await self._commit(shard, claim)
         except LostAnswerError:
-            # The write may take effect later; the row tells.
+            # The write may have taken effect or do so later, so the row is read.
             await self._observe()
             shard.renew_at = self._clock() + CHECK_SECONDS
             return
@@ -242,14 +244,14 @@
 
     async def _take(self, shard: _Shard, members: Members) -> None:
         row = shard.lease.listed
-        unheard = set(row.holders) if row is not None else set()
+        unreported = set(row.holders) if row is not None else set()
         share = max_share(len(members.live))
         if row is not None:
             share = max(share, row.max_share)
         if not shard.lease.is_trusted:
-            unheard.update(map(process_of, members))
+            unreported.update(map(process_of, members))
         term = self._rng.getrandbits(TERM_BITS) | 1
-        claim = self._claim(shard, term, unheard, share)
+        claim = self._claim(shard, term, unreported, share)
         if claim is None:
             return
         try:
@@ -261,13 +263,13 @@
             return
         now = self._clock()
         number = shard.lease.shard
-        allocator = Allocator(number, term, self._rules, unheard, share, now)
+        allocator = Allocator(number, term, self._rules, unreported, share, now)
         allocator.update_limits(self._quotas, now)
         allocator.update_proxies(len(members.live), map(process_of, members), now)
         shard.allocator = allocator
         shard.renew_at = now + RENEWAL_SECONDS
         self._counters["leases.taken"] += 1
-        logs.log(session_events.QuotaLeaseTaken(number, len(allocator.unheard)))
+        logs.log(limit_events.QuotaLeaseTaken(number, len(allocator.unreported)))
 
     def _claim(
         self,
@@ -309,4 +311,4 @@
         shard.allocator = None
         shard.lease.stop()
         self._counters["leases.lost"] += 1
-        logs.log(session_events.QuotaLeaseLost(shard.lease.shard, reason))
+        logs.log(limit_events.QuotaLeaseLost(shard.lease.shard, reason))
--- a/src/beryltiller/quota_service/service.py
+++ b/src/beryltiller/quota_service/service.py
@@ -8,9 +8,9 @@
 
 from beryltiller.membership.members import Members
 from beryltiller.membership.messages import Message, QuotaRequest, Refused
-from beryltiller.observability import logs, session_events
+from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.allocation import Allocation
-from beryltiller.quota_service.link import Link
+from beryltiller.quota_service.allocator_client import AllocatorClient
 from beryltiller.quota_service.ports import PeerRequests, QuotaStore
 from beryltiller.quotas.rules import SHARDS, QuotaRules, RetryAfter, shard_of
 from beryltiller.sessions.organisations import Organisation, Organisations, Quota
@@ -47,7 +47,7 @@
         rules: QuotaRules,
         is_bootstrap: bool = False,
     ) -> None:
-        """Enforce the quotas of what `organisations` returns, once `run` is called.
+        """Enforce the quotas of `organisations()`, once `run` is called.
 
         With `is_bootstrap` the whole system starts for the first time.
 
@@ -63,8 +63,8 @@
         self._allocation = Allocation(
             members, store, clock, rng, rules, self.counters, is_bootstrap
         )
-        self._links = tuple(
-            Link(
+        self._clients = tuple(
+            AllocatorClient(
                 shard,
                 peers,
                 members,
@@ -79,15 +79,15 @@
     async def admit(
         self, organisation: Organisation, deadline_seconds: float
     ) -> RetryAfter | None:
-        """Return None to admit an operation, or when to come back.
+        """Return None to admit an operation, or its rejection.
 
         The answer comes within `deadline_seconds`. Without a quota it comes at once.
         """
         quota = organisation.quota
         if quota is None:
             return None
-        link = self._links[shard_of(organisation.name)]
-        retry = await link.admit(organisation, quota, deadline_seconds)
+        client = self._clients[shard_of(organisation.name)]
+        retry = await client.admit(organisation, quota, deadline_seconds)
         if retry is None:
             self.counters["admitted"] += 1
         elif retry.is_over_limit:
@@ -109,8 +109,8 @@
             tasks.create_task(self._follow_configuration())
             await self._wait_for_quotas()
             tasks.create_task(self._allocation.run())
-            for link in self._links:
-                tasks.create_task(link.run())
+            for client in self._clients:
+                tasks.create_task(client.run())
 
     async def _wait_for_quotas(self) -> None:
         """Wait until a configuration has quotas; until then no message is sent."""
@@ -132,7 +132,7 @@
         excess = self._excesses.get(organisation)
         if excess is None:
             excess = self._excesses[organisation] = _Excess()
-            logs.log(session_events.QuotaExceeded(organisation))
+            logs.log(limit_events.QuotaExceeded(organisation))
         excess.rejected += 1
         excess.last_at = self._clock()
 
@@ -141,7 +141,7 @@
         for name, excess in tuple(self._excesses.items()):
             if now - excess.last_at >= KEPT_SECONDS:
                 del self._excesses[name]
-                logs.log(session_events.QuotaKept(name, excess.rejected))
+                logs.log(limit_events.QuotaKept(name, excess.rejected))
 
 
 def _quotas(organisations: Organisations | None) -> Mapping[str, Quota]:
--- a/tests/test_quota_link.py
+++ b/tests/test_allocator_client.py
@@ -6,7 +6,7 @@
 
 from beryltiller.membership.members import Member, Members
 from beryltiller.membership.messages import Message, QuotaRedirect, QuotaRequest
-from beryltiller.quota_service.link import Link
+from beryltiller.quota_service.allocator_client import AllocatorClient
 from beryltiller.quotas.allocator import Allocator
 from beryltiller.quotas.holdings import Process
 from beryltiller.quotas.rules import QuotaRules, max_share, shard_of
@@ -18,7 +18,7 @@
 SHARD = shard_of("acme")
 
 
-class LinkFixture:
+class ClientFixture:
     """A link and, at another proxy, the allocator that knows it as `me` does."""
 
     def __init__(self) -> None:
@@ -28,7 +28,7 @@
         self.allocator = Allocator(SHARD, 7, QuotaRules(), (), max_share(5), 0.0)
         self.allocator.update_limits({"acme": QUOTA}, 0.0)
         self.hear_of_me()
-        self.link = Link(
+        self.client = AllocatorClient(
             SHARD,
             self,
             lambda: Members(self.me, (self.other,)),
@@ -56,7 +56,7 @@
     async def count_admitted(self, seconds: float) -> int:
         end, admitted = virtual_now() + seconds, 0
         while virtual_now() < end:
-            admitted += await self.link.admit(ACME, QUOTA, 0.5) is None
+            admitted += await self.client.admit(ACME, QUOTA, 0.5) is None
             await asyncio.sleep(0.02)
         return admitted
 
@@ -68,8 +68,8 @@
         """Guards against shares that the allocator has handed out to others too."""
 
         async def work() -> None:
-            fixture = LinkFixture()
-            running = asyncio.create_task(fixture.link.run())
+            fixture = ClientFixture()
+            running = asyncio.create_task(fixture.client.run())
             await fixture.count_admitted(10.0)
             fixture.me = Member("10.0.0.1:1", "one", "a", 9)
             fixture.hear_of_me()
