Return changes made at the end of a feed's wait in the soak's store

The store of the soak answered a feed whose wait was over with no rows but with the present version, also if a row was written between the time-out and the answer. The proxy then never learnt of that row. A feed whose time-out and write were due at once returned no row at version 11 before, and returns it now.

--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -126,15 +126,15 @@
     async def _feed(self, request: web.Request) -> web.Response:
         query = request.query
         after, table = int(query["after"]), query["table_name"]
-        rows = self._changes_after(after, table)
         try:
             async with asyncio.timeout(int(query.get("wait_ms", 0)) / 1000):
-                while not rows:
+                while not self._changes_after(after, table):
                     await self._changed.wait()
-                    rows = self._changes_after(after, table)
         except TimeoutError:
             pass
-        return self._answer(rows=rows)
+        # The answer tells of all changes up to its version, also of one that was made
+        # after the time was over and before this is reached.
+        return self._answer(rows=self._changes_after(after, table))
 
     def _changes_after(self, after: int, table: str) -> list[dict[str, Any]]:
         return [
