Close idle connections of proxies that forward a service

Cause: a pool keeps one connection, however long it is idle. Proxies open connections before they know each other, so a proxy that then forwards a service's statements held one for each organisation and database as long as it ran. Change: a proxy that does not hold a service keeps none that exceeds the idle time.

The new unit test fails on the former code with 2 connections for 0.

--- a/src/beryltiller/admission/ledgers.py
+++ b/src/beryltiller/admission/ledgers.py
@@ -174,12 +174,16 @@
         excess = min(self.held - len(self._closing) - share, len(self._idle))
         return self._start_closing(max(excess, 0))
 
-    def evict(self, now: float) -> list[int]:
-        """Return the connections to close because they were idle for too long."""
+    def evict(self, now: float, keeps_minimum: bool = True) -> list[int]:
+        """Return the connections to close because they were idle for too long.
+
+        The policy's minimum counts only with `keeps_minimum`.
+        """
+        minimum = self._policy.minimum if keeps_minimum else 0
         since = now - self._policy.idle_seconds
         old = sum(idle_since < since for _, idle_since in self._idle)
         live = len(self._idle) + len(self._in_use) + len(self._opening)
-        return self._start_closing(max(0, min(old, live - self._policy.minimum)))
+        return self._start_closing(max(0, min(old, live - minimum)))
 
     def evict_longest_idle(self) -> list[int]:
         """Return the connection to close that was idle for longest, if there is one."""
--- a/src/beryltiller/sessions/connections/connection_pool.py
+++ b/src/beryltiller/sessions/connections/connection_pool.py
@@ -232,9 +232,12 @@
         pooled.close()
         self.release(pooled)
 
-    def close_idle(self, now: float) -> None:
-        """Close connections that exceeded the idle time, but keep at least one."""
-        self._close_connections(self._ledger.evict(now))
+    def close_idle(self, now: float, keeps_minimum: bool = True) -> None:
+        """Close connections that exceeded the idle time.
+
+        As many as the policy's minimum stay open, unless `keeps_minimum` is False.
+        """
+        self._close_connections(self._ledger.evict(now, keeps_minimum))
 
     def close_longest_idle(self) -> None:
         """Close the connection that has been idle for longest, if there is one."""
--- a/src/beryltiller/sessions/connections/database_pools.py
+++ b/src/beryltiller/sessions/connections/database_pools.py
@@ -53,6 +53,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._used_at: dict[str, float] = {}
         self._keeps_idle = False
+        self._keeps_minimum = True
 
     @property
     def size(self) -> int:
@@ -63,10 +64,12 @@
         """Set how many connections all pools may have, or None for the policy's number.
 
         Connections of an agreed share are kept for longer, as no other proxy needs
-        them.
+        them. With a share of 0 other proxies run the statements: if they cannot, up to
+        the policy's number are opened here, and none is kept once it is idle.
         """
-        self._limit.set_maximum(connections)
-        self._keeps_idle = connections is not None
+        self._limit.set_maximum(connections or None)
+        self._keeps_idle = bool(connections)
+        self._keeps_minimum = connections != 0
 
     def pool(self, organisation: str = NO_ORGANISATION) -> ConnectionPool:
         """Return the pool of an organisation, creating it if necessary."""
@@ -97,7 +100,7 @@
         if self._keeps_idle:
             now -= SHARE_IDLE_SECONDS - self._policy.idle_seconds
         for organisation, pool in tuple(self._pools.items()):
-            pool.close_idle(now)
+            pool.close_idle(now, self._keeps_minimum)
             is_old = self._used_at[organisation] < now - UNUSED_POOL_SECONDS
             if is_old and pool.is_unused:
                 del self._pools[organisation], self._used_at[organisation]
--- a/src/beryltiller/sessions/databases/connection_pools.py
+++ b/src/beryltiller/sessions/databases/connection_pools.py
@@ -70,7 +70,8 @@
     def set_shares(self, shares: Mapping[str, int]) -> None:
         """Limit the connections to each database of some services.
 
-        The others keep the limit that their pools were created with.
+        The others keep the limit that their pools were created with. With 0, other
+        proxies run the service's statements, and no idle connection is kept.
         """
         self._shares = dict(shares)
         for key, pools in self._pools.items():
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -212,9 +212,8 @@
         forwarded = {name: each for name, each in plans.items() if each.is_forwarded}
         self._fleet.limit_connections(
             {
-                name: each.share
+                name: each.share if self.plan.is_connected(name) else 0
                 for name, each in forwarded.items()
-                if self.plan.is_connected(name)
             }
         )
         if forwarded.keys() != self._forwarded_services:
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -328,6 +328,26 @@
 
         run_virtual(work())
 
+    def test_proxy_that_forwards_keeps_no_idle_connections(self) -> None:
+        """Connections opened before forwarding began would use up the limit."""
+
+        async def work() -> None:
+            fixture = PoolsFixture(share=3)
+            for organisation in ("a", "b"):
+                pool = fixture.pools.pool(organisation)
+                pool.release(await pool.acquire({}, 1.0))
+            now = asyncio.get_running_loop().time()
+            fixture.pools.close_idle(now + 100.0)
+            self.assertEqual(fixture.pools.size, 2)
+            fixture.pools.set_share(0)
+            fixture.pools.close_idle(now + 100.0)
+            await asyncio.sleep(0.1)
+            self.assertEqual(fixture.pools.size, 0)
+            # Without a holder that responds, this proxy runs statements itself.
+            self.assertTrue((await fixture.pools.pool("a").acquire({}, 1.0)).is_open)
+
+        run_virtual(work())
+
     def test_waiting_organisation_takes_the_place_of_a_released_connection(
         self,
     ) -> None:
