Add a soak of organisations, removed keys and forwarding

The soaks of real processes had no organisations and forwarded nothing. The new one has three organisations of two keys, and databases that accept fewer connections than there are pairs of proxy and organisation. Holders are killed, frozen and stopped, and a key is removed and added. Beside the existing checks: statements run on connections of their caller's organisation, a removed key is not used after 5 s, keys reach no log and no STARTUP, connections stay within the cap, and a proxy without a connection to the primary serves callers.

--- a/tests/soak_caller_connection.py
+++ b/tests/soak_caller_connection.py
@@ -33,13 +33,14 @@
     async def open(
         cls, proxy: ProxyProcess, database: str, session: SentSession
     ) -> "CallerConnection":
-        """Connect, and start a session on a database name."""
+        """Connect, and start a session on a database name with the session's key."""
         front = proxy.front
+        session.proxy = proxy.ip
         async with asyncio.timeout(CONNECT_SECONDS):
             reader, writer = await asyncio.open_connection(
                 front.ip, front.port, limit=MAX_MESSAGE_BYTES
             )
-            writer.write(f"STARTUP {database} soak\r\n".encode())
+            writer.write(f"STARTUP {database} {session.key}\r\n".encode())
             try:
                 line = await reader.readuntil(b"\r\n")
             except BaseException:
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -6,7 +6,7 @@
 from tests.soak_caller_connection import CallerConnection, CallerEndedError
 from tests.soak_checker import Checker
 from tests.soak_proxies import ProxyProcess
-from tests.soak_statement_checker import Answer
+from tests.soak_statement_checker import DEFAULT_KEY, Answer
 
 RETRY_SECONDS = 0.05
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
@@ -18,10 +18,16 @@
     """A caller who reconnects to the same proxy whenever a connection ends."""
 
     def __init__(
-        self, number: int, proxy: ProxyProcess, checker: Checker, rng: random.Random
+        self,
+        number: int,
+        proxy: ProxyProcess,
+        checker: Checker,
+        rng: random.Random,
+        key: str = DEFAULT_KEY,
     ) -> None:
         """Create a caller; its statements' identifiers begin with `number`."""
         self._number = number
+        self._key = key
         self._proxy = proxy
         self._checker = checker
         self._rng = rng
@@ -43,7 +49,9 @@
                 self._close()
 
     async def _connect(self) -> None:
-        session = self._checker.statements.open_session(f"caller {self._number}")
+        session = self._checker.statements.open_session(
+            f"caller {self._number}", self._key
+        )
         self._connection = await CallerConnection.open(
             self._proxy, self._database, session
         )
--- a/tests/soak_connections.py
+++ b/tests/soak_connections.py
@@ -14,6 +14,7 @@
     UnreadableError,
     read_query,
 )
+from tests.soak_connection_record import Startup
 from tests.soak_database import SERVICE, Commit, SoakDatabase
 from tests.soak_databases import SoakGroup
 from tests.soak_statement_checker import Ran
@@ -34,9 +35,15 @@
 class DatabaseServers:
     """Starts and ends the databases' processes, which are servers on the event loop."""
 
-    def __init__(self, group: SoakGroup, stack: AsyncExitStack) -> None:
+    def __init__(
+        self,
+        group: SoakGroup,
+        stack: AsyncExitStack,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         """Serve the databases of `group` until `stack` closes."""
         self._group = group
+        self._max_connections = max_connections
         self._servers: dict[SoakDatabase, asyncio.Server] = {}
         self._tasks: dict[SoakDatabase, set[asyncio.Task[None]]] = {}
         stack.push_async_callback(self._close)
@@ -50,7 +57,7 @@
 
         def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             session = DatabaseSession(self._group, database, reader, writer)
-            is_full = len(sessions) >= MAX_CONNECTIONS
+            is_full = len(sessions) >= self._max_connections
             task = asyncio.get_running_loop().create_task(session.serve(is_full))
             sessions.add(task)
             task.add_done_callback(sessions.discard)
@@ -107,6 +114,7 @@
         self._serial = next(_serials)
         self._transactions = 0
         self._held = SessionState()
+        self._connections = group.statements.connections
 
     async def serve(self, is_full: bool) -> None:
         """Answer statements until the connection ends."""
@@ -120,17 +128,26 @@
         except asyncio.LimitOverrunError:
             # A message is at most 1 MiB: the connection ends.
             self._group.statements.record_overlong_line()
+        finally:
+            self._connections.remove(self._serial)
 
     async def _accept(self, is_full: bool) -> bool:
         line = (await self._read_line()).decode(errors="replace")
         word, service, *rest = line.split(" ")
         is_named = len(rest) < 2 or rest[1] == self._database.identifier
+        self._connections.lines.add(line)
         if word != "STARTUP" or service != SERVICE or not is_named:
             await self._write(f"ERROR WRONGNODE {self._database.identifier}")
             return False
         if is_full:
+            self._connections.refused[self._database.identifier] += 1
             await self._write("ERROR CONNLIMIT full")
             return False
+        source = self._writer.get_extra_info("peername")[0]
+        startup = Startup(
+            self._database.identifier, source, rest[0] if rest else "", line
+        )
+        self._connections.add(self._serial, startup)
         await self._write(self._ready())
         return True
 
@@ -245,6 +262,12 @@
             prepared,
         )
         self._group.statements.record_run(ran)
+        self._connections.record_run(
+            query.identifier,
+            self._serial,
+            self._database.identifier,
+            self._database.is_primary,
+        )
         return ran
 
     async def _commit(self, identifier: str) -> None:
--- a/tests/soak_deployment.py
+++ b/tests/soak_deployment.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 from tests.soak_callers import READING_DATABASE, WRITING_DATABASE, Caller
 from tests.soak_checker import Checker
@@ -16,6 +17,7 @@
 from tests.soak_proxies import Proxies
 from tests.soak_record import Record
 from tests.soak_statement_callers import StatementCaller
+from tests.soak_statement_checker import DEFAULT_KEY
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 PROXY_ZONES = ("zone-a", "zone-a", "zone-b", "zone-c")
@@ -39,7 +41,7 @@
     }
 
 
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "config_version": 3,
     "routes": [
         _route(WRITING_DATABASE, "primary"),
@@ -61,8 +63,15 @@
         folder: Path,
         stack: AsyncExitStack,
         callers: Sequence[type[Caller | StatementCaller]] = CALLERS,
+        configuration: dict[str, Any] = CONFIGURATION,
+        keys: Sequence[Sequence[str]] = ((DEFAULT_KEY,),),
     ) -> None:
-        """Create the parts; files are kept in `folder`, each proxy has `callers`."""
+        """Create the parts; files are kept in `folder`.
+
+        Each proxy has `callers` for each organisation, who use its keys in turn; `keys`
+        has those of each organisation.
+        """
+        self.configuration = configuration
         self.record = Record()
         self.checker = Checker(self.record)
         self.group = SoakGroup(random.Random(rng.random()), self.record, self.checker)
@@ -77,14 +86,18 @@
         self._stack = stack
         self._folder = folder
         self._database_count = 0
-        self.servers = DatabaseServers(self.group, stack)
+        self._keys = keys
+        (service,) = configuration["services"]
+        cap = service["max_connections"]
+        self.checker.statements.connections.max_connections = cap
+        self.servers = DatabaseServers(self.group, stack, cap)
 
     async def start(self) -> None:
         """Start all parts, and wait until the proxies are ready."""
         self._stack.callback(self.record.write, self._folder / "record.txt")
         self._stack.push_async_callback(self.group.close)
         address = await self.group.store.start(self._stack, f"{self._network}.1")
-        self.group.store.put("op", "config", json.dumps(CONFIGURATION).encode())
+        self.group.store.put("op", "config", json.dumps(self.configuration).encode())
         for number, zone in enumerate(ZONES):
             database = self.create_database(f"{self._network}.{number + 11}", zone)
             database.is_primary = number == 0
@@ -95,10 +108,13 @@
             await self.servers.start(database)
         self.group.spawn(self.group.run())
         await self.proxies.start(self._stack, address)
-        pairs = itertools.product(self.proxies.all, self._callers)
-        for number, (proxy, kind) in enumerate(pairs):
+        pairs = itertools.product(
+            self.proxies.all, self._keys, enumerate(self._callers)
+        )
+        for number, (proxy, keys, (index, kind)) in enumerate(pairs):
             caller_rng = random.Random(self._rng.random())
-            caller = kind(number, proxy, self.checker, caller_rng)
+            key = keys[index % len(keys)]
+            caller = kind(number, proxy, self.checker, caller_rng, key)
             self.group.spawn(caller.run())
         await self.wait_for_writes()
 
--- a/tests/soak_proxies.py
+++ b/tests/soak_proxies.py
@@ -60,7 +60,7 @@
         self._ready = Address(ip, free_port(ip))
         self._internal_port = free_port(ip)
         self._settings = folder / f"{name}.json"
-        self._log = folder / f"{name}.log"
+        self.log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -104,7 +104,7 @@
             "PYTHONPATH": str(SOURCE),
             SETTINGS_VARIABLE: str(self._settings),
         }
-        with self._log.open("ab") as log:
+        with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 self.command(),
                 cwd=ROOT,
@@ -193,6 +193,14 @@
         proxy.send(signal.SIGTERM)
         await proxy.ended()
 
+    async def freeze(self, proxy: ProxyProcess, seconds: float) -> None:
+        """Let a proxy do nothing for some seconds."""
+        self._record.add(f"freeze {proxy.name} for {seconds:.2f} s")
+        proxy.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        proxy.send(signal.SIGCONT)
+        self._record.add(f"thaw {proxy.name}")
+
     def reload(self, proxy: ProxyProcess) -> None:
         """Ask a proxy to read its settings again."""
         self._record.add(f"reload {proxy.name}")
--- a/tests/soak_statement_callers.py
+++ b/tests/soak_statement_callers.py
@@ -13,7 +13,7 @@
 )
 from tests.soak_checker import Checker
 from tests.soak_proxies import ProxyProcess
-from tests.soak_statement_checker import Answer, Sent
+from tests.soak_statement_checker import DEFAULT_KEY, Answer, Sent
 from tests.soak_statement_texts import (
     BLANK_SHAPES,
     NAMES,
@@ -42,10 +42,16 @@
     shapes = SHAPES
 
     def __init__(
-        self, number: int, proxy: ProxyProcess, checker: Checker, rng: random.Random
+        self,
+        number: int,
+        proxy: ProxyProcess,
+        checker: Checker,
+        rng: random.Random,
+        key: str = DEFAULT_KEY,
     ) -> None:
         """Create a caller; its statements' identifiers begin with `number`."""
         self._number = number
+        self._key = key
         self._proxy = proxy
         self._checker = checker
         self._rng = rng
@@ -76,7 +82,9 @@
 
     async def _connect(self) -> None:
         kind = type(self).__name__
-        session = self._checker.statements.open_session(f"{kind} {self._number}")
+        session = self._checker.statements.open_session(
+            f"{kind} {self._number}", self._key
+        )
         database = READING_DATABASE if self._is_reader else WRITING_DATABASE
         self._prepared = {}
         self._connection = await CallerConnection.open(self._proxy, database, session)
--- a/tests/soak_statement_checker.py
+++ b/tests/soak_statement_checker.py
@@ -22,7 +22,10 @@
     UnreadableError,
     read_statement,
 )
+from tests.soak_connection_record import ConnectionRecord
 
+# What callers give as their key where there are no organisations.
+DEFAULT_KEY = "soak"
 # The identifier of statements that the system issues itself.
 SYSTEM = "-"
 # A delay of the soak's event loop from which on a caller's loss is told with it, and
@@ -79,9 +82,14 @@
 
 @dataclass
 class SentSession:
-    """What a caller sent on one connection, in order."""
+    """What a caller sent on one connection, in order.
+
+    `key` is that of its startup, and `proxy` the IP address that it connected to.
+    """
 
     caller: str
+    key: str = DEFAULT_KEY
+    proxy: str = ""
     sent: list[Sent] = field(default_factory=list)
 
     def send(self, identifier: str, text: str) -> Sent:
@@ -106,16 +114,17 @@
         self.answers: Counter[str] = Counter()
         # What each connection of a database received, with the state before it.
         self.lines: defaultdict[int, list[str]] = defaultdict(list)
-        self._sessions: list[SentSession] = []
+        self.connections = ConnectionRecord(find)
+        self.sessions: list[SentSession] = []
         self._ran: defaultdict[str, list[Ran]] = defaultdict(list)
         self._transactions: dict[tuple[int, int], tuple[int, int]] = {}
         self._suspects: set[int] = set()
         self._places: dict[tuple[int, int], tuple[int, int]] = {}
 
-    def open_session(self, caller: str) -> SentSession:
+    def open_session(self, caller: str, key: str = DEFAULT_KEY) -> SentSession:
         """Return the record of a new session of a caller."""
-        session = SentSession(caller)
-        self._sessions.append(session)
+        session = SentSession(caller, key)
+        self.sessions.append(session)
         return session
 
     def record_run(self, ran: Ran) -> None:
@@ -164,7 +173,7 @@
     def finish(self) -> None:
         """Check all that was recorded."""
         unasked = dict(self._ran)
-        for number, session in enumerate(self._sessions):
+        for number, session in enumerate(self.sessions):
             walk = _Walk(self, number)
             for sent in session.sent:
                 is_named = sent.identifier not in ("", SYSTEM)
