--- a/tests/test_forwarding_soak.py
+++ b/tests/test_forwarding_soak.py
@@ -37,7 +37,7 @@
     name: [f"{name}-{number}-59d1c7e03b" for number in (1, 2)]
     for name in ("bakery", "florist", "grocer")
 }
-# One less would be enough for each proxy to have a connection for each organisation.
+# With one more, each proxy could have a connection for each organisation.
 MAX_CONNECTIONS = len(PROXY_ZONES) * len(KEYS) - 1
 
 
