--- a/src/beryltiller/platform/caller_connection.py
+++ b/src/beryltiller/platform/caller_connection.py
@@ -354,9 +354,7 @@
     def _open(self, database_name: str, key: str) -> None:
         session = self._service.open_session(database_name, key)
         if isinstance(session, Code):
-            is_denied = session is Code.DENIED
-            reason = "the key gives no access" if is_denied else database_name
-            self._refuse(session, reason)
+            self._refuse(session, _startup_refusal(session, database_name, key))
             return
         self._session = session
         self._stop_startup_timer()
@@ -397,3 +395,11 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
             self._idle_timer = None
+
+
+def _startup_refusal(code: Code, database_name: str, key: str) -> str:
+    """Return the reason for a refused startup, which never has the key in it."""
+    if code is Code.DENIED:
+        return "the key gives no access"
+    # Without a second field, the first one may be the key.
+    return database_name if key else "no route has the database name"
--- a/src/beryltiller/platform/wire.py
+++ b/src/beryltiller/platform/wire.py
@@ -34,6 +34,8 @@
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 NO_VALUE = "-"
+# The longest first word of a caller's line that an error quotes.
+MAX_SHOWN_WORD = 10
 # Who connects to a database for callers of no organisation, or for the proxy itself.
 PROXY_USER = "beryltiller"
 # What the proxy adds to a statement is shorter than this.
@@ -109,7 +111,9 @@
             return Startup(database_name, key)
         case "TERMINATE":
             return Terminate()
-    raise WireError(f"unknown word {word[:40]!r}")
+    # A malformed startup may have the caller's key in its first word.
+    shown = f" {word!r}" if word.isalpha() and len(word) <= MAX_SHOWN_WORD else ""
+    raise WireError(f"unknown word{shown}")
 
 
 def _decode_query(rest: str) -> Query:
--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from beryltiller.core.ports import LostAnswerError, PortError, RefusedError, Write
+from beryltiller.core.ports import (
+    HistoryLostError,
+    LostAnswerError,
+    PortError,
+    RefusedError,
+    Write,
+)
 from beryltiller.membership.members import Member, Members, MemberState
 from beryltiller.membership.messages import (
     Message,
@@ -306,6 +312,8 @@
                 return await call
         except TimeoutError as error:
             raise LostAnswerError("the store did not reply in time") from error
+        except HistoryLostError as error:
+            raise LostAnswerError("the store has lost its history") from error
 
     def _lose(self, shard: _Shard, reason: str) -> None:
         shard.allocator = None
