Give holders larger pools, and forwarded statements the time for the way back

A holder's own deadline lay behind the sender's by the way there, so that its refusal came as a lost reply; and six holders with six connections each ran out in turns. Whether this helps is being measured.

--- a/src/beryltiller/sessions/forwarding/forwarding_client.py
+++ b/src/beryltiller/sessions/forwarding/forwarding_client.py
@@ -39,6 +39,11 @@
 
 # How many holders a statement is sent to before this proxy runs it.
 MAX_HOLDERS = 3
+# A holder ends a statement this long before its timeout, so that its reply arrives in
+# time: a lost reply says less than the holder's own one. Between regions it is two
+# round trips.
+TRANSIT_SECONDS = 0.02
+REGION_TRANSIT_SECONDS = 0.12
 # A read is tried elsewhere if a holder has not replied within the route's objective,
 # or within this time if that is longer.
 MIN_READ_WAIT_SECONDS = 0.3
@@ -209,7 +214,7 @@
     ) -> Reply:
         left = asked.deadline - self._clock()
         wait = max(MIN_READ_WAIT_SECONDS, asked.route.objective_seconds)
-        message = self._message(session, asked)
+        message = self._message(session, asked, holder.address)
         return await self._exchange(
             holder.address, message, left if is_write else min(left, wait)
         )
@@ -224,7 +229,7 @@
     ) -> Reply:
         """Send a statement of a transaction, and record how the transaction stands."""
         message = replace_message(
-            self._message(session, asked),
+            self._message(session, asked, remote.address),
             transaction=remote.number,
             begins=begins,
             is_read_only=transaction.is_read_only,
@@ -264,13 +269,16 @@
             raise PeerLostError("a reply of an unexpected kind")
         return reply
 
-    def _message(self, session: Session, asked: _Forwarded) -> SessionStatement:
+    def _message(
+        self, session: Session, asked: _Forwarded, address: str
+    ) -> SessionStatement:
+        """Return the message to a holder, whose reply has to arrive in time."""
         now = self._clock()
         service = asked.route.service
         unplaced_at = session.unplaced_commits.get(service)
         return SessionStatement(
             self._sender,
-            codec.encode_route(asked.route),
+            codec.encode_route(self._route_for(asked.route, address)),
             session.organisation,
             asked.identifier,
             codec.encode_statement(asked.statement, session.prepared),
@@ -280,6 +288,24 @@
             codec.age_ms(now - asked.arrived),
         )
 
+    def _route_for(self, route: Route, address: str) -> Route:
+        """Return a route whose timeout leaves the time for the way back."""
+        timeout = route.timeout_seconds
+        transit = TRANSIT_SECONDS
+        if self._regions.are_several and not self._is_in_own_region(address):
+            transit = REGION_TRANSIT_SECONDS
+        return replace(route, timeout_seconds=max(timeout / 2, timeout - transit))
+
+    def _is_in_own_region(self, address: str) -> bool:
+        members = self._plan.members
+        if members is None:
+            return True
+        own = self._regions.of(members.me.availability_zone)
+        zones = (
+            each.availability_zone for each in members.others if each.address == address
+        )
+        return all(self._regions.of(zone) == own for zone in zones)
+
     def _holders(self, session: Session, asked: _Forwarded) -> Iterator[Member]:
         """Yield the holders to try; end where this proxy is to run the statement."""
         choice = self.choose(
--- a/src/beryltiller/sessions/forwarding/holders.py
+++ b/src/beryltiller/sessions/forwarding/holders.py
@@ -17,12 +17,13 @@
 
 from beryltiller.membership.members import Member
 
-# Each holder may have at least this many connections to a database, so that it can
-# run several statements at once and keep connections of several organisations.
-MIN_CONNECTIONS = 6
+# Each holder may have at least this many connections to a database. Transactions keep
+# connections between their statements, and a few large pools run out less often than
+# many small ones.
+MIN_CONNECTIONS = 10
 # The fraction of a database's connection limit that its holders use. The rest is for
 # status queries and commands, and for proxies with another view of the members.
-HELD_SHARE = 0.8
+HELD_SHARE = 0.9
 _HASH_RANGE = 1 << 64
 
 
@@ -61,8 +62,8 @@
 def share(max_connections: int, holding: int) -> int:
     """Return how many connections to a database each of the holders may have.
 
-    >>> share(46, holding=6)
-    6
+    >>> share(46, holding=3)
+    13
     """
     return max(1, int(max_connections * HELD_SHARE) // max(1, holding))
 
