--- a/tests/test_forwarded_limits.py
+++ b/tests/test_forwarded_limits.py
@@ -1,6 +1,7 @@
 """Tests of forwarded statements that are malformed, unknown or too large to answer."""
 
 import asyncio
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -17,7 +18,9 @@
 )
 from beryltiller.sessions.forwarding import forwarded_sessions, forwarding_codec
 from beryltiller.sessions.forwarding.forwarded_sessions import ForwardedSessions
-from beryltiller.sessions.statements import Code, Reply, SessionState, Write
+from beryltiller.sessions.organisations import Organisation, Organisations, Quota
+from beryltiller.sessions.session import Session
+from beryltiller.sessions.statements import Code, Read, Reply, SessionState, Write
 from tests.forwarding_fixture import ForwardingFixture
 from tests.virtual_loop import run_virtual, virtual_now
 
@@ -105,3 +108,37 @@
         limit = forwarded_sessions.REPLY_OVERHEAD_BYTES + 5
         with mock.patch.object(forwarded_sessions, "MAX_MESSAGE_BYTES", limit):
             run_virtual(work())
+
+    def test_each_run_of_a_read_is_admitted(self) -> None:
+        """Guards against more reads at the databases than the quota admits."""
+
+        async def work() -> None:
+            fixture = ForwardingFixture()
+            proxy = fixture.others[0]
+            acme = Organisation("acme", quota=Quota(5.0, 10.0))
+            for each in fixture.proxies:
+                present = each.group.fleet.configuration
+                assert present is not None
+                each.group.fleet.adopt(
+                    dataclasses.replace(
+                        present,
+                        version=present.version + 1,
+                        organisations=Organisations.of(((acme, ("key",)),)),
+                    )
+                )
+            fixture.update_members()
+            quotas = mock.Mock(admit=mock.AsyncMock(return_value=None))
+            proxy.group.service.enforce_quotas(quotas)
+            fixture.faults(fixture.holder).loses_replies = True
+            session = proxy.group.service.open_session("db", "key")
+            assert isinstance(session, Session)
+            reply = await proxy.group.run(session, Read("i"))
+            self.assertTrue(reply.is_success)
+            databases = fixture.holder.group.databases
+            read = sum(
+                each.statement_names().count("Read") for each in databases.values()
+            )
+            self.assertEqual(quotas.admit.await_count, read)
+            fixture.close()
+
+        run_virtual(work())
