--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -239,6 +239,10 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.is_deaf = False
+        # How often it receives what the primary has written, as a replica.
+        self.receive_s = 0.003
+        self.received_at = 0.0
+        self.sessions = set()
         # The IP addresses of proxies, and the names of databases, without a path here.
         self.cut_from = set()
         self.lost_store_at = None
@@ -378,6 +382,9 @@
         primary = max(others, key=lambda each: each.term)
         if primary.term < database.term:
             return
+        if now() < database.received_at + database.receive_s:
+            return
+        database.received_at = now()
         database.term = primary.term
         length = min(len(database.log), len(primary.log))
         while length and database.log[length - 1] != primary.log[length - 1]:
@@ -428,6 +435,7 @@
         self.peer = writer.get_extra_info("peername")[0]
 
     async def serve(self):
+        self.database.sessions.add(self)
         try:
             if not await self.accept():
                 return
@@ -437,6 +445,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.database.sessions.discard(self)
             self.writer.transport.abort()
 
     async def line(self):
