--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import json
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from standins import CLIENT_ERRORS, Client, now, run_case  # noqa: E402
@@ -133,4 +136,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, FOLDER, proxies=4)
+    run_case(case, FOLDER, TROUBLE, proxies=4)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,13 @@
 """A replica whose fence ends with the promotion receives from the old primary again."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from standins import CLIENT_ERRORS, Client, now, run_case  # noqa: E402
@@ -120,4 +123,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, FOLDER, proxies=4)
+    run_case(case, FOLDER, TROUBLE, proxies=4)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -831,10 +831,8 @@
         Path(self.folder).rmdir()
 
 
-def run_case(case, folder, proxies=3):
+def run_case(case, folder, trouble, proxies=3):
     """Run `case(deployment, trouble)`; it returns the findings. Exit as a script."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-
     async def main():
         deployment = Deployment(folder, proxies)
         try:
