Log how the end of a process that leaves the in-sync set was shown

The row tells which process was removed, but nothing told why it was taken to have ended: by silence, a refused connection, or an answer of another one. in_sync_changed names it now.

--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -110,6 +110,8 @@
     # These are marked as leaving: no receipt of theirs counts any more.
     leaving: str
     removed: str
+    # How the end of each removed one was shown, in the same order.
+    ends: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/simulated_connections.py
+++ b/tests/simulated_connections.py
@@ -10,6 +10,7 @@
 from beryltiller.sessions.errors import (
     BrokenError,
     NoCapacityError,
+    NotRunningError,
     NotSentError,
     ReplacedError,
     SessionError,
@@ -259,6 +260,8 @@
     """Connect a proxy to a database by its entry, or to any if it names none."""
     await caller.pass_gate()
     host = database.address
+    if group.network.refuses and group.network.is_cut(caller.name, host):
+        raise NotRunningError(Code.WRONG_DATABASE, "refused by a cut")
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
             is_connected = await group.network.transfer(caller.name, host)
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -16,6 +16,7 @@
     """Links between named nodes, which can be cut, lose answers and be slow.
 
     While it `holds_up_commands`, connections deliver some commands late, and no answer.
+    While it `refuses`, new connections over a link that is cut are refused at once.
     """
 
     def __init__(self, rng: random.Random, late_share: float) -> None:
@@ -24,6 +25,7 @@
         self._cuts: dict[frozenset[str], int] = {}
         self.is_slow = False
         self.holds_up_commands = False
+        self.refuses = False
 
     def cut(self, one: str, other: str) -> None:
         """Cut a link; each cut must be mended."""
--- a/tests/test_turned_away_serving.py
+++ b/tests/test_turned_away_serving.py
@@ -1,4 +1,4 @@
-"""Tests of what proxies serve while the store turns them away and nothing else is wrong."""
+"""Tests of what proxies serve while the store turns them away."""
 
 import asyncio
 import unittest
--- a/tests/turned_away_callers.py
+++ b/tests/turned_away_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from beryltiller.sessions.databases.catalog import RouteKind
 from beryltiller.sessions.session import Session
@@ -28,7 +29,7 @@
         """Return the longest time without an acknowledged write, in seconds."""
         within = [each for each in self.written_at if since < each < until]
         moments = [since, *within, until]
-        return max(b - a for a, b in zip(moments, moments[1:], strict=False))
+        return max(b - a for a, b in pairwise(moments))
 
     def failures(self, since: float, until: float) -> list[str]:
         """Return the codes of the statements that failed in a span of time."""
