Date what is known of the store's tables by the store's clock

A proxy that reads the store by a feeder could not tell how old its knowledge is: the moment until which it knows a table was that of its own last call, often that at its start. A call that waited for changes dated them by its begin, up to 1.5 s too early.

Each answer states the store's steady time. An older release states nothing, and dates nothing.

test_table_follower and test_relay pass, with tests of both; before, the first moment was that of the question, and a feeder dated nothing.

--- a/src/beryltiller/core/ports.py
+++ b/src/beryltiller/core/ports.py
@@ -56,11 +56,13 @@
     """The result of reading a table: all rows or those changed.
 
     `revision` numbers the state of the table service that was read. Later commits have
-    higher numbers, so that a reader can ask for the changes after it.
+    higher numbers, so that a reader can ask for the changes after it. `now_ms` is the
+    time of that state by the service's steady clock, if it tells.
     """
 
     revision: int
     rows: tuple[Row, ...]
+    now_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +104,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """The changes of a table up to a revision; `removed` lists deleted keys."""
+    """The changes of a table up to a revision; `removed` lists deleted keys.
+
+    `now_ms` is the time of that state by the service's steady clock, if it tells.
+    """
 
     revision: int
     rows: tuple[Row, ...]
     removed: tuple[str, ...] = ()
+    now_ms: int | None = None
 
 
 def ignore_large() -> None:
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -49,6 +49,7 @@
 from beryltiller.sessions.succession.runner import SuccessionRunner
 from beryltiller.sessions.tables.relay import Feeder, feeder_lease_keys
 from beryltiller.sessions.tables.relay_runner import ANNOUNCE_SECONDS, RelayRunner
+from beryltiller.sessions.tables.store_time import StoreTime
 from beryltiller.sessions.tables.table_follower import Rows, TableFollower
 
 # One message of the maximum size takes up to 5 MiB, and is served also where memory is
@@ -97,6 +98,7 @@
         zone = settings.availability_zone
         self._fleet = Fleet(self._connect, zone, boot_clock, settings.regions)
         max_caller_bytes = total_bytes(settings.memory_bytes)
+        self._store_time = StoreTime()
         self._placer = Placer(
             zone,
             settings.drain_seconds - DRAIN_MARGIN_SECONDS,
@@ -236,7 +238,13 @@
     def _follow(self, table: str, on_rows: Callable[[Rows], None]) -> TableFollower:
         relay_runner = self._relay_runner
         follower = TableFollower(
-            self._store, table, on_rows, self._rng, relay_runner, clock=boot_clock
+            self._store,
+            table,
+            on_rows,
+            self._rng,
+            relay_runner,
+            clock=boot_clock,
+            store_time=self._store_time,
         )
         if relay_runner is not None:
             relay_runner.add_follower(follower)
@@ -282,7 +290,9 @@
             return None
         own = Feeder(self._settings.host_name, str(address))
         keys = feeder_lease_keys(self._settings.availability_zone)
-        relay_runner = RelayRunner(own, keys, self._store, self._rng, boot_clock)
+        relay_runner = RelayRunner(
+            own, keys, self._store, self._rng, boot_clock, self._store_time
+        )
         broadcast = Broadcast(str(address), relay_runner.receive)
         try:
             broadcast.open(stack)
--- a/src/beryltiller/platform/store.py
+++ b/src/beryltiller/platform/store.py
@@ -130,6 +130,7 @@
         rows: list[Row] = []
         start = ""
         revision: int | None = None
+        now_ms: int | None = None
         while True:
             query = {"table_name": table, "part": "", "result_limit": str(PAGE_ROWS)}
             if start:
@@ -139,10 +140,11 @@
             rows.extend(page)
             if revision is None:
                 revision = join_revision(era, model.row_version)
+                now_ms = model.current_time_ms
             if revisions.era_of(revision) != era:
                 raise LostAnswerError("the store was restored between two pages")
             if not model.has_more or not model.rows:
-                return TableRows(revision, tuple(rows))
+                return TableRows(revision, tuple(rows), now_ms)
             last = max((row.key for row in page), default="")
             if last < start or not page:
                 raise LostAnswerError(
@@ -208,6 +210,7 @@
             join_revision(era, model.row_version),
             tuple(decode_row(row, era) for row in kept),
             tuple(removed),
+            model.current_time_ms,
         )
 
     async def commit(self, writes: Sequence[Write]) -> int:
--- a/src/beryltiller/sessions/tables/relay.py
+++ b/src/beryltiller/sessions/tables/relay.py
@@ -67,13 +67,15 @@
 
     `is_reachable` is True while the feeder reaches the store, and `is_changing` while
     it receives a change that is too large to be passed on. Up to the revision
-    `read_until` it has read all changes; it is 0 in messages of releases without it.
+    `read_until` it has read all changes, and until `known_ms` by the store's clock;
+    both are 0 in messages of releases without them.
     """
 
     changed_at: Count
     is_reachable: bool
     is_changing: bool = False
     read_until: Count = 0
+    known_ms: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +192,20 @@
         )
         return max(revision, max(read, default=0))
 
+    def known_ms(self, table: str, revision: int, now: float) -> int:
+        """Return until when a proxy with all changes before a revision knows all.
+
+        That is by the store's clock, or 0 if no live feeder tells.
+        """
+        if not self.is_current(table, revision, now):
+            return 0
+        known = (
+            state.known_ms
+            for state in self._live_states(table, now)
+            if state.changed_at <= revision
+        )
+        return max(known, default=0)
+
     def _is_available(self, lease: FeederLease, now: float) -> bool:
         if lease.holder is None:
             return True
--- a/src/beryltiller/sessions/tables/relay_runner.py
+++ b/src/beryltiller/sessions/tables/relay_runner.py
@@ -15,6 +15,7 @@
     TableChange,
 )
 from beryltiller.sessions.tables.relay_messages import Packet, RelayMessageError
+from beryltiller.sessions.tables.store_time import StoreTime
 from beryltiller.sessions.tables.table_follower import TableFollower
 
 FEEDER_LEASES_TABLE = "feeders"
@@ -69,16 +70,19 @@
         store: FeederLeaseStore,
         rng: random.Random,
         clock: Callable[[], float],
+        store_time: StoreTime | None = None,
     ) -> None:
         """Create a runner that may take a lease at `keys`; call `connect` before use.
 
-        `rng` supplies random delays, so that proxies do not poll all at once.
+        `rng` supplies random delays, so that proxies do not poll all at once. The times
+        in the store's answers set `store_time`.
         """
         self._own = own
         self._keys = keys
         self._store = store
         self._rng = rng
         self._clock = clock
+        self._store_time = store_time or StoreTime()
         self._relay = Relay(own)
         self._followers: dict[str, TableFollower] = {}
         self._broadcast: BroadcastPort | None = None
@@ -109,6 +113,10 @@
         """Return up to which revision a proxy with all changes before one knows all."""
         return self._relay.known_until(table, revision, self._clock())
 
+    def known_ms(self, table: str, revision: int) -> int:
+        """Return until when such a proxy knows all, by the store's clock, or 0."""
+        return self._relay.known_ms(table, revision, self._clock())
+
     def publish(self, change: TableChange | None) -> None:
         """Send others the state of the tables, with a change if there is one.
 
@@ -193,7 +201,10 @@
         return True
 
     async def _read_leases(self) -> None:
+        asked_at = self._clock()
         scan = await self._store.read_all(FEEDER_LEASES_TABLE)
+        if scan.now_ms is not None:
+            self._store_time.record(asked_at, scan.now_ms, self._clock())
         leases = relay_messages.decode_leases(self._keys, scan.rows)
         self._relay.update_leases(leases, self._clock())
         if self._report_feeders is not None:
--- a/src/beryltiller/sessions/tables/table_follower.py
+++ b/src/beryltiller/sessions/tables/table_follower.py
@@ -22,6 +22,7 @@
 from beryltiller.observability import logs, session_events
 from beryltiller.sessions.clocks import loop_time
 from beryltiller.sessions.tables.relay import TableChange, TableState
+from beryltiller.sessions.tables.store_time import StoreTime
 
 # How long a request to the feed waits for a change. An open connection that has fallen
 # silent is found only after this time and that of an answer.
@@ -50,6 +51,10 @@
         """Return up to which revision a proxy with all changes before one knows all."""
         ...
 
+    def known_ms(self, table: str, revision: int) -> int:
+        """Return until when such a proxy knows all, by the store's clock, or 0."""
+        ...
+
     def publish(self, change: TableChange | None) -> None:
         """Send others the state of the tables, with a change if there is one."""
         ...
@@ -70,6 +75,10 @@
         """Return the revision: nobody else reads the store."""
         return revision
 
+    def known_ms(self, table: str, revision: int) -> int:
+        """Return 0: nobody else reads the store."""
+        return 0
+
     def publish(self, change: TableChange | None) -> None:
         """Do nothing: there is nobody to send changes to."""
 
@@ -89,12 +98,13 @@
         relay: RelayPort | None = None,
         wait_seconds: float = FEED_WAIT_SECONDS,
         clock: Callable[[], float] = loop_time,
+        store_time: StoreTime | None = None,
     ) -> None:
         """Call `on_rows` with all rows of the table after each change.
 
         `rng` supplies the jitter of retries. Without `relay` the store is always
         polled. A poll waits for a change for up to `wait_seconds`. `clock` dates what
-        is known.
+        is known, and `store_time` places the store's clock on it.
         """
         self._feed = feed
         self._table = table
@@ -103,6 +113,8 @@
         self._relay = relay or NoRelay()
         self._wait_seconds = wait_seconds
         self._clock = clock
+        self._store_time = store_time or StoreTime()
+        self._known_ms = 0
         self._rows: dict[str, Row] = {}
         self._revision: int | None = None
         self._changed_at = 0
@@ -139,6 +151,7 @@
             is_reachable,
             self._is_receiving_large,
             self._revision or 0,
+            self._known_ms,
         )
 
     @property
@@ -152,7 +165,8 @@
     def known_at(self) -> float:
         """Return the moment until which all changes are known.
 
-        This is when the store was asked last of those requests that it answered.
+        This is when the store gave its last answer, to this proxy or to a feeder, or
+        earlier.
         """
         return self._known_at
 
@@ -180,7 +194,12 @@
             self._apply(change.rows, change.removed, change.until)
 
     def wake(self) -> None:
-        """Make `run` check at once whether the store must be polled."""
+        """Take what feeders say, and check at once whether the store must be polled."""
+        if self._revision is not None:
+            known_ms = self._relay.known_ms(self._table, self._revision)
+            known_at = self._store_time.earliest(known_ms, self._clock())
+            if known_ms and known_at is not None:
+                self._known_at = max(self._known_at, known_at)
         self._woken.set()
 
     def _is_kept_current_by_relay(self) -> bool:
@@ -246,16 +265,25 @@
             is_later = self._revision is None or scan.revision >= self._revision
             if is_later:
                 self._replace(scan.rows, scan.revision)
-                self._record_known(asked_at)
+                self._record_known(asked_at, scan.now_ms)
             return is_later
         if changes.revision < since:
             return False
         self._take_changes(since, changes)
-        self._record_known(asked_at)
+        self._record_known(asked_at, changes.now_ms)
         return True
 
-    def _record_known(self, asked_at: float) -> None:
-        self._known_at = max(self._known_at, asked_at)
+    def _record_known(self, asked_at: float, now_ms: int | None) -> None:
+        """Record that what the store had at its time `now_ms` is known.
+
+        An answer without a time shows what it had when it was asked.
+        """
+        known_at, now = asked_at, self._clock()
+        if now_ms is not None:
+            self._store_time.record(asked_at, now_ms, now)
+            known_at = self._store_time.earliest(now_ms, now) or asked_at
+            self._known_ms = now_ms
+        self._known_at = max(self._known_at, asked_at, known_at)
 
     async def _poll_store(self) -> None:
         since = self._revision
@@ -263,7 +291,7 @@
         if since is None:
             scan = await self._feed.read_all(self._table)
             self._replace(scan.rows, scan.revision)
-            self._record_known(asked_at)
+            self._record_known(asked_at, scan.now_ms)
             self._relay.publish(
                 TableChange(self._table, 0, scan.revision, scan.rows, (), True)
             )
@@ -277,7 +305,7 @@
             # A feeder knows of a change that the store's reply does not include yet.
             await asyncio.sleep(RELAY_CHECK_SECONDS)
         self._take_changes(since, changes)
-        self._record_known(asked_at)
+        self._record_known(asked_at, changes.now_ms)
 
     def _take_changes(self, since: int, changes: Changes) -> None:
         """Apply the changes after `since`, and pass them on to others."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -90,6 +90,19 @@
         silent_at = 1.1 + MAX_ANNOUNCEMENT_AGE_SECONDS
         self.assertEqual(self.relay.known_until(TABLE, 9, silent_at), 9)
 
+    def test_feeder_tells_until_when_it_has_read_by_the_stores_clock(self) -> None:
+        cases = {
+            "knows no later change": (TableState(7, True, known_ms=20), 20),
+            "knows of a change": (TableState(10, True, known_ms=20), 0),
+            "does not reach the store": (TableState(7, False, known_ms=20), 0),
+            "tells nothing": (TableState(7, True), 0),
+        }
+        for name, (state, expected) in cases.items():
+            with self.subTest(name):
+                announcement = FeederAnnouncement(A, {TABLE: state})
+                self.relay.record_announcement(announcement, 1.0)
+                self.assertEqual(self.relay.known_ms(TABLE, 9, 1.0), expected)
+
     def test_lease_of_a_silent_holder_is_available(self) -> None:
         self.announce(B, FEEDER_TIMEOUT_SECONDS)
         self.assertIsNone(self.relay.lease_to_take(FEEDER_TIMEOUT_SECONDS))
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         self.is_live = False
         self.is_up_to_date = True
+        self.read_ms = 0
         self.published: list[TableChange | None] = []
 
     def has_live_feeder(self, table: str) -> bool:
@@ -40,6 +41,9 @@
     def known_until(self, table: str, revision: int) -> int:
         return revision
 
+    def known_ms(self, table: str, revision: int) -> int:
+        return self.read_ms
+
     def publish(self, change: TableChange | None) -> None:
         self.published.append(change)
 
@@ -131,6 +135,51 @@
 
         run_virtual(work())
 
+    def test_changes_are_known_until_the_store_answered(self) -> None:
+        """Guards against an answer that waited being taken for an old one."""
+
+        async def work() -> tuple[float, ...]:
+            feed, known = RefreshFeed(), []
+            follower = TableFollower(feed, TABLE, lambda rows: None, random.Random(1))
+            run = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            for now_ms, seconds in ((7_000, 0.0), (8_500, 1.5)):
+                refresh = asyncio.create_task(follower.refresh())
+                await asyncio.sleep(seconds)
+                feed.answers.put_nowait(Changes(14, (), (), now_ms))
+                await refresh
+                known.append(round(follower.known_at, 1))
+            run.cancel()
+            return tuple(known)
+
+        self.assertEqual(run_virtual(work()), (1.0, 2.5))
+
+    def test_what_a_feeder_has_read_is_dated_by_the_store(self) -> None:
+        """Guards against proxies that read by a feeder and know nothing's age."""
+
+        async def work() -> tuple[float, ...]:
+            feed, relay = RefreshFeed(), ScriptedRelay()
+            follower = TableFollower(
+                feed, TABLE, lambda rows: None, random.Random(1), relay
+            )
+            relay.read_ms = 9_000
+            follower.wake()
+            run = asyncio.create_task(follower.run())
+            await asyncio.sleep(1.0)
+            known = [follower.known_at]
+            feed.answers.put_nowait(Changes(14, (), (), 7_000))
+            await follower.refresh()
+            for read_ms in (0, 8_500, 60_000):
+                await asyncio.sleep(2.0)
+                relay.read_ms = read_ms
+                follower.wake()
+                known.append(round(follower.known_at, 1))
+            run.cancel()
+            return tuple(known)
+
+        # A time that cannot be yet counts as now.
+        self.assertEqual(run_virtual(work()), (0.0, 1.0, 2.5, 7.0))
+
     def test_failure_and_an_earlier_revision_are_told(self) -> None:
         for answer in (LostAnswerError("lost"), Changes(9, (), ())):
             with self.subTest(answer):
