Report without news of the store only what no unseen change can drop

The proxy counts the receipts of a replica in sync, as a promoter has to fence it and compare its log. But the promotion itself lifts that fence; a replica that does not reach the new primary then receives from the old one again, and no answer of it tells what came between.

A promoter holds each replica in sync fenced for 0.4 s before a promotion, in every path. So a chain of answers of one process, each less than that after the one before, none fenced, shows that none came (sessions.databases. continuity). A commit is reported without news only if the chain covers the moment at which its receipt was known; proofs of terms ask the same. A chain begins where announcements are known, or within 4 s of that with answers of all databases; so that all are known, one that started in these 4 s is not promoted yet. While there is no news, replicas are asked every 0.15 s unless callers' statements show as much. With a chain that has ended, writes are refused at once.

A calm proxy asks nothing more than before.

--- a/src/beryltiller/observability/logs.py
+++ b/src/beryltiller/observability/logs.py
@@ -48,6 +48,7 @@
     | session_events.EntryRefused
     | session_events.LeaderChanged
     | session_events.InSyncChanged
+    | session_events.ContinuityLost
     | session_events.ClaimRefused
     | session_events.SuccessionStarted
     | session_events.ReplicasFenced
--- a/src/beryltiller/observability/session_events.py
+++ b/src/beryltiller/observability/session_events.py
@@ -114,6 +114,18 @@
     ends: str
 
 
+@dataclass(frozen=True, slots=True)
+class ContinuityLost:
+    """Without news of the store, a change of a service's primary may have come unseen.
+
+    That is so until there is news: writes and reads at the primary are refused.
+    """
+
+    service: str
+    # For how long it has not been known that nothing came.
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimRefused:
     """This proxy could not claim the right to replace a service's primary."""
--- a/src/beryltiller/platform/node.py
+++ b/src/beryltiller/platform/node.py
@@ -33,6 +33,7 @@
 from beryltiller.process import periodic
 from beryltiller.process.actors import Part
 from beryltiller.sessions.connections.pooled_connection import DatabaseConnection
+from beryltiller.sessions.databases import continuity_watch
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
@@ -216,6 +217,8 @@
         self._spawn(
             periodic.run_every(MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance)
         )
+        watch = self._fleet.watch_continuity
+        self._spawn(periodic.run_every(continuity_watch.CHECK_SECONDS, watch))
         for check in (
             self._check_leaders,
             self._isolation.check,
--- a/src/beryltiller/sessions/databases/announced.py
+++ b/src/beryltiller/sessions/databases/announced.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from typing import Protocol
 
 # The least time between two requests for the newest announcements.
@@ -44,6 +45,7 @@
     def __init__(self) -> None:
         """Create knowledge of a proxy that `follow` gives a feed."""
         self._feed: AnnouncementFeed | None = None
+        self._entries_at: Callable[[], float] = lambda: float("inf")
         self._requested_at = float("-inf")
         self._request: asyncio.Task[bool] | None = None
 
@@ -57,6 +59,15 @@
         """Return the moment until which all that were made are known."""
         return self._feed.known_at if self._feed else float("inf")
 
+    @property
+    def entries_at(self) -> float:
+        """Return the moment until which all databases' entries are known, too."""
+        return min(self.at, self._entries_at())
+
+    def follow_entries(self, known_at: Callable[[], float]) -> None:
+        """Know the entries of databases until the moment that `known_at` returns."""
+        self._entries_at = known_at
+
     def follow(self, feed: AnnouncementFeed) -> None:
         """Know what a feed knows."""
         self._feed = feed
--- a/src/beryltiller/sessions/databases/evidence.py
+++ b/src/beryltiller/sessions/databases/evidence.py
@@ -9,7 +9,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -107,8 +107,15 @@
     True
     """
 
-    def __init__(self) -> None:
-        """Create proofs of no term."""
+    def __init__(
+        self, is_unbroken: Callable[[float], bool] = lambda moment: True
+    ) -> None:
+        """Create proofs of no term.
+
+        They count until a moment if `is_unbroken` shows that no change of primary took
+        effect unseen by then.
+        """
+        self._is_unbroken = is_unbroken
         self._unfenced_until: dict[int, float] = {}
         self._led_until: dict[int, float] = {}
         self._newest: dict[int, Evidence] = {}
@@ -131,7 +138,8 @@
     def is_proved(self, term: int, moment: float) -> bool:
         """Return True if no later term can have begun by `moment`."""
         is_unfenced = self._unfenced_until.get(term, NEVER) >= moment
-        return is_unfenced and self.is_led(term, moment)
+        is_led = is_unfenced and self.is_led(term, moment)
+        return is_led and self._is_unbroken(moment)
 
     def newest(self, term: int) -> Evidence | None:
         """Return the newest answer by which a replica was not fenced in a term."""
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -19,6 +19,7 @@
     Directory,
 )
 from beryltiller.sessions.databases.connection_pools import Connect, ConnectionPools
+from beryltiller.sessions.databases.continuity_watch import ContinuityWatch
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.in_sync_set import InSyncSet
 from beryltiller.sessions.databases.member import Member
@@ -92,6 +93,7 @@
         self._is_connected: Callable[[str], bool] = lambda service: True
         self._entry_seconds = float("inf")
         self._followed_since: float | None = None
+        self._continuity_watch = ContinuityWatch(self._status_queries.ask_status, clock)
         self._receipts = ReceiptQueries(
             self._status_queries.ask_status, self._distance, self._announced, clock
         )
@@ -219,6 +221,7 @@
         without that. Without this call no survey counts.
         """
         self._entries.read_with(read_entries, known_at)
+        self._announced.follow_entries(lambda: self._entries.known_at)
 
     def newest_registration(self) -> int:
         """Return the newest revision at which a database's entry was first read."""
@@ -233,7 +236,7 @@
         """Return a service's group of databases, creating it if necessary."""
         group = self._groups.get(service)
         if group is None:
-            group = self._groups[service] = Group(service, self._announced)
+            group = self._groups[service] = Group(service, self._announced, self._clock)
             if self._keeps_in_sync_sets:
                 group.record_in_sync(InSyncSet())
             group.update(self._directory.of_service(service), self._clock())
@@ -386,6 +389,13 @@
         """Query the status of databases that claim to lead but have stated no term."""
         await self._status_queries.confirm_leaders(self.watched_groups())
 
+    async def watch_continuity(self) -> None:
+        """Ask replicas while there is no news of changes of primary.
+
+        Call it every `continuity_watch.CHECK_SECONDS`.
+        """
+        self._continuity_watch.check(self.watched_groups())
+
     def is_local(self, member: Member) -> bool:
         """Return True if a database is in this proxy's availability zone."""
         return member.database.availability_zone == self._availability_zone
@@ -420,6 +430,7 @@
         self._surveys.close()
         self._status_queries.close()
         self._receipts.close()
+        self._continuity_watch.close()
         self._announced.close()
         self._connection_pools.close()
 
@@ -429,6 +440,7 @@
             self.group(name)
         for service, group in self._groups.items():
             group.update(self._directory.of_service(service), self._clock())
+            group.record_departed(bool(self._directory.departed_of(service)))
 
 
 def _is_unresponsive(leader: Member, now: float) -> bool:
--- a/src/beryltiller/sessions/databases/group_knowledge.py
+++ b/src/beryltiller/sessions/databases/group_knowledge.py
@@ -3,8 +3,15 @@
 The terms and the meaning of times are those of `groups`, which records observations.
 """
 
+from collections.abc import Callable
+
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.announced import KnownAnnouncements
+from beryltiller.sessions.databases.continuity import (
+    NEWS_SECONDS,
+    RESTART_SECONDS,
+    Continuity,
+)
 from beryltiller.sessions.databases.evidence import (
     SAMPLE_RETENTION_SECONDS,
     CommitCovers,
@@ -21,24 +28,36 @@
 from beryltiller.sessions.statements import NO_POSITION
 
 
+def no_time() -> float:
+    """Return 0 as the time of a group in which nothing grows old."""
+    return 0.0
+
+
 class GroupKnowledge:
     """One service's databases, their leader, and what the evidence shows of them."""
 
     def __init__(
-        self, service: str, announced: KnownAnnouncements | None = None
+        self,
+        service: str,
+        announced: KnownAnnouncements | None = None,
+        clock: Callable[[], float] = no_time,
     ) -> None:
         """Create a group without databases.
 
-        Answers of its replicas prove terms by what is `announced`.
+        Answers of its replicas prove terms by what is `announced`. `clock` tells how
+        old that is.
         """
         self.service = service
+        self._clock = clock
         self._announced = announced or KnownAnnouncements()
         self.members: dict[str, Member] = {}
         self._leadership = Leadership()
-        self._proofs = TermProofs()
+        self._continuity = Continuity()
+        self._proofs = TermProofs(self.is_unbroken)
         self._covers = CommitCovers(self._proofs)
         self._changes = ChangeTracker()
         self._in_sync: InSyncSet | None = None
+        self._has_departed = False
 
     @property
     def in_sync(self) -> InSyncSet | None:
@@ -55,6 +74,47 @@
             return True
         return member is not None and self._in_sync.counts(member.database)
 
+    @property
+    def has_news(self) -> bool:
+        """Return True if announcements arrive, as far as can be known by now."""
+        return self.is_known_within(NEWS_SECONDS)
+
+    def is_known_within(self, seconds: float) -> bool:
+        """Return True if announcements are known until some seconds ago, or later."""
+        return self._clock() <= self._announced.at + seconds
+
+    @property
+    def settled_at(self) -> float:
+        """Return until when all changes of primary are known that still matter.
+
+        A connection that was opened before leads to a process that the promoter of any
+        other change has yet to ask.
+        """
+        return max(self._announced.at, self._continuity.settled_at)
+
+    @property
+    def unbroken_until(self) -> float:
+        """Return until when no change of primary took effect unseen, for certain."""
+        return max(self._announced.at, self._continuity.until)
+
+    def is_unbroken(self, moment: float) -> bool:
+        """Return True if no change of primary took effect unseen by a moment.
+
+        While announcements arrive, a change is heard of before it takes effect.
+        """
+        return self.unbroken_until >= moment or self.has_news
+
+    @property
+    def may_be_unbroken(self) -> bool:
+        """Return True if what is sent now may be found to precede any unseen change.
+
+        A chain of answers that has ended begins again soon after the last news only.
+        """
+        now = self._clock()
+        return self.is_unbroken(now) or (
+            now <= self._announced.entries_at + RESTART_SECONDS
+        )
+
     @property
     def announced(self) -> KnownAnnouncements:
         """Return what is known of the announcements that were made."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -20,6 +20,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.continuity import RESTART_SECONDS, Unfenced
 from beryltiller.sessions.databases.evidence import (
     NO_PROOF_SECONDS,
     TERM_PROOF_SECONDS,
@@ -72,8 +73,13 @@
         )
         if any(is_lost):
             self._covers.record_lost_log(now)
+            self._continuity.keep_only(set(self.members.values()))
         self._choose_leader()
 
+    def record_departed(self, has_departed: bool) -> None:
+        """Record whether a database of the group may run without an entry."""
+        self._has_departed = has_departed
+
     def record_lead_denied(self, member: Member) -> None:
         """Record that a database turned out not to be the primary.
 
@@ -104,7 +110,7 @@
         if position.term > self._leadership.term:
             self._enter_term(position.term)
         if member is not self.leader:
-            if connected_at < self.announced.at:
+            if connected_at < self.settled_at:
                 self._record_replica_position(member, position)
         elif member.lead is not None and member.lead.includes(position):
             self._record_leader_position(member, member.lead, position, asked_at)
@@ -141,7 +147,7 @@
         replicas = len(self.replicas)
         answered = [status for member, status in statuses if member is not self.leader]
         is_unfenced = not any(status.fenced_term for status in answered)
-        is_known = all(status.connected_at < self.announced.at for status in answered)
+        is_known = all(status.connected_at < self.settled_at for status in answered)
         lasting = TERM_PROOF_SECONDS if is_unfenced and is_known else 0.0
         if len(answered) < replicas:
             lasting = 0.0 if len(answered) == replicas - 1 else NO_PROOF_SECONDS
@@ -177,6 +183,7 @@
         leader = self.leader
         if leader is None or member is leader or status.is_primary:
             return
+        self._record_continuity(member, status, asked_at)
         if status.term == leader.reported_primary_term and not status.fenced_term:
             kind, until = EvidenceKind.STATUS, asked_at + proof_seconds
             self._extend_proof(status.term, member, kind, asked_at, until)
@@ -248,10 +255,60 @@
                 return
             if sample.term == position.term and sample.position < position:
                 kind = EvidenceKind.REPLICA_POSITION
+                self._record_unfenced(member, sample.asked_at)
                 self._extend_lead(position.term, sample.asked_at)
                 self._extend_proof(position.term, member, kind, sample.asked_at, until)
                 return
 
+    def _record_continuity(
+        self, member: Member, status: DatabaseStatus, asked_at: float
+    ) -> None:
+        """Record that a replica was not promoted, and perhaps not fenced either."""
+        is_settled = status.connected_at < self.settled_at
+        member.record_replica_shown(asked_at, is_settled and not status.fenced_term)
+        if is_settled and not status.fenced_term:
+            self._record_unfenced(member, asked_at)
+        self._record_full_round()
+
+    def _record_unfenced(self, member: Member, asked_at: float) -> None:
+        if not self.is_in_sync(member):
+            return
+        self._continuity.record_news(self._announced.at)
+        answer = Unfenced(member, asked_at, self._clock())
+        self._continuity.record_unfenced(answer)
+
+    def _record_full_round(self) -> None:
+        """Record until when all that may be promoted have shown to be replicas.
+
+        One that has started a moment ago is not promoted (`succession.comparison`): so
+        this proxy knows all of them for a while after its last news.
+        """
+        candidates = self._candidates()
+        if not candidates:
+            return
+        known_until = self._announced.entries_at + RESTART_SECONDS
+        asked_at = min(each.replica_shown_at for each in candidates)
+        if asked_at <= known_until:
+            self._continuity.record_round(asked_at, is_unfenced=False)
+        asked_at = min(each.unfenced_shown_at for each in candidates)
+        if asked_at <= known_until:
+            self._continuity.record_round(asked_at, is_unfenced=True)
+
+    def _candidates(self) -> tuple[Member, ...]:
+        """Return all databases but the leader, or none if one cannot be asked.
+
+        One whose entry has gone a while ago may run and be promoted, too.
+        """
+        if self._has_departed:
+            return ()
+        in_sync = self._in_sync.processes if self._in_sync else ()
+        is_complete = all(
+            (member := self.members.get(each.identifier)) is not None
+            and each.is_of(member.database)
+            for each in in_sync
+        )
+        return self.replicas if is_complete else ()
+
     def _extend_proof(
         self,
         term: int,
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -105,6 +105,8 @@
         self.registered_revision = database.revision
         self._status_asked_at = NEVER
         self._process_known_until = NEVER
+        self._replica_shown_at = NEVER
+        self._unfenced_shown_at = NEVER
         self._fenced_since: float | None = None
 
     @property
@@ -225,6 +227,22 @@
         """Return when it was asked for its newest status as a replica."""
         return self._status_asked_at
 
+    @property
+    def replica_shown_at(self) -> float:
+        """Return when it was asked last of those times that it was not primary."""
+        return self._replica_shown_at
+
+    @property
+    def unfenced_shown_at(self) -> float:
+        """Return when it was asked last of those times that no fence held it."""
+        return self._unfenced_shown_at
+
+    def record_replica_shown(self, asked_at: float, is_unfenced: bool) -> None:
+        """Record that it was not primary at some moment since it was asked."""
+        self._replica_shown_at = max(self._replica_shown_at, asked_at)
+        if is_unfenced:
+            self._unfenced_shown_at = max(self._unfenced_shown_at, asked_at)
+
     def record_process_known(self, moment: float) -> None:
         """Record that the process of the entry ran at some time since `moment`.
 
--- a/src/beryltiller/sessions/databases/receipt_queries.py
+++ b/src/beryltiller/sessions/databases/receipt_queries.py
@@ -32,14 +32,18 @@
 AskStatus = Callable[[Member], Awaitable[DatabaseStatus]]
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(slots=True, eq=False)
 class _WaitingCommit:
-    """A commit that `source` acknowledged, and since when its receipt is awaited."""
+    """A commit that `source` acknowledged, and since when its receipt is awaited.
+
+    Its receipt was known at `shown_at`, or is not yet.
+    """
 
     source: Member
     position: Position
     since: float
     is_received: asyncio.Future[bool]
+    shown_at: float | None = None
 
 
 class ReceiptQueries:
@@ -94,10 +98,10 @@
         Return False at `deadline`, or once a later term is known, in which the commit
         may have been dropped.
         """
-        if self._is_received(group, source, position):
-            return True
         is_received = asyncio.get_running_loop().create_future()
         commit = _WaitingCommit(source, position, self._clock(), is_received)
+        if self._is_received(group, commit):
+            return True
         waiting = self._waiting.setdefault(group.service, [])
         waiting.append(commit)
         self._start_rounds(group)
@@ -140,7 +144,7 @@
             each for each in self._waiting[group.service] if not each.is_received.done()
         ]
         for each in waiting:
-            if self._is_received(group, each.source, each.position):
+            if self._is_received(group, each):
                 each.is_received.set_result(True)
             elif group.term > each.position.term:
                 each.is_received.set_result(False)
@@ -148,12 +152,26 @@
                 self._announced.request()
         return not all(each.is_received.done() for each in waiting)
 
-    def _is_received(self, group: Group, source: Member, position: Position) -> bool:
-        announced = self._announced
-        pending = group.changes.pending_names(self._clock())
-        return receipts.is_received(
-            group, source, position, announced.until, announced.at, pending
-        )
+    def _is_received(self, group: Group, commit: _WaitingCommit) -> bool:
+        """Return True if every promotion keeps a commit.
+
+        None may have taken effect by the time at which its receipt was known: it lifts
+        the fence of a replica that it has compared before, which receives on.
+        """
+        if commit.shown_at is None:
+            pending = group.changes.pending_names(self._clock())
+            is_shown = receipts.is_received(
+                group,
+                commit.source,
+                commit.position,
+                self._announced.until,
+                group.settled_at,
+                pending,
+            )
+            if not is_shown:
+                return False
+            commit.shown_at = self._clock()
+        return group.is_unbroken(commit.shown_at)
 
     def _is_shown(self, group: Group, source: Member, position: Position) -> bool:
         """Return True if a replica shows a commit, on a connection of whatever age."""
--- a/src/beryltiller/sessions/running/commits.py
+++ b/src/beryltiller/sessions/running/commits.py
@@ -37,7 +37,7 @@
         def holds(name: str) -> bool:
             if position is None:
                 return False
-            return receipts.holds(group, name, source, position, group.announced.at)
+            return receipts.holds(group, name, source, position, group.settled_at)
 
         if group.changes.drops(position, group.term, self._clock(), holds):
             raise BrokenError("a change of primary may drop the commit")
@@ -78,6 +78,8 @@
     def _may_show_receipt(self, group: Group) -> bool:
         """Return False if it is known that a commit's receipt would not be shown."""
         queries = self._fleet.receipts
+        if not group.may_be_unbroken:
+            return False
         leader = group.leader
         if leader is not None and not group.is_in_sync(leader):
             return False
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -264,11 +264,14 @@
 ) -> str:
     """Return the replica with the most advanced log, or "" if there is none.
 
+    One that became known a moment ago is no successor yet: a proxy without news could
+    not tell that all databases it knows are replicas still, and this one is primary.
     Among equal logs, replicas that are not draining are preferred, then those that an
     earlier request may promote, as that then changes nothing, and the current choice.
     """
     names = [name for name, each in answers.items() if each.received == longest]
-    names = [name for name in names if name not in succession.refused_successors]
+    excluded = succession.refused_successors | view.young
+    names = [name for name in names if name not in excluded]
     current_choice = succession.successor
     names.sort(
         key=lambda name: (
--- a/src/beryltiller/sessions/succession/events.py
+++ b/src/beryltiller/sessions/succession/events.py
@@ -47,6 +47,7 @@
     `reported` is the newest position known of a commit that a proxy has reported, and
     `pending` are the databases that a promotion requested before may still promote.
     `has_working_replica` is False if every replica has failed since its last answer.
+    `young` are the databases, or starts of them, that became known a moment ago.
     """
 
     service: str
@@ -69,6 +70,7 @@
     reported: Position = ORIGIN
     pending: frozenset[str] = frozenset()
     has_working_replica: bool = True
+    young: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/succession/observer.py
+++ b/src/beryltiller/sessions/succession/observer.py
@@ -5,6 +5,7 @@
 
 from beryltiller.core.position import Position
 from beryltiller.observability import logs
+from beryltiller.sessions.databases.continuity import RESTART_SECONDS
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
@@ -17,6 +18,9 @@
 from beryltiller.sessions.succession.leader_changes import leader_change
 from beryltiller.sessions.succession.report_lines import Noticed, log_reports
 
+# Within `RESTART_SECONDS`, the clocks of two proxies differ by less than this.
+YOUNG_MARGIN_SECONDS = 0.2
+
 
 class GroupObserver:
     """Observes a fleet's groups, and remembers since when a condition has held."""
@@ -61,7 +65,7 @@
     def _view(self, group: Group, now: float) -> GroupView:
         leader = group.leader
         service = group.service
-        self.known_databases(service, now)
+        known = self.known_databases(service, now)
         if leader is not None:
             self._primaryless_since.pop(service, None)
             failing_since = leader.failing_since
@@ -99,6 +103,7 @@
             group.changes.reported_anywhere,
             group.changes.pending_names(now),
             any(member.failing_since is None for member in group.replicas),
+            _young(known, now) if group.in_sync else frozenset(),
         )
 
     def _record_primaryless(self, group: Group, now: float) -> None:
@@ -182,3 +187,14 @@
         and member.led_term == group.term
         and (reached := known_log(member)) is not None
     }
+
+
+def _young(known: Mapping[str, Known], now: float) -> frozenset[str]:
+    """Return the databases that proxies without news may not have heard of yet.
+
+    These count a group as complete for a while after their last news.
+    """
+    since = now - RESTART_SECONDS - YOUNG_MARGIN_SECONDS
+    return frozenset(
+        name for name, each in known.items() if each.incarnation_since > since
+    )
--- a/tests/simulated_proxy.py
+++ b/tests/simulated_proxy.py
@@ -6,6 +6,7 @@
 
 from beryltiller.core.ports import RefusedError
 from beryltiller.sessions.databases.catalog import Database
+from beryltiller.sessions.databases.continuity_watch import CHECK_SECONDS
 from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.placement import Placer
 from beryltiller.sessions.databases.registry import Registry
@@ -88,6 +89,7 @@
             self._check,
             self._maintain,
             self._keep_in_sync,
+            self._watch_continuity,
         )
         self._tasks = [simulation.group.spawn(each()) for each in loops]
 
@@ -187,6 +189,12 @@
             await self.runner.check_fences()
             await self.fleet.confirm_leaders()
 
+    async def _watch_continuity(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            await self.pass_gate()
+            await self.fleet.watch_continuity()
+
     async def _keep_in_sync(self) -> None:
         while True:
             await asyncio.sleep(0.1)
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -8,6 +8,8 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases import receipts
 from beryltiller.sessions.databases.catalog import Directory, RouteKind
+from beryltiller.sessions.databases.continuity_watch import CHECK_SECONDS
+from beryltiller.sessions.databases.evidence import TERM_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.receipt_queries import MAX_WAIT_SECONDS
 from beryltiller.sessions.statements import (
@@ -21,7 +23,7 @@
     Write,
 )
 from tests.fake_announcements import FakeAnnouncementFeed
-from tests.fake_group import FakeDatabase, GroupFixture
+from tests.fake_group import FakeDatabase, GroupFixture, read_same_entries
 from tests.virtual_loop import run_virtual, virtual_now
 
 
@@ -42,6 +44,22 @@
     group.record_status(group.members[name], status, at)
 
 
+def follow_news(fixture: GroupFixture) -> FakeAnnouncementFeed:
+    """Let a proxy follow announcements, and entries as of the same moment."""
+    announcements = FakeAnnouncementFeed(known_at=-1.0)
+    fixture.fleet.follow_announcements(announcements)
+    fixture.fleet.read_entries_with(read_same_entries, lambda: announcements.known_at)
+    return announcements
+
+
+async def watch(fixture: GroupFixture, seconds: float) -> None:
+    """Let a proxy without news keep itself sure of its groups for some seconds."""
+    until = virtual_now() + seconds
+    while virtual_now() < until:
+        await fixture.fleet.watch_continuity()
+        await asyncio.sleep(CHECK_SECONDS)
+
+
 def run_with_fixture(work: Callable[[GroupFixture], Awaitable[None]]) -> None:
     """Run a test with a fixture on a virtual clock."""
 
@@ -273,18 +291,38 @@
         self,
     ) -> None:
         async def work(fixture: GroupFixture) -> None:
-            announcements = FakeAnnouncementFeed(known_at=-1.0)
-            fixture.fleet.follow_announcements(announcements)
+            announcements = follow_news(fixture)
             await fixture.run(fixture.session(), Write("i", "d"))
             announcements.is_reachable = False
             for _ in range(20):
-                await asyncio.sleep(0.5)
+                await watch(fixture, 0.5)
                 fixture.fleet.close_idle()
                 reply = await fixture.run(fixture.session(), Write("i", "d"))
                 self.assertTrue(reply.is_success, reply.text)
 
         run_with_fixture(work)
 
+    def test_no_receipt_counts_after_a_gap_without_announcements(self) -> None:
+        """Guards against a fence that has come and gone while nobody looked."""
+
+        async def work(fixture: GroupFixture) -> None:
+            announcements = follow_news(fixture)
+            await fixture.run(fixture.session(), Write("i", "d"))
+            announcements.is_reachable = False
+            await watch(fixture, 5.0)
+            sent = len(fixture.leader.ran)
+            await asyncio.sleep(TERM_PROOF_SECONDS + 0.1)
+            await watch(fixture, 1.0)
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertIs(reply.code, Code.BUSY)
+            self.assertEqual(len(fixture.leader.ran), sent)
+            announcements.is_reachable = True
+            await announcements.refresh()
+            reply = await fixture.run(fixture.session(), Write("i", "d"))
+            self.assertTrue(reply.is_success, reply.text)
+
+        run_with_fixture(work)
+
     def test_write_is_not_sent_without_a_replica_that_could_show_it(self) -> None:
         async def work(fixture: GroupFixture) -> None:
             fixture.fleet.register(
--- /dev/null
+++ b/tests/test_turned_away_reports.py
@@ -0,0 +1,131 @@
+"""Tests of what a proxy without news of the store must not report or answer."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from tests.simulated_checker import Findings
+from tests.simulated_databases import SimulatedGroup
+from tests.simulated_lifecycle import Lifecycle
+from tests.simulated_proxy import SimulatedProxy
+from tests.simulated_sessions import Simulation
+from tests.turned_away_callers import Served, call
+
+SEEDS = range(4)
+
+
+async def until(simulation: Simulation, moment: float) -> None:
+    """Wait until a moment of the run."""
+    await asyncio.sleep(max(0.0, moment - simulation.now()))
+
+
+def cut_all(simulation: Simulation, inside: list[str], outside: list[str]) -> None:
+    """Cut the links between two sets of nodes."""
+    simulation.checker.trace(f"cut {inside} from {outside}")
+    for one in inside:
+        for other in outside:
+            simulation.network.cut(one, other)
+
+
+def mend_all(simulation: Simulation, inside: list[str], outside: list[str]) -> None:
+    """Mend the links between two sets of nodes."""
+    for one in inside:
+        for other in outside:
+            simulation.network.mend(one, other)
+
+
+class LiftedFenceTest(unittest.TestCase):
+    """A replica whose fence ended with a promotion receives from the old primary again.
+
+    The store turns a proxy away. Another one loses its path to the primary, and has a
+    replica promoted. From the promotion call on that replica is cut off, so that the
+    other one does not follow it.
+    """
+
+    def run_promotion(
+        self, seed: int, calls_at: float, has_follower: bool = False
+    ) -> tuple[Findings, list[Served]]:
+        """Run with a caller of the refused proxy that begins at a moment.
+
+        With `has_follower` a fourth database, which the refused proxy has not heard of,
+        follows the promoted one.
+        """
+        served = Served()
+        promoted = asyncio.Event()
+        promote = SimulatedGroup.promote
+
+        async def promote_and_note(group: SimulatedGroup, identifier: str) -> None:
+            await promote(group, identifier)
+            leading.append(identifier)
+            promoted.set()
+
+        leading: list[str] = []
+
+        async def fault(simulation: Simulation) -> None:
+            primary = simulation.group.databases[0]
+            refused, promoter = simulation.proxies[-1], simulation.proxies[0]
+            await until(simulation, 6.0)
+            refused.is_refused_by_store = True
+            if has_follower:
+                await Lifecycle(simulation).join(3.0, 0.1)
+            await until(simulation, 9.5)
+            simulation.network.cut(primary.host, promoter.name)
+            await promoted.wait()
+            await self._cut_promoted(simulation, refused, leading[0])
+            simulation.network.mend(primary.host, promoter.name)
+            await asyncio.sleep(2.0)
+            refused.is_refused_by_store = False
+
+        async def caller(simulation: Simulation) -> None:
+            await until(simulation, calls_at)
+            await call(simulation, simulation.proxies[-1], 20.0, served)
+
+        simulation = Simulation(seed, (fault, caller), seconds=20.0, sessions=6)
+        with mock.patch.object(SimulatedGroup, "promote", promote_and_note):
+            findings = simulation.run()
+        self.assertGreater(findings.promotions, 0)
+        return findings, [served]
+
+    async def _cut_promoted(
+        self, simulation: Simulation, refused: SimulatedProxy, leading: str
+    ) -> None:
+        """Cut the promoted database, and who follows it, off from the others."""
+        databases = simulation.group.databases
+        inside = [
+            each.host
+            for each in databases
+            if each.identifier == leading or each.identifier.startswith("j")
+        ]
+        outside = [each.host for each in databases if each.host not in inside]
+        outside.append(refused.name)
+        cut_all(simulation, inside, outside)
+        await asyncio.sleep(5.0)
+        mend_all(simulation, inside, outside)
+
+    def test_no_commit_of_the_old_primary_is_reported(self) -> None:
+        """Guards against receipts of a replica whose fence has come and gone."""
+        for calls_at in (3.0, 8.0, 11.5):
+            broken = {}
+            for seed in SEEDS:
+                findings, _ = self.run_promotion(seed, calls_at)
+                if not findings.is_clean:
+                    broken[seed] = (
+                        len(findings.lost),
+                        len(findings.replaced_commits),
+                        len(findings.stale_answers),
+                    )
+            with self.subTest(calls_at=calls_at):
+                self.assertEqual(broken, {})
+
+    def test_no_read_at_the_old_primary_is_stale(self) -> None:
+        """Guards against proofs of a term by a replica that no fence holds any more."""
+        broken = {}
+        for seed in SEEDS:
+            findings, _ = self.run_promotion(seed, 3.0, has_follower=True)
+            if not findings.is_clean:
+                broken[seed] = (len(findings.lost), len(findings.stale_answers))
+        self.assertEqual(broken, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
