Keep chains of answers whole under load, with one question at a time

Callers of a proxy without news were refused although nothing had come: under load the pool had only connections that were opened later, whose answers do not count, and an answer that came before a chain had begun was forgotten.

While there is no news, a replica is asked on one connection that is kept for it. Answers that came too early are linked once more is known.

--- a/src/beryltiller/sessions/databases/continuity.py
+++ b/src/beryltiller/sessions/databases/continuity.py
@@ -18,6 +18,7 @@
 Times are seconds on the caller's clock, passed in.
 """
 
+from collections import deque
 from dataclasses import dataclass
 
 from beryltiller.sessions.databases.evidence import TERM_PROOF_SECONDS
@@ -29,6 +30,8 @@
 # One that is not known yet is not promoted before, and a promotion that was requested
 # and has had no effect still holds its fences.
 RESTART_SECONDS = 4.0
+# Of one replica, answers before the latest ones are not linked to its chain later.
+MAX_LOOSE = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
         self._until = NEVER
         self._settled_at = NEVER
         self._chains: dict[Member, Unfenced] = {}
+        self._loose: dict[Member, deque[Unfenced]] = {}
 
     @property
     def until(self) -> float:
@@ -88,22 +92,39 @@
         if is_unfenced:
             self._until = max(self._until, asked_at + TERM_PROOF_SECONDS)
             self._settled_at = max(self._settled_at, asked_at)
+        self._link()
 
     def record_unfenced(self, answer: Unfenced) -> None:
-        """Record an answer that continues a chain, or has come too late to do so."""
-        chain = self._chains.get(answer.member)
-        known_until = max(self._until, _end(chain))
-        if answer.answered_at > known_until:
-            return
+        """Record an answer, which continues a chain now or once more is known."""
+        loose = self._loose.setdefault(answer.member, deque(maxlen=MAX_LOOSE))
+        loose.append(answer)
+        self._link()
+
+    def _link(self) -> None:
+        """Let chains go on with the answers that came in time."""
+        linked = True
+        while linked:
+            linked = any(map(self._link_one, self._loose.values()))
+
+    def _link_one(self, loose: deque[Unfenced]) -> bool:
+        """Link the earliest loose answer of a replica; return True if there was one."""
+        if not loose:
+            return False
+        chain = self._chains.get(loose[0].member)
+        if loose[0].answered_at > max(self._until, _end(chain)):
+            return False
+        answer = loose.popleft()
         if chain is None or answer.asked_at > chain.asked_at:
             self._chains[answer.member] = answer
         self._until = max(self._until, _end(answer))
         self._settled_at = max(self._settled_at, answer.asked_at)
+        return True
 
     def keep_only(self, members: set[Member]) -> None:
         """Forget the chains of all others."""
-        for member in self._chains.keys() - members:
-            del self._chains[member]
+        for member in self._loose.keys() - members:
+            del self._loose[member]
+            self._chains.pop(member, None)
 
 
 def _end(answer: Unfenced | None) -> float:
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -93,7 +93,7 @@
         self._is_connected: Callable[[str], bool] = lambda service: True
         self._entry_seconds = float("inf")
         self._followed_since: float | None = None
-        self._continuity_watch = ContinuityWatch(self._status_queries.ask_status, clock)
+        self._continuity_watch = ContinuityWatch(self._query_pool, clock)
         self._receipts = ReceiptQueries(
             self._status_queries.ask_status, self._distance, self._announced, clock
         )
--- a/src/beryltiller/sessions/databases/member.py
+++ b/src/beryltiller/sessions/databases/member.py
@@ -72,7 +72,8 @@
     be the primary. `primary_serial` is higher the later this proxy observed that it
     became primary. `lead` is the newest term in which it is known to be primary, or
     None if it was not asked and has acknowledged no commit. `registered_revision` is
-    the revision of the store at which this proxy first read its entry.
+    the revision of the store at which this proxy first read its entry. `watched_at` is
+    when it was asked last because there is no news of the store.
     """
 
     def __init__(self, database: Database) -> None:
@@ -105,6 +106,7 @@
         self.registered_revision = database.revision
         self._status_asked_at = NEVER
         self._process_known_until = NEVER
+        self.watched_at = NEVER
         self._replica_shown_at = NEVER
         self._unfenced_shown_at = NEVER
         self._fenced_since: float | None = None
--- a/tests/test_receipts.py
+++ b/tests/test_receipts.py
@@ -294,11 +294,13 @@
             announcements = follow_news(fixture)
             await fixture.run(fixture.session(), Write("i", "d"))
             announcements.is_reachable = False
+            watching = asyncio.create_task(watch(fixture, 20.0))
             for _ in range(20):
-                await watch(fixture, 0.5)
+                await asyncio.sleep(0.5)
                 fixture.fleet.close_idle()
                 reply = await fixture.run(fixture.session(), Write("i", "d"))
                 self.assertTrue(reply.is_success, reply.text)
+            watching.cancel()
 
         run_with_fixture(work)
 
