Take a process out of the in-sync set only once no proxy counts it

A replica that drains lost its path to the store; its entry lapsed, and the keeper took a drained process without an entry as ended, without asking it. It ran on and received. A proxy that the store turned away still counted its receipts, while a promoter did not account for it any more.

A lease takes the place of the inference. A proxy counts a set for 15 s after its last news; a process that is leaving for longer, and has no entry, is counted by nobody, and is removed whether or not it runs. Before that only an answer of another database at its address, or another start of it in sync, shows the end. Promoters no longer account for a drained process by its silence. A survey counts a drained process in sync as one that may have received commits. In the row such processes are listed apart, as lapsed, and accounted for.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -13,7 +13,7 @@
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.observability import logs, session_events
 from beryltiller.platform.store import StoreClient
-from beryltiller.sessions.databases.in_sync_set import InSyncProcess
+from beryltiller.sessions.databases.in_sync_set import InSyncProcess, process_key
 from beryltiller.sessions.databases.primary_change import (
     PendingPromotion,
     PrimaryChange,
@@ -50,8 +50,9 @@
 
     Without an objection its position is 0:0. `token` is the fencing token of the
     promoter's claim. Earlier releases write no `begun_term`, `later_term`,
-    `successor_term`, `asked`, `lacking`, `in_sync`, `successor`, `pending` and the
-    position `reported_...`.
+    `successor_term`, `asked`, `lacking`, `in_sync`, `successor`, `pending`, `lapsed`
+    and the position `reported_...`. The processes that are `lapsed` have no entry any
+    more; promoters account for them like for those in sync.
     """
 
     token: Count
@@ -72,6 +73,7 @@
     reported_index: Count = 0
     successor: str = ""
     pending: tuple[PendingModel, ...] = ()
+    lapsed: tuple[InSyncModel, ...] = ()
 
 
 class StoredAnnouncements:
@@ -104,7 +106,7 @@
             announcement.successor_term,
             announcement.asked,
             bounded_names(announcement.lacking),
-            tuple(map(_encode_process, announcement.in_sync)),
+            _encode_processes(announcement.in_sync, has_lapsed=False),
             announcement.reported.term,
             announcement.reported.index,
             announcement.successor,
@@ -112,6 +114,7 @@
                 PendingModel(each.token, each.identifier)
                 for each in announcement.pending
             ),
+            _encode_processes(announcement.in_sync, has_lapsed=True),
         )
         value = msgspec.json.encode(model)
         write = Write(CHANGES_TABLE, announcement.service, announcement.version, value)
@@ -143,7 +146,7 @@
         model.successor_term,
         model.asked,
         bounded_names(model.lacking),
-        tuple(map(_decode_process, model.in_sync)),
+        _decode_processes(model),
         Position(model.reported_term, model.reported_index),
         model.successor,
         tuple(PendingPromotion(each.token, each.id) for each in model.pending),
@@ -151,6 +154,15 @@
     )
 
 
+def _encode_processes(
+    processes: tuple[InSyncProcess, ...], has_lapsed: bool
+) -> tuple[InSyncModel, ...]:
+    """Return the models of the processes that have lapsed, or of the others."""
+    return tuple(
+        _encode_process(each) for each in processes if each.has_lapsed == has_lapsed
+    )
+
+
 def _encode_process(process: InSyncProcess) -> InSyncModel:
     return InSyncModel(
         process.identifier,
@@ -163,7 +175,16 @@
     )
 
 
-def _decode_process(model: InSyncModel) -> InSyncProcess:
+def _decode_processes(model: AnnouncementModel) -> tuple[InSyncProcess, ...]:
+    """Return all processes that promoters account for, in the order of their names."""
+    processes = [
+        *(_decode_process(each, has_lapsed=False) for each in model.in_sync),
+        *(_decode_process(each, has_lapsed=True) for each in model.lapsed),
+    ]
+    return tuple(sorted(processes, key=process_key))
+
+
+def _decode_process(model: InSyncModel, has_lapsed: bool) -> InSyncProcess:
     return InSyncProcess(
         model.id,
         model.born,
@@ -172,4 +193,5 @@
         model.slots,
         model.is_leaving,
         model.has_drained,
+        has_lapsed,
     )
--- a/src/beryltiller/sessions/databases/group_knowledge.py
+++ b/src/beryltiller/sessions/databases/group_knowledge.py
@@ -21,7 +21,11 @@
     Sample,
     TermProofs,
 )
-from beryltiller.sessions.databases.in_sync_set import InSyncSet
+from beryltiller.sessions.databases.in_sync_set import (
+    SET_LEASE_SECONDS,
+    InSyncSet,
+    LeavingProcesses,
+)
 from beryltiller.sessions.databases.leadership import Leadership
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.databases.primary_change import ChangeTracker, PrimaryChange
@@ -57,6 +61,7 @@
         self._covers = CommitCovers(self._proofs)
         self._changes = ChangeTracker()
         self._in_sync: InSyncSet | None = None
+        self._leaving = LeavingProcesses()
         self._has_departed = False
 
     @property
@@ -74,6 +79,19 @@
             return True
         return member is not None and self._in_sync.counts(member.database)
 
+    @property
+    def leaving(self) -> LeavingProcesses:
+        """Return since when processes in sync have been known to be leaving."""
+        return self._leaving
+
+    @property
+    def is_set_current(self) -> bool:
+        """Return True if the set is known as of recently, or none is kept.
+
+        Otherwise others may have removed processes from it that run on.
+        """
+        return self._in_sync is None or self.is_known_within(SET_LEASE_SECONDS)
+
     @property
     def has_news(self) -> bool:
         """Return True if announcements arrive, as far as can be known by now."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -42,6 +42,7 @@
     def record_in_sync(self, in_sync: InSyncSet) -> None:
         """Record which processes are in sync; receipts of others do not count."""
         self._in_sync = in_sync
+        self._leaving.record(in_sync, self._clock())
 
     def update(self, databases: tuple[Database, ...], now: float) -> None:
         """Replace the group's databases by those that are registered now.
@@ -271,7 +272,7 @@
         self._record_full_round()
 
     def _record_unfenced(self, member: Member, asked_at: float) -> None:
-        if not self.is_in_sync(member):
+        if not (self.is_set_current and self.is_in_sync(member)):
             return
         self._continuity.record_news(self._announced.at)
         answer = Unfenced(member, asked_at, self._clock())
--- a/src/beryltiller/sessions/databases/in_sync.py
+++ b/src/beryltiller/sessions/databases/in_sync.py
@@ -2,9 +2,10 @@
 
 A process joins once it has caught up with the primary. It leaves in two steps. First it
 is marked as leaving: no receipt of it counts any more, and promoters still account for
-it. It is removed once it has ended, and two others hold all that was acknowledged until
-then. Proxies that have not read the mark count receipts only on connections that were
-opened before it, which have ended with the process.
+it. It is removed once it has ended, or no proxy counts it any more, and two others hold
+all that was acknowledged until then. Proxies that have not read the mark count receipts
+on connections that were opened before it, which end with the process, and for no longer
+than `SET_LEASE_SECONDS`.
 
 The functions are pure.
 """
@@ -17,6 +18,7 @@
 from beryltiller.sessions.databases.in_sync_set import (
     InSyncProcess,
     InSyncSet,
+    process_key,
     process_of,
 )
 from beryltiller.sessions.databases.member import Member
@@ -53,16 +55,16 @@
         >>> [each.incarnation for each in change.apply(InSyncSet((old,))).processes]
         [2]
         """
-        left = {_key(each): each for each in present.processes}
+        left = {process_key(each): each for each in present.processes}
         for each in self.leaving:
-            if _key(each) in left:
-                left[_key(each)] = each
+            if process_key(each) in left:
+                left[process_key(each)] = each
         for each in self.removed:
             # One that is not marked any more has come back.
-            if left.get(_key(each)) == each:
-                del left[_key(each)]
+            if left.get(process_key(each)) == each:
+                del left[process_key(each)]
         for each in self.joining:
-            left[_key(each)] = each
+            left[process_key(each)] = each
         return InSyncSet(tuple(left[key] for key in sorted(left)))
 
 
@@ -109,12 +111,17 @@
         and is_caught_up(group, each)
     )
     draining = [each for each in registered if each.is_draining]
+    reporting = [each for each in registered if each.identifier not in lapsed]
     leaving = []
     for each in present.processes:
-        has_drained = any(map(each.is_of, draining)) or each.has_drained
-        is_known = each.is_leaving and each.has_drained == has_drained
-        if not is_known and not any(map(each.is_of, staying)):
-            leaving.append(replace(each, is_leaving=True, has_drained=has_drained))
+        marked = replace(
+            each,
+            is_leaving=True,
+            has_drained=any(map(each.is_of, draining)) or each.has_drained,
+            has_lapsed=not any(map(each.is_of, reporting)),
+        )
+        if marked != each and not any(map(each.is_of, staying)):
+            leaving.append(marked)
     return InSyncChange(joining, tuple(leaving))
 
 
@@ -171,7 +178,3 @@
         if (shown := each.shown_before(known_at)) is not None and shown >= log_end
     ]
     return 1 + len(reached) >= COPIES
-
-
-def _key(process: InSyncProcess) -> tuple[str, int]:
-    return process.identifier, process.incarnation
--- a/src/beryltiller/sessions/databases/in_sync_set.py
+++ b/src/beryltiller/sessions/databases/in_sync_set.py
@@ -4,12 +4,21 @@
 the primary that acknowledged it and a replica that has received it are both in the set.
 So each reported commit is in the logs of two of its processes, and a promoter that
 started a moment ago knows all processes that it has to account for.
+
+A proxy without news of the store does not learn that a process leaves. It counts the
+set as it knows it for `SET_LEASE_SECONDS`, and no process after that. So one that has
+been leaving for longer is counted by nobody: it is removed, whether or not it runs.
 """
 
 from dataclasses import dataclass
 
 from beryltiller.sessions.databases.catalog import Database
 
+# How long what a proxy knows of a set counts, from when the store had it so.
+SET_LEASE_SECONDS = 15.0
+# Within that time, the clocks of two proxies differ by less than this.
+LEASE_MARGIN_SECONDS = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class InSyncProcess:
@@ -17,7 +26,8 @@
 
     `address`, `availability_zone` and `slots` are those of its entry, for when that has
     gone. While it `is_leaving` no receipt of it counts, and promoters account for it.
-    One that `has_drained` has announced its end: it is over once its entry has gone.
+    One that `has_drained` has announced its end. One that `has_lapsed` had no entry any
+    more when that was written; whether it runs is not known.
     """
 
     identifier: str
@@ -27,6 +37,7 @@
     slots: int
     is_leaving: bool = False
     has_drained: bool = False
+    has_lapsed: bool = False
 
     def is_of(self, database: Database) -> bool:
         """Return True if an entry is that of this process."""
@@ -51,6 +62,11 @@
         )
 
 
+def process_key(process: InSyncProcess) -> tuple[str, int]:
+    """Return what tells a process from all others, in the order of names."""
+    return process.identifier, process.incarnation
+
+
 def process_of(database: Database) -> InSyncProcess:
     """Return the process that an entry is of."""
     return InSyncProcess(
@@ -82,3 +98,32 @@
         """Return True if what the process of an entry has received is kept."""
         process = self.find(database)
         return process is not None and not process.is_leaving
+
+
+class LeavingProcesses:
+    """Since when this proxy has known the processes of a set to be leaving.
+
+    >>> process = InSyncProcess("d", 7, "127.0.0.1:1", "a", 2, is_leaving=True)
+    >>> leaving = LeavingProcesses()
+    >>> leaving.record(InSyncSet((process,)), now=1.0)
+    >>> leaving.is_uncounted(process, now=16.0), leaving.is_uncounted(process, now=17.0)
+    (False, True)
+    """
+
+    def __init__(self) -> None:
+        """Create a record of no process."""
+        self._since: dict[tuple[str, int], float] = {}
+
+    def record(self, in_sync: InSyncSet, now: float) -> None:
+        """Record the set that the store keeps, as it is known now."""
+        keys = [process_key(each) for each in in_sync.processes if each.is_leaving]
+        self._since = {key: self._since.get(key, now) for key in keys}
+
+    def since(self, process: InSyncProcess) -> float | None:
+        """Return since when a process has been known to be leaving, or None."""
+        return self._since.get(process_key(process))
+
+    def is_uncounted(self, process: InSyncProcess, now: float) -> bool:
+        """Return True if no proxy counts a process any more."""
+        since = self._since.get(process_key(process), now)
+        return now > since + SET_LEASE_SECONDS + LEASE_MARGIN_SECONDS
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -16,7 +16,8 @@
 the connection was opened on which it came.
 
 Both processes must be in the group's in-sync set, if the store keeps one: a promoter
-that started later accounts for those in it.
+that started later accounts for those in it. The set must be known as of recently, as
+others remove processes from it.
 
 The functions are pure.
 """
@@ -43,7 +44,7 @@
     was primary in the commit's term itself does not hold a copy. The log of a draining
     replica is soon gone: it counts only if there is no other one.
     """
-    if not group.is_in_sync(source):
+    if not (group.is_set_current and group.is_in_sync(source)):
         return False
     if not all(holds(group, name, source, position, announced_at) for name in pending):
         return False
@@ -55,14 +56,10 @@
         and group.is_in_sync(replica)
     ]
     lasting = [each for each in replicas if not each.database.is_draining]
-    shown = [
-        each.shown_before(announced_at)
-        for each in lasting or replicas
-        if each.registered_revision <= announced_revision
-    ]
     return any(
-        each is not None and each.term == position.term and each >= position
-        for each in shown
+        each.registered_revision <= announced_revision
+        and _has_shown(each, position, announced_at)
+        for each in lasting or replicas
     )
 
 
@@ -81,7 +78,10 @@
     member = group.members.get(name)
     if member is None:
         return False
-    if member is source:
-        return True
+    return member is source or _has_shown(member, position, announced_at)
+
+
+def _has_shown(member: Member, position: Position, announced_at: float) -> bool:
+    """Return True if a replica has shown a commit, as a process that counts."""
     shown = member.shown_before(announced_at)
     return shown is not None and shown.term == position.term and shown >= position
--- a/src/beryltiller/sessions/databases/surveys.py
+++ b/src/beryltiller/sessions/databases/surveys.py
@@ -11,6 +11,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Departed, Directory
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.in_sync_set import InSyncSet
 from beryltiller.sessions.databases.member import NEVER, Member
 from beryltiller.sessions.databases.present_entries import PresentEntries
 from beryltiller.sessions.databases.status_queries import StatusQueries
@@ -109,9 +110,7 @@
         try:
             members = tuple(group.members.values())
             failing_since = _failing_since(group)
-            departed = self._directory().possibly_receiving_of(
-                group.service, failing_since, asked_at
-            )
+            departed = self._possibly_receiving(group, failing_since, asked_at)
             applied = [member.applied or NO_POSITION for member in members]
             statuses = await asyncio.gather(
                 *map(self._status_queries.status_or_none, members)
@@ -169,9 +168,7 @@
             # A process that just started may not know of departed databases that
             # hold commits, so the survey could miss these commits.
             return False
-        departed = self._directory().possibly_receiving_of(
-            group.service, found.failing_since, found.asked_at
-        )
+        departed = self._possibly_receiving(group, found.failing_since, found.asked_at)
         if departed != found.departed:
             return False
         if set(group.members.values()) != set(found.members):
@@ -179,6 +176,22 @@
         needed = len(found.members) + len(departed) - 1
         return bool(found.positions) and len(found.positions) >= needed
 
+    def _possibly_receiving(
+        self, group: Group, failing_since: float, now: float
+    ) -> tuple[Departed, ...]:
+        """Return the departed databases that may have received reported commits.
+
+        One that is in sync counts for proxies without news, also once it has drained.
+        """
+        directory = self._directory()
+        receiving = directory.possibly_receiving_of(group.service, failing_since, now)
+        in_sync = group.in_sync or InSyncSet()
+        return tuple(
+            each
+            for each in directory.departed_of(group.service)
+            if each in receiving or in_sync.find(each.database) is not None
+        )
+
 
 def _failing_since(group: Group) -> float:
     """Return since when the leader has failed, or `NEVER` without such a leader.
--- a/src/beryltiller/sessions/running/commits.py
+++ b/src/beryltiller/sessions/running/commits.py
@@ -78,7 +78,7 @@
     def _may_show_receipt(self, group: Group) -> bool:
         """Return False if it is known that a commit's receipt would not be shown."""
         queries = self._fleet.receipts
-        if not group.may_be_unbroken:
+        if not (group.is_set_current and group.may_be_unbroken):
             return False
         leader = group.leader
         if leader is not None and not group.is_in_sync(leader):
--- a/src/beryltiller/sessions/succession/attempts.py
+++ b/src/beryltiller/sessions/succession/attempts.py
@@ -1,6 +1,8 @@
 """When things that may fail for long are tried again, more seldom with each attempt."""
 
 import random
+from collections.abc import Callable, Hashable
+from typing import Generic, TypeVar
 
 from beryltiller.core.budgets import BackoffPolicy, backoff_seconds
 
@@ -8,18 +10,21 @@
 ASKING = BackoffPolicy(first_seconds=0.3, max_seconds=30.0)
 
 
-class Attempts:
+_Key = TypeVar("_Key", bound=Hashable)
+
+
+class Attempts(Generic[_Key]):
     """When each of some things is tried next; use it on a single event loop."""
 
     def __init__(self, rng: random.Random) -> None:
         """Draw the times between attempts with `rng`."""
         self._rng = rng
-        self._made: dict[object, int] = {}
-        self._next_at: dict[object, float] = {}
+        self._made: dict[_Key, int] = {}
+        self._next_at: dict[_Key, float] = {}
 
     def is_due(
         self,
-        key: object,
+        key: _Key,
         now: float,
         first_delay: float = 0.0,
         policy: BackoffPolicy = ASKING,
@@ -31,8 +36,8 @@
         self._next_at[key] = now + backoff_seconds(policy, made, self._rng)
         return True
 
-    def keep_only(self, keys: set[object]) -> None:
-        """Forget all others."""
-        for key in self._next_at.keys() - keys:
+    def keep_if(self, is_kept: Callable[[_Key], bool]) -> None:
+        """Forget the attempts at what is not kept."""
+        for key in [each for each in self._next_at if not is_kept(each)]:
             del self._next_at[key]
             self._made.pop(key, None)
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -136,7 +136,7 @@
             left_out[name] = reason
     missing: tuple[InSyncProcess, ...] = ()
     if not is_former_log_reached:
-        missing = _missing(view, results, left_out, longest)
+        missing = _missing(view, results, longest)
     if len(results.in_sync) >= COPIES and not _may_share_a_commit(missing):
         left_out |= dict.fromkeys(silent - left_out.keys(), LeftOut.HELD_BY_OTHERS)
     term = succession.term
@@ -188,15 +188,15 @@
 def _missing(
     view: GroupView,
     results: FenceResults,
-    left_out: Mapping[str, LeftOut],
     longest: Position,
 ) -> tuple[InSyncProcess, ...]:
     """Return the processes in sync whose logs the answers do not stand for.
 
     The log of one that has ended is held by another database that has started at its
-    address and has a log. Or it had drained before the trouble, or a process with its
-    identifier has started and answers, and a log reaches a position known to cover all
-    that was reported until then.
+    address and has a log. Or a process with its identifier has started and answers, and
+    a log reaches a position known to cover all that was reported until then. One that
+    had drained, and has no entry any more, may run on, and count for proxies without
+    news.
     """
     covered_by = view.lost_log_covered_by
     is_covered = covered_by is not None and longest >= covered_by
@@ -216,8 +216,6 @@
             return results.replacements[name].received > ORIGIN
         if name in results.replaced:
             return process.address in logs_at
-        if process.has_drained and left_out.get(name) is LeftOut.GONE:
-            return True
         registered = results.incarnations.get(name, process.incarnation)
         has_restarted = registered != process.incarnation
         return has_restarted and (name, registered) in answered and is_covered
--- a/src/beryltiller/sessions/succession/ended_processes.py
+++ b/src/beryltiller/sessions/succession/ended_processes.py
@@ -1,7 +1,9 @@
 """Which processes of an in-sync set have ended, and are not needed any more.
 
 A process is removed once it is shown to have ended, the primary in force was asked for
-the end of its log after that, and enough others hold that log.
+the end of its log after that, and enough others hold that log. Silence, a lapsed entry
+and a refused connection show no end: they may come from a cut. So a process without an
+entry is removed once no proxy counts it any more, whether or not it runs.
 """
 
 import asyncio
@@ -17,7 +19,7 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.in_sync_set import InSyncProcess
 from beryltiller.sessions.databases.member import Member
-from beryltiller.sessions.errors import NotRunningError, ReplacedError, SessionError
+from beryltiller.sessions.errors import ReplacedError, SessionError
 from beryltiller.sessions.statements import AskStatus
 from beryltiller.sessions.succession.attempts import ASKING, Attempts
 from beryltiller.sessions.succession.commands import COMMAND_TIMEOUT_SECONDS
@@ -37,9 +39,13 @@
     """How it was shown that a process does not run any more."""
 
     STARTED_AGAIN = "another start of it is in sync"
-    DRAINED = "it had drained, and its entry has gone"
-    REFUSED = "its host refuses connections"
     REPLACED = "another database answers at its address"
+    LAPSED = "it has no entry, and no proxy counts it"
+
+
+# An attempt to remove a process of a service: whether it has an entry, and whether no
+# proxy counts it any more.
+_Removal = tuple[str, InSyncProcess, bool, bool]
 
 
 class EndedProcesses:
@@ -52,8 +58,7 @@
         self._fleet = fleet
         self._rng = rng
         self._clock = clock
-        self._leaving_since: dict[tuple[str, InSyncProcess], float] = {}
-        self._removals = Attempts(rng)
+        self._removals: Attempts[_Removal] = Attempts(rng)
 
     async def due(self, group: Group) -> dict[InSyncProcess, ShownEnd]:
         """Return the processes to be removed now, and how the end of each was shown.
@@ -87,14 +92,16 @@
     def _is_removal_due(self, group: Group, process: InSyncProcess, now: float) -> bool:
         """Return True if the removal of a process is to be tried now.
 
-        Once its entry has gone it is tried again soon.
+        It is tried soon once its entry has gone, and once no proxy counts it any more.
         """
         is_local = self._fleet.is_in_zone(process.availability_zone)
-        directory = self._fleet.directory
-        name = process.identifier
-        is_registered = name in directory.databases and name not in directory.lapsed
         return self._removals.is_due(
-            (group.service, process, is_registered),
+            (
+                group.service,
+                process,
+                self._is_registered(process),
+                group.leaving.is_uncounted(process, now),
+            ),
             now,
             draw_delay(self._fleet, self._rng, {process.availability_zone}),
             LOCAL_REMOVAL if is_local else ASKING,
@@ -104,17 +111,11 @@
         """Return the processes that were marked as leaving before now."""
         present = group.in_sync.processes if group.in_sync else ()
         leaving = [each for each in present if each.is_leaving]
-        known = {(group.service, each) for each in leaving}
-        for key in self._leaving_since.keys() - known:
-            if key[0] == group.service:
-                del self._leaving_since[key]
-        for key in known:
-            self._leaving_since.setdefault(key, now)
-        self._removals.keep_only(
-            {(*key, is_there) for key in self._leaving_since for is_there in (0, 1)}
-        )
+        self._removals.keep_if(lambda key: key[0] != group.service or key[1] in leaving)
         return [
-            each for each in leaving if self._leaving_since[(group.service, each)] < now
+            each
+            for each in leaving
+            if (since := group.leaving.since(each)) is not None and since < now
         ]
 
     async def _shown_end(self, group: Group, process: InSyncProcess) -> ShownEnd | None:
@@ -129,14 +130,12 @@
                 member.database
             )
             return ShownEnd.STARTED_AGAIN if in_sync_now else None
-        is_lapsed = process.identifier in self._fleet.directory.lapsed
-        if process.has_drained and (member is None or is_lapsed):
-            return ShownEnd.DRAINED
+        is_uncounted = group.leaving.is_uncounted(process, self._clock())
+        if is_uncounted and not self._is_registered(process):
+            return ShownEnd.LAPSED
         database = process.database(group.service)
         try:
             await self._fleet.command(database, AskStatus(), COMMAND_TIMEOUT_SECONDS)
-        except NotRunningError:
-            return ShownEnd.REFUSED
         except ReplacedError:
             return ShownEnd.REPLACED
         except (SessionError, TimeoutError):
@@ -144,6 +143,11 @@
             return None
         return None
 
+    def _is_registered(self, process: InSyncProcess) -> bool:
+        """Return True if a database with the process's identifier has an entry now."""
+        directory, name = self._fleet.directory, process.identifier
+        return name in directory.databases and name not in directory.lapsed
+
     async def _leaders_log_end(self, group: Group) -> Position | None:
         """Return where the log of the primary ends that is in force now, or None."""
         leader, asked_at = group.leader, self._clock()
--- a/src/beryltiller/sessions/succession/in_sync_keeper.py
+++ b/src/beryltiller/sessions/succession/in_sync_keeper.py
@@ -59,7 +59,7 @@
         self._clock = clock
         self._pending: dict[str, _Pending] = {}
         self._ended = EndedProcesses(fleet, rng, clock)
-        self._questions = Attempts(rng)
+        self._questions: Attempts[Member] = Attempts(rng)
         self._failures: dict[str, int] = {}
         self._write_not_before: dict[str, float] = {}
 
@@ -77,9 +77,8 @@
         ]
         groups = [each for each in groups if self._is_kept(each)]
         lagging = {group: in_sync.lagging_candidates(group) for group in groups}
-        self._questions.keep_only(
-            {each for found in lagging.values() for each in found}
-        )
+        asked = {each for found in lagging.values() for each in found}
+        self._questions.keep_if(asked.__contains__)
         await asyncio.gather(
             *(self._check_group(group, found) for group, found in lagging.items())
         )
--- a/tests/test_turned_away_reports.py
+++ b/tests/test_turned_away_reports.py
@@ -5,8 +5,9 @@
 from unittest import mock
 
 from tests.simulated_checker import Findings
-from tests.simulated_databases import SimulatedGroup
+from tests.simulated_databases import SimulatedDatabase, SimulatedGroup
 from tests.simulated_lifecycle import Lifecycle
+from tests.simulated_network import STORE
 from tests.simulated_proxy import SimulatedProxy
 from tests.simulated_sessions import Simulation
 from tests.turned_away_callers import Served, call
@@ -127,5 +128,85 @@
         self.assertEqual(broken, {})
 
 
+class LapsedDrainTest(unittest.TestCase):
+    """A draining replica loses the store, and not its primary.
+
+    The store turns a proxy away. Another one loses its paths to the primary and to that
+    replica, and has another replica promoted.
+    """
+
+    def run_drain(self, seed: int, is_refusing: bool = False) -> Findings:
+        """Run; with `is_refusing` the cuts refuse connections instead of dropping them.
+
+        The replica then does not drain: its entry lapses.
+        """
+
+        async def fault(simulation: Simulation) -> None:
+            primary, _, replica = simulation.group.databases
+            refused, promoter = simulation.proxies[-1], simulation.proxies[0]
+            await until(simulation, 3.0)
+            await Lifecycle(simulation).join(4.0, 0.1)
+            refused.is_refused_by_store = True
+            simulation.network.refuses = is_refusing
+            await asyncio.sleep(0.2)
+            replica.is_draining = not is_refusing
+            await asyncio.sleep(0.8)
+            simulation.network.cut(replica.host, STORE)
+            others = [each.name for each in simulation.proxies if each is not refused]
+            if is_refusing:
+                cut_all(simulation, [replica.host], others)
+            await self._until_removed(simulation, replica)
+            if not is_refusing:
+                cut_all(simulation, [replica.host], [promoter.name])
+            simulation.network.cut(primary.host, promoter.name)
+            await asyncio.sleep(5.0)
+            simulation.network.mend(primary.host, promoter.name)
+            simulation.network.mend(replica.host, STORE)
+            mended = others if is_refusing else [promoter.name]
+            mend_all(simulation, [replica.host], mended)
+            await asyncio.sleep(2.0)
+            refused.is_refused_by_store = False
+
+        async def caller(simulation: Simulation) -> None:
+            await until(simulation, 5.0)
+            refused = simulation.proxies[-1]
+            await call(simulation, refused, 22.0, Served())
+
+        simulation = Simulation(seed, (fault, caller), seconds=22.0, sessions=6)
+        return simulation.run()
+
+    async def _until_removed(
+        self, simulation: Simulation, replica: SimulatedDatabase
+    ) -> None:
+        """Wait until a replica is not in sync any more, or for some seconds."""
+        deadline = simulation.now() + 6.0
+        while simulation.now() < deadline:
+            row = simulation.store.announcements.get("s")
+            names = {each.identifier for each in row.in_sync} if row else set()
+            if replica.identifier not in names:
+                return
+            await asyncio.sleep(0.05)
+
+    def check(self, is_refusing: bool) -> None:
+        broken = {}
+        for seed in SEEDS:
+            findings = self.run_drain(seed, is_refusing)
+            if not findings.is_clean:
+                broken[seed] = (
+                    len(findings.lost),
+                    len(findings.replaced_commits),
+                    len(findings.stale_answers),
+                )
+        self.assertEqual(broken, {})
+
+    def test_draining_replica_without_an_entry_has_not_ended(self) -> None:
+        """Guards against a set that drops a process which still counts elsewhere."""
+        self.check(is_refusing=False)
+
+    def test_refused_connection_does_not_show_an_end(self) -> None:
+        """Guards against a cut that refuses connections taken for an ended process."""
+        self.check(is_refusing=True)
+
+
 if __name__ == "__main__":
     unittest.main()
