Keep the order of the processes in a row

A row with a lapsed process was read back in another order than it was written, so that a write whose answer was lost did not know itself again. The set is in the order in which the row lists it, the lapsed ones last. test_joined_text_properties failed, and passes.

--- a/src/beryltiller/platform/announcements.py
+++ b/src/beryltiller/platform/announcements.py
@@ -13,7 +13,7 @@
 from beryltiller.core.position import ORIGIN, Position
 from beryltiller.observability import logs, session_events
 from beryltiller.platform.store import StoreClient
-from beryltiller.sessions.databases.in_sync_set import InSyncProcess, process_key
+from beryltiller.sessions.databases.in_sync_set import InSyncProcess
 from beryltiller.sessions.databases.primary_change import (
     PendingPromotion,
     PrimaryChange,
@@ -176,12 +176,11 @@
 
 
 def _decode_processes(model: AnnouncementModel) -> tuple[InSyncProcess, ...]:
-    """Return all processes that promoters account for, in the order of their names."""
-    processes = [
+    """Return all processes that promoters account for, the lapsed ones last."""
+    return (
         *(_decode_process(each, has_lapsed=False) for each in model.in_sync),
         *(_decode_process(each, has_lapsed=True) for each in model.lapsed),
-    ]
-    return tuple(sorted(processes, key=process_key))
+    )
 
 
 def _decode_process(model: InSyncModel, has_lapsed: bool) -> InSyncProcess:
--- a/src/beryltiller/sessions/databases/in_sync.py
+++ b/src/beryltiller/sessions/databases/in_sync.py
@@ -65,7 +65,8 @@
                 del left[process_key(each)]
         for each in self.joining:
             left[process_key(each)] = each
-        return InSyncSet(tuple(left[key] for key in sorted(left)))
+        in_order = sorted(left, key=lambda key: (left[key].has_lapsed, key))
+        return InSyncSet(tuple(left[key] for key in in_order))
 
 
 def is_settled(group: Group, lapsed: frozenset[str]) -> bool:
--- a/src/beryltiller/sessions/databases/in_sync_set.py
+++ b/src/beryltiller/sessions/databases/in_sync_set.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InSyncSet:
-    """The processes of a group that are in sync, in the order of their names.
+    """The processes of a group that are in sync, by name, the lapsed ones last.
 
     >>> process = InSyncProcess("d", 7, "127.0.0.1:1", "a", 2)
     >>> InSyncSet((process,)).counts(process.database("s"))
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -37,6 +37,7 @@
         InSyncProcess(
             "b", 0, "127.0.0.2:1", "z2", 3, is_leaving=True, has_drained=True
         ),
+        InSyncProcess("a", 5, "127.0.0.1:1", "z1", 2, is_leaving=True, has_lapsed=True),
     ),
     reported=Position(3, 6),
     successor="a",
