Prove no term for longer than a question while a promotion may act late

A proof of a term lasts 0.5 s since each promotion holds the replicas fenced before; one that acts late does not, as the fences have been lifted meanwhile.

While a database may still be promoted by an earlier request, a proof lasts no longer than the question, that database must have answered it as a replica, and neither a commit nor a replica's position proves more.

--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -130,7 +130,9 @@
         if member is self.leader:
             member.record_lead(position.term, position)
             self._extend_lead(position.term, asked_at)
-            kind, until = EvidenceKind.COMMIT, asked_at + TERM_PROOF_SECONDS
+            # A database that may be promoted any moment had received it as a replica.
+            lasting = 0.0 if self._pending_members() else TERM_PROOF_SECONDS
+            kind, until = EvidenceKind.COMMIT, asked_at + lasting
             self._extend_proof(position.term, member, kind, asked_at, until)
 
     def record_round(
@@ -144,14 +146,19 @@
         primary meanwhile. It has acknowledged nothing before the question, though, if
         it is the only silent one and none of the others has heard of it. Nor do they if
         a process may have started, unfenced, since announcements were last known.
+        Databases that an earlier request may promote any moment must all have answered.
         """
         replicas = len(self.replicas)
         answered = [status for member, status in statuses if member is not self.leader]
         is_unfenced = not any(status.fenced_term for status in answered)
         is_known = all(status.connected_at < self.settled_at for status in answered)
         lasting = TERM_PROOF_SECONDS if is_unfenced and is_known else 0.0
+        if self._pending_members():
+            lasting = 0.0
         if len(answered) < replicas:
             lasting = 0.0 if len(answered) == replicas - 1 else NO_PROOF_SECONDS
+        if self._pending_members() - {member for member, _ in statuses}:
+            lasting = NO_PROOF_SECONDS
         for member, status in sorted(statuses, key=_newest_term_first):
             self.record_status(member, status, asked_at, lasting)
 
@@ -250,6 +257,8 @@
         leader = self.leader
         if leader is None or position.term != leader.reported_primary_term:
             return
+        if self._pending_members():
+            return
         for sample in self._covers.newest_samples():
             until = sample.asked_at + TERM_PROOF_SECONDS
             if self._proofs.is_proved(position.term, until):
@@ -271,6 +280,15 @@
             self._record_unfenced(member, asked_at)
         self._record_full_round()
 
+    def _pending_members(self) -> set[Member]:
+        """Return the databases that a promotion requested before may still promote.
+
+        It holds no fence before that, so that proofs last no longer than a question.
+        """
+        names = self._changes.pending_names(self._clock())
+        found = (self.members.get(name) for name in names)
+        return {each for each in found if each and each is not self.leader}
+
     def _record_unfenced(self, member: Member, asked_at: float) -> None:
         if not (self.is_set_current and self.is_in_sync(member)):
             return
--- a/tests/test_lifted_fences.py
+++ b/tests/test_lifted_fences.py
@@ -2,12 +2,14 @@
 
 import unittest
 
+from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import RouteKind
 from beryltiller.sessions.databases.evidence import (
     NO_PROOF_SECONDS,
     TERM_PROOF_SECONDS,
 )
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.primary_change import PendingPromotion
 from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus, Read
 from tests.fake_group import GroupFixture
 from tests.test_session_groups import make_group, status
@@ -96,3 +98,35 @@
     def test_group_whose_replicas_are_all_unfenced_is_proved(self) -> None:
         group = self.group_after(("r1", status(1)), ("r2", status(1)))
         self.assertTrue(group.is_term_proved(1.1 + TERM_PROOF_SECONDS))
+
+
+class LatePromotionTest(unittest.TestCase):
+    """A promotion that was requested before, and may act any moment without a hold."""
+
+    def pending_group(self) -> Group:
+        """Return a group whose leader leads at 1.1, and `r1` may be promoted."""
+        group = make_group()
+        group.record_status(group.members["p"], status(1, is_primary=True), 1.1)
+        group.changes.record_pending((PendingPromotion(7, "r1"),), now=0.0)
+        return group
+
+    def test_proof_does_not_outlast_the_question(self) -> None:
+        """Guards against reads at the old primary after a promotion that acts late."""
+        group = self.pending_group()
+        answers = [(group.members[name], status(1)) for name in ("r1", "r2")]
+        group.record_round(answers, 1.1)
+        self.assertTrue(group.is_term_proved(1.1))
+        self.assertFalse(group.is_term_proved(1.11))
+
+    def test_nothing_is_proved_without_an_answer_of_the_database(self) -> None:
+        group = self.pending_group()
+        group.record_round([(group.members["r2"], status(1))], 1.1)
+        self.assertFalse(group.is_term_proved(1.1))
+
+    def test_commit_that_it_has_received_proves_no_more_than_when_it_was_sent(
+        self,
+    ) -> None:
+        group = self.pending_group()
+        group.record_commit(group.members["p"], 1.2, Position(1, 5))
+        self.assertTrue(group.is_term_proved(1.2))
+        self.assertFalse(group.is_term_proved(1.21))
