Remove a drained process from the in-sync set after 10.5 s

Callers of a service whose replica had drained found no primary for up to 15.5 s if the primary then failed: promoters accounted for the process that had gone until no proxy counted it any more.

Two tiers mend that. A proxy without news counts one replica alone for 10 s, and two together for 15 s. So one drained process can be removed after 10.5 s, if no other has left the set within 15.5 s: who counted it by then asks a second one, which stays. The set must be the same when the removal is written as when it was decided, or two proxies could remove two.

--- a/src/beryltiller/sessions/databases/continuity.py
+++ b/src/beryltiller/sessions/databases/continuity.py
@@ -32,15 +32,21 @@
 RESTART_SECONDS = 4.0
 # Of one replica, answers before the latest ones are not linked to its chain later.
 MAX_LOOSE = 4
+# How many chains count if one of the replicas may have left the set unseen.
+COPIES = 2
 
 
 @dataclass(frozen=True, slots=True)
 class Unfenced:
-    """A replica in sync was not fenced at some moment between two others."""
+    """A replica in sync was not fenced at some moment between two others.
+
+    With `counts_alone` it cannot have left the in-sync set unseen.
+    """
 
     member: Member
     asked_at: float
     answered_at: float
+    counts_alone: bool
 
 
 class Continuity:
@@ -50,10 +56,10 @@
     >>> continuity.record_news(1.0)
     >>> entry = Database("d", "s", "h:1", "a", 2, False, False)
     >>> replica = Member(entry)
-    >>> continuity.record_unfenced(Unfenced(replica, 0.9, 1.0))
+    >>> continuity.record_unfenced(Unfenced(replica, 0.9, 1.0, True))
     >>> continuity.until, continuity.settled_at
     (1.4, 1.0)
-    >>> continuity.record_unfenced(Unfenced(replica, 1.5, 1.6))
+    >>> continuity.record_unfenced(Unfenced(replica, 1.5, 1.6, True))
     >>> continuity.until
     1.4
     """
@@ -116,9 +122,16 @@
         answer = loose.popleft()
         if chain is None or answer.asked_at > chain.asked_at:
             self._chains[answer.member] = answer
+        if answer.counts_alone:
+            self._extend(answer)
+        elif len(self._chains) >= COPIES:
+            latest = sorted(self._chains.values(), key=_end, reverse=True)
+            self._extend(latest[COPIES - 1])
+        return True
+
+    def _extend(self, answer: Unfenced) -> None:
         self._until = max(self._until, _end(answer))
         self._settled_at = max(self._settled_at, answer.asked_at)
-        return True
 
     def keep_only(self, members: set[Member]) -> None:
         """Forget the chains of all others."""
--- a/src/beryltiller/sessions/databases/continuity_watch.py
+++ b/src/beryltiller/sessions/databases/continuity_watch.py
@@ -15,6 +15,7 @@
 from beryltiller.sessions.databases.catalog import Database
 from beryltiller.sessions.databases.evidence import NO_PROOF_SECONDS
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.in_sync_set import DRAIN_LEASE_SECONDS
 from beryltiller.sessions.databases.member import Member
 from beryltiller.sessions.errors import NotSentError, SessionError
 from beryltiller.sessions.statements import AskStatus, DatabaseStatus
@@ -23,6 +24,8 @@
 CHECK_SECONDS = 0.1
 # A chain is continued when it would end within this time. Some replica answers in it.
 ASK_BEFORE_SECONDS = 0.35
+# With older news all replicas are asked: soon one of them does not count alone.
+ONE_CHAIN_SECONDS = DRAIN_LEASE_SECONDS - 2.0
 # The least time between two questions to one replica.
 ASK_AGAIN_SECONDS = 0.15
 # A question that has no answer by then is given up.
@@ -87,13 +90,13 @@
         """Return the replicas to be asked now: one if a chain is to be continued.
 
         That is another one each time until an answer continues it. All are asked to
-        begin one.
+        begin one, and when two chains are needed soon.
         """
         now = self._clock()
         if group.unbroken_until > now + ASK_BEFORE_SECONDS:
             return ()
         replicas = [each for each in group.replicas if self._may_ask(group, each)]
-        if not group.is_unbroken(now):
+        if not group.is_unbroken(now) or not group.is_known_within(ONE_CHAIN_SECONDS):
             return tuple(replicas)
         replicas.sort(key=lambda each: (each not in self._kept, each.watched_at))
         return tuple(replicas[:1])
--- a/src/beryltiller/sessions/databases/group_knowledge.py
+++ b/src/beryltiller/sessions/databases/group_knowledge.py
@@ -22,6 +22,7 @@
     TermProofs,
 )
 from beryltiller.sessions.databases.in_sync_set import (
+    DRAIN_LEASE_SECONDS,
     SET_LEASE_SECONDS,
     InSyncSet,
     LeavingProcesses,
@@ -92,6 +93,12 @@
         """
         return self._in_sync is None or self.is_known_within(SET_LEASE_SECONDS)
 
+    def counts_alone(self, member: Member) -> bool:
+        """Return True if a process in sync cannot have left the set unseen."""
+        if self._in_sync is None:
+            return True
+        return self.is_in_sync(member) and self.is_known_within(DRAIN_LEASE_SECONDS)
+
     @property
     def has_news(self) -> bool:
         """Return True if announcements arrive, as far as can be known by now."""
--- a/src/beryltiller/sessions/databases/groups.py
+++ b/src/beryltiller/sessions/databases/groups.py
@@ -293,7 +293,8 @@
         if not (self.is_set_current and self.is_in_sync(member)):
             return
         self._continuity.record_news(self._announced.at)
-        answer = Unfenced(member, asked_at, self._clock())
+        alone = self.counts_alone(member)
+        answer = Unfenced(member, asked_at, self._clock(), alone)
         self._continuity.record_unfenced(answer)
 
     def _record_full_round(self) -> None:
--- a/src/beryltiller/sessions/databases/in_sync_set.py
+++ b/src/beryltiller/sessions/databases/in_sync_set.py
@@ -5,9 +5,11 @@
 So each reported commit is in the logs of two of its processes, and a promoter that
 started a moment ago knows all processes that it has to account for.
 
-A proxy without news of the store does not learn that a process leaves. It counts the
-set as it knows it for `SET_LEASE_SECONDS`, and no process after that. So one that has
-been leaving for longer is counted by nobody: it is removed, whether or not it runs.
+A proxy without news of the store does not learn that a process leaves. It counts one
+replica alone for `DRAIN_LEASE_SECONDS` after its last news, then two together, and none
+after `SET_LEASE_SECONDS`. So one that has been leaving for longer than that is counted
+by nobody, and is removed, whether or not it runs. One that had drained is removed after
+the shorter time already, if no other has left within the longer one.
 """
 
 from dataclasses import dataclass
@@ -16,7 +18,9 @@
 
 # How long what a proxy knows of a set counts, from when the store had it so.
 SET_LEASE_SECONDS = 15.0
-# Within that time, the clocks of two proxies differ by less than this.
+# How long it counts for one replica without another one.
+DRAIN_LEASE_SECONDS = 10.0
+# Within these times, the clocks of two proxies differ by less than this.
 LEASE_MARGIN_SECONDS = 0.5
 
 
@@ -113,11 +117,20 @@
     def __init__(self) -> None:
         """Create a record of no process."""
         self._since: dict[tuple[str, int], float] = {}
+        self._drained_since: dict[tuple[str, int], float] = {}
+        self._left_at: float | None = None
 
     def record(self, in_sync: InSyncSet, now: float) -> None:
-        """Record the set that the store keeps, as it is known now."""
-        keys = [process_key(each) for each in in_sync.processes if each.is_leaving]
-        self._since = {key: self._since.get(key, now) for key in keys}
+        """Record the set that the store keeps, as it is known now.
+
+        Others may have left right before the first one is known.
+        """
+        leaving = [each for each in in_sync.processes if each.is_leaving]
+        drained = [each for each in leaving if each.has_drained]
+        if self._left_at is None or self._since.keys() - set(map(process_key, leaving)):
+            self._left_at = now
+        self._since = _kept(self._since, leaving, now)
+        self._drained_since = _kept(self._drained_since, drained, now)
 
     def since(self, process: InSyncProcess) -> float | None:
         """Return since when a process has been known to be leaving, or None."""
@@ -126,4 +139,30 @@
     def is_uncounted(self, process: InSyncProcess, now: float) -> bool:
         """Return True if no proxy counts a process any more."""
         since = self._since.get(process_key(process), now)
-        return now > since + SET_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+        return since < _before(now, SET_LEASE_SECONDS)
+
+    def is_uncounted_alone(self, process: InSyncProcess, now: float) -> bool:
+        """Return True if no proxy counts a process without another one any more.
+
+        That holds for a drained one, if no other has left while a proxy without news
+        may count both together.
+        """
+        if self.is_uncounted(process, now):
+            return True
+        drained_since = self._drained_since.get(process_key(process), now)
+        is_first = self._left_at is not None and (
+            self._left_at < _before(now, SET_LEASE_SECONDS)
+        )
+        return is_first and drained_since < _before(now, DRAIN_LEASE_SECONDS)
+
+
+def _before(now: float, lease_seconds: float) -> float:
+    """Return since when all proxies without news have been so for a lease."""
+    return now - lease_seconds - LEASE_MARGIN_SECONDS
+
+
+def _kept(
+    since: dict[tuple[str, int], float], processes: list[InSyncProcess], now: float
+) -> dict[tuple[str, int], float]:
+    """Return since when each of some processes has been known, at the latest now."""
+    return {process_key(each): since.get(process_key(each), now) for each in processes}
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -17,7 +17,8 @@
 
 Both processes must be in the group's in-sync set, if the store keeps one: a promoter
 that started later accounts for those in it. The set must be known as of recently, as
-others remove processes from it.
+others remove processes from it. Later one replica may have left it unseen, so that two
+must have the commit.
 
 The functions are pure.
 """
@@ -26,6 +27,9 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.member import Member
 
+# How many replicas must have a commit if one of them may have left the set unseen.
+COPIES = 2
+
 
 def is_received(
     group: Group,
@@ -56,11 +60,13 @@
         and group.is_in_sync(replica)
     ]
     lasting = [each for each in replicas if not each.database.is_draining]
-    return any(
-        each.registered_revision <= announced_revision
-        and _has_shown(each, position, announced_at)
+    holders = [
+        each
         for each in lasting or replicas
-    )
+        if each.registered_revision <= announced_revision
+        and _has_shown(each, position, announced_at)
+    ]
+    return len(holders) >= COPIES or any(map(group.counts_alone, holders))
 
 
 def holds(
--- a/src/beryltiller/sessions/succession/ended_processes.py
+++ b/src/beryltiller/sessions/succession/ended_processes.py
@@ -40,11 +40,12 @@
 
     STARTED_AGAIN = "another start of it is in sync"
     REPLACED = "another database answers at its address"
+    DRAINED = "it had drained, has no entry, and no proxy counts it alone"
     LAPSED = "it has no entry, and no proxy counts it"
 
 
 # An attempt to remove a process of a service: whether it has an entry, and whether no
-# proxy counts it any more.
+# proxy counts it alone any more.
 _Removal = tuple[str, InSyncProcess, bool, bool]
 
 
@@ -64,9 +65,10 @@
         """Return the processes to be removed now, and how the end of each was shown.
 
         They must have been marked as leaving before they are found to have ended, and
-        the primary be asked for its log after that.
+        the primary be asked for its log after that. None is due if the set changes
+        meanwhile: how many may leave depends on who has left.
         """
-        now = self._clock()
+        now, in_sync_set = self._clock(), group.in_sync
         leaving = [
             each
             for each in self._leaving(group, now)
@@ -74,8 +76,7 @@
         ]
         if not leaving:
             return {}
-        shown = {each: await self._shown_end(group, each) for each in leaving}
-        ended = {each: end for each, end in shown.items() if end is not None}
+        ended = await self._shown_ends(group, leaving)
         if not ended:
             return {}
         log_end = await self._leaders_log_end(group)
@@ -87,12 +88,14 @@
                 for each in group.replicas
             )
         )
-        return ended if in_sync.is_held_by_others(group, ended, log_end) else {}
+        is_same = group.in_sync == in_sync_set
+        is_held = in_sync.is_held_by_others(group, ended, log_end)
+        return ended if is_same and is_held else {}
 
     def _is_removal_due(self, group: Group, process: InSyncProcess, now: float) -> bool:
         """Return True if the removal of a process is to be tried now.
 
-        It is tried soon once its entry has gone, and once no proxy counts it any more.
+        It is tried soon once its entry has gone, and once no proxy counts it alone.
         """
         is_local = self._fleet.is_in_zone(process.availability_zone)
         return self._removals.is_due(
@@ -100,7 +103,7 @@
                 group.service,
                 process,
                 self._is_registered(process),
-                group.leaving.is_uncounted(process, now),
+                group.leaving.is_uncounted_alone(process, now),
             ),
             now,
             draw_delay(self._fleet, self._rng, {process.availability_zone}),
@@ -118,6 +121,19 @@
             if (since := group.leaving.since(each)) is not None and since < now
         ]
 
+    async def _shown_ends(
+        self, group: Group, leaving: list[InSyncProcess]
+    ) -> dict[InSyncProcess, ShownEnd]:
+        """Return how the ends of processes are shown, `DRAINED` for one at most."""
+        ends: dict[InSyncProcess, ShownEnd] = {}
+        for each in leaving:
+            end = await self._shown_end(group, each)
+            if end is ShownEnd.DRAINED and end in ends.values():
+                continue
+            if end is not None:
+                ends[each] = end
+        return ends
+
     async def _shown_end(self, group: Group, process: InSyncProcess) -> ShownEnd | None:
         """Return how it is shown that a process does not run any more, or None.
 
@@ -130,9 +146,12 @@
                 member.database
             )
             return ShownEnd.STARTED_AGAIN if in_sync_now else None
-        is_uncounted = group.leaving.is_uncounted(process, self._clock())
-        if is_uncounted and not self._is_registered(process):
-            return ShownEnd.LAPSED
+        if not self._is_registered(process):
+            now = self._clock()
+            if group.leaving.is_uncounted(process, now):
+                return ShownEnd.LAPSED
+            if group.leaving.is_uncounted_alone(process, now):
+                return ShownEnd.DRAINED
         database = process.database(group.service)
         try:
             await self._fleet.command(database, AskStatus(), COMMAND_TIMEOUT_SECONDS)
--- a/tests/test_in_sync.py
+++ b/tests/test_in_sync.py
@@ -9,8 +9,12 @@
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.in_sync import InSyncChange
 from beryltiller.sessions.databases.in_sync_set import (
+    DRAIN_LEASE_SECONDS,
+    LEASE_MARGIN_SECONDS,
+    SET_LEASE_SECONDS,
     InSyncProcess,
     InSyncSet,
+    LeavingProcesses,
     process_of,
 )
 from beryltiller.sessions.statements import DatabaseStatus
@@ -202,6 +206,58 @@
         self.assertEqual(removal.apply(present), present)
 
 
+class UncountedTest(unittest.TestCase):
+    """Whether proxies without news may count a process that leaves."""
+
+    ALONE_SECONDS = DRAIN_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+    AT_ALL_SECONDS = SET_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+    LAPSED = replace(PROCESSES["q"], is_leaving=True, has_lapsed=True)
+    DRAINED = replace(PROCESSES["r"], is_leaving=True, has_drained=True)
+
+    def setUp(self) -> None:
+        self.leaving = LeavingProcesses()
+
+    def record(self, now: float, *processes: InSyncProcess) -> None:
+        self.leaving.record(InSyncSet(processes), now)
+
+    def assert_uncounted_alone_from(self, process: InSyncProcess, at: float) -> None:
+        self.assertFalse(self.leaving.is_uncounted_alone(process, at - 0.1))
+        self.assertTrue(self.leaving.is_uncounted_alone(process, at + 0.1))
+
+    def test_drained_process_is_counted_alone_for_the_shorter_time(self) -> None:
+        self.record(0.0)
+        self.record(100.0, self.DRAINED)
+        self.assert_uncounted_alone_from(self.DRAINED, 100.0 + self.ALONE_SECONDS)
+        self.assertFalse(self.leaving.is_uncounted(self.DRAINED, 111.0))
+
+    def test_process_that_did_not_drain_may_be_counted_for_the_longer_time(
+        self,
+    ) -> None:
+        self.record(0.0)
+        self.record(100.0, self.LAPSED)
+        self.assert_uncounted_alone_from(self.LAPSED, 100.0 + self.AT_ALL_SECONDS)
+
+    def test_time_is_shorter_only_from_when_the_process_drains(self) -> None:
+        drained_late = replace(self.LAPSED, has_drained=True)
+        self.record(0.0)
+        self.record(100.0, self.LAPSED)
+        self.record(103.0, drained_late)
+        self.assert_uncounted_alone_from(drained_late, 103.0 + self.ALONE_SECONDS)
+
+    def test_second_one_waits_until_no_proxy_counts_both_together(self) -> None:
+        self.record(0.0)
+        self.record(100.0, self.LAPSED, self.DRAINED)
+        self.record(105.0, self.DRAINED)
+        self.assert_uncounted_alone_from(self.DRAINED, 100.0 + self.AT_ALL_SECONDS)
+        self.record(116.0)
+        self.record(130.0, self.DRAINED)
+        self.assert_uncounted_alone_from(self.DRAINED, 130.0 + self.ALONE_SECONDS)
+
+    def test_others_may_have_left_before_a_proxy_started(self) -> None:
+        self.record(100.0, self.DRAINED)
+        self.assert_uncounted_alone_from(self.DRAINED, 100.0 + self.AT_ALL_SECONDS)
+
+
 class ReceiptTest(unittest.TestCase):
     """Receipts count for processes in the set."""
 
