Give the number of copies one place, and the fleet two parts fewer

COPIES stood in four modules with one meaning. Which leaders are probed is a pure function of its own, as is how many services have a majority that answers. Nothing else changes.

--- a/src/beryltiller/sessions/databases/continuity.py
+++ b/src/beryltiller/sessions/databases/continuity.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass
 
 from beryltiller.sessions.databases.evidence import TERM_PROOF_SECONDS
+from beryltiller.sessions.databases.in_sync_set import COPIES
 from beryltiller.sessions.databases.member import NEVER, Member
 
 # A proxy that follows the store knows its tables as of this long ago, or later.
@@ -32,8 +33,6 @@
 RESTART_SECONDS = 4.0
 # Of one replica, answers before the latest ones are not linked to its chain later.
 MAX_LOOSE = 4
-# How many chains count if one of the replicas may have left the set unseen.
-COPIES = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beryltiller/sessions/databases/fleet.py
+++ b/src/beryltiller/sessions/databases/fleet.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from beryltiller.sessions.connections.connection_limits import ConnectionSupply
 from beryltiller.sessions.connections.connection_pool import ConnectionPool
 from beryltiller.sessions.connections.database_pools import DatabasePools
 from beryltiller.sessions.connections.pooled_queries import run_command, run_query
+from beryltiller.sessions.databases import unresponsive_leaders
 from beryltiller.sessions.databases.announced import (
     AnnouncementFeed,
     KnownAnnouncements,
@@ -31,6 +32,10 @@
 )
 from beryltiller.sessions.databases.receipt_queries import ReceiptQueries
 from beryltiller.sessions.databases.regions import NO_REGIONS, Distance, Regions
+from beryltiller.sessions.databases.service_reachability import (
+    ServiceReachability,
+    count_reachable_services,
+)
 from beryltiller.sessions.databases.status_queries import (
     STATUS_TIMEOUT_SECONDS,
     StatusQueries,
@@ -48,17 +53,6 @@
 # The deadline of a command that may be sent at any time.
 FOREVER = float("inf")
 
-# A leader that answers no statement for this long is unresponsive, and is probed.
-SILENCE_SECONDS = 0.25
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceReachability:
-    """The number of services, and of those whose majority of databases answers."""
-
-    services: int
-    with_majority: int
-
 
 class Fleet:
     """One proxy's groups of databases and its connection pools.
@@ -360,30 +354,14 @@
         member.record_probe_answer(self._clock())
 
     def leaders_to_probe(self) -> tuple[Member, ...]:
-        """Return unresponsive leaders, and others that may have failed with them.
-
-        The others are leaders in the same availability zone for which no recent probe
-        shows whether they work.
-        """
-        now = self._clock()
+        """Return unresponsive leaders, and others that may have failed with them."""
         leaders = [each.leader for each in self.watched_groups() if each.leader]
-        unresponsive = [each for each in leaders if _is_unresponsive(each, now)]
-        zones = {each.database.availability_zone for each in unresponsive}
-        return tuple(
-            each
-            for each in leaders
-            if each in unresponsive
-            or (
-                each.database.availability_zone in zones
-                and not each.was_probed_recently(now)
-            )
-        )
+        return unresponsive_leaders.to_probe(leaders, self._clock())
 
     def has_unresponsive_leader(self) -> bool:
         """Return True if some leader fails or leaves statements unanswered."""
-        now = self._clock()
-        leaders = (group.leader for group in self._groups.values())
-        return any(each is not None and _is_unresponsive(each, now) for each in leaders)
+        leaders = [each.leader for each in self._groups.values() if each.leader]
+        return bool(unresponsive_leaders.unresponsive(leaders, self._clock()))
 
     async def confirm_leaders(self) -> None:
         """Query the status of databases that claim to lead but have stated no term."""
@@ -410,16 +388,9 @@
 
     async def count_reachable_services(self) -> ServiceReachability:
         """Query every database, and count the services whose majority answers."""
-        groups = [group for group in self._groups.values() if group.members]
-        results = await asyncio.gather(*map(self._has_majority, groups))
-        return ServiceReachability(len(groups), sum(results))
-
-    async def _has_majority(self, group: Group) -> bool:
-        members = tuple(group.members.values())
-        responses = await asyncio.gather(
-            *map(self._status_queries.is_responding, members)
+        return await count_reachable_services(
+            self._groups.values(), self._status_queries.is_responding
         )
-        return sum(responses) > len(members) // 2
 
     def close_idle(self) -> None:
         """Close pooled connections that exceeded their idle time."""
@@ -441,10 +412,3 @@
         for service, group in self._groups.items():
             group.update(self._directory.of_service(service), self._clock())
             group.record_departed(bool(self._directory.departed_of(service)))
-
-
-def _is_unresponsive(leader: Member, now: float) -> bool:
-    if leader.failing_since is not None:
-        return True
-    silent_since = leader.unanswered_since
-    return silent_since is not None and now > silent_since + SILENCE_SECONDS
--- a/src/beryltiller/sessions/databases/in_sync.py
+++ b/src/beryltiller/sessions/databases/in_sync.py
@@ -16,6 +16,7 @@
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import Group
 from beryltiller.sessions.databases.in_sync_set import (
+    COPIES,
     InSyncProcess,
     InSyncSet,
     process_key,
@@ -23,9 +24,6 @@
 )
 from beryltiller.sessions.databases.member import Member
 
-# How many logs must hold what a process that leaves may have received.
-COPIES = 2
-
 
 @dataclass(frozen=True, slots=True)
 class InSyncChange:
--- a/src/beryltiller/sessions/databases/in_sync_set.py
+++ b/src/beryltiller/sessions/databases/in_sync_set.py
@@ -16,6 +16,8 @@
 
 from beryltiller.sessions.databases.catalog import Database
 
+# Each reported commit is in the logs of at least this many processes in sync.
+COPIES = 2
 # How long what a proxy knows of a set counts, from when the store had it so.
 SET_LEASE_SECONDS = 15.0
 # How long it counts for one replica without another one.
--- a/src/beryltiller/sessions/databases/receipts.py
+++ b/src/beryltiller/sessions/databases/receipts.py
@@ -25,11 +25,9 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.groups import Group
+from beryltiller.sessions.databases.in_sync_set import COPIES
 from beryltiller.sessions.databases.member import Member
 
-# How many replicas must have a commit if one of them may have left the set unseen.
-COPIES = 2
-
 
 def is_received(
     group: Group,
--- a/src/beryltiller/sessions/serving/isolation.py
+++ b/src/beryltiller/sessions/serving/isolation.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass
 
 from beryltiller.observability import logs, session_events
-from beryltiller.sessions.databases.fleet import Fleet, ServiceReachability
+from beryltiller.sessions.databases.fleet import Fleet
 from beryltiller.sessions.databases.member import NEVER
+from beryltiller.sessions.databases.service_reachability import ServiceReachability
 
 # The databases and the store are checked if `REFUSED_SHARE` of at least `MIN_OUTCOMES`
 # statements in the last `WINDOW_SECONDS` were refused.
--- a/src/beryltiller/sessions/succession/comparison.py
+++ b/src/beryltiller/sessions/succession/comparison.py
@@ -9,7 +9,7 @@
 from enum import Enum, unique
 
 from beryltiller.core.position import ORIGIN, Position
-from beryltiller.sessions.databases.in_sync_set import InSyncProcess
+from beryltiller.sessions.databases.in_sync_set import COPIES, InSyncProcess
 from beryltiller.sessions.databases.primary_change import PrimaryChange
 from beryltiller.sessions.statements import DatabaseStatus
 from beryltiller.sessions.succession.actions import (
@@ -23,9 +23,6 @@
     Succession,
 )
 
-# Each reported commit is in the logs of at least this many processes in sync.
-COPIES = 2
-
 
 @unique
 class LeftOut(Enum):
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -4,7 +4,8 @@
 import contextlib
 import unittest
 
-from beryltiller.sessions.databases.fleet import SILENCE_SECONDS, ServiceReachability
+from beryltiller.sessions.databases.service_reachability import ServiceReachability
+from beryltiller.sessions.databases.unresponsive_leaders import SILENCE_SECONDS
 from beryltiller.sessions.errors import NoCapacityError
 from beryltiller.sessions.serving.isolation import (
     MIN_OUTCOMES,
--- a/tests/test_succession_observation.py
+++ b/tests/test_succession_observation.py
@@ -9,8 +9,8 @@
 
 from beryltiller.core.position import Position
 from beryltiller.sessions.databases.catalog import Directory
-from beryltiller.sessions.databases.fleet import SILENCE_SECONDS
 from beryltiller.sessions.databases.member import Member
+from beryltiller.sessions.databases.unresponsive_leaders import SILENCE_SECONDS
 from beryltiller.sessions.errors import NotSentError
 from beryltiller.sessions.statements import AskStatus, Code, DatabaseStatus
 from beryltiller.sessions.succession.actions import (
