--- a/src/beryltiller/membership/messages.py
+++ b/src/beryltiller/membership/messages.py
@@ -18,39 +18,33 @@
 from returns.result import Failure, Result, Success
 
 from beryltiller.core.decoding import MAX_NUMBER, Count, DecodingError, decode_with
+from beryltiller.membership.message_parts import BaseMessage, BasePart, Text
+from beryltiller.membership.quota_messages import (
+    QuotaRedirect,
+    QuotaReply,
+    QuotaRequest,
+)
 
 MAX_MESSAGE_BYTES = 2_097_152
 MAX_MEMBERS_IN_MESSAGE = 4_096
 UNKNOWN_AGE_MS = -1
 # The greatest capacity of a proxy, in hundredths of an ordinary host's.
 MAX_WEIGHT = 1_000_000
-MAX_QUOTA_ENTRIES = 4_096
 # The least version of a configuration, which stands for none.
 MIN_VERSION = -1
 
-_Text = Annotated[str, msgspec.Meta(max_length=256)]
 _Age = Annotated[int, msgspec.Meta(ge=UNKNOWN_AGE_MS, le=MAX_NUMBER)]
 _Version = Annotated[int, msgspec.Meta(ge=MIN_VERSION, le=MAX_NUMBER)]
 _State = Annotated[int, msgspec.Meta(ge=0, le=3)]
-_MaxQuotaEntries = msgspec.Meta(max_length=MAX_QUOTA_ENTRIES)
-_Millionths = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 _MaxMembers = msgspec.Meta(max_length=MAX_MEMBERS_IN_MESSAGE)
 
 
-class _Part(msgspec.Struct, frozen=True, array_like=True):
-    """Base of the parts of messages."""
-
-
-class _Message(_Part, frozen=True, array_like=True, tag=True):
-    """Base of all messages; the class name is the tag on the wire."""
-
-
-class MemberEntry(_Part, frozen=True, array_like=True):
+class MemberEntry(BasePart, frozen=True, array_like=True):
     """The sender's description of one member; see `membership.members`."""
 
-    address: _Text
-    name: _Text
-    availability_zone: _Text
+    address: Text
+    name: Text
+    availability_zone: Text
     incarnation: Count
     revision: Count
     state: _State
@@ -59,7 +53,7 @@
     weight: Annotated[int, msgspec.Meta(ge=1, le=MAX_WEIGHT)] = 100
 
 
-class Digest(_Part, frozen=True, array_like=True):
+class Digest(BasePart, frozen=True, array_like=True):
     """The versions that the sender has, with the age of each store confirmation.
 
     An age is the time since the start of a store read that showed the version to
@@ -72,16 +66,16 @@
     terms_age_ms: _Age = UNKNOWN_AGE_MS
 
 
-class EndpointEntry(_Part, frozen=True, array_like=True):
+class EndpointEntry(BasePart, frozen=True, array_like=True):
     """A note of whether an endpoint is leaving, and its age; see `EndpointNote`."""
 
-    name: _Text
+    name: Text
     is_leaving: bool
     age_ms: Count
     is_listed: bool = False
 
 
-class Gossip(_Part, frozen=True, array_like=True):
+class Gossip(BasePart, frozen=True, array_like=True):
     """The part of every probe and answer that carries membership updates."""
 
     sender: MemberEntry
@@ -90,51 +84,51 @@
     endpoints: tuple[EndpointEntry, ...] = ()
 
 
-class Ping(_Message, frozen=True, array_like=True):
+class Ping(BaseMessage, frozen=True, array_like=True):
     """A probe, which the receiver answers at once with `Ack`."""
 
     gossip: Gossip
 
 
-class Ack(_Message, frozen=True, array_like=True):
+class Ack(BaseMessage, frozen=True, array_like=True):
     """The answer to a `Ping`; it shows that the sender is running."""
 
     gossip: Gossip
 
 
-class PingRequest(_Message, frozen=True, array_like=True):
+class PingRequest(BaseMessage, frozen=True, array_like=True):
     """A request to ping another member.
 
     The receiver answers with `PingReply` if the target answers, else with `Refused`.
     """
 
     gossip: Gossip
-    target: _Text
+    target: Text
 
 
-class PingReply(_Message, frozen=True, array_like=True):
+class PingReply(BaseMessage, frozen=True, array_like=True):
     """The report that the target of a `PingRequest` answered, with its own entry."""
 
     target: MemberEntry
 
 
-class MembersRequest(_Message, frozen=True, array_like=True):
+class MembersRequest(BaseMessage, frozen=True, array_like=True):
     """A request for all members that the receiver knows."""
 
 
-class MembersReply(_Message, frozen=True, array_like=True):
+class MembersReply(BaseMessage, frozen=True, array_like=True):
     """The members that the sender knows, including the dead ones."""
 
     members: Annotated[tuple[MemberEntry, ...], _MaxMembers]
 
 
-class ConfigurationRequest(_Message, frozen=True, array_like=True):
+class ConfigurationRequest(BaseMessage, frozen=True, array_like=True):
     """A request for the configuration if it is newer than `above` (-1: any)."""
 
     above: _Version
 
 
-class ConfigurationReply(_Message, frozen=True, array_like=True):
+class ConfigurationReply(BaseMessage, frozen=True, array_like=True):
     """The version in force (-1: none), and its document if above the one requested.
 
     `document` is JSON compressed with zlib. `known_version` is the newest version
@@ -147,15 +141,15 @@
     document: bytes = b""
 
 
-class TermRow(_Part, frozen=True, array_like=True):
+class TermRow(BasePart, frozen=True, array_like=True):
     """A row of the `terms` table."""
 
-    key: _Text
+    key: Text
     version: Count
     value: bytes
 
 
-class EvidenceRequest(_Message, frozen=True, array_like=True):
+class EvidenceRequest(BaseMessage, frozen=True, array_like=True):
     """A request for the rows of the `terms` table above a revision, and their age.
 
     `age_ms` is the age of the sender's evidence (`UNKNOWN_AGE_MS`: none). A peer
@@ -166,7 +160,7 @@
     age_ms: _Age = UNKNOWN_AGE_MS
 
 
-class EvidenceReply(_Message, frozen=True, array_like=True):
+class EvidenceReply(BaseMessage, frozen=True, array_like=True):
     """The rows above the requested revision, and the age of the evidence.
 
     The age is counted back from when the request arrived, so it is negative if the
@@ -178,43 +172,43 @@
     rows: tuple[TermRow, ...] = ()
 
 
-class OpinionRequest(_Message, frozen=True, array_like=True):
+class OpinionRequest(BaseMessage, frozen=True, array_like=True):
     """A request to report whether the peer suspects `database`, primary of `group`."""
 
-    group: _Text
-    database: _Text
+    group: Text
+    database: Text
 
 
-class OpinionReply(_Message, frozen=True, array_like=True):
+class OpinionReply(BaseMessage, frozen=True, array_like=True):
     """The answer to an `OpinionRequest`: whether the sender suspects the primary."""
 
     is_suspected: bool
 
 
-class Forward(_Message, frozen=True, array_like=True):
+class Forward(BaseMessage, frozen=True, array_like=True):
     """A statement forwarded to a proxy that holds connections to the database."""
 
-    database: _Text
+    database: Text
     headers: dict[str, str]
     body: bytes
     timeout_ms: Count
 
 
-class ForwardTransaction(_Message, frozen=True, array_like=True):
+class ForwardTransaction(BaseMessage, frozen=True, array_like=True):
     """A step of a transaction, forwarded to the proxy that has its connection.
 
     `verb` is `begin`, `run`, `commit` or `rollback`.
     """
 
-    database: _Text
-    verb: _Text
-    identifier: _Text
+    database: Text
+    verb: Text
+    identifier: Text
     headers: dict[str, str]
     body: bytes
     timeout_ms: Count
 
 
-class ForwardReply(_Message, frozen=True, array_like=True):
+class ForwardReply(BaseMessage, frozen=True, array_like=True):
     """The answer to a forwarded statement or step of a transaction."""
 
     status: int
@@ -222,7 +216,7 @@
     body: bytes
 
 
-class ForwardedRoute(_Part, frozen=True, array_like=True):
+class ForwardedRoute(BasePart, frozen=True, array_like=True):
     """The route of a forwarded statement, as its sender has it in force.
 
     `kind` is the value of a `RouteKind`.
@@ -230,27 +224,27 @@
 
     database_name: str
     service: str
-    kind: _Text
+    kind: Text
     timeout_ms: Count
     objective_ms: Count
     priority: Count
     max_staleness_ms: Count
 
 
-class ForwardedStatement(_Part, frozen=True, array_like=True):
+class ForwardedStatement(BasePart, frozen=True, array_like=True):
     """A session's statement: the name of its class, and its texts in order.
 
     `prepared_shape` is that of the prepared statement that an execution names, which
     writes if `is_write`.
     """
 
-    kind: _Text
+    kind: Text
     texts: tuple[str, ...] = ()
     prepared_shape: str = ""
     is_write: bool = False
 
 
-class SessionStatement(_Message, frozen=True, array_like=True):
+class SessionStatement(BaseMessage, frozen=True, array_like=True):
     """A statement of a session, to be run by a proxy that is connected to the service.
 
     `sender` names the process that sends it. `committed` is the position of the
@@ -261,13 +255,13 @@
     caller began it.
     """
 
-    sender: _Text
+    sender: Text
     route: ForwardedRoute
     organisation: str
     identifier: str
     statement: ForwardedStatement
     values: dict[str, str]
-    committed: _Text = ""
+    committed: Text = ""
     unplaced_age_ms: _Age = UNKNOWN_AGE_MS
     spent_ms: Count = 0
     transaction: Count = 0
@@ -276,14 +270,14 @@
     begun_ms: Count = 0
 
 
-class SessionEnd(_Message, frozen=True, array_like=True):
+class SessionEnd(BaseMessage, frozen=True, array_like=True):
     """A request to roll back a forwarded transaction, if it is still open."""
 
-    sender: _Text
+    sender: Text
     transaction: Count
 
 
-class SessionReply(_Message, frozen=True, array_like=True):
+class SessionReply(BaseMessage, frozen=True, array_like=True):
     """The reply to a `SessionStatement` or `SessionEnd`.
 
     `state` and `code` are the values of a `SessionState` and of a `Code`, with an empty
@@ -291,16 +285,16 @@
     sender of the reply.
     """
 
-    state: _Text
+    state: Text
     rows: tuple[bytes, ...] = ()
     signature: bytes = b""
-    code: _Text = ""
+    code: Text = ""
     text: str = ""
-    position: _Text = ""
+    position: Text = ""
     is_open: bool = False
 
 
-class PlacementQuestion(_Message, frozen=True, array_like=True):
+class PlacementQuestion(BaseMessage, frozen=True, array_like=True):
     """A question where a statement would run now, which is not sent.
 
     With `is_local` it is asked as if it had been forwarded to the receiver.
@@ -312,104 +306,36 @@
     is_local: bool = False
 
 
-class PlacementAnswer(_Message, frozen=True, array_like=True):
+class PlacementAnswer(BaseMessage, frozen=True, array_like=True):
     """The answer to a `PlacementQuestion`, with its reasons as lines of text.
 
     `forwards_to` is the peer address of the proxy that would run the statement, or
     empty if the answering one, `host`, would.
     """
 
-    host: _Text
-    forwards_to: _Text = ""
+    host: Text
+    forwards_to: Text = ""
     reasons: tuple[str, ...] = ()
 
 
-class PositionRequest(_Message, frozen=True, array_like=True):
+class PositionRequest(BaseMessage, frozen=True, array_like=True):
     """A request for the newest known log position of a group's primary."""
 
-    group: _Text
+    group: Text
 
 
-class PositionReply(_Message, frozen=True, array_like=True):
+class PositionReply(BaseMessage, frozen=True, array_like=True):
     """The answer to a `PositionRequest`: a position as `term:index`, and its age."""
 
-    position: _Text
+    position: Text
     age_ms: _Age
 
 
-class QuotaNeed(_Part, frozen=True, array_like=True):
-    """The tokens an organisation needs at a proxy, and its demand there.
-
-    Demand is in operations in 1,000 seconds.
-    """
-
-    organisation: _Text
-    count: Count
-    demand: Count = 0
-
-
-class QuotaShare(_Part, frozen=True, array_like=True):
-    """The part of an organisation's rate that a proxy may use on its own."""
-
-    organisation: _Text
-    millionths: _Millionths
-
-
-class QuotaGrant(_Part, frozen=True, array_like=True):
-    """Tokens for an organisation; below the need, when to ask for more."""
-
-    organisation: _Text
-    count: Count
-    retry_ms: Count = 0
-
-
-class QuotaRequest(_Message, frozen=True, array_like=True):
-    """A request for tokens of one shard's organisations, in one message.
-
-    `name` and `start` identify the process; `sequence` rises with each request of it.
-    `acknowledged` is the number of the last reply of `term` that it applied. With
-    `is_report`, `shares` has all its shares of the shard.
-    """
-
-    shard: Count
-    name: _Text
-    start: Count
-    sequence: Count
-    term: Count = 0
-    acknowledged: Count = 0
-    is_report: bool = False
-    needs: Annotated[tuple[QuotaNeed, ...], _MaxQuotaEntries] = ()
-    shares: Annotated[tuple[QuotaShare, ...], _MaxQuotaEntries] = ()
-
-
-class QuotaReply(_Message, frozen=True, array_like=True):
-    """The allocator's reply, with tokens and changed shares.
-
-    The receiver does not use its shares for `suspension_ms` after the receipt, and
-    sends its next request within `interval_ms`. With `is_report_wanted` it must first
-    report all its shares.
-    """
-
-    term: Count
-    number: Count
-    is_report_wanted: bool = False
-    interval_ms: Count = 0
-    suspension_ms: Count = 0
-    grants: Annotated[tuple[QuotaGrant, ...], _MaxQuotaEntries] = ()
-    shares: Annotated[tuple[QuotaShare, ...], _MaxQuotaEntries] = ()
-
-
-class QuotaRedirect(_Message, frozen=True, array_like=True):
-    """The answer of a proxy that is not the allocator: its address, if known."""
-
-    address: _Text = ""
-
-
-class Refused(_Message, frozen=True, array_like=True):
+class Refused(BaseMessage, frozen=True, array_like=True):
     """The refusal of a request; it proves that nothing was done for the request."""
 
-    code: _Text
-    reason: _Text = ""
+    code: Text
+    reason: Text = ""
 
 
 Message = (
--- a/src/beryltiller/quota_service/allocation.py
+++ b/src/beryltiller/quota_service/allocation.py
@@ -15,12 +15,8 @@
     Write,
 )
 from beryltiller.membership.members import Member, Members, MemberState
-from beryltiller.membership.messages import (
-    Message,
-    QuotaRedirect,
-    QuotaRequest,
-    Refused,
-)
+from beryltiller.membership.messages import Message, Refused
+from beryltiller.membership.quota_messages import QuotaRedirect, QuotaRequest
 from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.ports import QuotaStore
 from beryltiller.quotas.allocator import Allocator
--- a/src/beryltiller/quota_service/allocator_client.py
+++ b/src/beryltiller/quota_service/allocator_client.py
@@ -8,8 +8,8 @@
 
 from beryltiller.adapters.channels import PeerError
 from beryltiller.membership.members import Members
-from beryltiller.membership.messages import (
-    Message,
+from beryltiller.membership.messages import Message
+from beryltiller.membership.quota_messages import (
     QuotaRedirect,
     QuotaReply,
     QuotaRequest,
--- a/src/beryltiller/quota_service/service.py
+++ b/src/beryltiller/quota_service/service.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from beryltiller.membership.members import Members
-from beryltiller.membership.messages import Message, QuotaRequest, Refused
+from beryltiller.membership.messages import Message, Refused
+from beryltiller.membership.quota_messages import QuotaRequest
 from beryltiller.observability import limit_events, logs
 from beryltiller.quota_service.allocation import Allocation
 from beryltiller.quota_service.allocator_client import AllocatorClient
--- a/src/beryltiller/quotas/allocator.py
+++ b/src/beryltiller/quotas/allocator.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from beryltiller.membership.messages import (
+from beryltiller.membership.quota_messages import (
     MAX_QUOTA_ENTRIES,
     QuotaGrant,
     QuotaNeed,
--- a/src/beryltiller/quotas/client.py
+++ b/src/beryltiller/quotas/client.py
@@ -5,7 +5,7 @@
 from typing import Literal
 
 from beryltiller.core.decoding import MAX_NUMBER
-from beryltiller.membership.messages import (
+from beryltiller.membership.quota_messages import (
     MAX_QUOTA_ENTRIES,
     QuotaNeed,
     QuotaReply,
--- a/src/beryltiller/sessions/forwarding/peering.py
+++ b/src/beryltiller/sessions/forwarding/peering.py
@@ -23,13 +23,8 @@
     Received,
     Tick,
 )
-from beryltiller.membership.messages import (
-    Message,
-    PlacementQuestion,
-    QuotaRequest,
-    Refused,
-    ReplyTo,
-)
+from beryltiller.membership.messages import Message, PlacementQuestion, Refused, ReplyTo
+from beryltiller.membership.quota_messages import QuotaRequest
 from beryltiller.observability import logs, session_events
 from beryltiller.process.actors import Part
 from beryltiller.process.gossip import (
--- a/tests/test_allocator_client.py
+++ b/tests/test_allocator_client.py
@@ -5,7 +5,8 @@
 from collections import Counter
 
 from beryltiller.membership.members import Member, Members
-from beryltiller.membership.messages import Message, QuotaRedirect, QuotaRequest
+from beryltiller.membership.messages import Message
+from beryltiller.membership.quota_messages import QuotaRedirect, QuotaRequest
 from beryltiller.quota_service.allocator_client import AllocatorClient
 from beryltiller.quotas.allocator import Allocator
 from beryltiller.quotas.holdings import Process
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -5,7 +5,8 @@
 
 from beryltiller.core import revisions
 from beryltiller.core.ports import Row
-from beryltiller.membership.messages import (
+from beryltiller.membership.messages import decode, encode
+from beryltiller.membership.quota_messages import (
     MAX_QUOTA_ENTRIES,
     QuotaGrant,
     QuotaNeed,
@@ -13,8 +14,6 @@
     QuotaReply,
     QuotaRequest,
     QuotaShare,
-    decode,
-    encode,
 )
 from beryltiller.quotas import buckets, demands, rules
 from beryltiller.quotas.allocator import Allocator
